Lay out the workspace: vocabulary, bindings, leases and stand-ins

Cause: nothing was there yet. The bindings for the platform, engines, stores and services come first, each with a stand-in, and the rule by which a host may act for its duties.

Leases: weighed were a lease per duty in the platform (690 duties renewed every 3 s are 230 writes/s, near the whole budget) and a lease per host granted by a small panel, with the platform as second grantor. The second costs no writes while the panel answers.

--- /dev/null
+++ b/fleet/engine/client.go
@@ -0,0 +1,151 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/internal/call"
+)
+
+// A Client speaks to one engine. IdleLimit bounds the silence between two
+// pieces of an answer; a stream that is silent for longer counts as broken.
+type Client struct {
+	Address   fleet.Address
+	IdleLimit time.Duration
+}
+
+const (
+	defaultIdleLimit = 10 * time.Second
+	pieceLimit       = 1 << 20 // bytes of one piece on the wire
+)
+
+var (
+	errSilent  = errors.New("stream is silent")
+	errCrossed = errors.New("piece of another attempt")
+	errCut     = errors.New("stream ended without its end mark")
+)
+
+// wrap turns the error of a call into one that tells its outcome.
+func (c *Client) wrap(err error) error {
+	if err == nil {
+		return nil
+	}
+	if call.NotRun(err) {
+		return &RefusedError{Address: c.Address, Status: call.Status(err), Detail: err.Error()}
+	}
+	return &BrokenError{Address: c.Address, Cause: err}
+}
+
+// Generate sends the request and calls each with every piece in order, the end
+// mark included. It returns nil only after the end mark. An error of each ends
+// the stream and is returned as it is.
+func (c *Client) Generate(ctx context.Context, request Request, each func(Piece) error) error {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return &RefusedError{Address: c.Address, Detail: err.Error()}
+	}
+	idle := c.IdleLimit
+	if idle == 0 {
+		idle = defaultIdleLimit
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watchdog := time.AfterFunc(idle, func() { cancel(errSilent) })
+	defer watchdog.Stop()
+	response, err := call.OpenOnce(ctx, http.MethodPost, c.Address, "/generate", nil, body)
+	if err != nil {
+		return c.wrap(cause(ctx, err))
+	}
+	defer response.Body.Close()
+	lines := bufio.NewScanner(response.Body)
+	lines.Buffer(nil, pieceLimit)
+	next := request.From
+	for lines.Scan() {
+		watchdog.Reset(idle)
+		var piece Piece
+		if err := json.Unmarshal(lines.Bytes(), &piece); err != nil {
+			return &BrokenError{Address: c.Address, Cause: err}
+		}
+		if err := check(&piece, request.Attempt, next); err != nil {
+			return &BrokenError{Address: c.Address, Cause: err}
+		}
+		if err := each(piece); err != nil {
+			return err
+		}
+		if piece.End {
+			return nil
+		}
+		if piece.Start == nil {
+			next++
+		}
+	}
+	err = lines.Err()
+	if err == nil {
+		err = errCut
+	}
+	return &BrokenError{Address: c.Address, Cause: cause(ctx, err)}
+}
+
+// check verifies that the piece belongs to the attempt and comes next.
+func check(piece *Piece, attempt Attempt, next fleet.Tokens) error {
+	switch {
+	case piece.Attempt != attempt:
+		return errCrossed
+	case piece.Failed != "":
+		return fmt.Errorf("engine gave up: %s", piece.Failed)
+	case piece.Start != nil:
+		return nil
+	case piece.End && piece.Count != next:
+		return fmt.Errorf("end mark counts %d pieces, %d arrived", piece.Count, next)
+	case !piece.End && piece.Index != next:
+		return fmt.Errorf("piece %d where %d was due", piece.Index, next)
+	}
+	return nil
+}
+
+func cause(ctx context.Context, err error) error {
+	if context.Cause(ctx) == errSilent {
+		return errSilent
+	}
+	return err
+}
+
+// Cancel ends an attempt at the engine.
+func (c *Client) Cancel(ctx context.Context, attempt Attempt) error {
+	return c.wrap(call.JSON(ctx, http.MethodPost, c.Address, "/cancel", struct{ Attempt Attempt }{attempt}, nil))
+}
+
+// Import orders the engine to take a block. The engine compares the block's
+// seal and refuses one that does not match.
+func (c *Client) Import(ctx context.Context, order Import) error {
+	return c.wrap(call.JSON(ctx, http.MethodPost, c.Address, "/import", order, nil))
+}
+
+// Export orders the engine to write a block to a store.
+func (c *Client) Export(ctx context.Context, order Export) error {
+	return c.wrap(call.JSON(ctx, http.MethodPost, c.Address, "/export", order, nil))
+}
+
+// Load orders the engine to load a weight version and returns when it has.
+func (c *Client) Load(ctx context.Context, order Load) error {
+	return c.wrap(call.JSON(ctx, http.MethodPost, c.Address, "/load", order, nil))
+}
+
+// Report fetches the engine's report with its cache events after since.
+func (c *Client) Report(ctx context.Context, since uint64) (Report, error) {
+	var report Report
+	path := "/report?Since=" + strconv.FormatUint(since, 10)
+	err := call.JSON(ctx, http.MethodGet, c.Address, path, nil, &report)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return report, c.wrap(err)
+}
--- /dev/null
+++ b/fleet/lease/holder.go
@@ -0,0 +1,166 @@
+package lease
+
+import (
+	"slices"
+	"time"
+
+	"hibiscuslb/fleet"
+)
+
+// A Holder is one process's knowledge of its own lease. It belongs to the
+// control goroutine; Until is what other goroutines check.
+type Holder struct {
+	Terms Terms
+	Self  Seat
+
+	version fleet.Version // of the member object as last confirmed
+	panel   Panel
+	pending Panel // written but not confirmed; nil if none
+	unsure  bool  // a write is in doubt, pending may be nil
+	grants  map[Seat]fleet.Instant
+	renewed fleet.Instant // the renewal runs until then
+	number  uint64
+	sent    map[uint64]fleet.Instant
+	ended   bool
+}
+
+// Version returns the version of the member object that the holder knows.
+func (h *Holder) Version() fleet.Version { return h.version }
+
+// Panel returns the confirmed panel.
+func (h *Holder) Panel() Panel { return h.panel }
+
+// Beat returns the next heartbeat, to be sent to all of the panel at now.
+func (h *Holder) Beat(now fleet.Instant) Beat {
+	h.number++
+	if h.sent == nil {
+		h.sent = make(map[uint64]fleet.Instant)
+	}
+	h.sent[h.number] = now
+	for number, at := range h.sent {
+		if now.Sub(at) > h.Terms.Length {
+			delete(h.sent, number)
+		}
+	}
+	return Beat{Seat: h.Self, Version: h.version, Number: h.number}
+}
+
+// Granted takes a grant. It runs from the moment its beat was sent.
+func (h *Holder) Granted(grant Grant) {
+	sent, ok := h.sent[grant.Number]
+	if !ok || !grant.Granted {
+		return
+	}
+	if h.grants == nil {
+		h.grants = make(map[Seat]fleet.Instant)
+	}
+	until := sent.Add(h.Terms.Length)
+	h.grants[grant.From] = max(h.grants[grant.From], until)
+}
+
+// Writing notes that a write of the member object is under way. A nil panel
+// stands for a write that leaves the panel as it is. Until the write is
+// settled, the holder needs a quorum of both panels.
+func (h *Holder) Writing(panel Panel) {
+	h.unsure = true
+	if panel != nil {
+		h.pending = slices.Clone(panel)
+	}
+}
+
+// Written notes that a write that was sent at the given moment has provably
+// taken effect, which also renews the lease.
+func (h *Holder) Written(sent fleet.Instant, version fleet.Version, member *Member) {
+	if member.Incarnation != h.Self.Incarnation || !member.Serves() {
+		h.Saw(version, member)
+		return
+	}
+	h.unsure = false
+	h.pending = nil
+	h.adopt(version, member)
+	h.renewed = max(h.renewed, sent.Add(h.Terms.Length))
+}
+
+// Failed notes that the write has provably had no effect.
+func (h *Holder) Failed() {
+	h.unsure = false
+	h.pending = nil
+}
+
+// Saw takes a state of the member object that was read or watched. It settles
+// no write by itself, and renews nothing.
+func (h *Holder) Saw(version fleet.Version, member *Member) {
+	if version <= h.version {
+		return
+	}
+	if member.Incarnation != h.Self.Incarnation || member.State == Ended {
+		h.ended = true
+		return
+	}
+	if !h.unsure {
+		h.adopt(version, member)
+		return
+	}
+	// The write in doubt may have come before or after this state. Needing the
+	// quorum of every panel that may be in force is safe either way.
+	if !slices.Equal(h.panel, member.Panel) {
+		h.pending = slices.Clone(member.Panel)
+	}
+}
+
+// adopt takes the object's state. The renewal is given up with a state that
+// fences it: a successor that reads Ending waits only from its own write on.
+func (h *Holder) adopt(version fleet.Version, member *Member) {
+	if version <= h.version {
+		return
+	}
+	h.version = version
+	h.panel = slices.Clone(member.Panel)
+}
+
+// Ended reports whether the holder's incarnation is over for good.
+func (h *Holder) Ended() bool { return h.ended }
+
+// Unsure reports whether a write of the member object is in doubt.
+func (h *Holder) Unsure() bool { return h.unsure }
+
+// Until returns the moment up to which the holder may act. A result in the
+// past says that it may not.
+func (h *Holder) Until() fleet.Instant {
+	if h.ended {
+		return 0
+	}
+	byPanel := h.quorumUntil(h.panel)
+	if h.pending != nil {
+		byPanel = min(byPanel, h.quorumUntil(h.pending))
+	}
+	return max(byPanel, h.renewed)
+}
+
+// MayAct reports whether the holder may act at the moment.
+func (h *Holder) MayAct(now fleet.Instant) bool { return now < h.Until() }
+
+// NeedsRenewal reports whether the panel's grants run out so soon that the
+// holder should renew its lease in the platform.
+func (h *Holder) NeedsRenewal(now fleet.Instant) bool {
+	return !h.ended && h.Until().Sub(now) < h.Terms.Length/2
+}
+
+// quorumUntil returns how long a quorum of the panel's grants run together.
+func (h *Holder) quorumUntil(panel Panel) fleet.Instant {
+	need := panel.HoldQuorum()
+	if len(panel) < need {
+		return 0
+	}
+	ends := make([]fleet.Instant, 0, len(panel))
+	for _, seat := range panel {
+		ends = append(ends, h.grants[seat])
+	}
+	slices.Sort(ends)
+	return ends[len(ends)-need]
+}
+
+// GrantAge returns for how long the seat has given no grant.
+func (h *Holder) GrantAge(now fleet.Instant, seat Seat) time.Duration {
+	return now.Sub(h.grants[seat].Add(-h.Terms.Length))
+}
--- /dev/null
+++ b/fleet/lease/lease_test.go
@@ -0,0 +1,87 @@
+package lease_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/lease"
+)
+
+func panelOf(n int) lease.Panel {
+	var panel lease.Panel
+	for i := range n {
+		panel = append(panel, lease.Seat{Host: hostID(i), Incarnation: 1})
+	}
+	return panel
+}
+
+func TestQuorumsOverlap(t *testing.T) {
+	for n := range 9 {
+		panel := panelOf(n)
+		require.Greater(t, panel.HoldQuorum()+panel.EndQuorum(), n, "panel of %d", n)
+		if n > 0 {
+			require.LessOrEqual(t, panel.HoldQuorum(), n)
+			require.LessOrEqual(t, panel.EndQuorum(), n)
+		}
+	}
+}
+
+func ExamplePanel_HoldQuorum() {
+	for n := range 5 {
+		fmt.Println(n, panelOf(n).HoldQuorum(), panelOf(n).EndQuorum())
+	}
+	// Output:
+	// 0 1 0
+	// 1 1 1
+	// 2 1 2
+	// 3 2 2
+	// 4 2 3
+}
+
+func active(panel lease.Panel) *lease.Member {
+	return &lease.Member{Host: "a", Incarnation: 1, State: lease.Active, Panel: panel}
+}
+
+func TestHolderOutlivesPlatformOutage(t *testing.T) {
+	panel := panelOf(4)
+	h := lease.Holder{Terms: terms, Self: lease.Seat{Host: "a", Incarnation: 1}}
+	h.Written(0, 1, active(panel))
+	now := fleet.Instant(0)
+	for range 3600 {
+		now = now.Add(terms.Length / 5)
+		beat := h.Beat(now)
+		for _, seat := range panel[:panel.HoldQuorum()] {
+			h.Granted(lease.Grant{From: seat, Number: beat.Number, Granted: true})
+		}
+		require.True(t, h.MayAct(now))
+	}
+	require.False(t, h.MayAct(now.Add(terms.Length)), "a pause longer than the lease ends it")
+}
+
+func TestHolderNeedsQuorumOfBothPanelsWhileItsWriteIsInDoubt(t *testing.T) {
+	first, second := panelOf(2), lease.Panel{{Host: "x", Incarnation: 1}, {Host: "y", Incarnation: 1}}
+	h := lease.Holder{Terms: terms, Self: lease.Seat{Host: "a", Incarnation: 1}}
+	h.Written(0, 1, active(first))
+	h.Writing(second)
+	now := fleet.Instant(terms.Length)
+	beat := h.Beat(now)
+	h.Granted(lease.Grant{From: first[0], Number: beat.Number, Granted: true})
+	require.False(t, h.MayAct(now))
+	h.Granted(lease.Grant{From: second[1], Number: beat.Number, Granted: true})
+	require.True(t, h.MayAct(now))
+}
+
+func TestLaterLifeRefusesOnlyAfterEarlierGrantsRanOut(t *testing.T) {
+	member := active(lease.Panel{{Host: "w", Incarnation: 1}})
+	member.State = lease.Ending
+	w := lease.Witness{Terms: terms, Self: lease.Seat{Host: "w", Incarnation: 2}, Started: 100}
+	require.False(t, w.Refuse(w.Started, member, 5))
+	require.True(t, w.Refuse(w.Started.Add(terms.Wait()), member, 5))
+	beat := lease.Beat{Seat: lease.Seat{Host: "a", Incarnation: 1}, Version: 5}
+	require.False(t, w.Grant(w.Started.Add(terms.Wait()), beat).Granted, "no grant for a refused version")
+	beat.Version = 6
+	require.True(t, w.Grant(w.Started.Add(terms.Wait()), beat).Granted, "a newer version proves that the end failed")
+}
--- /dev/null
+++ b/fleet/outcome.go
@@ -0,0 +1,59 @@
+package fleet
+
+import (
+	"fmt"
+	"time"
+)
+
+// Reason says why a request was refused.
+type Reason string
+
+// The reasons for which a request is refused.
+const (
+	ReasonMalformed     Reason = "malformed"
+	ReasonUnauthorized  Reason = "unauthorized"
+	ReasonForbidden     Reason = "forbidden"
+	ReasonUnknownModel  Reason = "unknown model"
+	ReasonTooLarge      Reason = "too large"
+	ReasonNoKey         Reason = "no idempotency key"
+	ReasonKeyConflict   Reason = "idempotency key used for another request"
+	ReasonOverloaded    Reason = "overloaded"
+	ReasonDeadline      Reason = "deadline can not be met"
+	ReasonLeaving       Reason = "leaving"
+	ReasonNoTarget      Reason = "no target"
+	ReasonNotKeeper     Reason = "not keeper"
+	ReasonStale         Reason = "configuration may be stale"
+	ReasonNoPlatform    Reason = "platform unavailable"
+	ReasonTargetFailed  Reason = "target failed"
+	ReasonRetryBudget   Reason = "retry budget spent"
+	ReasonInProgress    Reason = "in progress"
+	ReasonStreamTimeout Reason = "stream timeout"
+)
+
+// A RefusalError ends a request without a whole answer. Outcome tells the
+// caller whether it may have run.
+type RefusalError struct {
+	Reason     Reason
+	Outcome    Outcome
+	RetryAfter time.Duration // zero when coming back is of no use
+	Detail     string
+}
+
+// Error describes the refusal with its outcome.
+func (e *RefusalError) Error() string {
+	if e.Detail == "" {
+		return fmt.Sprintf("%s (%s)", e.Reason, e.Outcome)
+	}
+	return fmt.Sprintf("%s: %s (%s)", e.Reason, e.Detail, e.Outcome)
+}
+
+// Refuse returns a refusal of a request that has not run.
+func Refuse(reason Reason, detail string) *RefusalError {
+	return &RefusalError{Reason: reason, Outcome: NotRun, Detail: detail}
+}
+
+// RefuseFor returns a refusal of a request that has not run and that may be
+// sent again after the given time.
+func RefuseFor(reason Reason, after time.Duration) *RefusalError {
+	return &RefusalError{Reason: reason, Outcome: NotRun, RetryAfter: after}
+}
--- /dev/null
+++ b/standin/internal/command/command.go
@@ -0,0 +1,173 @@
+// Package command is the command line of the stand-ins.
+package command
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/standin/internal/web"
+	"hibiscuslb/standin/link"
+	"hibiscuslb/standin/modelengine"
+	"hibiscuslb/standin/objectservice"
+	"hibiscuslb/standin/plainservice"
+	"hibiscuslb/standin/storehost"
+	"hibiscuslb/standin/weightstore"
+)
+
+// options are the values of the command line, as flaggy fills them.
+type options struct {
+	listen, target, admin string
+	model, version        string
+	weights               string
+	incarnation           uint64
+	prefillRate           int64
+	pieceTime             time.Duration
+	callTime              time.Duration
+	coldTime              time.Duration
+	reportLag             time.Duration
+	delay                 time.Duration
+	cacheBlocks           int
+	coldBound             int
+	eventGap              int
+	checkFence            bool
+	blockLength           int64
+	memory, disk          int64
+	linkRate, diskRate    int64
+}
+
+// Run parses the command line and serves until the context ends.
+func Run(ctx context.Context) error {
+	o := options{
+		listen: "127.0.0.1:0", model: "answer", version: "v1", incarnation: uint64(time.Now().UnixMilli()),
+		prefillRate: 40_000, pieceTime: 5 * time.Millisecond, callTime: 2 * time.Millisecond,
+		coldTime: 2 * time.Second, reportLag: 500 * time.Millisecond,
+		cacheBlocks: 64, coldBound: 2, eventGap: 7, blockLength: 64 << 20,
+		memory: 4 << 30, disk: 16 << 30, linkRate: 4 << 30, diskRate: 1 << 30,
+	}
+	parser := flaggy.NewParser("standin")
+	parser.Description = "small stand-ins for the systems around hibiscuslb"
+	platform := o.platformCommand()
+	engine := o.engineCommand()
+	store := o.storeCommand()
+	service := o.serviceCommand()
+	weights := o.weightsCommand()
+	relay := o.linkCommand()
+	for _, sub := range []*flaggy.Subcommand{platform, engine, store, service, weights, relay} {
+		sub.String(&o.listen, "l", "listen", "address to listen at")
+		parser.AttachSubcommand(sub, 1)
+	}
+	if err := parser.Parse(); err != nil {
+		return err
+	}
+	address := fleet.Address(o.listen)
+	switch {
+	case platform.Used:
+		return web.Serve(ctx, address, new(objectservice.Service).Handler())
+	case engine.Used:
+		return web.Serve(ctx, address, modelengine.New(o.engineConfig()).Handler())
+	case store.Used:
+		return web.Serve(ctx, address, storehost.New(o.storeConfig()).Handler())
+	case service.Used:
+		config := plainservice.Config{CallTime: o.callTime, ColdBound: o.coldBound, ColdTime: o.coldTime}
+		return web.Serve(ctx, address, plainservice.New(config).Handler())
+	case weights.Used:
+		return web.Serve(ctx, address, (&weightstore.Store{LoadTime: 200 * time.Millisecond, Concurrent: 3}).Handler())
+	case relay.Used:
+		return o.runLink(ctx)
+	default:
+		return errors.New("name a stand-in: platform, engine, store, service, weights or link")
+	}
+}
+
+func newCommand(name, description string) *flaggy.Subcommand {
+	sub := flaggy.NewSubcommand(name)
+	sub.Description = description
+	return sub
+}
+
+func (o *options) platformCommand() *flaggy.Subcommand {
+	return newCommand("platform", "the platform's object service")
+}
+
+func (o *options) engineCommand() *flaggy.Subcommand {
+	sub := newCommand("engine", "a model engine")
+	sub.String(&o.model, "m", "model", "model that it serves")
+	sub.String(&o.version, "v", "weights", "weight version that it starts with")
+	sub.String(&o.weights, "", "weight-store", "address of the weight store")
+	sub.UInt64(&o.incarnation, "", "incarnation", "number of this start")
+	sub.Int64(&o.prefillRate, "", "prefill", "prompt tokens per second")
+	sub.Duration(&o.pieceTime, "", "piece", "time between two pieces of an answer")
+	sub.Int(&o.cacheBlocks, "", "cache", "blocks that the cache holds")
+	sub.Int64(&o.blockLength, "", "block", "bytes of an exported block")
+	sub.Duration(&o.reportLag, "", "lag", "lag of its reports")
+	sub.Int(&o.eventGap, "", "gap", "every such cache event is lost")
+	sub.Bool(&o.checkFence, "", "check-fence", "refuse orders with an old fencing number")
+	o.coldFlags(sub)
+	return sub
+}
+
+func (o *options) coldFlags(sub *flaggy.Subcommand) {
+	sub.Int(&o.coldBound, "", "cold", "requests that it bears at once while cold")
+	sub.Duration(&o.coldTime, "", "cold-time", "how long it is cold after a start")
+}
+
+func (o *options) engineConfig() modelengine.Config {
+	return modelengine.Config{
+		Model: fleet.ModelID(o.model), Version: fleet.WeightVersion(o.version),
+		Incarnation: fleet.Incarnation(o.incarnation), PrefillRate: fleet.TokenRate(o.prefillRate),
+		PieceTime: o.pieceTime, CacheBlocks: o.cacheBlocks, BlockLength: fleet.Bytes(o.blockLength),
+		ColdBound: o.coldBound, ColdTime: o.coldTime, ReportLag: o.reportLag, EventGap: o.eventGap,
+		CheckFence: o.checkFence, WeightSource: fleet.Address(o.weights),
+	}
+}
+
+func (o *options) storeCommand() *flaggy.Subcommand {
+	sub := newCommand("store", "a store host for cache blocks")
+	sub.UInt64(&o.incarnation, "", "incarnation", "number of this start")
+	sub.Int64(&o.memory, "", "memory", "bytes of memory")
+	sub.Int64(&o.disk, "", "disk", "bytes of disk")
+	sub.Int64(&o.linkRate, "", "link", "bytes per second of its link")
+	sub.Int64(&o.diskRate, "", "disk-rate", "bytes per second of its disk")
+	return sub
+}
+
+func (o *options) storeConfig() storehost.Config {
+	return storehost.Config{
+		Incarnation: fleet.Incarnation(o.incarnation), Memory: fleet.Bytes(o.memory), Disk: fleet.Bytes(o.disk),
+		LinkRate: fleet.ByteRate(o.linkRate), DiskRate: fleet.ByteRate(o.diskRate),
+	}
+}
+
+func (o *options) serviceCommand() *flaggy.Subcommand {
+	sub := newCommand("service", "a plain service")
+	sub.Duration(&o.callTime, "", "call", "how long a call takes")
+	o.coldFlags(sub)
+	return sub
+}
+
+func (o *options) weightsCommand() *flaggy.Subcommand {
+	return newCommand("weights", "the rate-limited store of weights")
+}
+
+func (o *options) linkCommand() *flaggy.Subcommand {
+	sub := newCommand("link", "a TCP relay that can cut, delay or go silent")
+	sub.String(&o.target, "t", "target", "address that it relays to")
+	sub.String(&o.admin, "a", "admin", "address of its admin interface")
+	sub.Duration(&o.delay, "", "delay", "delay of everything that passes")
+	return sub
+}
+
+func (o *options) runLink(ctx context.Context) error {
+	relay := &link.Relay{Listen: fleet.Address(o.listen), Target: fleet.Address(o.target), Delay: o.delay}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- relay.Run(ctx) }()
+	err := web.Serve(ctx, fleet.Address(o.admin), relay.Admin())
+	cancel()
+	return errors.Join(err, <-ended)
+}
--- /dev/null
+++ b/standin/modelengine/handler.go
@@ -0,0 +1,251 @@
+package modelengine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/cache"
+	"hibiscuslb/fleet/engine"
+	"hibiscuslb/fleet/store"
+	"hibiscuslb/standin/internal/web"
+	"hibiscuslb/standin/script"
+)
+
+// Handler returns the engine's HTTP interface.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /generate", e.generate)
+	mux.HandleFunc("POST /cancel", e.cancel)
+	mux.HandleFunc("POST /import", e.importBlock)
+	mux.HandleFunc("POST /export", e.exportBlock)
+	mux.HandleFunc("POST /load", e.load)
+	mux.HandleFunc("GET /report", func(w http.ResponseWriter, r *http.Request) {
+		since, _ := strconv.ParseUint(r.URL.Query().Get("Since"), 10, 64)
+		web.Reply(w, http.StatusOK, e.Report(since))
+	})
+	mux.HandleFunc("GET /admin/counts", func(w http.ResponseWriter, _ *http.Request) {
+		web.Reply(w, http.StatusOK, e.Counts())
+	})
+	mux.HandleFunc("POST /admin/cold", func(http.ResponseWriter, *http.Request) { e.TurnCold() })
+	return mux
+}
+
+func (e *Engine) generate(w http.ResponseWriter, r *http.Request) {
+	var request engine.Request
+	if !web.Decode(w, r, &request) {
+		return
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	if refused, err := e.begin(&request, cancel); err != nil {
+		if refused {
+			web.Refuse(w, http.StatusConflict, err.Error())
+		} else {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		}
+		return
+	}
+	whole := false
+	defer func() { e.end(&request, whole) }()
+	whole = e.stream(ctx, w, &request)
+}
+
+// stream writes the answer and reports whether it was written to its end.
+func (e *Engine) stream(ctx context.Context, w http.ResponseWriter, request *engine.Request) bool {
+	out := json.NewEncoder(w)
+	flush := http.NewResponseController(w).Flush
+	send := func(piece engine.Piece) bool {
+		piece.Attempt = request.Attempt
+		return out.Encode(piece) == nil && flush() == nil
+	}
+	start, ok := e.prepare(ctx, request)
+	if !ok || !send(engine.Piece{Index: request.From, Start: start}) {
+		return false
+	}
+	answer := script.New(request.Prompt)
+	for i := request.From; i < request.MaxTokens; i++ {
+		if i > request.From && !web.Sleep(ctx, e.config.PieceTime) {
+			return false
+		}
+		if !send(engine.Piece{Index: i, Text: answer.Piece(i)}) {
+			return false
+		}
+	}
+	return send(engine.Piece{End: true, Count: max(request.MaxTokens, request.From)})
+}
+
+func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	var order struct{ Attempt engine.Attempt }
+	if !web.Decode(w, r, &order) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if cancel, ok := e.cancels[order.Attempt]; ok {
+		cancel()
+	}
+}
+
+func (e *Engine) importBlock(w http.ResponseWriter, r *http.Request) {
+	var order engine.Import
+	if !web.Decode(w, r, &order) {
+		return
+	}
+	if !e.accepts(w, order.Fence) {
+		return
+	}
+	o, err := fetchBlock(r.Context(), order)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err != nil {
+		var mismatch *cache.MismatchError
+		if errors.As(err, &mismatch) {
+			e.counts.BadImports++
+		}
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	if o.Version != e.version {
+		http.Error(w, errVersion.Error(), http.StatusConflict)
+		return
+	}
+	e.counts.Imports++
+	e.put(order.Key, o)
+}
+
+func (e *Engine) accepts(w http.ResponseWriter, fence fleet.Epoch) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.staleFence(fence) {
+		web.Refuse(w, http.StatusConflict, errFence.Error())
+		return false
+	}
+	return true
+}
+
+// fetchBlock reads a block from a store and checks it against its seal.
+func fetchBlock(ctx context.Context, order engine.Import) (owner, error) {
+	url := fmt.Sprintf("http://%s/blocks/%s/%d", order.Store, order.Key, order.Seal.Generation)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return owner{}, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return owner{}, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return owner{}, fmt.Errorf("store answers %d", response.StatusCode)
+	}
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return owner{}, err
+	}
+	incarnation, _ := strconv.ParseUint(response.Header.Get("Incarnation"), 10, 64)
+	arrived := order.Seal
+	arrived.Incarnation = fleet.Incarnation(incarnation)
+	arrived.Checksum = cache.Checksum(xxhash.Sum64(content))
+	if err := order.Seal.Check(arrived); err != nil {
+		return owner{}, err
+	}
+	var o owner
+	return o, json.Unmarshal(content, &o)
+}
+
+func (e *Engine) exportBlock(w http.ResponseWriter, r *http.Request) {
+	var order engine.Export
+	if !web.Decode(w, r, &order) {
+		return
+	}
+	if !e.accepts(w, order.Fence) {
+		return
+	}
+	e.mu.Lock()
+	b, ok := e.blocks[order.Key]
+	var content []byte
+	if ok {
+		// An owner always has a JSON form.
+		content, _ = json.Marshal(b.owner)
+	}
+	e.mu.Unlock()
+	if !ok {
+		web.Refuse(w, http.StatusNotFound, "block is not cached")
+		return
+	}
+	host := store.Client{Address: order.Store}
+	seal, err := host.Reserve(r.Context(), order.Key, e.config.BlockLength)
+	if err == nil {
+		seal.Checksum = cache.Checksum(xxhash.Sum64(content))
+		err = host.Write(r.Context(), order.Key, seal, content)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	e.mu.Lock()
+	e.counts.Exports++
+	e.mu.Unlock()
+}
+
+func (e *Engine) load(w http.ResponseWriter, r *http.Request) {
+	var order engine.Load
+	if !web.Decode(w, r, &order) {
+		return
+	}
+	e.mu.Lock()
+	stale := e.staleFence(order.Fence)
+	busy := e.loading
+	current := e.version == order.Version
+	e.loading = e.loading || (!stale && !current)
+	e.mu.Unlock()
+	switch {
+	case stale:
+		web.Refuse(w, http.StatusConflict, errFence.Error())
+		return
+	case busy:
+		web.Refuse(w, http.StatusConflict, errLoading.Error())
+		return
+	case current:
+		return
+	}
+	// A load goes on even when whoever ordered it has gone.
+	err := e.fetchWeights(context.WithoutCancel(r.Context()), order.Version)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.loading = false
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	e.version = order.Version
+	e.dropBlocks()
+}
+
+func (e *Engine) fetchWeights(ctx context.Context, version fleet.WeightVersion) error {
+	if e.config.WeightSource == "" {
+		return nil
+	}
+	url := fmt.Sprintf("http://%s/weights/%s/%s", e.config.WeightSource, e.config.Model, version)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("weight store answers %d", response.StatusCode)
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/weightstore/weightstore.go
@@ -0,0 +1,49 @@
+// Package weightstore is a stand-in for the rate-limited store of weights.
+package weightstore
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"hibiscuslb/standin/internal/web"
+)
+
+// A Store serves weights. LoadTime is how long a load takes while at most
+// Concurrent loads go on; beyond that, all take longer in proportion.
+type Store struct {
+	LoadTime   time.Duration
+	Concurrent int
+
+	mu     sync.Mutex
+	active int
+	counts Counts
+}
+
+// Counts is what a store has seen.
+type Counts struct{ Loads, PeakLoads int }
+
+// Handler returns the store's HTTP interface.
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /weights/{model}/{version}", s.load)
+	mux.HandleFunc("GET /admin/counts", func(w http.ResponseWriter, _ *http.Request) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		web.Reply(w, http.StatusOK, s.counts)
+	})
+	return mux
+}
+
+func (s *Store) load(_ http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.active++
+	s.counts.Loads++
+	s.counts.PeakLoads = max(s.counts.PeakLoads, s.active)
+	factor := max(1, float64(s.active)/float64(max(1, s.Concurrent)))
+	s.mu.Unlock()
+	web.Sleep(r.Context(), time.Duration(float64(s.LoadTime)*factor))
+	s.mu.Lock()
+	s.active--
+	s.mu.Unlock()
+}
