Decide on declarations, admission, placement, orders and duties

Cause: the decisions that the thin path needs, each as a package without sockets or clocks of its own.

The last one is taken; safety rests on conditional writes alone.

--- a/fleet/cache/key.go
+++ b/fleet/cache/key.go
@@ -130,3 +130,15 @@
 func TokensOf(n int) fleet.Tokens {
 	return fleet.Tokens((n + TokenBytes - 1) / TokenBytes)
 }
+
+// Derive returns the secret that belongs to the name below a parent secret.
+func Derive(parent Secret, name string) Secret {
+	hasher := Scope{Secret: parent}.hasher()
+	writeField(hasher, []byte(name))
+	var secret Secret
+	hasher.Sum(secret[:0])
+	return secret
+}
+
+// HashKey returns the hash under which a caller key is declared.
+func HashKey(key string) [32]byte { return blake3.Sum256([]byte(key)) }
--- /dev/null
+++ b/fleet/edition/edition.go
@@ -0,0 +1,268 @@
+// Package edition keeps the declaration's versions in the platform and
+// accepts changes.
+//
+// The head object names the version in force, the snapshot that it starts
+// from and the changes since. Changes and the parts of snapshots are objects
+// that never change once written, so only the head is contended. An accepted
+// change is one conditional write of the head: two operators who race can not
+// both win, and a version never reverts. When the list of changes has grown
+// long, the writer of the next one folds them into a new snapshot, cut into
+// parts below the platform's limit.
+//
+// An author whose write got no answer reads the head back and looks for the
+// change's id.
+package edition
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/declaration"
+	"hibiscuslb/fleet/platform"
+)
+
+// Names of objects in the platform.
+const (
+	HeadName   platform.Name = "Control/Declaration/Head"
+	changeName platform.Name = "Declaration/Change/"
+	partName   platform.Name = "Declaration/Part/"
+)
+
+const (
+	// changesKept is how many changes the head lists before they are folded.
+	changesKept = 64
+	// partSections is how many sections one part of a snapshot holds. At some
+	// 200 bytes a section this stays below half of the platform's limit.
+	partSections = 2000
+)
+
+// Number is the version of a declaration: one, two, three and so on.
+type Number = fleet.Version
+
+// A Head names the declaration in force.
+type Head struct {
+	Number  Number
+	Base    Number                 // of the snapshot
+	BaseID  declaration.ChangeID   // of the change that was folded last
+	Parts   int                    // of the snapshot
+	Changes []declaration.ChangeID // from Base+1 to Number
+}
+
+// An Edition is a document with its number.
+type Edition struct {
+	Number   Number
+	Document declaration.Document
+
+	seen fleet.Version // version of the head object
+	head Head
+}
+
+// A RaceError reports that another change was accepted since the author read
+// the declaration.
+type RaceError struct {
+	Read, Current Number
+	Other         declaration.Change // the first that came in between
+}
+
+func (e *RaceError) Error() string {
+	return fmt.Sprintf("edition: version %d was read, %d is in force; change %s by %s came between:\n%s",
+		e.Read, e.Current, e.Other.ID, e.Other.Author, e.Other.String())
+}
+
+// A DoubtError reports that it is not known whether a change was accepted.
+type DoubtError struct {
+	ID    declaration.ChangeID
+	Cause error
+}
+
+func (e *DoubtError) Error() string {
+	return fmt.Sprintf("edition: change %s may or may not be accepted: %v", e.ID, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *DoubtError) Unwrap() error { return e.Cause }
+
+// DecodeHead reads a head from its object's value.
+func DecodeHead(value []byte) (Head, error) {
+	var head Head
+	if err := cbor.Unmarshal(value, &head); err != nil {
+		return head, fmt.Errorf("edition: head: %w", err)
+	}
+	return head, nil
+}
+
+// Load reads the declaration in force. From is what the caller has already,
+// or nil; only what is missing is read.
+func Load(ctx context.Context, client platform.Client, from *Edition) (*Edition, error) {
+	object, err := client.Read(ctx, HeadName)
+	var absent *platform.NotFoundError
+	if errors.As(err, &absent) {
+		return &Edition{Document: declaration.Document{}}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return Advance(ctx, client, from, object)
+}
+
+// Advance brings an edition up to the state of a head object. A head that is
+// older than the edition is ignored.
+func Advance(ctx context.Context, client platform.Client, from *Edition, object platform.Object) (*Edition, error) {
+	if from != nil && object.Version <= from.seen {
+		return from, nil
+	}
+	head, err := DecodeHead(object.Value)
+	if err != nil {
+		return nil, err
+	}
+	next := &Edition{Number: head.Number, seen: object.Version, head: head}
+	first := head.Base
+	switch {
+	case from != nil && from.Number >= head.Base:
+		next.Document, first = from.Document, from.Number
+	default:
+		if next.Document, err = loadParts(ctx, client, head); err != nil {
+			return nil, err
+		}
+	}
+	for _, id := range head.Changes[first-head.Base:] {
+		change, err := loadChange(ctx, client, id)
+		if err != nil {
+			return nil, err
+		}
+		next.Document = next.Document.Apply(&change)
+	}
+	return next, nil
+}
+
+func loadParts(ctx context.Context, client platform.Client, head Head) (declaration.Document, error) {
+	document := make(declaration.Document)
+	for part := range head.Parts {
+		object, err := client.Read(ctx, partOf(head.BaseID, part))
+		if err != nil {
+			return nil, err
+		}
+		var sections []declaration.Section
+		if err := cbor.Unmarshal(object.Value, &sections); err != nil {
+			return nil, fmt.Errorf("edition: %s: %w", object.Name, err)
+		}
+		for _, section := range sections {
+			document[section.ID] = section
+		}
+	}
+	return document, nil
+}
+
+// partOf names a part by the change of its writer, since writers that race may
+// fold the same number into different snapshots.
+func partOf(base declaration.ChangeID, part int) platform.Name {
+	return partName + platform.Name(fmt.Sprintf("%s/%d", base, part))
+}
+
+func loadChange(ctx context.Context, client platform.Client, id declaration.ChangeID) (declaration.Change, error) {
+	var change declaration.Change
+	object, err := client.Read(ctx, changeName+platform.Name(id))
+	if err != nil {
+		return change, err
+	}
+	if err := cbor.Unmarshal(object.Value, &change); err != nil {
+		return change, fmt.Errorf("edition: %s: %w", object.Name, err)
+	}
+	return change, nil
+}
+
+// Accept stores the change on condition that seen is still in force, and
+// returns the edition that it makes. The result is checked first: an error
+// may be a *declaration.CheckError, a *RaceError, a *DoubtError, or one of
+// the platform's before anything took effect.
+func Accept(ctx context.Context, client platform.Client, seen *Edition, change *declaration.Change, now time.Time) (*Edition, error) {
+	document := seen.Document.Apply(change)
+	if _, err := declaration.Build(document, now); err != nil {
+		return nil, err
+	}
+	value, err := cbor.Marshal(change)
+	if err != nil {
+		return nil, fmt.Errorf("edition: %w", err)
+	}
+	if err := create(ctx, client, changeName+platform.Name(change.ID), value); err != nil {
+		return nil, err
+	}
+	head := seen.head
+	head.Number++
+	head.Changes = append(slices.Clone(head.Changes), change.ID)
+	if len(head.Changes) > changesKept || (head.Base == 0 && len(change.Put) > partSections) {
+		if head, err = fold(ctx, client, head.Number, change.ID, document); err != nil {
+			return nil, err
+		}
+	}
+	if value, err = cbor.Marshal(head); err != nil {
+		return nil, fmt.Errorf("edition: %w", err)
+	}
+	version, err := client.Write(ctx, HeadName, value, seen.seen)
+	if err == nil {
+		return &Edition{Number: head.Number, Document: document, seen: version, head: head}, nil
+	}
+	return settle(ctx, client, seen, change, err)
+}
+
+// create writes an object that must not exist. Its name is unique to the
+// writer, so an object that exists is the writer's own, written before.
+func create(ctx context.Context, client platform.Client, name platform.Name, value []byte) error {
+	_, err := client.Write(ctx, name, value, 0)
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		return nil
+	}
+	return err
+}
+
+// fold writes the document as a snapshot and returns the head that names it.
+func fold(ctx context.Context, client platform.Client, number Number, id declaration.ChangeID, document declaration.Document) (Head, error) {
+	sections := document.Sorted()
+	head := Head{Number: number, Base: number, BaseID: id}
+	for chunk := range slices.Chunk(sections, partSections) {
+		value, err := cbor.Marshal(chunk)
+		if err != nil {
+			return head, fmt.Errorf("edition: %w", err)
+		}
+		if err := create(ctx, client, partOf(id, head.Parts), value); err != nil {
+			return head, err
+		}
+		head.Parts++
+	}
+	return head, nil
+}
+
+// settle finds out what became of a change whose head write failed or got no
+// answer.
+func settle(ctx context.Context, client platform.Client, seen *Edition, change *declaration.Change, cause error) (*Edition, error) {
+	current, err := Load(ctx, client, seen)
+	if err != nil {
+		var conflict *platform.ConflictError
+		if errors.As(cause, &conflict) {
+			return nil, cause
+		}
+		return nil, &DoubtError{ID: change.ID, Cause: cause}
+	}
+	if current.Contains(change.ID) {
+		return current, nil
+	}
+	if current.seen == seen.seen {
+		// A write that got no answer may still be under way.
+		return nil, &DoubtError{ID: change.ID, Cause: cause}
+	}
+	race := &RaceError{Read: seen.Number, Current: current.Number}
+	if i := int(seen.Number) - int(current.head.Base); i >= 0 && i < len(current.head.Changes) {
+		race.Other, _ = loadChange(ctx, client, current.head.Changes[i])
+	}
+	return nil, race
+}
+
+// Contains reports whether the head lists the change.
+func (e *Edition) Contains(id declaration.ChangeID) bool { return slices.Contains(e.head.Changes, id) }
--- a/fleet/engine/engine.go
+++ b/fleet/engine/engine.go
@@ -44,13 +44,13 @@
 // A Piece is one message of an answer's stream. The first message has Start
 // set, the last one End.
 type Piece struct {
-	Attempt  Attempt
-	Index    fleet.Tokens
-	Text     string       `json:",omitempty"`
-	Start    *Start       `json:",omitempty"`
-	End      bool         `json:",omitempty"`
-	Count    fleet.Tokens `json:",omitempty"` // with End: pieces from index zero on
-	Failed   string       `json:",omitempty"` // the engine gave up
+	Attempt Attempt
+	Index   fleet.Tokens
+	Text    string       `json:",omitempty"`
+	Start   *Start       `json:",omitempty"`
+	End     bool         `json:",omitempty"`
+	Count   fleet.Tokens `json:",omitempty"` // with End: pieces from index zero on
+	Failed  string       `json:",omitempty"` // the engine gave up
 }
 
 // Start tells how much of the prompt came from the cache.
@@ -118,7 +118,9 @@
 	Cause   error
 }
 
-func (e *BrokenError) Error() string { return fmt.Sprintf("engine %s: answer broke: %v", e.Address, e.Cause) }
+func (e *BrokenError) Error() string {
+	return fmt.Sprintf("engine %s: answer broke: %v", e.Address, e.Cause)
+}
 
 // Unwrap returns the cause.
 func (e *BrokenError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/fleet/order/log.go
@@ -0,0 +1,304 @@
+package order
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/platform"
+)
+
+const (
+	// SegmentLimit is the size at which a segment is sealed. Each commit writes
+	// the open segment anew, so it is kept far below the platform's limit.
+	SegmentLimit fleet.Bytes = 32 << 10
+	// commitTries bounds how often a commit starts anew after a conflict.
+	commitTries = 8
+)
+
+// A Log is one process's view of a shard's log. It is used by one goroutine.
+// The zero value with its first two fields set is ready; it reads the log on
+// first use.
+type Log struct {
+	Client    platform.Client
+	Shard     Shard
+	Retention time.Duration // how long a key is remembered; zero for ever
+
+	loaded    bool
+	first     uint64 // number of the first segment
+	firstAt   fleet.Version
+	number    uint64 // of the last segment
+	tail      Segment
+	version   fleet.Version // of the last segment's object; zero if not written yet
+	records   map[Key]Record
+	abandoned map[AttemptID]bool // claims of ours that are never dispatched
+	spans     map[uint64]span
+}
+
+// span is what has to be known of a sealed segment to drop it.
+type span struct {
+	version fleet.Version
+	newest  int64
+	keys    []Key
+}
+
+// Find returns what the log knows of the key, as of the last commit.
+func (l *Log) Find(key Key) (Record, bool) {
+	record, ok := l.records[key]
+	return record, ok
+}
+
+// Len is how many keys the log remembers.
+func (l *Log) Len() int { return len(l.records) }
+
+// Commit writes the entries in one conditional write and returns a result for
+// each. Claims of keys that are taken are left out.
+func (l *Log) Commit(ctx context.Context, entries []Entry) []Result {
+	var err error
+	for range commitTries {
+		if err = l.advance(ctx); err != nil {
+			break
+		}
+		results, fresh := l.decide(entries)
+		if len(fresh) == 0 {
+			return results
+		}
+		if err = l.append(ctx, fresh); err == nil {
+			return results
+		}
+		// Somebody else has written, or the write got no answer and may have
+		// taken effect or yet do so. Read on either way; a claim of ours that
+		// is found in the log counts as recorded.
+		l.loaded = false
+	}
+	return l.fail(entries, err)
+}
+
+// decide returns the results that hold if the fresh entries get written.
+func (l *Log) decide(entries []Entry) (results []Result, fresh []Entry) {
+	results = make([]Result, len(entries))
+	taken := make(map[Key]Record)
+	for i := range entries {
+		entry := &entries[i]
+		record, known := l.records[entry.Key]
+		if claimed, ok := taken[entry.Key]; ok {
+			record, known = claimed, true
+		}
+		results[i] = l.judge(entry, record, known)
+		if results[i].Verdict != Recorded || l.written(entry, record, known) {
+			continue
+		}
+		fresh = append(fresh, *entry)
+		if entry.Kind == Claim {
+			taken[entry.Key] = Record{Digest: entry.Digest, Attempt: entry.Attempt}
+		}
+	}
+	return results, fresh
+}
+
+func (l *Log) judge(entry *Entry, record Record, known bool) Result {
+	switch {
+	case entry.Kind != Claim, !known, record.Attempt == entry.Attempt:
+		return Result{Verdict: Recorded}
+	case record.Digest != entry.Digest:
+		return Result{Verdict: Mismatch, Earlier: record}
+	case record.Finished:
+		return Result{Verdict: Finished, Earlier: record}
+	case l.abandoned[record.Attempt]:
+		// Our own claim, which we know was never dispatched.
+		return Result{Verdict: Recorded}
+	default:
+		return Result{Verdict: Open, Earlier: record}
+	}
+}
+
+// written reports whether the entry is in the log already.
+func (l *Log) written(entry *Entry, record Record, known bool) bool {
+	switch entry.Kind {
+	case Claim:
+		return known && record.Attempt == entry.Attempt
+	case Finish:
+		return !known || record.Attempt != entry.Attempt || record.Finished
+	default:
+		return !known || record.Attempt != entry.Attempt
+	}
+}
+
+// append writes the tail with the entries added.
+func (l *Log) append(ctx context.Context, fresh []Entry) error {
+	next := Segment{Entries: append(l.tail.Entries[:len(l.tail.Entries):len(l.tail.Entries)], fresh...)}
+	value, err := cbor.Marshal(next)
+	if err != nil {
+		return fmt.Errorf("order: %w", err)
+	}
+	if fleet.Bytes(len(value)) >= SegmentLimit {
+		next.Sealed = true
+		if value, err = cbor.Marshal(next); err != nil {
+			return fmt.Errorf("order: %w", err)
+		}
+	}
+	version, err := l.Client.Write(ctx, segmentName(l.Shard, l.number), value, l.version)
+	if err != nil {
+		return err
+	}
+	l.adopt(next, version, len(l.tail.Entries))
+	return nil
+}
+
+// adopt takes a newer state of the last segment, of which the first known
+// entries are known.
+func (l *Log) adopt(segment Segment, version fleet.Version, known int) {
+	for i := range segment.Entries[known:] {
+		l.learn(&segment.Entries[known+i])
+	}
+	l.tail, l.version = segment, version
+	if !segment.Sealed {
+		return
+	}
+	sealed := span{version: version}
+	for i := range segment.Entries {
+		sealed.newest = max(sealed.newest, segment.Entries[i].At)
+		sealed.keys = append(sealed.keys, segment.Entries[i].Key)
+	}
+	l.spans[l.number] = sealed
+	l.number++
+	l.tail, l.version = Segment{}, 0
+}
+
+func (l *Log) learn(entry *Entry) {
+	record, known := l.records[entry.Key]
+	switch entry.Kind {
+	case Claim:
+		l.records[entry.Key] = Record{Digest: entry.Digest, Attempt: entry.Attempt, At: time.Unix(entry.At, 0)}
+	case Finish:
+		if known && record.Attempt == entry.Attempt {
+			record.Finished, record.Status, record.Answer = true, entry.Status, entry.Answer
+			l.records[entry.Key] = record
+		}
+	case Release:
+		if known && record.Attempt == entry.Attempt && !record.Finished {
+			delete(l.records, entry.Key)
+		}
+	}
+}
+
+// advance reads on from what is known to the end of the chain. In the normal
+// case nothing is read: a write by somebody else shows as a conflict.
+func (l *Log) advance(ctx context.Context) error {
+	if l.loaded {
+		return nil
+	}
+	if l.records == nil {
+		if err := l.start(ctx); err != nil {
+			return err
+		}
+	}
+	for {
+		object, err := l.Client.Read(ctx, segmentName(l.Shard, l.number))
+		var absent *platform.NotFoundError
+		if errors.As(err, &absent) {
+			l.loaded = true
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if object.Version <= l.version {
+			l.loaded = true
+			return nil
+		}
+		var segment Segment
+		if err := cbor.Unmarshal(object.Value, &segment); err != nil {
+			return fmt.Errorf("order: %s: %w", object.Name, err)
+		}
+		l.adopt(segment, object.Version, len(l.tail.Entries))
+		if !segment.Sealed {
+			l.loaded = true
+			return nil
+		}
+	}
+}
+
+func (l *Log) start(ctx context.Context) error {
+	object, err := l.Client.Read(ctx, firstName(l.Shard))
+	var absent *platform.NotFoundError
+	if err != nil && !errors.As(err, &absent) {
+		return err
+	}
+	if err == nil {
+		if err := cbor.Unmarshal(object.Value, &l.first); err != nil {
+			return fmt.Errorf("order: %s: %w", object.Name, err)
+		}
+	}
+	l.firstAt = object.Version
+	l.number = l.first
+	l.records = make(map[Key]Record)
+	l.spans = make(map[uint64]span)
+	return nil
+}
+
+// fail gives up on the entries. Claims among them are never dispatched, even
+// if their write takes effect later.
+func (l *Log) fail(entries []Entry, err error) []Result {
+	results := make([]Result, len(entries))
+	for i := range entries {
+		results[i] = Result{Verdict: Failed, Err: err}
+		if entries[i].Kind == Claim {
+			l.Abandon(entries[i].Attempt)
+		}
+	}
+	l.loaded = false
+	return results
+}
+
+// Abandon notes that a claim of this process will never be dispatched, so that
+// its key can be claimed anew.
+func (l *Log) Abandon(attempt AttemptID) {
+	if l.abandoned == nil {
+		l.abandoned = make(map[AttemptID]bool)
+	}
+	l.abandoned[attempt] = true
+}
+
+// Trim drops segments whose entries are all older than the retention. It
+// returns how many it dropped.
+func (l *Log) Trim(ctx context.Context, now time.Time) (int, error) {
+	dropped := 0
+	for l.Retention > 0 {
+		old, ok := l.spans[l.first]
+		if !ok || now.Sub(time.Unix(old.newest, 0)) < l.Retention {
+			return dropped, nil
+		}
+		value, err := cbor.Marshal(l.first + 1)
+		if err != nil {
+			return dropped, fmt.Errorf("order: %w", err)
+		}
+		version, err := l.Client.Write(ctx, firstName(l.Shard), value, l.firstAt)
+		if err != nil {
+			return dropped, err
+		}
+		l.firstAt = version
+		l.forget(old, now)
+		// A segment before the first one is never read; if this delete fails
+		// the object stays behind and does no harm.
+		_ = l.Client.Delete(ctx, segmentName(l.Shard, l.first), old.version)
+		delete(l.spans, l.first)
+		l.first++
+		dropped++
+	}
+	return dropped, nil
+}
+
+// forget drops the records that are as old as the segment. A key that was
+// claimed anew later stays.
+func (l *Log) forget(old span, now time.Time) {
+	for _, key := range old.keys {
+		if record, ok := l.records[key]; ok && now.Sub(record.At) >= l.Retention {
+			delete(l.records, key)
+		}
+	}
+}
--- /dev/null
+++ b/fleet/placement/policy.go
@@ -0,0 +1,112 @@
+package placement
+
+import (
+	"time"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/cache"
+	"hibiscuslb/fleet/declaration"
+)
+
+// An Estimate is what serving a prompt at one target would take until its
+// first token.
+type Estimate struct {
+	Queue   time.Duration // until the target admits it
+	Import  time.Duration // to fetch blocks from a store
+	Compute time.Duration // to compute the rest of the prompt
+}
+
+// FirstToken is the time to the first token.
+func (e Estimate) FirstToken() time.Duration { return e.Queue + e.Import + e.Compute }
+
+// A Policy weighs estimates for one workspace.
+type Policy interface {
+	// Cost is what the estimate is worth avoiding; the smallest cost wins.
+	Cost(Estimate) time.Duration
+	// Patience is how long a request should rather wait for a target that
+	// holds its blocks than lose the given work elsewhere.
+	Patience(lost time.Duration) time.Duration
+}
+
+// Quick is the policy of workspaces whose answers expire: the shortest time to
+// the first token, whatever it costs.
+type Quick struct{}
+
+var _ Policy = Quick{}
+
+// Cost implements Policy.
+func (Quick) Cost(e Estimate) time.Duration { return e.FirstToken() }
+
+// Patience implements Policy. Waiting longer than the work would take never
+// pays.
+func (Quick) Patience(lost time.Duration) time.Duration { return lost }
+
+// Thrifty is the policy of workspaces whose prompts are costly to compute: time
+// in a queue counts a quarter, computing and moving count double.
+type Thrifty struct{}
+
+var _ Policy = Thrifty{}
+
+const (
+	thriftyQueueShare = 4
+	thriftyWorkFactor = 2
+)
+
+// Cost implements Policy.
+func (Thrifty) Cost(e Estimate) time.Duration {
+	return e.Queue/thriftyQueueShare + thriftyWorkFactor*(e.Import+e.Compute)
+}
+
+// Patience implements Policy.
+func (Thrifty) Patience(lost time.Duration) time.Duration {
+	return thriftyQueueShare * thriftyWorkFactor * lost
+}
+
+// PolicyOf returns the policy that a workspace has declared.
+func PolicyOf(name declaration.PolicyName) Policy {
+	if name == declaration.Reuse {
+		return Thrifty{}
+	}
+	return Quick{}
+}
+
+// Best returns the index of the estimate of the smallest cost, the first of
+// equals, or -1 for none.
+func Best[P Policy](policy P, estimates []Estimate) int {
+	best := -1
+	for i, estimate := range estimates {
+		if best < 0 || policy.Cost(estimate) < policy.Cost(estimates[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+// A Prompt describes the work that a prompt is for one target.
+type Prompt struct {
+	Tokens   fleet.Tokens
+	Resident int // blocks that the target is believed to hold, from the first on
+	Rate     fleet.TokenRate
+}
+
+// Compute returns how long the prompt takes when so many of its first blocks
+// need no computing.
+func (p Prompt) Compute(blocks int) time.Duration {
+	return p.Rate.Time(max(0, p.Tokens-fleet.Tokens(blocks)*cache.BlockTokens))
+}
+
+// Imports returns how many of the blocks that follow the resident ones to
+// fetch, given how long each fetch takes, and the estimate that results. Blocks
+// are of use only without a hole, so it is always the first few.
+func Imports[P Policy](policy P, prompt Prompt, fetch []time.Duration) (int, Estimate) {
+	best, estimate := 0, Estimate{Compute: prompt.Compute(prompt.Resident)}
+	var total time.Duration
+	for i, d := range fetch {
+		total += d
+		option := Estimate{Import: total, Compute: prompt.Compute(prompt.Resident + i + 1)}
+		if policy.Cost(option) < policy.Cost(estimate) {
+			best, estimate = i+1, option
+		}
+	}
+	return best, estimate
+}
--- a/fleet/service/service.go
+++ b/fleet/service/service.go
@@ -41,7 +41,9 @@
 	Cause   error
 }
 
-func (e *RefusedError) Error() string { return fmt.Sprintf("service %s refused: %v", e.Address, e.Cause) }
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("service %s refused: %v", e.Address, e.Cause)
+}
 
 // Unwrap returns the cause.
 func (e *RefusedError) Unwrap() error { return e.Cause }
@@ -52,7 +54,9 @@
 	Cause   error
 }
 
-func (e *BrokenError) Error() string { return fmt.Sprintf("service %s: no answer: %v", e.Address, e.Cause) }
+func (e *BrokenError) Error() string {
+	return fmt.Sprintf("service %s: no answer: %v", e.Address, e.Cause)
+}
 
 // Unwrap returns the cause.
 func (e *BrokenError) Unwrap() error { return e.Cause }
--- a/fleet/store/store.go
+++ b/fleet/store/store.go
@@ -47,7 +47,9 @@
 	Cause   error
 }
 
-func (e *Error) Error() string { return fmt.Sprintf("store %s (status %d): %v", e.Address, e.Status, e.Cause) }
+func (e *Error) Error() string {
+	return fmt.Sprintf("store %s (status %d): %v", e.Address, e.Status, e.Cause)
+}
 
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/fleet/target/admission.go
@@ -0,0 +1,304 @@
+// Package target decides how much work a back end gets at any moment.
+//
+// Each target has one admission point in the fleet, at its keeper. An
+// Admission holds what the keeper knows: the limit that the target bears now,
+// what is in flight, and what waits. The limit starts at the cold limit and
+// doubles whenever as many requests as it allows have ended well; it falls
+// back at once on any sign that the target is cold: a new incarnation, a
+// report that says so, or a broken answer.
+//
+// A new keeper does not know what its predecessor left in flight. It admits
+// nothing until a report that was taken after the takeover tells, and counts
+// the remainder until later reports show that it has gone.
+//
+// Invariant: what the keeper has in flight and what it inherited are together
+// never raised above the limit by an admission.
+//
+// Waiting requests go by priority, then to the workspace with the least in
+// flight, then by arrival. The queue is bounded, and a request that can not
+// make its deadline is refused at once rather than kept.
+package target
+
+import (
+	"time"
+
+	"hibiscuslb/fleet"
+)
+
+// A TicketID names a request at one admission point.
+type TicketID uint64
+
+// A Ticket asks for admission.
+type Ticket struct {
+	ID        TicketID
+	Workspace fleet.WorkspaceID
+	Class     fleet.Class
+	Priority  int           // smaller goes first
+	Deadline  fleet.Instant // for the first token; zero for none
+	Work      time.Duration // from admission to the first token, as estimated
+	Patience  time.Duration // longest wait worth its while here; zero for any
+	arrived   fleet.Instant
+}
+
+// Verdict is the answer to a Ticket.
+type Verdict uint8
+
+const (
+	// Admitted lets the request go to the target now.
+	Admitted Verdict = iota
+	// Queued keeps the request until Done, Expire or Report admits or drops it.
+	Queued
+	// Refused turns the request away; it has not run.
+	Refused
+)
+
+// A Decision is a Verdict with what goes with it.
+type Decision struct {
+	Verdict Verdict
+	Reason  fleet.Reason  // of a refusal
+	Wait    time.Duration // estimated; of a refusal, when to come back
+}
+
+// A Change lists tickets whose wait is over.
+type Change struct {
+	Admitted []Ticket
+	Dropped  []Ticket // for their deadline
+}
+
+// Result is how a request ended at the target.
+type Result uint8
+
+const (
+	// Whole is an answer with its end mark.
+	Whole Result = iota
+	// Broken is an answer that ended without its end mark, or a failure.
+	Broken
+	// Untouched means that the target took no part of the request.
+	Untouched
+	// Cancelled means that the caller went away.
+	Cancelled
+)
+
+// Limits are what is declared of a target.
+type Limits struct {
+	Cold, Warm int
+	Queue      int // requests that may wait
+}
+
+// A Facts is what a report tells of the target at the moment Taken on the
+// keeper's clock.
+type Facts struct {
+	Taken       fleet.Instant
+	Incarnation fleet.Incarnation
+	Cold        bool
+	Running     int
+}
+
+type flight struct {
+	workspace fleet.WorkspaceID
+	admitted  fleet.Instant
+	started   fleet.Instant // when the first byte of the answer came; zero if not yet
+}
+
+// An Admission is the state of one target's admission point. The zero value
+// admits nothing; set its limits first. It is not safe for concurrent use.
+type Admission struct {
+	limits      Limits
+	limit       int
+	proved      int // answers that ended well since the limit last changed
+	incarnation fleet.Incarnation
+	cold        bool
+
+	flights   map[TicketID]*flight
+	busy      map[fleet.WorkspaceID]int
+	queue     []Ticket
+	inherited int
+	unproved  bool          // no report yet that was taken after the takeover
+	takeover  fleet.Instant // when this keeper took over
+	pace      pace
+}
+
+// SetLimits takes the declared limits.
+func (a *Admission) SetLimits(limits Limits) {
+	a.limits = limits
+	a.limit = min(max(a.limit, limits.Cold), limits.Warm)
+}
+
+// TakeOver starts as the successor of an unknown keeper at the moment. The
+// margin covers what the old keeper had sent and the target not yet received.
+func (a *Admission) TakeOver(now fleet.Instant, margin time.Duration) {
+	a.takeover = now.Add(margin)
+	a.unproved = true
+	a.fall()
+}
+
+// InFlight is how many requests are at the target, inherited ones included.
+func (a *Admission) InFlight() int { return len(a.flights) + a.inherited }
+
+// Limit is how many requests the target bears now, as far as is known.
+func (a *Admission) Limit() int { return a.limit }
+
+// Waiting is how many requests wait.
+func (a *Admission) Waiting() int { return len(a.queue) }
+
+// Cold reports whether the target bears no more than its cold limit.
+func (a *Admission) Cold() bool { return a.limit <= a.limits.Cold }
+
+func (a *Admission) room() bool { return !a.unproved && a.InFlight() < a.limit }
+
+// Offer decides on a request that has arrived. A more urgent request may take
+// the place of a waiting one, which the next Expire drops.
+func (a *Admission) Offer(now fleet.Instant, ticket Ticket) Decision {
+	ticket.arrived = now
+	wait := a.estimate(ticket)
+	if late(now, ticket, wait) {
+		return Decision{Verdict: Refused, Reason: fleet.ReasonDeadline, Wait: wait}
+	}
+	if a.room() && len(a.queue) == 0 {
+		a.admit(now, ticket)
+		return Decision{Verdict: Admitted}
+	}
+	if ticket.Patience > 0 && wait > ticket.Patience {
+		return Decision{Verdict: Refused, Reason: fleet.ReasonOverloaded, Wait: wait}
+	}
+	if len(a.queue) >= a.limits.Queue && !a.displace(ticket) {
+		return Decision{Verdict: Refused, Reason: fleet.ReasonOverloaded, Wait: wait}
+	}
+	a.queue = append(a.queue, ticket)
+	return Decision{Verdict: Queued, Wait: wait}
+}
+
+func late(now fleet.Instant, ticket Ticket, wait time.Duration) bool {
+	return ticket.Deadline != 0 && now.Add(wait+ticket.Work) > ticket.Deadline
+}
+
+// displace makes room for a ticket by marking a waiting one of a lesser
+// priority as due to be dropped.
+func (a *Admission) displace(ticket Ticket) bool {
+	worst := -1
+	for i, waiting := range a.queue {
+		if waiting.Priority > ticket.Priority && waiting.Deadline != expired &&
+			(worst < 0 || waiting.Priority >= a.queue[worst].Priority) {
+			worst = i
+		}
+	}
+	if worst < 0 {
+		return false
+	}
+	a.queue[worst].Deadline = expired
+	return true
+}
+
+// expired is a deadline that lies before every moment of a clock.
+const expired fleet.Instant = 1
+
+// estimate returns how long the ticket would wait behind those before it.
+func (a *Admission) estimate(ticket Ticket) time.Duration {
+	if a.room() && len(a.queue) == 0 {
+		return 0
+	}
+	ahead := 1 + max(0, a.InFlight()-a.limit)
+	for _, waiting := range a.queue {
+		if waiting.Priority <= ticket.Priority {
+			ahead++
+		}
+	}
+	return time.Duration(ahead) * a.pace.perRequest() / time.Duration(max(1, a.limit))
+}
+
+// Wait returns the estimated wait of a request of the lowest priority.
+func (a *Admission) Wait() time.Duration { return a.estimate(Ticket{Priority: lowest}) }
+
+const lowest = 1 << 30
+
+func (a *Admission) admit(now fleet.Instant, ticket Ticket) {
+	if a.flights == nil {
+		a.flights = make(map[TicketID]*flight)
+		a.busy = make(map[fleet.WorkspaceID]int)
+	}
+	a.flights[ticket.ID] = &flight{workspace: ticket.Workspace, admitted: now}
+	a.busy[ticket.Workspace]++
+}
+
+// Started notes that the target has begun to answer a request.
+func (a *Admission) Started(now fleet.Instant, id TicketID, incarnation fleet.Incarnation) {
+	if f, ok := a.flights[id]; ok {
+		f.started = now
+	}
+	a.saw(incarnation)
+}
+
+// Done ends a request and returns whose turn it is now. It also takes a
+// waiting request out that its caller gave up.
+func (a *Admission) Done(now fleet.Instant, id TicketID, result Result) Change {
+	f, ok := a.flights[id]
+	if !ok {
+		a.withdraw(id)
+		return a.Expire(now)
+	}
+	delete(a.flights, id)
+	if a.busy[f.workspace]--; a.busy[f.workspace] == 0 {
+		delete(a.busy, f.workspace)
+	}
+	switch result {
+	case Whole:
+		a.pace.note(now.Sub(f.admitted))
+		a.prove()
+	case Broken:
+		a.fall()
+	}
+	return a.Expire(now)
+}
+
+func (a *Admission) withdraw(id TicketID) {
+	for i, waiting := range a.queue {
+		if waiting.ID == id {
+			a.queue = append(a.queue[:i], a.queue[i+1:]...)
+			return
+		}
+	}
+}
+
+// Expire drops waiting requests that can not make their deadline any more and
+// admits what there is room for.
+func (a *Admission) Expire(now fleet.Instant) Change {
+	var change Change
+	kept := a.queue[:0]
+	for _, ticket := range a.queue {
+		if late(now, ticket, 0) {
+			change.Dropped = append(change.Dropped, ticket)
+		} else {
+			kept = append(kept, ticket)
+		}
+	}
+	a.queue = kept
+	for a.room() && len(a.queue) > 0 {
+		next := a.first()
+		ticket := a.queue[next]
+		a.queue = append(a.queue[:next], a.queue[next+1:]...)
+		a.admit(now, ticket)
+		change.Admitted = append(change.Admitted, ticket)
+	}
+	return change
+}
+
+// first returns the index of the ticket whose turn it is.
+func (a *Admission) first() int {
+	best := 0
+	for i := range a.queue {
+		if a.before(&a.queue[i], &a.queue[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+func (a *Admission) before(x, y *Ticket) bool {
+	if x.Priority != y.Priority {
+		return x.Priority < y.Priority
+	}
+	if bx, by := a.busy[x.Workspace], a.busy[y.Workspace]; bx != by {
+		return bx < by
+	}
+	return x.arrived < y.arrived
+}
