--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+GO ?= go
+MODULES := fleet standin hibiscusd hibiscusctl hibiscusload
+PROGRAMS := standin hibiscusd hibiscusctl hibiscusload
+
+.PHONY: all build test fuzz bench demo lint
+
+all: build
+
+build:
+	@mkdir -p bin
+	@for p in $(PROGRAMS); do $(GO) build -o bin/$$p ./$$p || exit 1; done
+
+test: build
+	@for m in $(MODULES); do (cd $$m && $(GO) test ./...) || exit 1; done
+
+# The same state machines with more checks and a fresh seed, which is printed.
+fuzz:
+	@seed=$${FUZZ_SEED:-$$(date +%s)}; echo "FUZZ_SEED=$$seed"; \
+	for m in fleet; do (cd $$m && FUZZ_SEED=$$seed FUZZ_FACTOR=$${FUZZ_FACTOR:-10} $(GO) test -count=1 ./...) || exit 1; done
+
+demo: build
+	@scripts/demo.sh
+
+bench: build
+	@scripts/bench.sh
+
+lint:
+	@bad=$$(gofmt -l $(MODULES)); test -z "$$bad" || { echo "gofmt: $$bad"; exit 1; }
+	@for m in $(MODULES); do (cd $$m && $(GO) vet ./...) || exit 1; done
+	@for m in $(MODULES); do (cd fleet && $(GO) tool staticcheck hibiscuslb/$$m/...) || exit 1; done
--- a/fleet/declaration/build.go
+++ b/fleet/declaration/build.go
@@ -72,6 +72,7 @@
 		if !exception.Until.IsZero() && b.now.After(exception.Until) {
 			continue
 		}
+		b.expiry(exception.Until)
 		overrides[exception.Subject] = append(overrides[exception.Subject], exception.Fields...)
 		if !known {
 			b.section(exception.Subject, Section{ID: exception.Subject}, exception.Fields)
@@ -80,6 +81,13 @@
 	return overrides
 }
 
+func (b *builder) expiry(until time.Time) {
+	expires := &b.declaration.expires
+	if !until.IsZero() && (expires.IsZero() || until.Before(*expires)) {
+		*expires = until
+	}
+}
+
 func (b *builder) exception(id SectionID, section Section) *Exception {
 	exception := &Exception{Name: id.Name}
 	for _, field := range section.Fields {
--- a/fleet/declaration/declaration.go
+++ b/fleet/declaration/declaration.go
@@ -126,6 +126,7 @@
 	byKey    map[KeyHash]*Workspace
 	byModel  map[fleet.ModelID][]*Target
 	storeIDs []*Store
+	expires  time.Time // when the first exception in force ends; zero for never
 }
 
 // OperationID names an operation of a service.
@@ -178,3 +179,6 @@
 func (w *Workspace) Secret(fleetSecret cache.Secret) cache.Secret {
 	return cache.Derive(fleetSecret, string(w.ID))
 }
+
+// Expired reports whether an exception that was in force has come to its end.
+func (d *Declaration) Expired(now time.Time) bool { return !d.expires.IsZero() && now.After(d.expires) }
--- a/fleet/duty/duty.go
+++ b/fleet/duty/duty.go
@@ -1,7 +1,7 @@
 // Package duty assigns the duties of a fleet to its hosts.
 //
 // A duty is something that exactly one host does at a time: keeping a target,
-// or leading the weight loads of a model. The duties of a data centre are
+// or handing out weight loads. The duties of a data centre are
 // written in one object, a Book. There is no assigner: each host works out by
 // rendezvous hashing which duties should be its own, and takes those that are
 // free by a conditional write.
@@ -29,8 +29,8 @@
 // OfTarget returns the duty of keeping a target.
 func OfTarget(target fleet.TargetID) ID { return ID("Target/" + target) }
 
-// OfWeights returns the duty of leading a model's weight loads.
-func OfWeights(model fleet.ModelID) ID { return ID("Weights/" + model) }
+// Weights is the duty of handing out the fleet's weight loads.
+const Weights ID = "Weights"
 
 // An Assignment says who holds a duty. A zero Holder holds nothing.
 type Assignment struct {
--- a/fleet/edition/edition.go
+++ b/fleet/edition/edition.go
@@ -257,11 +257,20 @@
 		// A write that got no answer may still be under way.
 		return nil, &DoubtError{ID: change.ID, Cause: cause}
 	}
-	race := &RaceError{Read: seen.Number, Current: current.Number}
-	if i := int(seen.Number) - int(current.head.Base); i >= 0 && i < len(current.head.Changes) {
+	return nil, Race(ctx, client, seen.Number, current)
+}
+
+// Race returns the error for a change whose author has read an edition that is
+// no longer in force. It names the first change that came in between, if that
+// is still listed.
+func Race(ctx context.Context, client platform.Client, read Number, current *Edition) *RaceError {
+	race := &RaceError{Read: read, Current: current.Number}
+	i := int(read) - int(current.head.Base)
+	if i >= 0 && i < len(current.head.Changes) {
+		// Without it the error is less helpful and as true.
 		race.Other, _ = loadChange(ctx, client, current.head.Changes[i])
 	}
-	return nil, race
+	return race
 }
 
 // Contains reports whether the head lists the change.
--- a/fleet/lease/fuzz_test.go
+++ b/fleet/lease/fuzz_test.go
@@ -25,8 +25,7 @@
 	seat    lease.Seat
 	holder  lease.Holder
 	witness lease.Witness
-	member  lease.Member // what it last knew of its own object
-	rate    float64      // of its clock, relative to true time
+	rate    float64 // of its clock, relative to true time
 	offset  time.Duration
 	paused  bool
 	ending  *lease.Takeover
@@ -52,6 +51,8 @@
 	outage     bool
 	noPlatform [hosts]bool // the host alone does not reach the platform
 	loss       bool
+	hold       bool     // writes of the own object get no answer and land later
+	held       []func() // such writes
 	revision   fleet.Version
 	mail       []func()
 }
@@ -67,14 +68,20 @@
 	if w.outage || w.noPlatform[writer] {
 		return 0, errOutage
 	}
+	version, err := w.store(host, seen, member)
+	if w.loss {
+		return 0, errOutage
+	}
+	return version, err
+}
+
+// store is what the platform does with a write that reaches it.
+func (w *world) store(host int, seen fleet.Version, member lease.Member) (fleet.Version, error) {
 	if w.objects[host].version != seen {
 		return 0, errConflict
 	}
 	w.revision++
 	w.objects[host] = object{member, w.revision}
-	if w.loss {
-		return 0, errOutage
-	}
 	return w.revision, nil
 }
 
@@ -98,24 +105,24 @@
 	p.holder = lease.Holder{Terms: terms, Self: seat}
 	p.witness = lease.Witness{Terms: terms, Self: seat, Started: p.now(w.truth)}
 	w.live[i] = p
-	w.register(i, p)
+	w.register(t, i, p)
 }
 
 // register makes the process a member once its earlier life is Ended.
-func (w *world) register(i int, p *process) {
+func (w *world) register(t *rapid.T, i int, p *process) {
 	current := w.objects[i]
 	if current.version != 0 && current.member.State != lease.Ended {
 		return
 	}
-	member := lease.Member{Host: p.seat.Host, Incarnation: p.seat.Incarnation, State: lease.Active, Panel: w.panel(i)}
+	member := lease.Member{Host: p.seat.Host, Incarnation: p.seat.Incarnation, State: lease.Active, Panel: w.panel(t, i)}
 	w.save(i, p, current.version, member, true)
 }
 
-// panel lists the other hosts that are members now.
-func (w *world) panel(i int) lease.Panel {
+// panel lists some of the other hosts that are members now.
+func (w *world) panel(t *rapid.T, i int) lease.Panel {
 	var panel lease.Panel
 	for j, o := range w.objects {
-		if j != i && o.member.State == lease.Active {
+		if j != i && o.member.State == lease.Active && rapid.IntRange(0, 3).Draw(t, "seat") > 0 {
 			panel = append(panel, lease.Seat{Host: o.member.Host, Incarnation: o.member.Incarnation})
 		}
 	}
@@ -129,13 +136,14 @@
 	}
 	sent := p.now(w.truth)
 	p.holder.Writing(member.Panel)
+	if w.hold {
+		w.held = append(w.held, func() { _, _ = w.store(i, seen, member) })
+		return
+	}
 	version, err := w.write(i, i, seen, member)
 	p.pending = func() {
-		switch {
-		case err == nil:
+		if err == nil {
 			p.holder.Written(sent, version, &member)
-		case errors.Is(err, errConflict):
-			p.holder.Failed()
 		}
 		p.pending = nil
 	}
@@ -228,13 +236,13 @@
 
 // refresh reads the process's own object back, settles a write in doubt, and
 // writes itself Active again when it is under suspicion.
-func (w *world) refresh(i int, newPanel bool) {
+func (w *world) refresh(t *rapid.T, i int, newPanel bool) {
 	p, o := w.live[i], w.objects[i]
 	if p == nil || p.paused || w.outage || w.noPlatform[i] || p.pending != nil {
 		return
 	}
 	if o.version != 0 && o.member.Incarnation < p.seat.Incarnation {
-		w.register(i, p)
+		w.register(t, i, p)
 		return
 	}
 	p.holder.Saw(o.version, &o.member)
@@ -245,7 +253,7 @@
 	member.State = lease.Active
 	member.Renewal++
 	if newPanel {
-		member.Panel = w.panel(i)
+		member.Panel = w.panel(t, i)
 	}
 	w.save(i, p, o.version, member, false)
 }
@@ -270,7 +278,7 @@
 			continue
 		}
 		if o := w.objects[i]; p.holder.NeedsRenewal(p.now(w.truth)) || o.member.State != lease.Active {
-			w.refresh(i, false)
+			w.refresh(t, i, false)
 		}
 		w.endSilent(i)
 	}
@@ -322,15 +330,24 @@
 			letter()
 		},
 		"beat":    func(t *rapid.T) { w.beat(drawHost(t)) },
-		"panel":   func(t *rapid.T) { w.refresh(drawHost(t), true) },
+		"panel":   func(t *rapid.T) { w.refresh(t, drawHost(t), true) },
 		"suspect": func(t *rapid.T) { w.suspect(drawHost(t), drawHost(t)) },
 		"cut":     func(t *rapid.T) { i, j := drawHost(t), drawHost(t); w.cut[i][j] = !w.cut[i][j] },
 		"heal":    func(*rapid.T) { w.cut = [hosts][hosts]bool{}; w.noPlatform = [hosts]bool{} },
 		"alone":   func(t *rapid.T) { i := drawHost(t); w.noPlatform[i] = !w.noPlatform[i] },
 		"strand":  func(t *rapid.T) { w.strand(t, drawHost(t)) },
 		"outage":  func(*rapid.T) { w.outage = !w.outage },
-		"loss":    func(*rapid.T) { w.loss = !w.loss },
-		"pause":   func(t *rapid.T) { p := w.live[drawHost(t)]; p.paused = !p.paused },
+		"hold":    func(*rapid.T) { w.hold = !w.hold },
+		"land": func(t *rapid.T) {
+			if len(w.held) > 0 {
+				n := rapid.IntRange(0, len(w.held)-1).Draw(t, "write")
+				write := w.held[n]
+				w.held = append(w.held[:n], w.held[n+1:]...)
+				write()
+			}
+		},
+		"loss":  func(*rapid.T) { w.loss = !w.loss },
+		"pause": func(t *rapid.T) { p := w.live[drawHost(t)]; p.paused = !p.paused },
 		"replace": func(t *rapid.T) {
 			i := drawHost(t)
 			// The earlier life may be frozen elsewhere, and its own view of its
@@ -360,7 +377,7 @@
 			w.live[i].pending()
 		}
 		for i := range hosts {
-			w.refresh(i, true)
+			w.refresh(t, i, true)
 			w.live[i].pending()
 		}
 		t.Repeat(w.actions())
--- a/fleet/lease/holder.go
+++ b/fleet/lease/holder.go
@@ -15,8 +15,7 @@
 
 	version fleet.Version // of the member object as last confirmed
 	panel   Panel
-	pending Panel // written but not confirmed; nil if none
-	unsure  bool  // a write is in doubt, pending may be nil
+	pending []Panel // of writes in doubt, all conditional on version
 	grants  map[Seat]fleet.Instant
 	renewed fleet.Instant // the renewal runs until then
 	number  uint64
@@ -58,37 +57,26 @@
 	h.grants[grant.From] = max(h.grants[grant.From], until)
 }
 
-// Writing notes that a write of the member object is under way. A nil panel
-// stands for a write that leaves the panel as it is. Until the write is
-// settled, the holder needs a quorum of both panels.
+// Writing notes that a write of the member object is under way, conditional on
+// the version that the holder knows. Until it is settled, the holder needs a
+// quorum of both panels.
 func (h *Holder) Writing(panel Panel) {
-	h.unsure = true
-	if panel != nil {
-		h.pending = slices.Clone(panel)
-	}
+	h.pending = append(h.pending, slices.Clone(panel))
 }
 
 // Written notes that a write that was sent at the given moment has provably
-// taken effect, which also renews the lease.
+// taken effect, which also renews the lease. Other writes that were in doubt
+// were conditional on an earlier version and have no effect any more.
 func (h *Holder) Written(sent fleet.Instant, version fleet.Version, member *Member) {
-	if member.Incarnation != h.Self.Incarnation || !member.Serves() {
-		h.Saw(version, member)
-		return
+	h.Saw(version, member)
+	if member.Serves() {
+		h.renewed = max(h.renewed, sent.Add(h.Terms.Length))
 	}
-	h.unsure = false
-	h.pending = nil
-	h.adopt(version, member)
-	h.renewed = max(h.renewed, sent.Add(h.Terms.Length))
-}
-
-// Failed notes that the write has provably had no effect.
-func (h *Holder) Failed() {
-	h.unsure = false
-	h.pending = nil
 }
 
-// Saw takes a state of the member object that was read or watched. It settles
-// no write by itself, and renews nothing.
+// Saw takes a state of the member object that was read or watched. A version
+// that is newer than the known one settles all writes in doubt: they are part
+// of it or can have no effect any more.
 func (h *Holder) Saw(version fleet.Version, member *Member) {
 	if version <= h.version {
 		return
@@ -97,32 +85,16 @@
 		h.ended = true
 		return
 	}
-	if !h.unsure {
-		h.adopt(version, member)
-		return
-	}
-	// The write in doubt may have come before or after this state. Needing the
-	// quorum of every panel that may be in force is safe either way.
-	if !slices.Equal(h.panel, member.Panel) {
-		h.pending = slices.Clone(member.Panel)
-	}
-}
-
-// adopt takes the object's state. The renewal is given up with a state that
-// fences it: a successor that reads Ending waits only from its own write on.
-func (h *Holder) adopt(version fleet.Version, member *Member) {
-	if version <= h.version {
-		return
-	}
 	h.version = version
 	h.panel = slices.Clone(member.Panel)
+	h.pending = nil
 }
 
 // Ended reports whether the holder's incarnation is over for good.
 func (h *Holder) Ended() bool { return h.ended }
 
-// Unsure reports whether a write of the member object is in doubt.
-func (h *Holder) Unsure() bool { return h.unsure }
+// InDoubt reports whether a write of the member object is not settled.
+func (h *Holder) InDoubt() bool { return len(h.pending) > 0 }
 
 // Until returns the moment up to which the holder may act. A result in the
 // past says that it may not.
@@ -131,8 +103,8 @@
 		return 0
 	}
 	byPanel := h.quorumUntil(h.panel)
-	if h.pending != nil {
-		byPanel = min(byPanel, h.quorumUntil(h.pending))
+	for _, panel := range h.pending {
+		byPanel = min(byPanel, h.quorumUntil(panel))
 	}
 	return max(byPanel, h.renewed)
 }
--- a/fleet/lease/lease.go
+++ b/fleet/lease/lease.go
@@ -101,10 +101,12 @@
 type Member struct {
 	Host        fleet.HostID
 	Incarnation fleet.Incarnation
+	Process     string // random name of the process that registered
 	DataCentre  fleet.DataCentreID
 	Region      fleet.RegionID
 	CallerAddr  fleet.Address // where callers connect
 	PeerAddr    fleet.Address // where other hosts connect
+	OperateAddr fleet.Address // where operators connect
 	State       State
 	Panel       Panel
 	Renewal     uint64 // grows with every renewal
--- /dev/null
+++ b/fleet/meter/meter.go
@@ -0,0 +1,152 @@
+// Package meter keeps a process's counters and histograms and shows them by
+// expvar.
+//
+// Histograms are kept for each workspace and class. Their number is bounded:
+// with 23,000 workspaces only those seen lately have one of their own, and the
+// rest share one. Durations are recorded in microseconds with two significant
+// digits.
+package meter
+
+import (
+	"container/list"
+	"expvar"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"hibiscuslb/fleet"
+)
+
+// Series names a histogram.
+type Series struct {
+	Workspace fleet.WorkspaceID
+	Class     fleet.Class
+}
+
+func (s Series) String() string { return string(s.Workspace) + "/" + string(s.Class) }
+
+// others is the series of those that have none of their own.
+var others = Series{"Other", ""}
+
+const (
+	// SeriesLimit bounds the histograms of one set.
+	SeriesLimit = 128
+	slowest     = 2 * time.Minute
+	digits      = 2
+)
+
+// A Summary is what a histogram says.
+type Summary struct {
+	Count         int64
+	P50, P95, P99 time.Duration
+	Max           time.Duration
+}
+
+// Histograms is a bounded set of histograms of durations. The zero value is
+// empty. It is safe for concurrent use.
+type Histograms struct {
+	mu     sync.Mutex
+	series map[Series]*list.Element
+	recent list.List // of *entry, latest first
+	rest   *hdrhistogram.Histogram
+}
+
+type entry struct {
+	series    Series
+	histogram *hdrhistogram.Histogram
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, slowest.Microseconds(), digits)
+}
+
+// Record adds a duration. Those beyond the slowest count as the slowest.
+func (h *Histograms) Record(series Series, d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	value := min(max(1, d.Microseconds()), slowest.Microseconds())
+	// The value is within the histogram's range.
+	_ = h.histogram(series).RecordValue(value)
+}
+
+func (h *Histograms) histogram(series Series) *hdrhistogram.Histogram {
+	if element, ok := h.series[series]; ok {
+		h.recent.MoveToFront(element)
+		return element.Value.(*entry).histogram
+	}
+	if h.series == nil {
+		h.series = make(map[Series]*list.Element)
+		h.rest = newHistogram()
+	}
+	if len(h.series) >= SeriesLimit {
+		oldest := h.recent.Remove(h.recent.Back()).(*entry)
+		delete(h.series, oldest.series)
+		h.rest.Merge(oldest.histogram)
+	}
+	e := &entry{series: series, histogram: newHistogram()}
+	h.series[series] = h.recent.PushFront(e)
+	return e.histogram
+}
+
+// Summaries returns what each series says.
+func (h *Histograms) Summaries() map[string]Summary {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	result := make(map[string]Summary, len(h.series)+1)
+	for series, element := range h.series {
+		result[series.String()] = summarize(element.Value.(*entry).histogram)
+	}
+	if h.rest != nil && h.rest.TotalCount() > 0 {
+		result[others.String()] = summarize(h.rest)
+	}
+	return result
+}
+
+func summarize(h *hdrhistogram.Histogram) Summary {
+	at := func(quantile float64) time.Duration {
+		return time.Duration(h.ValueAtQuantile(quantile)) * time.Microsecond
+	}
+	return Summary{
+		Count: h.TotalCount(), P50: at(50), P95: at(95), P99: at(99),
+		Max: time.Duration(h.Max()) * time.Microsecond,
+	}
+}
+
+// Metrics is what a process shows at /debug/vars. The zero value is empty.
+type Metrics struct {
+	FirstToken Histograms // from arrival to the first piece of an answer
+	Between    Histograms // between two pieces
+	Orders     Histograms // from arrival to the end of a service's call
+	Counters   expvar.Map // by name
+	once       sync.Once
+	vars       expvar.Map
+}
+
+// Add adds to a counter.
+func (m *Metrics) Add(name string, n int64) { m.Counters.Add(name, n) }
+
+// Show adds a value that is computed when it is read.
+func (m *Metrics) Show(name string, value func() any) {
+	m.prepare()
+	m.vars.Set(name, expvar.Func(value))
+}
+
+func (m *Metrics) prepare() {
+	m.once.Do(func() {
+		m.vars.Set("Counters", &m.Counters)
+		m.vars.Set("FirstToken", expvar.Func(func() any { return m.FirstToken.Summaries() }))
+		m.vars.Set("BetweenTokens", expvar.Func(func() any { return m.Between.Summaries() }))
+		m.vars.Set("Orders", expvar.Func(func() any { return m.Orders.Summaries() }))
+		m.vars.Set("memstats", expvar.Get("memstats"))
+	})
+}
+
+// ServeHTTP shows all values as one JSON object.
+func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	m.prepare()
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	// The reader may have gone; there is nobody left to tell.
+	_, _ = w.Write([]byte(m.vars.String()))
+}
--- a/fleet/order/log.go
+++ b/fleet/order/log.go
@@ -242,12 +242,13 @@
 }
 
 // fail gives up on the entries. Claims among them are never dispatched, even
-// if their write takes effect later.
+// if their write takes effect later, and releases were of attempts that are
+// over without a run.
 func (l *Log) fail(entries []Entry, err error) []Result {
 	results := make([]Result, len(entries))
 	for i := range entries {
 		results[i] = Result{Verdict: Failed, Err: err}
-		if entries[i].Kind == Claim {
+		if entries[i].Kind != Finish {
 			l.Abandon(entries[i].Attempt)
 		}
 	}
--- a/fleet/outcome.go
+++ b/fleet/outcome.go
@@ -26,6 +26,7 @@
 	ReasonNoPlatform    Reason = "platform unavailable"
 	ReasonTargetFailed  Reason = "target failed"
 	ReasonRetryBudget   Reason = "retry budget spent"
+	ReasonNotKept       Reason = "answer of the earlier call was too long to keep"
 	ReasonInProgress    Reason = "in progress"
 	ReasonStreamTimeout Reason = "stream timeout"
 )
--- /dev/null
+++ b/hibiscusd/internal/control/configuration.go
@@ -0,0 +1,176 @@
+package control
+
+import (
+	"context"
+	"maps"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/declaration"
+	"hibiscuslb/fleet/duty"
+	"hibiscuslb/fleet/edition"
+	"hibiscuslb/fleet/lease"
+	"hibiscuslb/fleet/platform"
+)
+
+// Names of the control objects, which every host watches.
+const (
+	controlPrefix platform.Name = "Control/"
+	memberPrefix  platform.Name = "Control/Member/"
+	bookPrefix    platform.Name = "Control/Duties/"
+)
+
+// MemberName returns the name of a host's member object.
+func MemberName(host fleet.HostID) platform.Name { return memberPrefix + platform.Name(host) }
+
+func bookName(centre fleet.DataCentreID) platform.Name { return bookPrefix + platform.Name(centre) }
+
+// watch follows the control objects until the context ends. It runs beside the
+// control goroutine.
+func (c *Control) watch(ctx context.Context) {
+	var since fleet.Version
+	listed := false
+	for ctx.Err() == nil {
+		var listing platform.Listing
+		var err error
+		if listed {
+			listing, err = c.Direct.Watch(ctx, controlPrefix, since, watchWait)
+		} else {
+			listing, err = c.Direct.List(ctx, controlPrefix)
+		}
+		if err != nil {
+			sleep(ctx, watchRetry)
+			continue
+		}
+		since, listed = listing.Revision, true
+		c.follow(ctx, listing)
+	}
+}
+
+func (c *Control) follow(ctx context.Context, listing platform.Listing) {
+	for _, object := range listing.Objects {
+		if object.Name == edition.HeadName {
+			c.load(ctx, object)
+		}
+	}
+	c.post(ctx, listed{listing})
+}
+
+// load brings the edition up to a head object and posts it.
+func (c *Control) load(ctx context.Context, head platform.Object) {
+	from := make(chan *edition.Edition, 1)
+	c.post(ctx, askEdition{from})
+	select {
+	case current := <-from:
+		next, err := edition.Advance(ctx, c.Platform, current, head)
+		if err != nil {
+			c.Log.Warn().Err(err).Msg("configuration can not be read")
+			return
+		}
+		c.post(ctx, loaded{next})
+	case <-ctx.Done():
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// askEdition asks for the current edition, to load on from.
+type askEdition struct{ reply chan<- *edition.Edition }
+
+func (e askEdition) handle(_ context.Context, c *Control) { e.reply <- c.edition }
+
+// loaded is an edition that was read. An older one is ignored.
+type loaded struct{ edition *edition.Edition }
+
+func (e loaded) handle(_ context.Context, c *Control) {
+	if e.edition.Number <= c.edition.Number {
+		return
+	}
+	c.edition = e.edition
+	c.rebuild(true)
+	c.Log.Info().Uint64("Version", uint64(c.edition.Number)).Msg("configuration in force")
+}
+
+// rebuild builds the declaration from the edition when the edition is fresh or
+// an exception has come to its end.
+func (c *Control) rebuild(fresh bool) {
+	if !fresh && !c.built.Expired(time.Now()) {
+		return
+	}
+	built, err := declaration.Build(c.edition.Document, time.Now())
+	if err != nil {
+		// An accepted edition was checked before; only an exception that has
+		// ended can bring this about. Stay with what is in force.
+		c.Log.Error().Err(err).Msg("configuration can not be built")
+		return
+	}
+	c.built = built
+	c.dirty = true
+}
+
+// listed is a set of control objects that were read or watched.
+type listed struct{ listing platform.Listing }
+
+func (e listed) handle(_ context.Context, c *Control) {
+	for _, object := range e.listing.Objects {
+		c.see(object)
+	}
+	c.dirty = true
+}
+
+// see takes one member or book object, unless it is older than what is known.
+func (c *Control) see(object platform.Object) {
+	name := string(object.Name)
+	switch {
+	case strings.HasPrefix(name, string(memberPrefix)):
+		var member lease.Member
+		if err := cbor.Unmarshal(object.Value, &member); err != nil {
+			c.Log.Error().Err(err).Str("Object", name).Msg("bad member object")
+			return
+		}
+		c.seeMember(object.Version, &member)
+	case strings.HasPrefix(name, string(bookPrefix)):
+		var book duty.Book
+		if err := cbor.Unmarshal(object.Value, &book); err != nil {
+			c.Log.Error().Err(err).Str("Object", name).Msg("bad duties object")
+			return
+		}
+		centre := fleet.DataCentreID(strings.TrimPrefix(name, string(bookPrefix)))
+		if object.Version > c.books[centre].version {
+			c.books[centre] = bookState{&book, object.Version}
+			// The write that handed duties over is settled: it is part of this
+			// version or can have no effect any more.
+			maps.DeleteFunc(c.releasing, func(_ duty.ID, of fleet.DataCentreID) bool { return of == centre })
+			c.dirty = true
+		}
+	}
+}
+
+func (c *Control) seeMember(version fleet.Version, member *lease.Member) {
+	if version <= c.versions[member.Host] {
+		return
+	}
+	c.versions[member.Host] = version
+	c.members[member.Host] = member
+	c.seenAt[member.Host] = c.Clock()
+	c.dirty = true
+	if member.Host == c.Host.ID && c.registered {
+		c.holder.Saw(version, member)
+		if !c.holder.Ended() {
+			c.member = *member
+		}
+	}
+	if takeover, ok := c.takeovers[member.Host]; ok && version > takeover.Version {
+		delete(c.takeovers, member.Host)
+	}
+}
--- /dev/null
+++ b/hibiscusd/internal/control/membership.go
@@ -0,0 +1,440 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/cache"
+	"hibiscuslb/fleet/lease"
+	"hibiscuslb/fleet/placement"
+	"hibiscuslb/fleet/platform"
+	"hibiscuslb/hibiscusd/internal/wire"
+)
+
+// The calls about membership that can be under way.
+const (
+	taskMember  task = "member"
+	taskRefresh task = "refresh"
+)
+
+// reset gives up an incarnation that was ended by others. The process goes on
+// as a new one.
+func (c *Control) reset() {
+	c.Log.Warn().Stringer("Incarnation", c.holder.Self.Incarnation).Msg("this incarnation was ended by others")
+	c.registered = false
+	c.holder = lease.Holder{}
+	c.dirty = true
+}
+
+// register makes this process a member. An earlier incarnation of the host has
+// to be ended first, like that of any other host.
+func (c *Control) register(ctx context.Context) {
+	if c.takeovers[c.Host.ID] != nil {
+		return
+	}
+	c.start(ctx, taskMember, func(ctx context.Context) event {
+		object, err := c.Platform.Read(ctx, MemberName(c.Host.ID))
+		var absent *platform.NotFoundError
+		if err != nil && !errors.As(err, &absent) {
+			return nil
+		}
+		return memberRead{object}
+	})
+}
+
+// memberRead is the own member object as it is before registration.
+type memberRead struct{ object platform.Object }
+
+func (e memberRead) handle(ctx context.Context, c *Control) {
+	var old lease.Member
+	if e.object.Version != 0 {
+		if err := cbor.Unmarshal(e.object.Value, &old); err != nil {
+			c.Log.Error().Err(err).Msg("bad member object of this host")
+			return
+		}
+		c.seeMember(e.object.Version, &old)
+		if old.Process == c.process && old.Incarnation == c.holder.Self.Incarnation && old.Serves() {
+			// The write of an earlier try took effect and its answer was lost.
+			c.registered = true
+			c.member = old
+			c.holder.Saw(e.object.Version, &old)
+			return
+		}
+		if old.State != lease.Ended {
+			c.witness.Self.Incarnation = old.Incarnation + 1
+			c.beginEnd(ctx, old.Host)
+			return
+		}
+	}
+	self := lease.Seat{Host: c.Host.ID, Incarnation: old.Incarnation + 1}
+	c.holder = lease.Holder{Terms: c.Terms, Self: self}
+	c.witness.Self = self
+	member := lease.Member{
+		Host: self.Host, Incarnation: self.Incarnation, Process: c.process, State: lease.Active,
+		DataCentre: c.Host.DataCentre, Region: c.Host.Region,
+		CallerAddr: c.Host.CallerAddr, PeerAddr: c.Host.PeerAddr, OperateAddr: c.Host.Operators,
+		Panel: c.choosePanel(),
+	}
+	c.writeMember(ctx, e.object.Version, member)
+}
+
+// writeMember writes the own member object.
+func (c *Control) writeMember(ctx context.Context, seen fleet.Version, member lease.Member) {
+	value, err := cbor.Marshal(member)
+	if err != nil {
+		c.Log.Error().Err(err).Msg("member object can not be coded")
+		return
+	}
+	c.holder.Writing(member.Panel)
+	sent := c.Clock()
+	c.start(ctx, taskMember, func(ctx context.Context) event {
+		version, err := c.Platform.Write(ctx, MemberName(member.Host), value, seen)
+		return memberWritten{sent, version, member, err}
+	})
+}
+
+// memberWritten is the end of a write of the own member object.
+type memberWritten struct {
+	sent    fleet.Instant
+	version fleet.Version
+	member  lease.Member
+	err     error
+}
+
+func (e memberWritten) handle(ctx context.Context, c *Control) {
+	if e.err != nil {
+		c.Log.Debug().Err(e.err).Msg("member object not written")
+		if c.registered {
+			c.refresh(ctx)
+		}
+		return
+	}
+	c.registered = true
+	c.holder.Written(e.sent, e.version, &e.member)
+	c.member = e.member
+	c.seeMember(e.version, &e.member)
+}
+
+// refresh reads the own member object back, after a write that failed or got
+// no answer, or when it is under suspicion.
+func (c *Control) refresh(ctx context.Context) {
+	c.start(ctx, taskRefresh, func(ctx context.Context) event {
+		object, err := c.Platform.Read(ctx, MemberName(c.Host.ID))
+		if err != nil {
+			return nil
+		}
+		return listed{platform.Listing{Objects: []platform.Object{object}}}
+	})
+}
+
+// renew keeps the own member object as it should be: active, with a full
+// panel, and renewed when the panel's grants run low.
+func (c *Control) renew(ctx context.Context, now fleet.Instant) {
+	if c.busy[taskMember] || c.busy[taskRefresh] || c.holder.Ended() {
+		return
+	}
+	member := c.member
+	needs := c.holder.NeedsRenewal(now)
+	if member.State == lease.Ending {
+		needs = true
+		member.State = lease.Active
+	}
+	if c.leaving && member.State == lease.Active {
+		needs = true
+		member.State = lease.Leaving
+	}
+	if !c.panelStands(now) {
+		needs = true
+		member.Panel = c.choosePanel()
+	}
+	if !needs {
+		return
+	}
+	member.Renewal++
+	c.writeMember(ctx, c.holder.Version(), member)
+}
+
+// panelStands reports whether the panel needs no repair: all its seats are
+// members, and it has as many as it can.
+func (c *Control) panelStands(now fleet.Instant) bool {
+	for _, seat := range c.holder.Panel() {
+		member, ok := c.members[seat.Host]
+		if !ok || member.Incarnation != seat.Incarnation || !member.Serves() {
+			return false
+		}
+	}
+	if len(c.holder.Panel()) >= panelSize || now.Sub(c.started) < suspectTime {
+		return true
+	}
+	return len(c.choosePanel()) <= len(c.holder.Panel())
+}
+
+// choosePanel picks witnesses among the active members of the region, no more
+// than half of them of one data centre where others can be had, so that the
+// loss of a data centre leaves enough of them to end this host.
+func (c *Control) choosePanel() lease.Panel {
+	var candidates []*lease.Member
+	for _, member := range c.members {
+		if member.Host != c.Host.ID && member.State == lease.Active && member.Region == c.Host.Region {
+			candidates = append(candidates, member)
+		}
+	}
+	root := uint64(cache.RootOf("", []byte(c.Host.ID)))
+	ranked := placement.Rank(root, candidates,
+		func(member *lease.Member) string { return string(member.Host) },
+		func(*lease.Member) float64 { return 1 })
+	var panel lease.Panel
+	perCentre := make(map[fleet.DataCentreID]int)
+	var spare []lease.Seat
+	for _, member := range ranked {
+		seat := lease.Seat{Host: member.Host, Incarnation: member.Incarnation}
+		if perCentre[member.DataCentre] >= panelSize/2 {
+			spare = append(spare, seat)
+			continue
+		}
+		perCentre[member.DataCentre]++
+		panel = append(panel, seat)
+	}
+	panel = append(panel, spare...)
+	return panel[:min(len(panel), panelSize)]
+}
+
+// beat asks the panel for grants.
+func (c *Control) beat(ctx context.Context, now fleet.Instant) {
+	if now.Sub(c.lastBeat) < beatTime {
+		return
+	}
+	c.lastBeat = now
+	beat := c.holder.Beat(now)
+	beat.Declaration = c.edition.Number
+	for _, seat := range c.holder.Panel() {
+		member, ok := c.members[seat.Host]
+		if !ok {
+			continue
+		}
+		address := member.PeerAddr
+		c.start(ctx, task("beat "+seat.Host), func(ctx context.Context) event {
+			ctx, cancel := context.WithTimeout(ctx, c.Terms.Length/2)
+			defer cancel()
+			var grant lease.Grant
+			if err := c.Pool.Ask(ctx, address, wire.KindBeat, beat, &grant); err != nil {
+				return nil
+			}
+			return granted{grant}
+		})
+	}
+}
+
+// granted is a witness's answer to a heartbeat.
+type granted struct{ grant lease.Grant }
+
+func (e granted) handle(ctx context.Context, c *Control) {
+	c.holder.Granted(e.grant)
+	if !e.grant.Granted {
+		// The witness has refused this version, so the object says Ending.
+		c.refresh(ctx)
+	}
+	c.hear(ctx, e.grant.Declaration)
+}
+
+// hear takes the version of the configuration that another host has. This host
+// fetches a newer one itself when its own watch has not brought it.
+func (c *Control) hear(ctx context.Context, number fleet.Version) {
+	if number <= c.edition.Number {
+		return
+	}
+	c.start(ctx, "head", func(ctx context.Context) event {
+		c.readHead(ctx)
+		return nil
+	})
+}
+
+// Beat answers another host's heartbeat. It is called by traffic.
+func (c *Control) Beat(ctx context.Context, beat lease.Beat) lease.Grant {
+	reply := make(chan lease.Grant, 1)
+	c.post(ctx, beaten{beat, reply})
+	select {
+	case grant := <-reply:
+		return grant
+	case <-ctx.Done():
+		return lease.Grant{Number: beat.Number}
+	}
+}
+
+// beaten is another host's heartbeat.
+type beaten struct {
+	beat  lease.Beat
+	reply chan<- lease.Grant
+}
+
+func (e beaten) handle(ctx context.Context, c *Control) {
+	grant := lease.Grant{From: c.witness.Self, Number: e.beat.Number}
+	if c.registered {
+		grant = c.witness.Grant(c.Clock(), e.beat)
+	}
+	grant.Declaration = c.edition.Number
+	e.reply <- grant
+	c.hear(ctx, e.beat.Declaration)
+}
+
+// Refuse answers a host that ends a member. It is called by traffic.
+func (c *Control) Refuse(ctx context.Context, ask wire.RefuseAsk) bool {
+	reply := make(chan bool, 1)
+	c.post(ctx, refuseAsked{ask, reply})
+	select {
+	case refused := <-reply:
+		return refused
+	case <-ctx.Done():
+		return false
+	}
+}
+
+type refuseAsked struct {
+	ask   wire.RefuseAsk
+	reply chan<- bool
+}
+
+func (e refuseAsked) handle(_ context.Context, c *Control) {
+	e.reply <- c.witness.Refuse(c.Clock(), &e.ask.Member, e.ask.Version)
+}
+
+// endSilent begins to end the members that this host witnesses and has not
+// heard for a while.
+func (c *Control) endSilent(ctx context.Context, now fleet.Instant) {
+	if now.Sub(c.started) < suspectTime {
+		return
+	}
+	for host, member := range c.members {
+		if host != c.Host.ID && member.State != lease.Ended && c.silent(now, member) {
+			c.beginEnd(ctx, host)
+		}
+	}
+	c.witness.Forget(c.members.Over)
+}
+
+// silent reports whether a member gives cause to end it.
+func (c *Control) silent(now fleet.Instant, member *lease.Member) bool {
+	unchanged := now.Sub(c.seenAt[member.Host])
+	switch {
+	case member.State == lease.Ending:
+		// Somebody else has begun and may have gone since.
+		return unchanged > 2*c.Terms.Wait()
+	case len(member.Panel) == 0:
+		// It renews in the platform, and would have chosen a panel by now.
+		return unchanged > c.Terms.Wait()
+	case member.Panel.Index(c.Host.ID) < 0:
+		return false
+	}
+	heard, ok := c.witness.Silence(lease.Seat{Host: member.Host, Incarnation: member.Incarnation})
+	if !ok {
+		heard = max(c.started, c.seenAt[member.Host])
+	}
+	return now.Sub(heard) > suspectTime
+}
+
+// beginEnd writes Ending into a member's object.
+func (c *Control) beginEnd(ctx context.Context, host fleet.HostID) {
+	member := *c.members[host]
+	if member.State == lease.Ended || c.takeovers[host] != nil {
+		return
+	}
+	seen := c.versions[host]
+	member.State = lease.Ending
+	value, err := cbor.Marshal(member)
+	if err != nil {
+		return
+	}
+	c.start(ctx, task("end "+host), func(ctx context.Context) event {
+		version, err := c.Platform.Write(ctx, MemberName(host), value, seen)
+		if err != nil {
+			return nil
+		}
+		return endBegun{member, version}
+	})
+}
+
+type endBegun struct {
+	member  lease.Member
+	version fleet.Version
+}
+
+func (e endBegun) handle(_ context.Context, c *Control) {
+	c.Log.Warn().Str("Host", string(e.member.Host)).Msg("host is silent; ending it")
+	c.seeMember(e.version, &e.member)
+	c.takeovers[e.member.Host] = &lease.Takeover{
+		Terms: c.Terms, Member: e.member, Version: e.version, Began: c.Clock(),
+	}
+}
+
+// pursue collects refusals and writes Ended when it may.
+func (c *Control) pursue(ctx context.Context, now fleet.Instant) {
+	for host, takeover := range c.takeovers {
+		if c.witness.Refuse(now, &takeover.Member, takeover.Version) {
+			takeover.Refused(c.Host.ID)
+		}
+		if takeover.Ready(now) {
+			c.finishEnd(ctx, takeover)
+			continue
+		}
+		if now.Sub(takeover.Began) < c.Terms.Length {
+			continue // nobody can refuse yet
+		}
+		for _, seat := range takeover.Member.Panel {
+			if member, ok := c.members[seat.Host]; ok && seat.Host != c.Host.ID {
+				c.askRefusal(ctx, host, takeover, member)
+			}
+		}
+	}
+}
+
+func (c *Control) askRefusal(ctx context.Context, host fleet.HostID, takeover *lease.Takeover, witness *lease.Member) {
+	ask := wire.RefuseAsk{Member: takeover.Member, Version: takeover.Version}
+	name := task(fmt.Sprintf("refuse %s %s", host, witness.Host))
+	c.start(ctx, name, func(ctx context.Context) event {
+		ctx, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		var answer wire.RefuseAnswer
+		if err := c.Pool.Ask(ctx, witness.PeerAddr, wire.KindRefuse, ask, &answer); err != nil || !answer.Refused {
+			return nil
+		}
+		return refused{takeover, witness.Host}
+	})
+}
+
+type refused struct {
+	takeover *lease.Takeover
+	by       fleet.HostID
+}
+
+func (e refused) handle(context.Context, *Control) { e.takeover.Refused(e.by) }
+
+func (c *Control) finishEnd(ctx context.Context, takeover *lease.Takeover) {
+	member := takeover.Member
+	member.State = lease.Ended
+	value, err := cbor.Marshal(member)
+	if err != nil {
+		return
+	}
+	c.start(ctx, task("end "+member.Host), func(ctx context.Context) event {
+		version, err := c.Platform.Write(ctx, MemberName(member.Host), value, takeover.Version)
+		if err != nil {
+			return nil
+		}
+		return endFinished{member, version}
+	})
+}
+
+type endFinished struct {
+	member  lease.Member
+	version fleet.Version
+}
+
+func (e endFinished) handle(_ context.Context, c *Control) {
+	c.Log.Warn().Str("Host", string(e.member.Host)).Msg("host is ended")
+	c.seeMember(e.version, &e.member)
+}
--- /dev/null
+++ b/hibiscusd/internal/control/view.go
@@ -0,0 +1,92 @@
+// Package control holds a host's part in the fleet's control: its membership
+// and lease, the ends of others, the configuration in force, and its duties.
+//
+// One goroutine owns all control state and handles one event after the other.
+// Calls to the platform and to other hosts run beside it and report back as
+// events. What traffic needs to know is published as a View, which is frozen,
+// and the end of the lease as one atomic value, which traffic checks right
+// before each send.
+//
+// Invariants: a host acts for a duty only while its lease runs and the
+// published book names it; the versions of the configuration, of members and
+// of books only grow.
+package control
+
+import (
+	"slices"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/declaration"
+	"hibiscuslb/fleet/duty"
+	"hibiscuslb/fleet/lease"
+)
+
+// A View is the control state as traffic sees it. It is frozen.
+type View struct {
+	Self        lease.Seat
+	Declaration *declaration.Declaration
+	Number      fleet.Version // of the declaration
+	Members     duty.Members
+	Books       map[fleet.DataCentreID]*duty.Book
+	Leaving     bool
+	Releasing   []duty.ID // own duties that are being handed over
+}
+
+// An Owner is the host that holds a duty.
+type Owner struct {
+	Seat    lease.Seat
+	Epoch   fleet.Epoch
+	Address fleet.Address // for other hosts
+}
+
+// Keeper returns the host that keeps a target, if there is one.
+func (v *View) Keeper(target *declaration.Target) (Owner, bool) {
+	return v.owner(target.DataCentre, duty.OfTarget(target.ID))
+}
+
+func (v *View) owner(centre fleet.DataCentreID, id duty.ID) (Owner, bool) {
+	book, ok := v.Books[centre]
+	if !ok {
+		return Owner{}, false
+	}
+	assignment, ok := book.Assignments[id]
+	member, known := v.Members[assignment.Holder.Host]
+	if !ok || !known || v.Members.Over(assignment.Holder) {
+		return Owner{}, false
+	}
+	return Owner{Seat: assignment.Holder, Epoch: assignment.Epoch, Address: member.PeerAddr}, true
+}
+
+// Holds returns the epoch of a target's duty if this host holds it.
+func (v *View) Holds(target *declaration.Target) (fleet.Epoch, bool) {
+	owner, ok := v.Keeper(target)
+	if !ok || owner.Seat != v.Self || slices.Contains(v.Releasing, duty.OfTarget(target.ID)) {
+		return 0, false
+	}
+	return owner.Epoch, true
+}
+
+// Weights returns the host that hands out weight loads, if there is one.
+func (v *View) Weights() (Owner, bool) {
+	return v.owner(weightsCentre(v.Declaration), duty.Weights)
+}
+
+// Addresses returns where callers may connect: the hosts in service, those of
+// the region first.
+func (v *View) Addresses(region fleet.RegionID) []fleet.Address {
+	var near, far []fleet.Address
+	for _, member := range v.Members {
+		if member.State != lease.Active || !v.Declaration.HostServes(member.Host, member.DataCentre) {
+			continue
+		}
+		if member.Region == region {
+			near = append(near, member.CallerAddr)
+		} else {
+			far = append(far, member.CallerAddr)
+		}
+	}
+	if len(near) > 0 {
+		return near
+	}
+	return far
+}
--- /dev/null
+++ b/hibiscusd/internal/entry/entry.go
@@ -0,0 +1,137 @@
+// Package entry serves callers: it tells them which hosts to use, checks who
+// they are and what they ask, and passes their requests to the keepers of the
+// targets that suit best.
+//
+// A request goes to one keeper at a time. When a keeper refuses it as not run,
+// it goes on to the next candidate. When an answer breaks, its request is
+// repeated only if that is harmless: generation resumes at the piece that is
+// due, within the retry budget; an order that may have run is never sent
+// again. A request that is given up on gets its final answer at once, with the
+// time after which to come back.
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/declaration"
+	"hibiscuslb/fleet/meter"
+	"hibiscuslb/fleet/peer"
+	"hibiscuslb/fleet/retry"
+	"hibiscuslb/hibiscusd/internal/control"
+	"hibiscuslb/hibiscusd/internal/keeper"
+)
+
+// Limits are the settings that bound what callers may ask.
+type Limits struct {
+	Body       fleet.Bytes
+	MaxTokens  fleet.Tokens
+	Streams    int           // requests at once
+	Time       time.Duration // of one request
+	AddressTTL time.Duration // for which callers keep an address
+}
+
+// An Entry serves callers. Fill in the exported fields.
+type Entry struct {
+	Control *control.Control
+	Keepers *keeper.Set
+	Pool    *peer.Pool
+	Clock   fleet.Clock
+	Metrics *meter.Metrics
+	Log     zerolog.Logger
+	Limits  Limits
+
+	retries retry.Budget
+	loads   loads
+	streams chan struct{}
+	once    sync.Once
+}
+
+// candidatesTried bounds how many targets one request is offered to.
+const candidatesTried = 3
+
+// loads remembers what keepers said of their targets' queues. The facts ride
+// on answers and refusals and lose their weight with age.
+type loads struct {
+	mu    sync.Mutex
+	waits map[fleet.TargetID]observation
+}
+
+type observation struct {
+	wait time.Duration
+	at   fleet.Instant
+}
+
+// forgetTime is the age at which an observed wait counts for nothing.
+const forgetTime = 2 * time.Second
+
+func (l *loads) note(target fleet.TargetID, wait time.Duration, now fleet.Instant) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.waits == nil {
+		l.waits = make(map[fleet.TargetID]observation)
+	}
+	l.waits[target] = observation{wait, now}
+}
+
+// wait estimates the target's queue from the last observation.
+func (l *loads) wait(target fleet.TargetID, now fleet.Instant) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	seen, ok := l.waits[target]
+	age := now.Sub(seen.at)
+	if !ok || age >= forgetTime {
+		return 0
+	}
+	return time.Duration(float64(seen.wait) * (1 - float64(age)/float64(forgetTime)))
+}
+
+// enter takes one of the streams, or refuses.
+func (e *Entry) enter() error {
+	e.once.Do(func() { e.streams = make(chan struct{}, e.Limits.Streams) })
+	select {
+	case e.streams <- struct{}{}:
+		return nil
+	default:
+		return fleet.RefuseFor(fleet.ReasonOverloaded, time.Second)
+	}
+}
+
+func (e *Entry) leave() { <-e.streams }
+
+// A caller is who sent a request, and how it is to be served.
+type caller struct {
+	workspace *declaration.Workspace
+	class     declaration.Class
+	deadline  fleet.Instant // for the first token, zero for none
+}
+
+// view returns the control state if this host may take new work.
+func (e *Entry) view() (*control.View, error) {
+	view := e.Control.View()
+	if view == nil || !e.Control.MayAct() {
+		return nil, fleet.RefuseFor(fleet.ReasonStale, time.Second)
+	}
+	return view, nil
+}
+
+// remaining returns how long the caller's deadline leaves, or an error when it
+// is over.
+func (e *Entry) remaining(c *caller) (time.Duration, error) {
+	if c.deadline == 0 {
+		return 0, nil
+	}
+	left := c.deadline.Sub(e.Clock())
+	if left <= 0 {
+		return 0, fleet.Refuse(fleet.ReasonDeadline, "")
+	}
+	return left, nil
+}
+
+func (e *Entry) withTime(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, e.Limits.Time)
+}
--- /dev/null
+++ b/hibiscusd/internal/entry/handler.go
@@ -0,0 +1,427 @@
+package entry
+
+import (
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/kataras/iris/v12"
+	"github.com/rs/zerolog"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/cache"
+	"hibiscuslb/fleet/declaration"
+	"hibiscuslb/fleet/peer"
+	"hibiscuslb/hibiscusd/internal/control"
+	"hibiscuslb/hibiscusd/internal/wire"
+)
+
+// Headers of the callers' interface.
+const (
+	headerKey      = "Idempotency-Key"
+	headerClass    = "Request-Class"
+	headerDeadline = "Request-Deadline"
+	headerRequest  = "Request-Id"
+	headerRepeated = "Idempotency-Repeated"
+	headerOutcome  = "Outcome"
+)
+
+const (
+	keyLimit     = 200 // characters of an idempotency key
+	defaultClass = "default"
+	// defaultPriority is that of requests without a declared class.
+	defaultPriority  = 5
+	defaultMaxTokens = 16
+)
+
+// names is what operations, classes and keys may look like. Nothing that has a
+// meaning in a path or a header passes.
+var names = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:-]*$`)
+
+// Handler returns the callers' interface.
+func (e *Entry) Handler() (http.Handler, error) {
+	app := iris.New()
+	app.Configure(iris.WithoutStartupLog, iris.WithoutBodyConsumptionOnUnmarshal)
+	app.Logger().SetLevel("disable")
+	app.Get("/v1/address", e.address)
+	app.Post("/v1/completions", e.completions)
+	app.Post("/v1/services/{model}/{operation}", e.services)
+	if err := app.Build(); err != nil {
+		return nil, fmt.Errorf("entry: %w", err)
+	}
+	return app, nil
+}
+
+// An AddressAnswer tells a caller which hosts it may use, and for how long.
+type AddressAnswer struct {
+	Addresses []fleet.Address
+	TTL       string
+}
+
+func (e *Entry) address(ctx iris.Context) {
+	view := e.Control.View()
+	if view == nil {
+		writeRefusal(ctx, fleet.RefuseFor(fleet.ReasonStale, time.Second))
+		return
+	}
+	addresses := view.Addresses(e.Control.Host.Region)
+	_ = ctx.JSON(AddressAnswer{Addresses: addresses, TTL: e.Limits.AddressTTL.String()})
+}
+
+// identify finds out who calls and how the request is to be served.
+func (e *Entry) identify(ctx iris.Context, view *control.View, model fleet.ModelID) (*caller, error) {
+	key, ok := strings.CutPrefix(ctx.GetHeader("Authorization"), "Bearer ")
+	if !ok || key == "" {
+		return nil, fleet.Refuse(fleet.ReasonUnauthorized, "want Authorization: Bearer")
+	}
+	workspace, ok := view.Declaration.WorkspaceOf(cache.HashKey(key))
+	if !ok {
+		return nil, fleet.Refuse(fleet.ReasonUnauthorized, "unknown key")
+	}
+	if _, ok := view.Declaration.Models[model]; !ok {
+		return nil, fleet.Refuse(fleet.ReasonUnknownModel, "")
+	}
+	if !workspace.Allows(model) {
+		return nil, fleet.Refuse(fleet.ReasonForbidden, "the workspace may not use this model")
+	}
+	c := &caller{workspace: workspace}
+	if err := e.classify(ctx, view, c); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+func (e *Entry) classify(ctx iris.Context, view *control.View, c *caller) error {
+	c.class = declaration.Class{ID: defaultClass, Priority: defaultPriority}
+	if name := ctx.GetHeader(headerClass); name != "" {
+		declared, ok := view.Declaration.Classes[fleet.Class(name)]
+		if !ok {
+			return fleet.Refuse(fleet.ReasonMalformed, "unknown "+headerClass)
+		}
+		c.class = *declared
+	}
+	deadline := c.class.Deadline
+	if text := ctx.GetHeader(headerDeadline); text != "" {
+		d, err := time.ParseDuration(text)
+		if err != nil || d <= 0 {
+			return fleet.Refuse(fleet.ReasonMalformed, "bad "+headerDeadline)
+		}
+		deadline = d
+	}
+	if deadline > 0 {
+		c.deadline = e.Clock().Add(deadline)
+	}
+	return nil
+}
+
+// completionRequest is the body of a completions call.
+type completionRequest struct {
+	Model     fleet.ModelID `json:"model"`
+	Prompt    string        `json:"prompt"`
+	MaxTokens *fleet.Tokens `json:"max_tokens"`
+	Stream    bool          `json:"stream"`
+}
+
+func (e *Entry) completions(ctx iris.Context) {
+	id, log := e.begin(ctx)
+	err := e.serveCompletion(ctx, id)
+	e.finish(ctx, log, err)
+}
+
+func (e *Entry) serveCompletion(ctx iris.Context, id string) error {
+	view, err := e.view()
+	if err != nil {
+		return err
+	}
+	var request completionRequest
+	if err := e.readJSON(ctx, &request); err != nil {
+		return err
+	}
+	who, err := e.identify(ctx, view, request.Model)
+	if err != nil {
+		return err
+	}
+	tokens := fleet.Tokens(defaultMaxTokens)
+	if request.MaxTokens != nil {
+		tokens = *request.MaxTokens
+	}
+	if tokens < 0 || tokens > e.Limits.MaxTokens {
+		return fleet.Refuse(fleet.ReasonMalformed, fmt.Sprintf("max_tokens is not from 0 to %d", e.Limits.MaxTokens))
+	}
+	if err := e.enter(); err != nil {
+		return err
+	}
+	defer e.leave()
+	work, cancel := e.withTime(ctx.Request().Context())
+	defer cancel()
+	c := &completion{entry: e, caller: who, model: request.Model, prompt: []byte(request.Prompt), maxTokens: tokens}
+	if request.Stream {
+		return stream(ctx, id, c, func() error { return c.run(work) })
+	}
+	return collect(ctx, id, c, func() error { return c.run(work) })
+}
+
+// choice is one answer in the form of the completions interface.
+type choice struct {
+	Text         string  `json:"text"`
+	Index        int     `json:"index"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+type completionAnswer struct {
+	ID      string        `json:"id"`
+	Object  string        `json:"object"`
+	Model   fleet.ModelID `json:"model"`
+	Choices []choice      `json:"choices"`
+	Usage   *Usage        `json:"usage,omitempty"`
+}
+
+func (c *completion) answer(id, text string, end bool) completionAnswer {
+	result := completionAnswer{ID: id, Object: "text_completion", Model: c.model, Choices: []choice{{Text: text}}}
+	if end {
+		reason := "length"
+		result.Choices[0].FinishReason = &reason
+		result.Usage = &c.usage
+	}
+	return result
+}
+
+// collect answers with the whole text in one body.
+func collect(ctx iris.Context, id string, c *completion, run func() error) error {
+	var text strings.Builder
+	c.emit = func(piece string) error {
+		text.WriteString(piece)
+		return nil
+	}
+	if err := run(); err != nil {
+		return err
+	}
+	_ = ctx.JSON(c.answer(id, text.String(), true))
+	return nil
+}
+
+// stream answers with server-sent events, of which the last is [DONE]. After
+// the first event a failure is told by an error event, without [DONE].
+func stream(ctx iris.Context, id string, c *completion, run func() error) error {
+	writer := ctx.ResponseWriter()
+	begun := false
+	event := func(value any) error {
+		data, err := json.Marshal(value)
+		if err != nil {
+			return err
+		}
+		if !begun {
+			begun = true
+			ctx.ContentType("text/event-stream")
+			ctx.Header("Cache-Control", "no-store")
+			ctx.StatusCode(http.StatusOK)
+		}
+		if _, err := fmt.Fprintf(writer, "data: %s\n\n", data); err != nil {
+			return err
+		}
+		writer.Flush()
+		return nil
+	}
+	c.emit = func(piece string) error { return event(c.answer(id, piece, false)) }
+	err := run()
+	if err == nil {
+		if err = event(c.answer(id, "", true)); err == nil {
+			_, err = io.WriteString(writer, "data: [DONE]\n\n")
+			writer.Flush()
+		}
+		return err
+	}
+	if !begun {
+		return err
+	}
+	_ = event(errorBody(asRefusal(err)))
+	return &begunError{err}
+}
+
+// begunError is a failure that the caller has been told of already.
+type begunError struct{ cause error }
+
+func (e *begunError) Error() string { return e.cause.Error() }
+func (e *begunError) Unwrap() error { return e.cause }
+
+func (e *Entry) services(ctx iris.Context) {
+	_, log := e.begin(ctx)
+	e.finish(ctx, log, e.serveOrder(ctx))
+}
+
+func (e *Entry) serveOrder(ctx iris.Context) error {
+	view, err := e.view()
+	if err != nil {
+		return err
+	}
+	model, operation := fleet.ModelID(ctx.Params().Get("model")), ctx.Params().Get("operation")
+	who, err := e.identify(ctx, view, model)
+	if err != nil {
+		return err
+	}
+	declared, ok := view.Declaration.Operations[declaration.OperationID{Model: model, Name: operation}]
+	if !ok || !names.MatchString(operation) {
+		return fleet.Refuse(fleet.ReasonUnknownModel, "unknown operation")
+	}
+	key := ctx.GetHeader(headerKey)
+	if key == "" && !declared.Repeatable {
+		return fleet.Refuse(fleet.ReasonNoKey, "this operation may not be repeated")
+	}
+	if key != "" && (len(key) > keyLimit || !names.MatchString(key)) {
+		return fleet.Refuse(fleet.ReasonMalformed, "bad "+headerKey)
+	}
+	body, err := e.readBody(ctx)
+	if err != nil {
+		return err
+	}
+	if err := e.enter(); err != nil {
+		return err
+	}
+	defer e.leave()
+	work, cancel := e.withTime(ctx.Request().Context())
+	defer cancel()
+	ask := &wire.Order{
+		Workspace: who.workspace.ID, Class: who.class.ID, Priority: who.class.Priority,
+		Operation: operation, Key: key, Repeatable: declared.Repeatable, Body: body,
+	}
+	answer, err := e.order(work, who, model, ask)
+	if err != nil {
+		return err
+	}
+	if answer.Repeated {
+		ctx.Header(headerRepeated, "true")
+	}
+	ctx.Header(headerOutcome, "Ran")
+	ctx.StatusCode(answer.Status)
+	_, _ = ctx.Write(answer.Body)
+	return nil
+}
+
+func (e *Entry) readBody(ctx iris.Context) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, int64(e.Limits.Body)))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, fleet.Refuse(fleet.ReasonTooLarge, fmt.Sprintf("body is over %d bytes", e.Limits.Body))
+	case err != nil:
+		return nil, fleet.Refuse(fleet.ReasonMalformed, "body can not be read")
+	}
+	return body, nil
+}
+
+func (e *Entry) readJSON(ctx iris.Context, value any) error {
+	body, err := e.readBody(ctx)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(body, value); err != nil {
+		// The error's text may hold a part of the prompt.
+		return fleet.Refuse(fleet.ReasonMalformed, "body is not the JSON that is wanted")
+	}
+	return nil
+}
+
+// begin gives the request an id, under which it is logged.
+func (e *Entry) begin(ctx iris.Context) (string, zerolog.Logger) {
+	id := rand.Text()
+	ctx.Header(headerRequest, id)
+	e.Metrics.Add("Requests", 1)
+	return id, e.Log.With().Str("Request", id).Logger()
+}
+
+// finish answers a request that failed.
+func (e *Entry) finish(ctx iris.Context, log zerolog.Logger, err error) {
+	if err == nil {
+		e.Metrics.Add("Answered", 1)
+		return
+	}
+	refusal := asRefusal(err)
+	e.Metrics.Add("Refused: "+string(refusal.Reason)+", "+refusal.Outcome.String(), 1)
+	log.Info().Str("Reason", string(refusal.Reason)).Stringer("Outcome", refusal.Outcome).
+		Str("Detail", refusal.Detail).Msg("request refused")
+	var begun *begunError
+	if !errors.As(err, &begun) {
+		writeRefusal(ctx, refusal)
+	}
+}
+
+// asRefusal returns the refusal that an error is or stands for.
+func asRefusal(err error) *fleet.RefusalError {
+	var refusal *fleet.RefusalError
+	var dial *peer.DialError
+	switch {
+	case errors.As(err, &refusal):
+		return refusal
+	case errors.As(err, &dial):
+		return fleet.RefuseFor(fleet.ReasonNoTarget, time.Second)
+	default:
+		return &fleet.RefusalError{Reason: fleet.ReasonTargetFailed, Outcome: fleet.Unknown, Detail: err.Error()}
+	}
+}
+
+// A RefusalAnswer is the body of a refusal.
+type RefusalAnswer struct {
+	Error struct {
+		Reason     fleet.Reason
+		Outcome    string
+		Detail     string `json:",omitempty"`
+		RetryAfter string `json:",omitempty"`
+	}
+}
+
+func errorBody(refusal *fleet.RefusalError) RefusalAnswer {
+	var body RefusalAnswer
+	body.Error.Reason = refusal.Reason
+	body.Error.Outcome = refusal.Outcome.String()
+	body.Error.Detail = refusal.Detail
+	if refusal.RetryAfter > 0 {
+		body.Error.RetryAfter = refusal.RetryAfter.String()
+	}
+	return body
+}
+
+func writeRefusal(ctx iris.Context, refusal *fleet.RefusalError) {
+	if refusal.RetryAfter > 0 {
+		seconds := int(math.Ceil(refusal.RetryAfter.Seconds()))
+		ctx.Header("Retry-After", strconv.Itoa(seconds))
+	}
+	if refusal.Outcome == fleet.NotRun {
+		ctx.Header(headerOutcome, "NotRun")
+	}
+	ctx.StatusCode(statusOf(refusal))
+	_ = ctx.JSON(errorBody(refusal))
+}
+
+// statusOf returns the HTTP status of a refusal.
+func statusOf(refusal *fleet.RefusalError) int {
+	switch refusal.Reason {
+	case fleet.ReasonMalformed, fleet.ReasonNoKey:
+		return http.StatusBadRequest
+	case fleet.ReasonUnauthorized:
+		return http.StatusUnauthorized
+	case fleet.ReasonForbidden:
+		return http.StatusForbidden
+	case fleet.ReasonUnknownModel:
+		return http.StatusNotFound
+	case fleet.ReasonTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case fleet.ReasonKeyConflict:
+		return http.StatusUnprocessableEntity
+	case fleet.ReasonInProgress, fleet.ReasonNotKept:
+		return http.StatusConflict
+	case fleet.ReasonOverloaded, fleet.ReasonDeadline:
+		return http.StatusTooManyRequests
+	}
+	if refusal.Outcome == fleet.Unknown {
+		return http.StatusBadGateway
+	}
+	return http.StatusServiceUnavailable
+}
--- /dev/null
+++ b/hibiscusd/internal/keeper/generate.go
@@ -0,0 +1,193 @@
+package keeper
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/cache"
+	"hibiscuslb/fleet/declaration"
+	"hibiscuslb/fleet/engine"
+	"hibiscuslb/fleet/placement"
+	"hibiscuslb/fleet/target"
+	"hibiscuslb/hibiscusd/internal/wire"
+)
+
+// basePatience is what a request waits at its first candidate even when it
+// would lose nothing elsewhere: the cost of asking there.
+const basePatience = 20 * time.Millisecond
+
+// A job is one prompt on its way through a keeper.
+type job struct {
+	keeper   *Keeper
+	ask      *wire.Generate
+	target   *declaration.Target
+	policy   placement.Policy
+	version  fleet.WeightVersion
+	chain    []cache.Key
+	prompt   placement.Prompt
+	deadline fleet.Instant
+	stored   int // leading blocks that a store has
+}
+
+// Generate serves a prompt at a target that this host keeps. It calls emit
+// with each piece of the answer. Its error is a *fleet.RefusalError.
+func (s *Set) Generate(ctx context.Context, ask *wire.Generate, emit func(*wire.Piece) error) error {
+	s.busy.Add(1)
+	defer s.busy.Add(-1)
+	keeper, declared, err := s.find(ask.Target)
+	if err != nil {
+		return err
+	}
+	job, err := s.plan(keeper, declared, ask)
+	if err != nil {
+		return err
+	}
+	id, err := keeper.acquire(ctx, job.ticket())
+	if err != nil {
+		return err
+	}
+	job.fetch(ctx)
+	if err := s.mayDispatch(keeper); err != nil {
+		keeper.release(id, target.Untouched)
+		return err
+	}
+	err = job.dispatch(ctx, id, emit)
+	keeper.release(id, result(ctx, err))
+	if err != nil {
+		return job.refusal(ctx, err)
+	}
+	keeper.exportLater(job)
+	return nil
+}
+
+func (s *Set) plan(keeper *Keeper, declared *declaration.Target, ask *wire.Generate) (*job, error) {
+	view := s.Control.View()
+	workspace, ok := view.Declaration.Workspaces[ask.Workspace]
+	if !ok {
+		return nil, fleet.Refuse(fleet.ReasonUnauthorized, "unknown workspace")
+	}
+	j := &job{keeper: keeper, ask: ask, target: declared, policy: placement.PolicyOf(ask.Policy)}
+	if ask.Deadline > 0 {
+		j.deadline = s.Clock().Add(ask.Deadline)
+	}
+	keeper.mu.Lock()
+	defer keeper.mu.Unlock()
+	j.version = keeper.version
+	if j.version == "" {
+		j.version = view.Declaration.Models[declared.Model].Version
+	}
+	scope := cache.Scope{Secret: workspace.Secret(s.Secret), Model: declared.Model, Version: j.version}
+	j.chain = scope.Chain(ask.Prompt)
+	j.prompt = placement.Prompt{
+		Tokens: cache.TokensOf(len(ask.Prompt)) + ask.From,
+		Rate:   declared.PrefillRate,
+	}
+	for _, key := range j.chain {
+		if _, ok := keeper.resident[key]; !ok {
+			break
+		}
+		j.prompt.Resident++
+	}
+	return j, nil
+}
+
+func (j *job) ticket() target.Ticket {
+	work := j.prompt.Compute(j.prompt.Resident)
+	ticket := target.Ticket{
+		Workspace: j.ask.Workspace, Class: j.ask.Class, Priority: j.ask.Priority,
+		Deadline: j.deadline, Work: work,
+	}
+	if !j.ask.Last {
+		lost := j.prompt.Compute(0) - work
+		ticket.Patience = basePatience + j.policy.Patience(lost)
+	}
+	return ticket
+}
+
+// dispatch sends the prompt to the engine and passes the answer on.
+func (j *job) dispatch(ctx context.Context, id target.TicketID, emit func(*wire.Piece) error) error {
+	client := engine.Client{Address: j.target.Address, IdleLimit: j.keeper.set.Limits.IdleTime}
+	request := engine.Request{
+		Attempt: j.ask.Attempt, Workspace: j.ask.Workspace, Model: j.target.Model, Version: j.version,
+		Priority: engine.Priority(j.ask.Priority), Prompt: j.ask.Prompt, Blocks: j.chain,
+		MaxTokens: j.ask.MaxTokens, From: j.ask.From, Fence: j.keeper.epoch,
+	}
+	err := client.Generate(ctx, request, func(piece engine.Piece) error {
+		if piece.Start != nil {
+			j.started(id, piece.Start)
+		}
+		return emit(&wire.Piece{
+			Index: piece.Index, Text: piece.Text, Start: piece.Start, End: piece.End, Count: piece.Count,
+			Wait: j.waitIf(piece.Start != nil),
+		})
+	})
+	var broken *engine.BrokenError
+	if errors.As(err, &broken) {
+		j.cancel(ctx, &client)
+	}
+	return err
+}
+
+func (j *job) waitIf(start bool) time.Duration {
+	if !start {
+		return 0
+	}
+	return j.keeper.wait()
+}
+
+// cancel tells the engine on another connection that nobody waits any more,
+// since the one that broke may merely be silent.
+func (j *job) cancel(ctx context.Context, client *engine.Client) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
+	defer cancel()
+	// An engine that can not be reached has nobody to write to either.
+	_ = client.Cancel(ctx, j.ask.Attempt)
+}
+
+func (j *job) started(id target.TicketID, start *engine.Start) {
+	k := j.keeper
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.admission.Started(k.set.Clock(), id, start.Incarnation)
+	// What the engine computed is in its cache now, until an event says
+	// otherwise.
+	if k.version == j.version {
+		for _, key := range j.chain {
+			k.resident[key] = struct{}{}
+		}
+	}
+	metrics := k.set.Metrics
+	metrics.Add("PromptTokens", int64(start.Cached+start.Computed))
+	metrics.Add("ComputedTokens", int64(start.Computed))
+}
+
+func result(ctx context.Context, err error) target.Result {
+	var refused *engine.RefusedError
+	switch {
+	case err == nil:
+		return target.Whole
+	case ctx.Err() != nil:
+		return target.Cancelled
+	case errors.As(err, &refused):
+		return target.Untouched
+	default:
+		return target.Broken
+	}
+}
+
+// refusal turns a failed dispatch into what the caller's host is told.
+func (j *job) refusal(ctx context.Context, err error) error {
+	var refused *engine.RefusedError
+	if !errors.As(err, &refused) {
+		return &fleet.RefusalError{Reason: fleet.ReasonTargetFailed, Outcome: fleet.Unknown, Detail: err.Error()}
+	}
+	if refused.Status == 0 && ctx.Err() == nil {
+		j.keeper.markDown()
+	} else {
+		// It refuses what is known of it, such as its version: ask it.
+		j.keeper.report(ctx)
+	}
+	return fleet.RefuseFor(fleet.ReasonTargetFailed, downTime)
+}
--- /dev/null
+++ b/hibiscusd/internal/keeper/keeper.go
@@ -0,0 +1,284 @@
+package keeper
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/cache"
+	"hibiscuslb/fleet/declaration"
+	"hibiscuslb/fleet/engine"
+	"hibiscuslb/fleet/target"
+	"hibiscuslb/hibiscusd/internal/wire"
+)
+
+// A Keeper is the admission point of one target, for one epoch of its duty.
+type Keeper struct {
+	set   *Set
+	id    fleet.TargetID
+	epoch fleet.Epoch
+	stop  context.CancelFunc
+
+	mu        sync.Mutex
+	target    *declaration.Target
+	admission target.Admission
+	gates     map[target.TicketID]chan bool // where queued tickets wait
+	ticket    target.TicketID
+	version   fleet.WeightVersion // loaded, as far as is known
+	loading   bool
+	resident  map[cache.Key]struct{}
+	sequence  uint64        // of the last cache event
+	downUntil fleet.Instant // no connection could be made lately
+	exports   chan export
+}
+
+const (
+	expireTime = 100 * time.Millisecond
+	reportTime = 2 * time.Second
+	// coldReportTime is how often a cold target, or one that was taken over,
+	// is asked for its report.
+	coldReportTime = 500 * time.Millisecond
+	reportTimeout  = time.Second
+	downTime       = time.Second
+	residentLimit  = 20_000 // keys, of 32 bytes each
+	exportsQueued  = 64
+)
+
+func newKeeper(set *Set, declared *declaration.Target, epoch fleet.Epoch) *Keeper {
+	k := &Keeper{
+		set: set, id: declared.ID, epoch: epoch,
+		gates: make(map[target.TicketID]chan bool), resident: make(map[cache.Key]struct{}),
+		exports: make(chan export, exportsQueued),
+	}
+	k.declareLocked(declared)
+	if epoch > 1 {
+		k.admission.TakeOver(set.Clock(), takeoverMargin)
+	}
+	return k
+}
+
+// declare takes a new declaration of the target.
+func (k *Keeper) declare(declared *declaration.Target) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.target != declared {
+		k.declareLocked(declared)
+	}
+}
+
+func (k *Keeper) declareLocked(declared *declaration.Target) {
+	k.target = declared
+	k.admission.SetLimits(target.Limits{Cold: declared.ColdLimit, Warm: declared.WarmLimit, Queue: k.set.Limits.Queue})
+}
+
+// run follows the target's reports, drops requests that wait too long and
+// exports blocks, until the duty ends.
+func (k *Keeper) run(ctx context.Context) {
+	var tasks sync.WaitGroup
+	tasks.Go(func() { k.exportLoop(ctx) })
+	defer tasks.Wait()
+	expire := time.NewTicker(expireTime)
+	defer expire.Stop()
+	var reported fleet.Instant
+	for {
+		now := k.set.Clock()
+		if now.Sub(reported) >= k.reportEvery() {
+			reported = now
+			k.report(ctx)
+			k.swap(ctx, &tasks)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-expire.C:
+			k.mu.Lock()
+			k.deliver(k.admission.Expire(k.set.Clock()))
+			k.mu.Unlock()
+		}
+	}
+}
+
+func (k *Keeper) reportEvery() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.admission.Cold() {
+		return coldReportTime
+	}
+	return reportTime
+}
+
+// report fetches the target's report. A plain service has none: what a former
+// keeper left there is over when a call's time is.
+func (k *Keeper) report(ctx context.Context) {
+	k.mu.Lock()
+	declared, since := k.target, k.sequence
+	k.mu.Unlock()
+	if declared.Kind == declaration.Service {
+		k.assume()
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	asked := k.set.Clock()
+	client := engine.Client{Address: declared.Address}
+	report, err := client.Report(ctx, since)
+	if err != nil {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.version, k.loading = report.Version, report.Loading
+	k.learn(&report)
+	k.deliver(k.admission.Report(k.set.Clock(), target.Facts{
+		Taken:       asked.Add(-report.Age),
+		Incarnation: report.Incarnation, Cold: report.Cold, Running: report.Running,
+	}))
+}
+
+func (k *Keeper) assume() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.set.Clock()
+	k.deliver(k.admission.Report(now, target.Facts{Taken: now.Add(-k.set.Limits.CallTime)}))
+}
+
+// learn takes the cache events of a report. After a gap nothing is known.
+func (k *Keeper) learn(report *engine.Report) {
+	if report.Gap || report.Last < k.sequence || len(k.resident) > residentLimit {
+		clear(k.resident)
+	}
+	for _, event := range report.Events {
+		if event.Removed {
+			delete(k.resident, event.Key)
+		} else {
+			k.resident[event.Key] = struct{}{}
+		}
+	}
+	k.sequence = report.Last
+}
+
+// deliver tells tickets that their wait is over. k.mu is held.
+func (k *Keeper) deliver(change target.Change) {
+	for _, ticket := range change.Admitted {
+		k.open(ticket.ID, true)
+	}
+	for _, ticket := range change.Dropped {
+		k.open(ticket.ID, false)
+	}
+}
+
+func (k *Keeper) open(id target.TicketID, admitted bool) {
+	gate := k.gates[id]
+	delete(k.gates, id)
+	gate <- admitted
+}
+
+// acquire waits until the target has room for the ticket. The returned id is
+// given back with release.
+func (k *Keeper) acquire(ctx context.Context, ticket target.Ticket) (target.TicketID, error) {
+	k.mu.Lock()
+	now := k.set.Clock()
+	if now < k.downUntil || k.loading {
+		k.mu.Unlock()
+		return 0, fleet.RefuseFor(fleet.ReasonNoTarget, downTime)
+	}
+	k.ticket++
+	ticket.ID = k.ticket
+	decision := k.admission.Offer(now, ticket)
+	gate := make(chan bool, 1)
+	if decision.Verdict == target.Queued {
+		k.gates[ticket.ID] = gate
+	}
+	k.deliver(k.admission.Expire(now))
+	k.mu.Unlock()
+	switch decision.Verdict {
+	case target.Admitted:
+		return ticket.ID, nil
+	case target.Refused:
+		return 0, fleet.RefuseFor(decision.Reason, decision.Wait)
+	}
+	select {
+	case admitted := <-gate:
+		if !admitted {
+			return 0, fleet.RefuseFor(fleet.ReasonDeadline, decision.Wait)
+		}
+		return ticket.ID, nil
+	case <-ctx.Done():
+		k.release(ticket.ID, target.Cancelled)
+		return 0, fleet.Refuse(fleet.ReasonDeadline, "caller gave up while waiting")
+	}
+}
+
+// release gives a ticket back.
+func (k *Keeper) release(id target.TicketID, result target.Result) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.gates, id)
+	k.deliver(k.admission.Done(k.set.Clock(), id, result))
+}
+
+func (k *Keeper) markDown() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.downUntil = k.set.Clock().Add(downTime)
+}
+
+// wait is how long a new request would wait for the target.
+func (k *Keeper) wait() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.admission.Wait()
+}
+
+func (k *Keeper) status() Status {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return Status{
+		Target: k.id, Epoch: k.epoch, Limit: k.admission.Limit(), InFlight: k.admission.InFlight(),
+		Waiting: k.admission.Waiting(), Cold: k.admission.Cold(), Down: k.set.Clock() < k.downUntil,
+		Version: k.version, Blocks: len(k.resident),
+	}
+}
+
+// swap loads the declared weight version, when the holder of the weights duty
+// gives leave. Requests that run keep the version that they began with.
+func (k *Keeper) swap(ctx context.Context, tasks *sync.WaitGroup) {
+	view := k.set.Control.View()
+	k.mu.Lock()
+	declared, version, busy := k.target, k.version, k.loading
+	k.mu.Unlock()
+	model, ok := view.Declaration.Models[declared.Model]
+	if !ok || declared.Kind != declaration.Engine || version == "" || model.Version == "" ||
+		model.Version == version || busy || k.set.mayDispatch(k) != nil {
+		return
+	}
+	leader, ok := view.Weights()
+	if !ok {
+		return
+	}
+	var answer wire.SlotAnswer
+	ask := wire.Slot{Target: declared.ID}
+	if err := k.set.Pool.Ask(ctx, leader.Address, wire.KindSlot, ask, &answer); err != nil || !answer.Granted {
+		return
+	}
+	k.setLoading(true)
+	tasks.Go(func() {
+		defer k.setLoading(false)
+		client := engine.Client{Address: declared.Address}
+		order := engine.Load{Version: model.Version, Fence: k.epoch}
+		if err := client.Load(ctx, order); err != nil {
+			k.set.Log.Warn().Err(err).Str("Target", string(k.id)).Msg("weights not loaded")
+		}
+		ask.Over = true
+		// A slot that is not given back ends by itself.
+		_ = k.set.Pool.Ask(ctx, leader.Address, wire.KindSlot, ask, &answer)
+		k.report(ctx)
+	})
+}
+
+func (k *Keeper) setLoading(loading bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.loading = loading
+}
--- /dev/null
+++ b/hibiscusd/internal/keeper/ledger.go
@@ -0,0 +1,150 @@
+package keeper
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/order"
+	"hibiscuslb/fleet/platform"
+)
+
+// A Ledger writes the order logs of this host's shards. Each shard has one
+// goroutine; what arrives while a write is under way goes into the next one.
+type Ledger struct {
+	Client    platform.Client
+	Retention time.Duration
+
+	mu     sync.Mutex
+	ctx    context.Context
+	shards map[order.Shard]chan commit
+	tasks  sync.WaitGroup
+}
+
+// commit is one entry on its way into a log.
+type commit struct {
+	entry order.Entry
+	reply chan order.Result
+}
+
+const (
+	commitsQueued = 256
+	commitBatch   = 64
+	commitTimeout = 5 * time.Second
+	trimTime      = time.Minute
+)
+
+// Run keeps the ledger open until the context ends and its writes are over.
+func (l *Ledger) Run(ctx context.Context) {
+	l.mu.Lock()
+	l.ctx = ctx
+	l.mu.Unlock()
+	<-ctx.Done()
+	l.tasks.Wait()
+}
+
+// Commit writes an entry into a shard's log and returns what became of it. An
+// entry whose caller does not wait for the end may be written nevertheless; a
+// claim among them then counts as abandoned.
+func (l *Ledger) Commit(ctx context.Context, shard order.Shard, entry order.Entry) order.Result {
+	queue, ok := l.queue(shard)
+	if !ok {
+		return order.Result{Verdict: order.Failed, Err: context.Canceled}
+	}
+	c := commit{entry, make(chan order.Result, 1)}
+	select {
+	case queue <- c:
+	case <-ctx.Done():
+		return order.Result{Verdict: order.Failed, Err: ctx.Err()}
+	}
+	// Once queued, the entry's fate is decided within commitTimeout.
+	select {
+	case result := <-c.reply:
+		return result
+	case <-l.ctx.Done():
+		return order.Result{Verdict: order.Failed, Err: context.Canceled}
+	}
+}
+
+func (l *Ledger) queue(shard order.Shard) (chan<- commit, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ctx == nil || l.ctx.Err() != nil {
+		return nil, false
+	}
+	if l.shards == nil {
+		l.shards = make(map[order.Shard]chan commit)
+	}
+	queue, ok := l.shards[shard]
+	if !ok {
+		queue = make(chan commit, commitsQueued)
+		l.shards[shard] = queue
+		log := &order.Log{Client: l.Client, Shard: shard, Retention: l.Retention}
+		l.tasks.Go(func() { write(l.ctx, log, queue) })
+	}
+	return queue, true
+}
+
+// write commits what is queued for one log until the context ends.
+func write(ctx context.Context, log *order.Log, queue <-chan commit) {
+	trim := time.NewTicker(trimTime)
+	defer trim.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-trim.C:
+			// What can not be dropped now is dropped the next time.
+			_, _ = log.Trim(ctx, time.Now())
+		case first := <-queue:
+			commitAll(ctx, log, gather(first, queue))
+		}
+	}
+}
+
+// gather takes what else waits, up to a batch.
+func gather(first commit, queue <-chan commit) []commit {
+	batch := []commit{first}
+	for len(batch) < commitBatch {
+		select {
+		case next := <-queue:
+			batch = append(batch, next)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func commitAll(ctx context.Context, log *order.Log, batch []commit) {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	entries := make([]order.Entry, len(batch))
+	for i := range batch {
+		entries[i] = batch[i].entry
+	}
+	for i, result := range log.Commit(ctx, entries) {
+		batch[i].reply <- result
+	}
+}
+
+// refusalOf tells the caller of an order what the log has said.
+func refusalOf(result order.Result, callTime time.Duration) error {
+	switch result.Verdict {
+	case order.Mismatch:
+		return fleet.Refuse(fleet.ReasonKeyConflict, "")
+	case order.Open:
+		refusal := &fleet.RefusalError{Reason: fleet.ReasonTargetFailed, Outcome: fleet.Unknown}
+		if time.Since(result.Earlier.At) < callTime {
+			refusal.Reason, refusal.RetryAfter = fleet.ReasonInProgress, time.Second
+		}
+		return refusal
+	default:
+		refusal := fleet.RefuseFor(fleet.ReasonNoPlatform, time.Second)
+		if result.Err != nil {
+			refusal.Detail = result.Err.Error()
+		}
+		return refusal
+	}
+}
--- /dev/null
+++ b/hibiscusd/internal/keeper/order.go
@@ -0,0 +1,150 @@
+package keeper
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"time"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/declaration"
+	"hibiscuslb/fleet/order"
+	"hibiscuslb/fleet/service"
+	"hibiscuslb/fleet/target"
+	"hibiscuslb/hibiscusd/internal/wire"
+)
+
+// Shards is how many logs the keys of orders are spread over. It is a property
+// of what is stored: all hosts must agree on it for the life of the fleet.
+const Shards = 256
+
+// ShardOf returns the shard of an order's idempotency key.
+func ShardOf(ask *wire.Order, model fleet.ModelID) order.Shard {
+	return order.ShardOf(order.KeyOf(ask.Workspace, model, ask.Key), Shards)
+}
+
+// Order makes a service call at a target that this host keeps. One that may
+// not be repeated is claimed first and dispatched at most once. Its error is a
+// *fleet.RefusalError.
+func (s *Set) Order(ctx context.Context, ask *wire.Order) (wire.OrderAnswer, error) {
+	s.busy.Add(1)
+	defer s.busy.Add(-1)
+	keeper, declared, err := s.find(ask.Target)
+	if err != nil {
+		return wire.OrderAnswer{}, err
+	}
+	ticket := target.Ticket{Workspace: ask.Workspace, Class: ask.Class, Priority: ask.Priority}
+	if ask.Deadline > 0 {
+		ticket.Deadline = s.Clock().Add(ask.Deadline)
+	}
+	id, err := keeper.acquire(ctx, ticket)
+	if err != nil {
+		return wire.OrderAnswer{}, err
+	}
+	// From here on the caller's going away does not end the call, since its
+	// outcome has to be recorded.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.Limits.CallTime+commitTimeout)
+	defer cancel()
+	run := &orderRun{set: s, keeper: keeper, target: declared, ask: ask}
+	var answer wire.OrderAnswer
+	if ask.Repeatable {
+		answer, err = run.dispatch(ctx)
+	} else {
+		answer, err = run.once(ctx)
+	}
+	keeper.release(id, run.result)
+	return answer, err
+}
+
+// An orderRun is one service call on its way through a keeper.
+type orderRun struct {
+	set    *Set
+	keeper *Keeper
+	target *declaration.Target
+	ask    *wire.Order
+	result target.Result
+}
+
+// dispatch sends the call. After an error that is not a *service.RefusedError
+// it may have run.
+func (r *orderRun) dispatch(ctx context.Context) (wire.OrderAnswer, error) {
+	r.result = target.Untouched
+	if err := r.set.mayDispatch(r.keeper); err != nil {
+		return wire.OrderAnswer{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.set.Limits.CallTime)
+	defer cancel()
+	client := service.Client{Address: r.target.Address}
+	answer, err := client.Do(ctx, service.Call{Operation: r.ask.Operation, Key: r.ask.Key, Body: r.ask.Body})
+	var refused *service.RefusedError
+	switch {
+	case err == nil:
+		r.result = target.Whole
+		return wire.OrderAnswer{Status: answer.Status, Body: answer.Body}, nil
+	case errors.As(err, &refused):
+		r.keeper.markDown()
+		return wire.OrderAnswer{}, fleet.RefuseFor(fleet.ReasonTargetFailed, downTime)
+	default:
+		r.result = target.Broken
+		return wire.OrderAnswer{}, &fleet.RefusalError{
+			Reason: fleet.ReasonTargetFailed, Outcome: fleet.Unknown, Detail: err.Error(),
+		}
+	}
+}
+
+// once claims the call's key, dispatches if the claim is this attempt's, and
+// records what came of it.
+func (r *orderRun) once(ctx context.Context) (wire.OrderAnswer, error) {
+	r.result = target.Untouched
+	entry := order.Entry{
+		Kind: order.Claim, Key: order.KeyOf(r.ask.Workspace, r.target.Model, r.ask.Key),
+		Digest:  order.DigestOf(r.ask.Operation, r.ask.Body),
+		Attempt: order.AttemptID(rand.Text()), At: time.Now().Unix(),
+	}
+	shard := ShardOf(r.ask, r.target.Model)
+	claim := r.set.Ledger.Commit(ctx, shard, entry)
+	switch claim.Verdict {
+	case order.Recorded:
+	case order.Finished:
+		return recorded(claim.Earlier)
+	default:
+		return wire.OrderAnswer{}, refusalOf(claim, r.set.Limits.CallTime)
+	}
+	answer, err := r.dispatch(ctx)
+	var refusal *fleet.RefusalError
+	switch {
+	case err == nil:
+		entry.Kind, entry.Status = order.Finish, answer.Status
+		if len(answer.Body) <= order.AnswerLimit {
+			entry.Answer = append([]byte{}, answer.Body...) // not nil, even if empty
+		}
+	case errors.As(err, &refusal) && refusal.Outcome == fleet.NotRun:
+		entry.Kind = order.Release
+	default:
+		return answer, err // the claim stays, and with it the doubt
+	}
+	r.record(ctx, shard, entry)
+	return answer, err
+}
+
+// recorded returns the answer of an earlier call.
+func recorded(record order.Record) (wire.OrderAnswer, error) {
+	if record.Answer == nil {
+		return wire.OrderAnswer{}, &fleet.RefusalError{Reason: fleet.ReasonNotKept, Outcome: fleet.Ran}
+	}
+	return wire.OrderAnswer{Status: record.Status, Body: record.Answer, Repeated: true}, nil
+}
+
+// recordTries bounds how often the outcome of an order is recorded before a
+// repeat of its key will be told that the outcome is unknown.
+const recordTries = 3
+
+func (r *orderRun) record(ctx context.Context, shard order.Shard, entry order.Entry) {
+	for range recordTries {
+		if r.set.Ledger.Commit(ctx, shard, entry).Verdict == order.Recorded {
+			return
+		}
+	}
+	r.set.Metrics.Add("OutcomesNotRecorded", 1)
+	r.set.Log.Warn().Str("Attempt", string(entry.Attempt)).Msg("outcome of an order is not recorded")
+}
--- /dev/null
+++ b/hibiscusd/internal/keeper/set.go
@@ -0,0 +1,223 @@
+// Package keeper does the work of a target's keeper: it is the one place
+// through which all work for that target passes.
+//
+// A Set holds the keepers of the targets that this host holds the duty for. A
+// Keeper admits work within the target's limits, decides which cache blocks to
+// fetch, dispatches, and passes the answer on piece by piece.
+//
+// Invariant: a keeper sends work to its target only after it has checked, as
+// the last thing before, that the host's lease runs, that the duty is its own
+// and that the target is in service.
+package keeper
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/cache"
+	"hibiscuslb/fleet/declaration"
+	"hibiscuslb/fleet/meter"
+	"hibiscuslb/fleet/peer"
+	"hibiscuslb/fleet/rollout"
+	"hibiscuslb/hibiscusd/internal/control"
+	"hibiscuslb/hibiscusd/internal/wire"
+)
+
+// A Set is the keepers of one host. Fill in the exported fields, then call
+// Run.
+type Set struct {
+	Control *control.Control
+	Pool    *peer.Pool
+	Ledger  *Ledger
+	Secret  cache.Secret // from which workspaces' secrets are derived
+	Clock   fleet.Clock
+	Metrics *meter.Metrics
+	Log     zerolog.Logger
+	Limits  Limits
+
+	mu      sync.Mutex
+	ctx     context.Context // of Run
+	keepers map[fleet.TargetID]*Keeper
+	slots   rollout.Slots
+	leading fleet.Epoch // of the weights duty as last seen
+	tasks   sync.WaitGroup
+	busy    atomic.Int64
+}
+
+// Limits are the settings of a Set.
+type Limits struct {
+	Queue    int           // requests that may wait for one target
+	CallTime time.Duration // of one service call
+	IdleTime time.Duration // between two pieces of an answer
+}
+
+const (
+	reconcileTime = 500 * time.Millisecond
+	// takeoverMargin covers what a former keeper sent just before it stopped.
+	takeoverMargin = 500 * time.Millisecond
+)
+
+// Run keeps the set in step with the host's duties until the context ends and
+// all its work is over.
+func (s *Set) Run(ctx context.Context) {
+	s.mu.Lock()
+	s.ctx = ctx
+	s.mu.Unlock()
+	ticker := time.NewTicker(reconcileTime)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			s.tasks.Wait()
+			return
+		case <-ticker.C:
+			s.reconcile()
+		}
+	}
+}
+
+// reconcile starts keepers for new duties, so that they know their targets
+// before the first request, and stops those that are no longer this host's.
+func (s *Set) reconcile() {
+	view := s.Control.View()
+	if view == nil {
+		return
+	}
+	for _, target := range view.Declaration.Targets {
+		if epoch, ok := view.Holds(target); ok {
+			s.keeper(target, epoch)
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, keeper := range s.keepers {
+		target, declared := view.Declaration.Targets[id]
+		epoch, held := fleet.Epoch(0), false
+		if declared {
+			epoch, held = view.Holds(target)
+		}
+		if !held || epoch != keeper.epoch {
+			keeper.stop()
+			delete(s.keepers, id)
+		}
+	}
+}
+
+// find returns the keeper of a target that this host may act for.
+func (s *Set) find(id fleet.TargetID) (*Keeper, *declaration.Target, error) {
+	view := s.Control.View()
+	if view == nil || !s.Control.MayAct() {
+		return nil, nil, fleet.Refuse(fleet.ReasonStale, "lease does not run")
+	}
+	target, ok := view.Declaration.Targets[id]
+	if !ok {
+		return nil, nil, fleet.Refuse(fleet.ReasonNoTarget, string(id))
+	}
+	epoch, ok := view.Holds(target)
+	if !ok {
+		return nil, nil, fleet.Refuse(fleet.ReasonNotKeeper, string(id))
+	}
+	if !view.Declaration.TargetServes(target) {
+		return nil, nil, fleet.Refuse(fleet.ReasonLeaving, string(id))
+	}
+	keeper := s.keeper(target, epoch)
+	if keeper == nil {
+		return nil, nil, fleet.Refuse(fleet.ReasonNotKeeper, string(id))
+	}
+	return keeper, target, nil
+}
+
+// mayDispatch is the check right before each send.
+func (s *Set) mayDispatch(keeper *Keeper) error {
+	current, _, err := s.find(keeper.id)
+	if err != nil {
+		return err
+	}
+	if current != keeper {
+		return fleet.Refuse(fleet.ReasonNotKeeper, "duty was taken anew")
+	}
+	return nil
+}
+
+func (s *Set) keeper(target *declaration.Target, epoch fleet.Epoch) *Keeper {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ctx == nil || s.ctx.Err() != nil {
+		return nil
+	}
+	if s.keepers == nil {
+		s.keepers = make(map[fleet.TargetID]*Keeper)
+	}
+	if keeper, ok := s.keepers[target.ID]; ok && keeper.epoch >= epoch {
+		keeper.declare(target)
+		return keeper
+	}
+	keeper := newKeeper(s, target, epoch)
+	ctx, cancel := context.WithCancel(s.ctx)
+	keeper.stop = cancel
+	s.keepers[target.ID] = keeper
+	s.tasks.Go(func() { keeper.run(ctx) })
+	return keeper
+}
+
+// Slot answers a request for a weight load. It is called on the holder of the
+// weights duty.
+func (s *Set) Slot(ask wire.Slot) (wire.SlotAnswer, error) {
+	view := s.Control.View()
+	if view == nil || !s.Control.MayAct() {
+		return wire.SlotAnswer{}, fleet.Refuse(fleet.ReasonStale, "lease does not run")
+	}
+	owner, ok := view.Weights()
+	target, declared := view.Declaration.Targets[ask.Target]
+	if !ok || owner.Seat != view.Self || !declared {
+		return wire.SlotAnswer{}, fleet.Refuse(fleet.ReasonNotKeeper, "weights")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if owner.Epoch != s.leading {
+		s.leading = owner.Epoch
+		s.slots = rollout.Slots{}
+		if owner.Epoch > 1 {
+			s.slots.TakeOver(s.Clock())
+		}
+	}
+	if ask.Over {
+		s.slots.Over(ask.Target)
+		return wire.SlotAnswer{}, nil
+	}
+	siblings := len(view.Declaration.TargetsOf(target.Model))
+	return wire.SlotAnswer{Granted: s.slots.Grant(s.Clock(), target.ID, target.Model, siblings)}, nil
+}
+
+// A Status is what a keeper shows of its target.
+type Status struct {
+	Target   fleet.TargetID
+	Epoch    fleet.Epoch
+	Limit    int
+	InFlight int
+	Waiting  int
+	Cold     bool
+	Down     bool
+	Version  fleet.WeightVersion
+	Blocks   int // believed to be in its cache
+}
+
+// Statuses returns the state of all targets that this host keeps.
+func (s *Set) Statuses() []Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	statuses := make([]Status, 0, len(s.keepers))
+	for _, keeper := range s.keepers {
+		statuses = append(statuses, keeper.status())
+	}
+	return statuses
+}
+
+// Busy is how many requests of others and its own this host has under way at
+// targets, those of duties that it has handed over included.
+func (s *Set) Busy() int64 { return s.busy.Load() }
--- /dev/null
+++ b/hibiscusd/internal/node/node.go
@@ -0,0 +1,283 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"runtime"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/lease"
+	"hibiscuslb/fleet/meter"
+	"hibiscuslb/fleet/peer"
+	"hibiscuslb/fleet/platform"
+	"hibiscuslb/hibiscusd/internal/control"
+	"hibiscuslb/hibiscusd/internal/entry"
+	"hibiscuslb/hibiscusd/internal/keeper"
+	"hibiscuslb/hibiscusd/internal/operate"
+	"hibiscuslb/hibiscusd/internal/relay"
+	"hibiscuslb/hibiscusd/internal/wire"
+)
+
+// A Node is one host's process. Make one with New.
+type Node struct {
+	settings *Settings
+	log      zerolog.Logger
+	clock    fleet.Clock
+	direct   *platform.HTTPClient
+	client   *relay.Client
+	pool     *peer.Pool
+	control  *control.Control
+	ledger   *keeper.Ledger
+	keepers  *keeper.Set
+	entry    *entry.Entry
+	metrics  *meter.Metrics
+	operate  *operate.Server
+}
+
+// New puts a node together. It does nothing until Run.
+func New(s *Settings, log zerolog.Logger) *Node {
+	n := &Node{settings: s, log: log, clock: fleet.MonotonicClock(), metrics: new(meter.Metrics)}
+	n.direct = &platform.HTTPClient{Address: s.Platform, Timeout: s.PlatformTime}
+	n.pool = &peer.Pool{Key: s.FleetKey}
+	n.client = &relay.Client{Direct: n.direct, Pool: n.pool, Peers: n.peers}
+	n.control = &control.Control{
+		Host: s.Host, Terms: s.Terms, Platform: n.client, Direct: n.direct,
+		Pool: n.pool, Clock: n.clock, Log: log,
+	}
+	n.ledger = &keeper.Ledger{Client: n.direct, Retention: s.Retention}
+	n.keepers = &keeper.Set{
+		Control: n.control, Pool: n.pool, Ledger: n.ledger, Secret: s.CacheSecret,
+		Clock: n.clock, Metrics: n.metrics, Log: log, Limits: s.Keeper,
+	}
+	n.entry = &entry.Entry{
+		Control: n.control, Keepers: n.keepers, Pool: n.pool, Clock: n.clock,
+		Metrics: n.metrics, Log: log, Limits: s.Entry,
+	}
+	n.operate = &operate.Server{
+		Control: n.control, Keepers: n.keepers, Platform: n.client, Metrics: n.metrics, Key: s.OperatorKey, Log: log,
+	}
+	n.show()
+	return n
+}
+
+// peers lists other hosts that may reach the platform when this one does not.
+func (n *Node) peers() []fleet.Address {
+	view := n.control.View()
+	if view == nil {
+		return nil
+	}
+	var addresses []fleet.Address
+	for _, member := range view.Members {
+		if member.Host != view.Self.Host && member.State == lease.Active {
+			addresses = append(addresses, member.PeerAddr)
+		}
+	}
+	return addresses
+}
+
+// show adds the values that /debug/vars computes when it is read.
+func (n *Node) show() {
+	n.metrics.Show("Platform", func() any {
+		return struct{ Reads, Writes, Watches uint64 }{
+			n.direct.Reads.Load(), n.direct.Writes.Load(), n.direct.Watches.Load(),
+		}
+	})
+	n.metrics.Show("Peers", func() any {
+		return struct{ Sent, Received int64 }{n.pool.Traffic.Sent.Load(), n.pool.Traffic.Received.Load()}
+	})
+	n.metrics.Show("Goroutines", func() any { return runtime.NumGoroutine() })
+	n.metrics.Show("Targets", func() any { return n.keepers.Statuses() })
+	n.metrics.Show("Lease", func() any { return n.control.Until().Sub(n.clock()).String() })
+}
+
+// servers are the listeners of a node.
+type servers struct {
+	callers, hosts, operators *http.Server
+	failed                    chan error
+}
+
+// Run serves until the context ends, which begins a planned stop, and returns
+// when that is over. An error tells why the node could not serve.
+func (n *Node) Run(ctx context.Context) error {
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	listening, err := n.listen(life)
+	if err != nil {
+		return err
+	}
+	var parts sync.WaitGroup
+	work, endWork := context.WithCancel(life)
+	defer endWork()
+	parts.Go(func() { n.pool.Run(life) })
+	parts.Go(func() { n.ledger.Run(life) })
+	parts.Go(func() { n.keepers.Run(work) })
+	controlEnded := make(chan struct{})
+	controlling, endControl := context.WithCancel(life)
+	defer endControl()
+	parts.Go(func() {
+		defer close(controlEnded)
+		n.control.Run(controlling)
+	})
+	n.log.Info().Str("Callers", string(n.settings.Host.CallerAddr)).Msg("serving")
+	select {
+	case <-ctx.Done():
+		n.stop(life, listening)
+	case err = <-listening.failed:
+		n.log.Error().Err(err).Msg("a listener has failed")
+	}
+	endWork()
+	endControl()
+	<-controlEnded
+	finishing, cancel := context.WithTimeout(life, n.settings.PlatformTime)
+	defer cancel()
+	if failed := n.control.Finish(finishing); failed != nil {
+		n.log.Warn().Err(failed).Msg("own end is not recorded; others will end this host")
+	}
+	end()
+	listening.close()
+	parts.Wait()
+	n.log.Info().Msg("stopped")
+	return err
+}
+
+func (n *Node) listen(ctx context.Context) (*servers, error) {
+	callers, err := n.entry.Handler()
+	if err != nil {
+		return nil, eris.Wrap(err, "callers' interface")
+	}
+	hosts := &peer.Server{Key: n.settings.FleetKey, Handler: n, Traffic: &n.pool.Traffic}
+	s := &servers{failed: make(chan error, 3)}
+	listeners := []struct {
+		server  **http.Server
+		address fleet.Address
+		handler http.Handler
+	}{
+		{&s.callers, n.settings.Host.CallerAddr, callers},
+		{&s.hosts, n.settings.Host.PeerAddr, hosts},
+		{&s.operators, n.settings.Host.Operators, n.operate.Handler()},
+	}
+	for _, l := range listeners {
+		listener, err := net.Listen("tcp", string(l.address))
+		if err != nil {
+			s.close()
+			return nil, eris.Wrapf(err, "listen at %s", l.address)
+		}
+		server := &http.Server{
+			Handler: l.handler, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 16 << 10,
+			BaseContext: func(net.Listener) context.Context { return ctx },
+		}
+		*l.server = server
+		go func() {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				s.failed <- err
+			}
+		}()
+	}
+	return s, nil
+}
+
+func (s *servers) close() {
+	for _, server := range []*http.Server{s.callers, s.hosts, s.operators} {
+		if server != nil {
+			_ = server.Close()
+		}
+	}
+}
+
+// handOverTime bounds the wait for other hosts to take over the duties.
+const handOverTime = 20 * time.Second
+
+// stop is a planned stop up to the end of the last request: callers are sent
+// elsewhere, duties are handed over, addresses that callers have kept run out,
+// and requests end.
+func (n *Node) stop(ctx context.Context, s *servers) {
+	n.log.Info().Msg("stopping: no new callers, handing duties over")
+	n.control.Leave(ctx)
+	n.operate.SetLeaving()
+	left := time.NewTimer(n.settings.Entry.AddressTTL + time.Second)
+	defer left.Stop()
+	n.await(ctx, handOverTime, func() bool { return n.control.Duties() == 0 || n.alone() })
+	<-left.C
+	n.log.Info().Msg("stopping: waiting for requests to end")
+	draining, cancel := context.WithTimeout(ctx, n.settings.StopTime)
+	defer cancel()
+	if err := s.callers.Shutdown(draining); err != nil {
+		n.log.Error().Err(err).Msg("requests did not end in time")
+	}
+	n.await(draining, n.settings.StopTime, func() bool { return n.keepers.Busy() == 0 })
+}
+
+// alone reports whether no other host can take duties over.
+func (n *Node) alone() bool { return len(n.peers()) == 0 }
+
+const awaitTime = 50 * time.Millisecond
+
+// await waits until the condition holds, the time is over or the context ends.
+func (n *Node) await(ctx context.Context, most time.Duration, holds func() bool) {
+	ctx, cancel := context.WithTimeout(ctx, most)
+	defer cancel()
+	ticker := time.NewTicker(awaitTime)
+	defer ticker.Stop()
+	for !holds() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+var _ peer.Handler = (*Node)(nil)
+
+// Handle implements peer.Handler.
+func (n *Node) Handle(ctx context.Context, kind peer.Kind, body cbor.RawMessage, send func(any) error) error {
+	switch kind {
+	case wire.KindBeat:
+		return answer(body, send, func(beat lease.Beat) (lease.Grant, error) { return n.control.Beat(ctx, beat), nil })
+	case wire.KindRefuse:
+		return answer(body, send, func(ask wire.RefuseAsk) (wire.RefuseAnswer, error) {
+			return wire.RefuseAnswer{Refused: n.control.Refuse(ctx, ask)}, nil
+		})
+	case wire.KindRead:
+		return answer(body, send, func(read wire.Read) (wire.Stored, error) {
+			return relay.Serve(ctx, n.direct, &read, nil)
+		})
+	case wire.KindWrite:
+		return answer(body, send, func(write wire.Write) (wire.Stored, error) {
+			return relay.Serve(ctx, n.direct, nil, &write)
+		})
+	case wire.KindSlot:
+		return answer(body, send, n.keepers.Slot)
+	case wire.KindOrder:
+		return answer(body, send, func(ask wire.Order) (wire.OrderAnswer, error) { return n.keepers.Order(ctx, &ask) })
+	case wire.KindGenerate:
+		var ask wire.Generate
+		if err := cbor.Unmarshal(body, &ask); err != nil {
+			return fleet.Refuse(fleet.ReasonMalformed, err.Error())
+		}
+		return n.keepers.Generate(ctx, &ask, func(piece *wire.Piece) error { return send(piece) })
+	default:
+		return fleet.Refuse(fleet.ReasonMalformed, "unknown kind of request")
+	}
+}
+
+// answer serves a request that has one reply.
+func answer[Ask, Reply any](body cbor.RawMessage, send func(any) error, serve func(Ask) (Reply, error)) error {
+	var ask Ask
+	if err := cbor.Unmarshal(body, &ask); err != nil {
+		return fleet.Refuse(fleet.ReasonMalformed, err.Error())
+	}
+	reply, err := serve(ask)
+	if err != nil {
+		return err
+	}
+	return send(reply)
+}
--- /dev/null
+++ b/hibiscusd/internal/relay/relay.go
@@ -0,0 +1,123 @@
+// Package relay reaches the platform directly or, where this host can not,
+// through another host that can.
+//
+// A call goes on to other hosts only when the direct one got no answer. Writes
+// are conditional, so one that reaches the platform twice takes effect at most
+// once; the second is told of a conflict, which the writer settles by reading
+// back as after any lost answer.
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/peer"
+	"hibiscuslb/fleet/platform"
+	"hibiscuslb/hibiscusd/internal/wire"
+)
+
+// A Client is a platform client that falls back to other hosts.
+type Client struct {
+	Direct platform.Client
+	Pool   *peer.Pool
+	Peers  func() []fleet.Address // hosts to fall back to, best first
+}
+
+var _ platform.Client = (*Client)(nil)
+
+const (
+	peersTried   = 2
+	relayTimeout = 2 * time.Second
+)
+
+// noAnswer reports whether the error leaves open what the platform did.
+func noAnswer(err error) bool {
+	var unknown *platform.UnknownError
+	return errors.As(err, &unknown)
+}
+
+// Read implements platform.Client.
+func (c *Client) Read(ctx context.Context, name platform.Name) (platform.Object, error) {
+	object, err := c.Direct.Read(ctx, name)
+	if !noAnswer(err) {
+		return object, err
+	}
+	stored, ok := c.ask(ctx, wire.KindRead, wire.Read{Name: name})
+	switch {
+	case !ok:
+		return object, err
+	case stored.Absent:
+		return object, &platform.NotFoundError{Name: name}
+	default:
+		return stored.Object, nil
+	}
+}
+
+// Write implements platform.Client.
+func (c *Client) Write(ctx context.Context, name platform.Name, value []byte, seen fleet.Version) (fleet.Version, error) {
+	version, err := c.Direct.Write(ctx, name, value, seen)
+	if !noAnswer(err) {
+		return version, err
+	}
+	stored, ok := c.ask(ctx, wire.KindWrite, wire.Write{Name: name, Value: value, Seen: seen})
+	switch {
+	case !ok || stored.Conflict:
+		// After a conflict the first try may be what the second conflicts with.
+		return 0, err
+	default:
+		return stored.Object.Version, nil
+	}
+}
+
+// Delete implements platform.Client. It has no fallback: nothing waits for it.
+func (c *Client) Delete(ctx context.Context, name platform.Name, seen fleet.Version) error {
+	return c.Direct.Delete(ctx, name, seen)
+}
+
+// List implements platform.Client, without a fallback.
+func (c *Client) List(ctx context.Context, prefix platform.Name) (platform.Listing, error) {
+	return c.Direct.List(ctx, prefix)
+}
+
+// Watch implements platform.Client, without a fallback: hosts hear from their
+// witnesses when there is something new.
+func (c *Client) Watch(ctx context.Context, prefix platform.Name, since fleet.Version, wait time.Duration) (platform.Listing, error) {
+	return c.Direct.Watch(ctx, prefix, since, wait)
+}
+
+func (c *Client) ask(ctx context.Context, kind peer.Kind, body any) (wire.Stored, bool) {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	for i, address := range c.Peers() {
+		if i == peersTried {
+			break
+		}
+		var stored wire.Stored
+		if err := c.Pool.Ask(ctx, address, kind, body, &stored); err == nil {
+			return stored, true
+		}
+	}
+	return wire.Stored{}, false
+}
+
+// Serve answers another host's call with this host's direct client.
+func Serve(ctx context.Context, direct platform.Client, read *wire.Read, write *wire.Write) (wire.Stored, error) {
+	var stored wire.Stored
+	var err error
+	if read != nil {
+		stored.Object, err = direct.Read(ctx, read.Name)
+	} else {
+		stored.Object.Version, err = direct.Write(ctx, write.Name, write.Value, write.Seen)
+	}
+	var absent *platform.NotFoundError
+	var conflict *platform.ConflictError
+	switch {
+	case errors.As(err, &absent):
+		return wire.Stored{Absent: true}, nil
+	case errors.As(err, &conflict):
+		return wire.Stored{Conflict: true}, nil
+	}
+	return stored, err
+}
--- /dev/null
+++ b/hibiscusload/internal/target/target.go
@@ -0,0 +1,118 @@
+// Package target reads the counters of the stand-ins, which the demo and the
+// experiments judge by.
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/standin/modelengine"
+	"hibiscuslb/standin/plainservice"
+	"hibiscuslb/standin/storehost"
+	"hibiscuslb/standin/weightstore"
+)
+
+// A Set is the stand-ins of a fleet.
+type Set struct {
+	Engines []fleet.Address
+	Stores  []fleet.Address
+	Service fleet.Address
+	Weights fleet.Address
+}
+
+// Counts is the sum of what all stand-ins have counted.
+type Counts struct {
+	Engines []modelengine.Counts
+	Engine  modelengine.Counts // sum over all engines
+	Store   storehost.Counts   // sum over all stores
+	Service plainservice.Counts
+	Weights weightstore.Counts
+}
+
+const timeout = 5 * time.Second
+
+// Counts reads all counters.
+func (s *Set) Counts(ctx context.Context) (*Counts, error) {
+	result := new(Counts)
+	for _, address := range s.Engines {
+		var c modelengine.Counts
+		if err := get(ctx, address, &c); err != nil {
+			return nil, err
+		}
+		result.Engines = append(result.Engines, c)
+		addEngine(&result.Engine, &c)
+	}
+	for _, address := range s.Stores {
+		var c storehost.Counts
+		if err := get(ctx, address, &c); err != nil {
+			return nil, err
+		}
+		addStore(&result.Store, &c)
+	}
+	if s.Service != "" {
+		if err := get(ctx, s.Service, &result.Service); err != nil {
+			return nil, err
+		}
+	}
+	if s.Weights != "" {
+		if err := get(ctx, s.Weights, &result.Weights); err != nil {
+			return nil, err
+		}
+	}
+	return result, nil
+}
+
+func addEngine(sum, c *modelengine.Counts) {
+	sum.Requests += c.Requests
+	sum.Whole += c.Whole
+	sum.PeakCold = max(sum.PeakCold, c.PeakCold)
+	sum.Overloads += c.Overloads
+	sum.ForeignReads += c.ForeignReads
+	sum.BadImports += c.BadImports
+	sum.Imports += c.Imports
+	sum.Exports += c.Exports
+	sum.PromptTokens += c.PromptTokens
+	sum.CachedTokens += c.CachedTokens
+	sum.StaleOrders += c.StaleOrders
+	sum.VersionMisses += c.VersionMisses
+}
+
+func addStore(sum, c *storehost.Counts) {
+	sum.Reads += c.Reads
+	sum.Writes += c.Writes
+	sum.MemoryBytes += c.MemoryBytes
+	sum.DiskBytes += c.DiskBytes
+	sum.WrittenBytes += c.WrittenBytes
+	sum.LinkBusy += c.LinkBusy
+	sum.RefusedReads += c.RefusedReads
+}
+
+func get(ctx context.Context, address fleet.Address, value any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+string(address)+"/admin/counts", nil)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("stand-in %s answers %d", address, response.StatusCode)
+	}
+	return json.NewDecoder(response.Body).Decode(value)
+}
+
+// Recomputed is the share of prompt tokens that were computed.
+func (c *Counts) Recomputed() float64 {
+	if c.Engine.PromptTokens == 0 {
+		return 0
+	}
+	return 1 - float64(c.Engine.CachedTokens)/float64(c.Engine.PromptTokens)
+}
