Prove the promises on real processes, and mend what that found

Found and mended: - A host that was first to start had no witness for the first lease and lost its lease when the platform went down then. A keeper now knows the version of a load that it ordered, passes over reports from before, and plans anew. - The callers' library gave up at a host that said it may be stale, though others served. It now goes on to another host.

--- a/fleet/caller/caller.go
+++ b/fleet/caller/caller.go
@@ -179,10 +179,12 @@
 			return last
 		}
 		var refusal *fleet.RefusalError
-		if !errors.As(last, &refusal) {
+		refused := errors.As(last, &refusal)
+		unfit := refused && refusal.Reason == fleet.ReasonStale // the host, not the fleet
+		if !refused || unfit {
 			c.avoid(address)
 		}
-		if !again(last) {
+		if !unfit && !again(last) {
 			return last
 		}
 	}
--- a/hibiscusd/internal/control/control.go
+++ b/hibiscusd/internal/control/control.go
@@ -30,10 +30,8 @@
 
 const (
 	tickTime = 250 * time.Millisecond
-	beatTime = time.Second
-	// suspectTime is how long a member may be silent before its witnesses
-	// begin to end it.
-	suspectTime = 4 * time.Second
+	// beatsPerLease is how many heartbeats go out in the time of a lease.
+	beatsPerLease = 5
 	// settleTime is how long a duty must be misplaced before it is handed over,
 	// so that a host that restarts quickly does not cause moves.
 	settleTime   = 10 * time.Second
@@ -88,6 +86,13 @@
 	version fleet.Version
 }
 
+// beatTime is the time between two heartbeats.
+func (c *Control) beatTime() time.Duration { return c.Terms.Length / beatsPerLease }
+
+// suspectTime is how long a member may be silent before its witnesses begin to
+// end it: one heartbeat short of a lease.
+func (c *Control) suspectTime() time.Duration { return c.Terms.Length - c.beatTime() }
+
 // event is something that the control goroutine has to handle.
 type event interface {
 	handle(context.Context, *Control)
--- a/hibiscusd/internal/control/membership.go
+++ b/hibiscusd/internal/control/membership.go
@@ -168,10 +168,14 @@
 			return false
 		}
 	}
-	if len(c.holder.Panel()) >= panelSize || now.Sub(c.started) < suspectTime {
+	size := len(c.holder.Panel())
+	// A fleet that starts gains members one by one. One witness is needed at
+	// once, to outlive an outage of the platform; the others can wait until
+	// those who start now have come.
+	if size >= panelSize || (size > 0 && now.Sub(c.started) < c.suspectTime()) {
 		return true
 	}
-	return len(c.choosePanel()) <= len(c.holder.Panel())
+	return len(c.choosePanel()) <= size
 }
 
 // choosePanel picks witnesses among the active members of the region, no more
@@ -206,7 +210,7 @@
 
 // beat asks the panel for grants.
 func (c *Control) beat(ctx context.Context, now fleet.Instant) {
-	if now.Sub(c.lastBeat) < beatTime {
+	if now.Sub(c.lastBeat) < c.beatTime() {
 		return
 	}
 	c.lastBeat = now
@@ -306,7 +310,7 @@
 // endSilent begins to end the members that this host witnesses and has not
 // heard for a while.
 func (c *Control) endSilent(ctx context.Context, now fleet.Instant) {
-	if now.Sub(c.started) < suspectTime {
+	if now.Sub(c.started) < c.suspectTime() {
 		return
 	}
 	for host, member := range c.members {
@@ -334,7 +338,7 @@
 	if !ok {
 		heard = max(c.started, c.seenAt[member.Host])
 	}
-	return now.Sub(heard) > suspectTime
+	return now.Sub(heard) > c.suspectTime()
 }
 
 // beginEnd writes Ending into a member's object.
--- a/hibiscusd/internal/keeper/generate.go
+++ b/hibiscusd/internal/keeper/generate.go
@@ -31,35 +31,54 @@
 	stored   int // leading blocks that a store has
 }
 
+// plansTried bounds how often a prompt is planned anew because its target has
+// loaded another version in between.
+const plansTried = 3
+
 // Generate serves a prompt at a target that this host keeps. It calls emit
 // with each piece of the answer. Its error is a *fleet.RefusalError.
 func (s *Set) Generate(ctx context.Context, ask *wire.Generate, emit func(*wire.Piece) error) error {
 	s.busy.Add(1)
 	defer s.busy.Add(-1)
+	var err error
+	for range plansTried {
+		var again bool
+		if again, err = s.generate(ctx, ask, emit); !again {
+			break
+		}
+	}
+	return err
+}
+
+// generate makes one plan and carries it out. It reports whether the target
+// has provably not run it because of its version, so that a new plan may do.
+func (s *Set) generate(ctx context.Context, ask *wire.Generate, emit func(*wire.Piece) error) (bool, error) {
 	keeper, declared, err := s.find(ask.Target)
 	if err != nil {
-		return err
+		return false, err
 	}
 	job, err := s.plan(keeper, declared, ask)
 	if err != nil {
-		return err
+		return false, err
 	}
 	id, err := keeper.acquire(ctx, job.ticket())
 	if err != nil {
-		return err
+		return false, err
 	}
 	job.fetch(ctx)
 	if err := s.mayDispatch(keeper); err != nil {
 		keeper.release(id, target.Untouched)
-		return err
+		return false, err
 	}
 	err = job.dispatch(ctx, id, emit)
 	keeper.release(id, result(ctx, err))
 	if err != nil {
-		return job.refusal(ctx, err)
+		refusal := job.refusal(ctx, err)
+		var refused *engine.RefusedError
+		return errors.As(err, &refused) && keeper.loadedVersion() != job.version, refusal
 	}
 	keeper.exportLater(job)
-	return nil
+	return false, nil
 }
 
 func (s *Set) plan(keeper *Keeper, declared *declaration.Target, ask *wire.Generate) (*job, error) {
--- a/hibiscusd/internal/keeper/keeper.go
+++ b/hibiscusd/internal/keeper/keeper.go
@@ -27,6 +27,7 @@
 	ticket    target.TicketID
 	version   fleet.WeightVersion // loaded, as far as is known
 	loading   bool
+	loadedAt  fleet.Instant // reports from before say nothing of the version
 	resident  map[cache.Key]struct{}
 	sequence  uint64        // of the last cache event
 	downUntil fleet.Instant // no connection could be made lately
@@ -128,10 +129,13 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.version, k.loading = report.Version, report.Loading
-	k.learn(&report)
+	taken := asked.Add(-report.Age)
+	if taken > k.loadedAt && !k.loading {
+		k.version = report.Version
+		k.learn(&report)
+	}
 	k.deliver(k.admission.Report(k.set.Clock(), target.Facts{
-		Taken:       asked.Add(-report.Age),
+		Taken:       taken,
 		Incarnation: report.Incarnation, Cold: report.Cold, Running: report.Running,
 	}))
 }
@@ -262,14 +266,12 @@
 	if err := k.set.Pool.Ask(ctx, leader.Address, wire.KindSlot, ask, &answer); err != nil || !answer.Granted {
 		return
 	}
-	k.setLoading(true)
+	k.beginLoad()
 	tasks.Go(func() {
-		defer k.setLoading(false)
 		client := engine.Client{Address: declared.Address}
 		order := engine.Load{Version: model.Version, Fence: k.epoch}
-		if err := client.Load(ctx, order); err != nil {
-			k.set.Log.Warn().Err(err).Str("Target", string(k.id)).Msg("weights not loaded")
-		}
+		err := client.Load(ctx, order)
+		k.endLoad(model.Version, err)
 		ask.Over = true
 		// A slot that is not given back ends by itself.
 		_ = k.set.Pool.Ask(ctx, leader.Address, wire.KindSlot, ask, &answer)
@@ -277,8 +279,29 @@
 	})
 }
 
-func (k *Keeper) setLoading(loading bool) {
+func (k *Keeper) beginLoad() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.loading = true
+}
+
+// endLoad takes the end of a load. After a failure the version is what the next
+// report says.
+func (k *Keeper) endLoad(version fleet.WeightVersion, err error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.loading = false
+	k.loadedAt = k.set.Clock()
+	if err != nil {
+		k.set.Log.Warn().Err(err).Str("Target", string(k.id)).Msg("weights not loaded")
+		return
+	}
+	k.version = version
+	clear(k.resident)
+}
+
+func (k *Keeper) loadedVersion() fleet.WeightVersion {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.loading = loading
+	return k.version
 }
--- /dev/null
+++ b/hibiscusd/internal/proof/failure_test.go
@@ -0,0 +1,228 @@
+package proof
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/caller"
+	"hibiscuslb/fleet/platform"
+	"hibiscuslb/standin/link"
+)
+
+func TestKeeperIsKilledUnderLoad(t *testing.T) {
+	b := newBench(t, 3)
+	load := b.startLoad(8, 20)
+	load.awaitMore(20)
+	victim, epoch := b.keeperOf("answer-0")
+	victim.signal(syscall.SIGKILL)
+	<-victim.exited
+	b.eventually("another host keeps the target", func() bool {
+		h, e := b.keeperOf("answer-0")
+		return h != nil && h != victim && e > epoch
+	})
+	load.awaitMore(50)
+	b.start(victim)
+	b.awaitReady(victim)
+	load.awaitMore(50)
+	require.Empty(t, load.end())
+	b.checkTargets()
+}
+
+func TestKeeperIsFrozenForLongerThanItsLease(t *testing.T) {
+	b := newBench(t, 3)
+	load := b.startLoad(8, 20)
+	load.awaitMore(20)
+	victim, epoch := b.keeperOf("answer-0")
+	victim.signal(syscall.SIGSTOP)
+	b.eventually("another host keeps the target", func() bool {
+		h, e := b.keeperOf("answer-0")
+		return h != nil && h != victim && e > epoch
+	})
+	victim.signal(syscall.SIGCONT)
+	b.eventually("the frozen host has begun a new life", func() bool {
+		return b.stateOf(b.other(victim), victim).Incarnation > 1
+	})
+	load.awaitMore(50)
+	for _, err := range load.end() {
+		// Callers of the frozen host may have waited in vain, and are told so
+		// truly; nobody gets a wrong or cut answer for a whole one.
+		var refusal *fleet.RefusalError
+		require.ErrorAs(t, err, &refusal)
+	}
+	b.checkTargets()
+}
+
+// other returns a host that is not the given one.
+func (b *bench) other(h *host) *host {
+	for _, candidate := range b.hosts {
+		if candidate != h {
+			return candidate
+		}
+	}
+	return nil
+}
+
+func TestServiceGoesOnWithoutThePlatform(t *testing.T) {
+	b := newBench(t, 3)
+	for _, h := range b.hosts {
+		b.eventually(h.name+" has its witnesses", func() bool { return b.stateOf(h, h).Witnesses == 2 })
+	}
+	load := b.startLoad(4, 10)
+	load.awaitMore(10)
+	b.platform.Memory.SetFault(platform.Down)
+	outage := time.Now()
+	// Far longer than a lease, so that service can not rest on the platform.
+	b.eventually("three leases have passed", func() bool { return time.Since(outage) > 3*leaseLength })
+	load.awaitMore(50)
+	b.awaitReady(b.hosts...)
+	_, err := b.caller.Order(context.Background(), caller.Order{Model: "ledger", Operation: "book", Key: "outage-1", Body: []byte("x")})
+	var refusal *fleet.RefusalError
+	require.ErrorAs(t, err, &refusal)
+	require.Equal(t, fleet.NotRun, refusal.Outcome)
+	require.Zero(t, b.service.Counts().Calls, "a refusal that says not run is true")
+	_, err = b.caller.Order(context.Background(), caller.Order{Model: "ledger", Operation: "stock", Body: []byte("x")})
+	require.NoError(t, err, "a repeatable call needs no claim")
+	b.platform.Memory.SetFault(platform.Healthy)
+	b.eventually("the order runs when the platform is back", func() bool {
+		_, err := b.caller.Order(context.Background(), caller.Order{Model: "ledger", Operation: "book", Key: "outage-1", Body: []byte("x")})
+		return err == nil
+	})
+	require.Empty(t, load.end())
+	b.checkTargets()
+}
+
+// TestOrdersRunAtMostOnceThroughFaults sends each key several times, at once
+// and later, while answers of the platform are lost and its hosts are killed.
+func TestOrdersRunAtMostOnceThroughFaults(t *testing.T) {
+	b := newBench(t, 3)
+	const keys = 60
+	var mu sync.Mutex
+	answers := make(map[string]string)
+	notRun := make(map[string]int)
+	order := func(key string) {
+		answer, err := b.caller.Order(context.Background(), caller.Order{
+			Model: "ledger", Operation: "book", Key: key, Body: []byte("cylinder for " + key),
+		})
+		mu.Lock()
+		defer mu.Unlock()
+		var refusal *fleet.RefusalError
+		switch {
+		case err == nil && answers[key] == "":
+			answers[key] = string(answer.Body)
+		case err == nil && answers[key] != string(answer.Body):
+			t.Errorf("key %s was answered %q and %q", key, answers[key], answer.Body)
+		case errors.As(err, &refusal) && refusal.Outcome == fleet.NotRun:
+			notRun[key]++
+		}
+	}
+	faults := map[int]func(){
+		10: func() { b.platform.Memory.SetFault(platform.LoseAnswers) },
+		20: func() { b.platform.Memory.SetFault(platform.Down) },
+		25: func() { b.platform.Memory.SetFault(platform.LoseAnswers) },
+		30: func() { b.platform.Memory.SetFault(platform.Healthy) },
+		40: func() {
+			victim, _ := b.keeperOf("ledger-1")
+			victim.signal(syscall.SIGKILL)
+		},
+	}
+	for n := range keys {
+		if fault, ok := faults[n]; ok {
+			fault()
+		}
+		key := fmt.Sprintf("key-%d", n)
+		var twins sync.WaitGroup
+		for range 3 {
+			twins.Go(func() { order(key) })
+		}
+		twins.Wait()
+	}
+	ran := b.service.Counts()
+	require.Zero(t, ran.Repeated)
+	require.LessOrEqual(t, ran.Keys, keys)
+	require.GreaterOrEqual(t, ran.Keys, len(answers))
+	b.eventually("orders run again", func() bool {
+		order("last")
+		mu.Lock()
+		defer mu.Unlock()
+		return answers["last"] != ""
+	})
+	for n := range keys {
+		order(fmt.Sprintf("key-%d", n))
+	}
+	require.Zero(t, b.service.Counts().Repeated)
+	require.NotEmpty(t, notRun, "the outage was felt")
+}
+
+func TestLostAnswerOfTheServiceIsUnknownForGood(t *testing.T) {
+	b := newBench(t, 3)
+	b.service.DropAnswers(true)
+	order := caller.Order{Model: "ledger", Operation: "book", Key: "dropped", Body: []byte("x")}
+	for range 3 {
+		_, err := b.caller.Order(context.Background(), order)
+		var refusal *fleet.RefusalError
+		require.ErrorAs(t, err, &refusal)
+		require.Equal(t, fleet.Unknown, refusal.Outcome)
+	}
+	require.Equal(t, 1, b.service.Counts().Calls)
+	require.Zero(t, b.service.Counts().Repeated)
+}
+
+func TestAnswersStayWholeWhenEnginesDieOrGoSilent(t *testing.T) {
+	b := newBench(t, 3)
+	relay := &link.Relay{Listen: freeAddress(t), Target: b.engineAt[3].address}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- relay.Run(ctx) }()
+	defer func() {
+		cancel()
+		<-ended
+	}()
+	direct := b.engineAt[3].address
+	b.engineAt[3].address = relay.Listen
+	b.apply(b.declare())
+	b.engineAt[3].address = direct
+	b.awaitService()
+	load := b.startLoad(8, 60)
+	load.awaitMore(10)
+	relay.SetMode(link.Silent)
+	load.awaitMore(30)
+	relay.SetMode(link.Pass)
+	b.engineAt[0].kill()
+	load.awaitMore(30)
+	b.startEngine(0, 100)
+	load.awaitMore(30)
+	relay.SetMode(link.Cut)
+	load.awaitMore(30)
+	require.Empty(t, load.end())
+	b.checkTargets()
+}
+
+// TestColdTargetAfterRestartAndKeeperKill restarts an engine and kills its
+// keeper at once: the new keeper must not give a cold engine more than it
+// bears, whatever the old one has left there.
+func TestColdTargetAfterRestartAndKeeperKill(t *testing.T) {
+	b := newBench(t, 3)
+	load := b.startLoad(16, 40)
+	load.awaitMore(40)
+	victim, epoch := b.keeperOf("answer-0")
+	b.engineAt[0].kill()
+	b.engine.ColdTime = 30 * time.Second
+	b.startEngine(0, 100)
+	victim.signal(syscall.SIGKILL)
+	b.eventually("another host keeps the target", func() bool {
+		h, e := b.keeperOf("answer-0")
+		return h != nil && h != victim && e > epoch
+	})
+	load.awaitMore(60)
+	b.eventually("the cold engine serves", func() bool { return b.engines[0].Counts().Whole > 0 })
+	require.Empty(t, load.end())
+	b.checkTargets()
+}
--- /dev/null
+++ b/hibiscusd/internal/proof/fleet_test.go
@@ -0,0 +1,426 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/cache"
+	"hibiscuslb/fleet/caller"
+	"hibiscuslb/fleet/contract"
+	"hibiscuslb/fleet/declaration"
+	"hibiscuslb/fleet/operator"
+	"hibiscuslb/standin/link"
+	"hibiscuslb/standin/modelengine"
+	"hibiscuslb/standin/objectservice"
+	"hibiscuslb/standin/plainservice"
+	"hibiscuslb/standin/script"
+	"hibiscuslb/standin/storehost"
+)
+
+// program is the hibiscusd that the tests run, built once.
+var program string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "hibiscusd")
+	if err == nil {
+		program = filepath.Join(dir, "hibiscusd")
+		build := exec.Command("go", "build", "-o", program, "hibiscuslb/hibiscusd")
+		build.Stderr = os.Stderr
+		err = build.Run()
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	status := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(status)
+}
+
+// server is a stand-in at an address of its own, which survives restarts.
+type server struct {
+	address fleet.Address
+	http    *http.Server
+}
+
+func (s *server) start(t *testing.T, handler http.Handler) {
+	t.Helper()
+	address := s.address
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	var listener net.Listener
+	require.Eventually(t, func() bool {
+		var err error
+		listener, err = net.Listen("tcp", string(address))
+		return err == nil
+	}, 10*time.Second, 10*time.Millisecond)
+	s.address = fleet.Address(listener.Addr().String())
+	s.http = &http.Server{Handler: handler}
+	serving := s.http
+	go func() { _ = serving.Serve(listener) }()
+	t.Cleanup(func() { _ = serving.Close() })
+}
+
+func (s *server) kill() { _ = s.http.Close() }
+
+// host is one hibiscusd process.
+type host struct {
+	name                      string
+	centre                    string
+	callers, hosts, operators fleet.Address
+	platform                  *link.Relay // its own path to the platform
+	command                   *exec.Cmd
+	exited                    chan struct{}
+}
+
+// bench is a fleet of real hibiscusd processes among stand-ins in this
+// process. Engines and stores 0 and 1 lie in data centre a, 2 and 3 in b.
+type bench struct {
+	t        *testing.T
+	dir      string
+	platform objectservice.Service
+	access   server
+	engines  [4]*modelengine.Engine
+	engineAt [4]server
+	store    *storehost.Store
+	storeAt  server
+	service  *plainservice.Service
+	serverAt server
+	hosts    []*host
+	document string
+	operator *operator.Client
+	caller   *caller.Client
+	engine   modelengine.Config
+}
+
+const (
+	leaseLength = 2 * time.Second
+	coldBound   = 2
+	waitLimit   = 90 * time.Second
+)
+
+// newBench starts the stand-ins and so many hosts, and declares the fleet.
+func newBench(t *testing.T, hosts int) *bench {
+	t.Helper()
+	t.Parallel()
+	b := &bench{t: t, dir: t.TempDir(), engine: modelengine.Config{
+		Model: "answer", Version: "v1", PrefillRate: 400_000, PieceTime: 10 * time.Millisecond,
+		CacheBlocks: 8, BlockLength: 1 << 20, ColdBound: coldBound, ColdTime: time.Second,
+		ReportLag: 200 * time.Millisecond, EventGap: 7,
+	}}
+	b.access.start(t, b.platform.Handler())
+	for i := range b.engines {
+		b.startEngine(i, fleet.Incarnation(i+1))
+	}
+	b.store = storehost.New(storehost.Config{Incarnation: 1, Memory: 1 << 30, Disk: 1 << 30, LinkRate: 1 << 30, DiskRate: 1 << 30})
+	b.storeAt.start(t, b.store.Handler())
+	b.service = plainservice.New(plainservice.Config{CallTime: 2 * time.Millisecond, ColdBound: 8})
+	b.serverAt.start(t, b.service.Handler())
+	for i := range hosts {
+		b.hosts = append(b.hosts, b.newHost(i))
+	}
+	b.operator = &operator.Client{Key: "operators-key"}
+	b.caller = &caller.Client{Key: "clerks-key", HTTP: &http.Client{Transport: &http.Transport{
+		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, DisableKeepAlives: true,
+	}}}
+	for _, h := range b.hosts {
+		b.start(h)
+		b.operator.Hosts = append(b.operator.Hosts, h.operators)
+		b.caller.Entries = append(b.caller.Entries, h.callers)
+	}
+	b.awaitReady(b.hosts...)
+	b.document = b.declare()
+	b.apply(b.document)
+	b.awaitService()
+	return b
+}
+
+func (b *bench) startEngine(i int, incarnation fleet.Incarnation) {
+	config := b.engine
+	config.Incarnation = incarnation
+	b.engines[i] = modelengine.New(config)
+	b.engineAt[i].start(b.t, b.engines[i].Handler())
+}
+
+func freeAddress(t *testing.T) fleet.Address {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	return fleet.Address(listener.Addr().String())
+}
+
+func (b *bench) newHost(i int) *host {
+	h := &host{
+		name: fmt.Sprintf("host-%d", i+1), centre: []string{"a", "b"}[i%2],
+		callers: freeAddress(b.t), hosts: freeAddress(b.t), operators: freeAddress(b.t),
+		platform: &link.Relay{Listen: freeAddress(b.t), Target: b.access.address},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- h.platform.Run(ctx) }()
+	b.t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return h
+}
+
+// start runs the host's process.
+func (b *bench) start(h *host) {
+	settings := fmt.Sprintf(`[Host]
+Name = %s
+DataCentre = %s
+Region = r
+
+[Listen]
+Callers = %s
+Hosts = %s
+Operators = %s
+
+[Platform]
+Address = %s
+Timeout = 1s
+
+[Keys]
+Fleet = fleet-key
+Operators = operators-key
+CacheSecret = %064d
+
+[Lease]
+Length = %v
+Margin = 500ms
+
+[Limits]
+AddressTTL = 1s
+IdleTime = 2s
+`, h.name, h.centre, h.callers, h.hosts, h.operators, h.platform.Listen, 7, leaseLength)
+	file := filepath.Join(b.dir, h.name+".ini")
+	require.NoError(b.t, os.WriteFile(file, []byte(settings), 0o600))
+	log, err := os.OpenFile(filepath.Join(b.dir, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	require.NoError(b.t, err)
+	command := exec.Command(program, "--settings", file)
+	command.Stdout, command.Stderr = log, log
+	require.NoError(b.t, command.Start())
+	exited := make(chan struct{})
+	h.command, h.exited = command, exited
+	go func() {
+		_ = command.Wait()
+		_ = log.Close()
+		close(exited)
+	}()
+	b.t.Cleanup(func() {
+		_ = command.Process.Kill()
+		<-exited
+		if b.t.Failed() {
+			text, _ := os.ReadFile(filepath.Join(b.dir, h.name+".log"))
+			lines := strings.Split(string(text), "\n")
+			b.t.Logf("%s:\n%s", h.name, strings.Join(lines[max(0, len(lines)-25):], "\n"))
+		}
+	})
+}
+
+func (h *host) signal(s syscall.Signal) { _ = h.command.Process.Signal(s) }
+
+// eventually waits for what must come about. Its limit only bounds a test that
+// fails.
+func (b *bench) eventually(what string, holds func() bool) {
+	b.t.Helper()
+	require.Eventually(b.t, holds, waitLimit, 50*time.Millisecond, what)
+}
+
+func (b *bench) awaitReady(hosts ...*host) {
+	b.t.Helper()
+	for _, h := range hosts {
+		b.eventually(h.name+" is ready", func() bool {
+			response, err := http.Get("http://" + string(h.operators) + "/ready")
+			if err != nil {
+				return false
+			}
+			defer response.Body.Close()
+			return response.StatusCode == http.StatusOK
+		})
+	}
+}
+
+func (b *bench) declare() string {
+	var text strings.Builder
+	text.WriteString("[DataCentre a]\nRegion = r\n[DataCentre b]\nRegion = r\n[Model answer]\nVersion = v1\n[Model ledger]\n")
+	for i := range b.engines {
+		fmt.Fprintf(&text, "[Target answer-%d]\nModel = answer\nDataCentre = %s\nAddress = %s\nColdLimit = %d\nWarmLimit = 8\nPrefillRate = 400000\n",
+			i, []string{"a", "b"}[i/2], b.engineAt[i].address, coldBound)
+	}
+	fmt.Fprintf(&text, "[Target ledger-1]\nKind = Service\nModel = ledger\nDataCentre = a\nAddress = %s\nColdLimit = 4\nWarmLimit = 8\n", b.serverAt.address)
+	fmt.Fprintf(&text, "[Store store-1]\nDataCentre = a\nAddress = %s\n", b.storeAt.address)
+	fmt.Fprintf(&text, "[Workspace clerks]\nKeyHash = %x\n[Workspace agents]\nKeyHash = %x\nPolicy = Reuse\n",
+		cache.HashKey("clerks-key"), cache.HashKey("agents-key"))
+	text.WriteString("[Operation ledger/book]\nRepeatable = No\n[Operation ledger/stock]\nRepeatable = Yes\n")
+	return text.String()
+}
+
+// apply makes the text the declaration, and returns when it is in force.
+func (b *bench) apply(text string) fleet.Version {
+	b.t.Helper()
+	number := b.accept(text)
+	b.await(number)
+	return number
+}
+
+// accept stores the text as the declaration.
+func (b *bench) accept(text string) fleet.Version {
+	b.t.Helper()
+	wanted, err := declaration.Parse("test", []byte(text))
+	require.NoError(b.t, err)
+	ctx := context.Background()
+	var number fleet.Version
+	b.eventually("the change is accepted", func() bool {
+		current, read, err := b.operator.Declaration(ctx)
+		if err != nil {
+			return false
+		}
+		change := declaration.Diff(current, wanted)
+		change.ID = declaration.ChangeID(fmt.Sprintf("change-%d", time.Now().UnixNano()))
+		number, err = b.operator.Apply(ctx, read, change)
+		return err == nil
+	})
+	return number
+}
+
+func (b *bench) await(number fleet.Version) {
+	b.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	require.NoError(b.t, b.operator.Await(ctx, number))
+}
+
+// awaitService waits until each engine that is up has a keeper which serves.
+func (b *bench) awaitService() {
+	b.t.Helper()
+	n := 0
+	for i := range b.engines {
+		before := b.engines[i].Counts().Whole
+		b.eventually(fmt.Sprintf("engine %d serves", i), func() bool {
+			n++
+			_, _ = b.caller.Complete(context.Background(), caller.Prompt{Model: "answer", Text: fmt.Sprint("hello ", n), MaxTokens: 1})
+			return b.engines[i].Counts().Whole > before
+		})
+	}
+}
+
+// keeperOf returns the host that keeps a target, and the duty's epoch.
+func (b *bench) keeperOf(target fleet.TargetID) (*host, fleet.Epoch) {
+	for _, h := range b.hosts {
+		status, err := b.operator.StatusAt(context.Background(), h.operators)
+		if err != nil {
+			continue
+		}
+		for _, kept := range status.Targets {
+			if kept.Target == target && status.MayAct {
+				return h, kept.Epoch
+			}
+		}
+	}
+	return nil, 0
+}
+
+// stateOf returns what another host says of a member.
+func (b *bench) stateOf(asked, member *host) contract.Member {
+	status, err := b.operator.StatusAt(context.Background(), asked.operators)
+	if err != nil {
+		return contract.Member{}
+	}
+	for _, m := range status.Members {
+		if string(m.Host) == member.name {
+			return m
+		}
+	}
+	return contract.Member{}
+}
+
+// load is callers that ask on and on until they are told to stop.
+type load struct {
+	b       *bench
+	stop    chan struct{}
+	callers sync.WaitGroup
+	mu      sync.Mutex
+	whole   int
+	failed  []error
+}
+
+// startLoad starts so many callers. Each checks the content of each answer.
+func (b *bench) startLoad(callers int, tokens fleet.Tokens) *load {
+	l := &load{b: b, stop: make(chan struct{})}
+	for i := range callers {
+		l.callers.Go(func() { l.run(i, tokens) })
+	}
+	return l
+}
+
+func (l *load) run(who int, tokens fleet.Tokens) {
+	for n := 0; ; n++ {
+		select {
+		case <-l.stop:
+			return
+		default:
+		}
+		text := fmt.Sprintf("caller %d asks %d %s", who, n%5, strings.Repeat("long file ", 2000))
+		prompt := caller.Prompt{Model: "answer", Text: text, MaxTokens: tokens}
+		answer, err := l.b.caller.Complete(context.Background(), prompt)
+		if err == nil && answer.Text != script.New([]byte(text)).Answer(tokens) {
+			err = fmt.Errorf("caller %d has got another answer", who)
+		}
+		l.mu.Lock()
+		if err == nil {
+			l.whole++
+		} else {
+			l.failed = append(l.failed, err)
+		}
+		l.mu.Unlock()
+	}
+}
+
+// awaitMore waits until the load has got so many more whole answers.
+func (l *load) awaitMore(n int) {
+	l.b.t.Helper()
+	goal := l.count() + n
+	l.b.eventually(fmt.Sprintf("%d more answers", n), func() bool { return l.count() >= goal })
+}
+
+func (l *load) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.whole
+}
+
+// end stops the callers and returns what has failed.
+func (l *load) end() []error {
+	close(l.stop)
+	l.callers.Wait()
+	return l.failed
+}
+
+// checkTargets checks what must hold at the targets, whatever has happened.
+func (b *bench) checkTargets() {
+	b.t.Helper()
+	for i, engine := range b.engines {
+		counts := engine.Counts()
+		require.Zero(b.t, counts.Overloads, "engine %d: beyond the cold bound", i)
+		require.LessOrEqual(b.t, counts.PeakCold, coldBound, "engine %d", i)
+		require.Zero(b.t, counts.ForeignReads, "engine %d: blocks of another workspace, prompt or version", i)
+	}
+	require.Zero(b.t, b.service.Counts().Repeated, "keys that ran twice")
+}
--- a/standin/plainservice/plainservice.go
+++ b/standin/plainservice/plainservice.go
@@ -58,13 +58,19 @@
 		web.Reply(w, http.StatusOK, s.Counts())
 	})
 	mux.HandleFunc("POST /admin/drop", func(_ http.ResponseWriter, r *http.Request) {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.drop = r.URL.Query().Get("Answers") == "true"
+		s.DropAnswers(r.URL.Query().Get("Answers") == "true")
 	})
 	return mux
 }
 
+// DropAnswers makes the service run calls without answering them, or answer
+// again.
+func (s *Service) DropAnswers(drop bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drop = drop
+}
+
 // Counts returns what the service has seen.
 func (s *Service) Counts() Counts {
 	s.mu.Lock()
