--- a/fleet/edition/edition.go
+++ b/fleet/edition/edition.go
@@ -52,6 +52,7 @@
 	BaseID  declaration.ChangeID   // of the change that was folded last
 	Parts   int                    // of the snapshot
 	Changes []declaration.ChangeID // from Base+1 to Number
+	Folded  []declaration.ChangeID // the latest of those in the snapshot, for who reads back
 }
 
 // An Edition is a document with its number.
@@ -197,9 +198,11 @@
 	head.Number++
 	head.Changes = append(slices.Clone(head.Changes), change.ID)
 	if len(head.Changes) > changesKept || (head.Base == 0 && len(change.Put) > partSections) {
+		folded := head.Changes[max(0, len(head.Changes)-changesKept):]
 		if head, err = fold(ctx, client, head.Number, change.ID, document); err != nil {
 			return nil, err
 		}
+		head.Folded = folded
 	}
 	if value, err = cbor.Marshal(head); err != nil {
 		return nil, fmt.Errorf("edition: %w", err)
@@ -273,5 +276,7 @@
 	return race
 }
 
-// Contains reports whether the head lists the change.
-func (e *Edition) Contains(id declaration.ChangeID) bool { return slices.Contains(e.head.Changes, id) }
+// Contains reports whether the change is one of the latest that were accepted.
+func (e *Edition) Contains(id declaration.ChangeID) bool {
+	return slices.Contains(e.head.Changes, id) || slices.Contains(e.head.Folded, id)
+}
