--- a/fleet/engine/client.go
+++ b/fleet/engine/client.go
@@ -13,6 +13,7 @@
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/internal/call"
+	"hibiscuslb/fleet/traffic"
 )
 
 // A Client speaks to one engine. IdleLimit bounds the silence between two
@@ -149,3 +150,7 @@
 	}
 	return report, c.wrap(err)
 }
+
+// Traffic counts the bytes of all calls to back ends, those of stores and
+// services included.
+func Traffic() *traffic.Counter { return &call.Traffic }
--- a/fleet/internal/call/call.go
+++ b/fleet/internal/call/call.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/traffic"
 )
 
 // OutcomeHeader is set to NotRunValue on answers that refuse a request.
@@ -28,9 +29,12 @@
 
 const dialTimeout = time.Second
 
+// Traffic counts the bytes of all calls.
+var Traffic traffic.Counter
+
 // Client is shared by all bindings, so that idle connections are reused.
 var Client = &http.Client{Transport: &http.Transport{
-	DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+	DialContext:         Traffic.Dial(dialTimeout),
 	MaxIdleConnsPerHost: 64,
 	IdleConnTimeout:     30 * time.Second,
 }}
@@ -39,7 +43,7 @@
 // request again when a kept connection fails, even a POST if it has an
 // Idempotency-Key header; on a fresh connection it never does.
 var once = &http.Client{Transport: &http.Transport{
-	DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
+	DialContext:       Traffic.Dial(dialTimeout),
 	DisableKeepAlives: true,
 }}
 
--- a/fleet/peer/conn.go
+++ b/fleet/peer/conn.go
@@ -26,7 +26,6 @@
 	address fleet.Address
 	ws      *websocket.Conn
 	handler Handler // nil on the dialling side
-	traffic *Traffic
 
 	lastRead atomic.Int64 // nanoseconds since 1970
 	mu       sync.Mutex
@@ -37,13 +36,10 @@
 	err      error
 }
 
-// Traffic counts bytes of frames, both ways.
-type Traffic struct{ Sent, Received atomic.Int64 }
-
-func newConn(address fleet.Address, ws *websocket.Conn, handler Handler, traffic *Traffic) *conn {
+func newConn(address fleet.Address, ws *websocket.Conn, handler Handler) *conn {
 	ws.SetReadLimit(FrameLimit)
 	c := &conn{
-		address: address, ws: ws, handler: handler, traffic: traffic, idle: time.Now(),
+		address: address, ws: ws, handler: handler, idle: time.Now(),
 		opened: make(map[uint64]*Exchange), serving: make(map[uint64]context.CancelFunc),
 	}
 	c.lastRead.Store(time.Now().UnixNano())
@@ -68,7 +64,6 @@
 			return err
 		}
 		c.lastRead.Store(time.Now().UnixNano())
-		c.traffic.Received.Add(int64(len(data)))
 		var f frame
 		if err := cbor.Unmarshal(data, &f); err != nil {
 			return err
@@ -140,7 +135,6 @@
 	// does not end with the context of one of them.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), writeTimeout)
 	defer cancel()
-	c.traffic.Sent.Add(int64(len(data)))
 	return c.ws.Write(ctx, websocket.MessageBinary, data)
 }
 
--- /dev/null
+++ b/fleet/peer/peer_test.go
@@ -0,0 +1,153 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/peer"
+)
+
+const (
+	kindCount peer.Kind = iota // answers with so many numbers
+	kindRefuse
+	kindWait // answers when its context ends
+)
+
+// handler serves the kinds above.
+type handler struct {
+	begun, ended chan struct{}
+}
+
+func (h *handler) Handle(ctx context.Context, kind peer.Kind, body cbor.RawMessage, send func(any) error) error {
+	switch kind {
+	case kindCount:
+		var n int
+		if err := cbor.Unmarshal(body, &n); err != nil {
+			return err
+		}
+		for i := range n {
+			if err := send(i); err != nil {
+				return err
+			}
+		}
+		return nil
+	case kindRefuse:
+		return fleet.Refuse(fleet.ReasonOverloaded, "full")
+	default:
+		close(h.begun)
+		<-ctx.Done()
+		close(h.ended)
+		return ctx.Err()
+	}
+}
+
+type link struct {
+	pool    *peer.Pool
+	server  *httptest.Server
+	address fleet.Address
+	handler *handler
+}
+
+func newLink(t *testing.T) *link {
+	t.Helper()
+	l := &link{handler: &handler{begun: make(chan struct{}), ended: make(chan struct{})}}
+	l.server = httptest.NewServer(&peer.Server{Key: "k", Handler: l.handler})
+	l.address = fleet.Address(strings.TrimPrefix(l.server.URL, "http://"))
+	l.pool = &peer.Pool{Key: "k"}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	running := make(chan struct{})
+	go func() {
+		close(running)
+		l.pool.Run(ctx)
+		close(ended)
+	}()
+	<-running
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+		l.server.CloseClientConnections()
+		l.server.Close()
+	})
+	return l
+}
+
+// open opens an exchange; the pool may still be starting.
+func (l *link) open(t *testing.T, kind peer.Kind, body any) *peer.Exchange {
+	t.Helper()
+	var exchange *peer.Exchange
+	require.Eventually(t, func() bool {
+		var err error
+		exchange, err = l.pool.Open(context.Background(), l.address, kind, body)
+		return err == nil
+	}, 1e10, 1e6)
+	return exchange
+}
+
+func TestExchangesDoNotMix(t *testing.T) {
+	l := newLink(t)
+	l.open(t, kindCount, 0).Close()
+	var callers sync.WaitGroup
+	for n := range 50 {
+		callers.Go(func() {
+			exchange := l.open(t, kindCount, n)
+			defer exchange.Close()
+			for i := range n {
+				var got int
+				if err := exchange.Next(context.Background(), &got); err != nil || got != i {
+					t.Errorf("reply %d of %d is %d, %v", i, n, got, err)
+				}
+			}
+			var got int
+			if err := exchange.Next(context.Background(), &got); !errors.Is(err, io.EOF) {
+				t.Errorf("after the last reply: %v", err)
+			}
+		})
+	}
+	callers.Wait()
+}
+
+func TestRefusalArrivesAsItIs(t *testing.T) {
+	l := newLink(t)
+	exchange := l.open(t, kindRefuse, nil)
+	var refusal *fleet.RefusalError
+	require.ErrorAs(t, exchange.Next(context.Background(), new(int)), &refusal)
+	require.Equal(t, fleet.ReasonOverloaded, refusal.Reason)
+	require.Equal(t, fleet.NotRun, refusal.Outcome)
+}
+
+func TestClosingAnExchangeEndsItsHandler(t *testing.T) {
+	l := newLink(t)
+	exchange := l.open(t, kindWait, nil)
+	<-l.handler.begun
+	exchange.Close()
+	<-l.handler.ended
+}
+
+func TestWrongKeyIsTurnedAway(t *testing.T) {
+	l := newLink(t)
+	l.open(t, kindCount, 0).Close()
+	stranger := &peer.Pool{Key: "other"}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		stranger.Run(ctx)
+		close(ended)
+	}()
+	defer func() {
+		cancel()
+		<-ended
+	}()
+	_, err := stranger.Open(ctx, l.address, kindCount, 1)
+	var dial *peer.DialError
+	require.ErrorAs(t, err, &dial)
+}
--- a/fleet/peer/pool.go
+++ b/fleet/peer/pool.go
@@ -11,6 +11,7 @@
 	"github.com/coder/websocket"
 
 	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/traffic"
 )
 
 // keyHeader carries the fleet's key, which every host knows.
@@ -23,7 +24,7 @@
 // with the context that Run was given.
 type Pool struct {
 	Key     string
-	Traffic Traffic
+	Traffic traffic.Counter // of connections that this host has dialled
 
 	mu    sync.Mutex
 	conns map[fleet.Address]*slot
@@ -103,19 +104,21 @@
 func (p *Pool) dial(ctx context.Context, address fleet.Address) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	options := &websocket.DialOptions{HTTPHeader: http.Header{keyHeader: {p.Key}}}
+	transport := &http.Transport{DialContext: p.Traffic.Dial(dialTimeout)}
+	options := &websocket.DialOptions{
+		HTTPClient: &http.Client{Transport: transport}, HTTPHeader: http.Header{keyHeader: {p.Key}},
+	}
 	ws, _, err := websocket.Dial(ctx, "ws://"+string(address)+path, options)
 	if err != nil {
 		return nil, err
 	}
-	return newConn(address, ws, nil, &p.Traffic), nil
+	return newConn(address, ws, nil), nil
 }
 
 // A Server accepts the connections of other hosts.
 type Server struct {
 	Key     string
 	Handler Handler
-	Traffic *Traffic
 }
 
 var _ http.Handler = (*Server)(nil)
@@ -134,5 +137,5 @@
 	if err != nil {
 		return
 	}
-	newConn(fleet.Address(r.RemoteAddr), ws, s.Handler, s.Traffic).run(r.Context())
+	newConn(fleet.Address(r.RemoteAddr), ws, s.Handler).run(r.Context())
 }
--- /dev/null
+++ b/fleet/placement/placement_test.go
@@ -0,0 +1,99 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslb/fleet/cache"
+	"hibiscuslb/fleet/placement"
+)
+
+type item struct {
+	name   string
+	weight float64
+}
+
+func name(i item) string    { return i.name }
+func weight(i item) float64 { return i.weight }
+
+func items(n int) []item {
+	all := make([]item, n)
+	for i := range all {
+		all[i] = item{fmt.Sprint("target-", i), 1}
+	}
+	return all
+}
+
+func TestOnlyTheConversationsOfALeavingTargetMove(t *testing.T) {
+	before := items(10)
+	after := before[1:]
+	for root := range uint64(2000) {
+		first := placement.Rank(root, before, name, weight)
+		second := placement.Rank(root, after, name, weight)
+		if first[0] == before[0] {
+			require.Equal(t, first[1], second[0], "the second best takes over")
+		} else {
+			require.Equal(t, first[0], second[0])
+		}
+	}
+}
+
+func TestSharesFollowTheWeights(t *testing.T) {
+	all := items(4)
+	all[0].weight = 3
+	all[3].weight = 0
+	counts := make(map[string]int)
+	const roots = 50_000
+	for root := range uint64(roots) {
+		ranked := placement.Rank(root, all, name, weight)
+		require.Len(t, ranked, 3, "a weight of zero gets nothing")
+		counts[ranked[0].name]++
+	}
+	require.InDelta(t, 3.0/5, float64(counts["target-0"])/roots, 0.01)
+	require.InDelta(t, 1.0/5, float64(counts["target-1"])/roots, 0.01)
+}
+
+func TestPoliciesWeighTimeAndWork(t *testing.T) {
+	busyAndWarm := placement.Estimate{Queue: 300 * time.Millisecond}
+	idleAndCold := placement.Estimate{Compute: 200 * time.Millisecond}
+	estimates := []placement.Estimate{busyAndWarm, idleAndCold}
+	require.Equal(t, 1, placement.Best(placement.Quick{}, estimates), "the sooner first token")
+	require.Equal(t, 0, placement.Best(placement.Thrifty{}, estimates), "the less work")
+}
+
+func TestImportsOnlyWhatPays(t *testing.T) {
+	prompt := placement.Prompt{Tokens: 4 * cache.BlockTokens, Rate: 40_960}
+	fast, slow := 10*time.Millisecond, time.Second
+	cases := []struct {
+		name  string
+		fetch []time.Duration
+		want  int
+	}{
+		{"a fast link", []time.Duration{fast, fast, fast}, 3},
+		{"a slow link", []time.Duration{slow, slow, slow}, 0},
+		{"a link that is busy first", []time.Duration{150 * time.Millisecond, fast, fast}, 3},
+		{"a block that is on a slow disk", []time.Duration{fast, slow}, 1},
+		{"nothing stored", nil, 0},
+	}
+	for _, c := range cases {
+		count, estimate := placement.Imports(placement.Quick{}, prompt, c.fetch)
+		require.Equal(t, c.want, count, c.name)
+		require.Equal(t, prompt.Compute(c.want), estimate.Compute, c.name)
+	}
+}
+
+// BenchmarkRank ranks the targets of a fleet of 690 engines with ten models.
+func BenchmarkRank(b *testing.B) {
+	for _, n := range []int{69, 690} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			all := items(n)
+			b.ReportAllocs()
+			for root := range uint64(b.N) {
+				placement.Rank(root, all, name, weight)
+			}
+		})
+	}
+}
--- a/fleet/platform/http.go
+++ b/fleet/platform/http.go
@@ -9,10 +9,12 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/traffic"
 )
 
 // HTTPClient speaks to the object service over HTTP. Its calls are counted by
@@ -20,14 +22,21 @@
 type HTTPClient struct {
 	Address fleet.Address
 	Timeout time.Duration // of one call; a watch may wait longer by its wait
-	HTTP    http.Client
 
+	Traffic                traffic.Counter
 	Reads, Writes, Watches atomic.Uint64
+
+	once sync.Once
+	http http.Client
 }
 
 var _ Client = (*HTTPClient)(nil)
 
-const defaultTimeout = 2 * time.Second
+const (
+	defaultTimeout = 2 * time.Second
+	dialTimeout    = time.Second
+	idleConns      = 16
+)
 
 // Read implements Client.
 func (c *HTTPClient) Read(ctx context.Context, name Name) (Object, error) {
@@ -92,7 +101,12 @@
 	if err != nil {
 		return &UnknownError{Name: name, Cause: err}
 	}
-	response, err := c.HTTP.Do(request)
+	c.once.Do(func() {
+		c.http.Transport = &http.Transport{
+			DialContext: c.Traffic.Dial(dialTimeout), MaxIdleConnsPerHost: idleConns, IdleConnTimeout: time.Minute,
+		}
+	})
+	response, err := c.http.Do(request)
 	if err != nil {
 		return &UnknownError{Name: name, Cause: err}
 	}
--- /dev/null
+++ b/fleet/rollout/rollout_test.go
@@ -0,0 +1,73 @@
+package rollout_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/fuzzing"
+	"hibiscuslb/fleet/rollout"
+)
+
+// TestNoMoreLoadsThanTheStoreBears lets holders of the duty change without
+// notice. The oracle counts the loads that go on, over all holders.
+func TestNoMoreLoadsThanTheStoreBears(t *testing.T) {
+	const models, targets = 3, 7
+	fuzzing.Check(t, 2000, 80, func(t *rapid.T) {
+		now := fleet.Instant(time.Hour)
+		var slots rollout.Slots
+		loading := make(map[fleet.TargetID]fleet.Instant) // until when at the latest
+		modelOf := make(map[fleet.TargetID]fleet.ModelID)
+		finish := func() {
+			for id, until := range loading {
+				if now >= until {
+					delete(loading, id)
+				}
+			}
+		}
+		ask := func(t *rapid.T) {
+			model := fleet.ModelID(fmt.Sprint(rapid.IntRange(0, models-1).Draw(t, "model")))
+			id := fleet.TargetID(fmt.Sprint(model, "-", rapid.IntRange(0, targets-1).Draw(t, "target")))
+			if _, busy := loading[id]; busy || !slots.Grant(now, id, model, targets) {
+				return
+			}
+			modelOf[id] = model
+			loading[id] = now.Add(rollout.SlotTime)
+			ofModel := 0
+			for other := range loading {
+				if modelOf[other] == model {
+					ofModel++
+				}
+			}
+			if len(loading) > rollout.Limit || ofModel > targets/3 {
+				t.Fatalf("%d loads at once, %d of model %s", len(loading), ofModel, model)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"ask": ask, "ask2": ask, "ask3": ask,
+			"pass": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 9000).Draw(t, "ms")) * time.Millisecond)
+				finish()
+			},
+			"over": func(t *rapid.T) {
+				for m := range models {
+					for n := range targets {
+						id := fleet.TargetID(fmt.Sprint(m, "-", n))
+						if _, busy := loading[id]; busy {
+							delete(loading, id)
+							slots.Over(id)
+							return
+						}
+					}
+				}
+			},
+			"newHolder": func(*rapid.T) {
+				slots = rollout.Slots{}
+				slots.TakeOver(now)
+			},
+		})
+	})
+}
--- /dev/null
+++ b/fleet/service/service_test.go
@@ -0,0 +1,100 @@
+package service_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/service"
+)
+
+func address(server *httptest.Server) fleet.Address {
+	return fleet.Address(strings.TrimPrefix(server.URL, "http://"))
+}
+
+// TestCallIsNeverSentTwice closes each connection after the call has run and
+// before it is answered. An HTTP transport sends a call again by itself if its
+// connection was used before, the method or an Idempotency-Key allows it and
+// the body is empty or can be read anew.
+func TestCallIsNeverSentTwice(t *testing.T) {
+	var runs atomic.Int32
+	drop := new(atomic.Bool)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		if drop.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		w.WriteHeader(http.StatusOK)
+	}))
+	defer server.Close()
+	client := service.Client{Address: address(server)}
+	for _, body := range [][]byte{nil, []byte("x")} {
+		call := service.Call{Operation: "book", Key: "k", Body: body}
+		drop.Store(false)
+		for range 3 {
+			_, err := client.Do(context.Background(), call)
+			require.NoError(t, err)
+		}
+		runs.Store(0)
+		drop.Store(true)
+		_, err := client.Do(context.Background(), call)
+		var broken *service.BrokenError
+		require.ErrorAs(t, err, &broken)
+		require.Equal(t, int32(1), runs.Load())
+	}
+}
+
+func TestOutcomesAreToldApart(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	nobody := fleet.Address(listener.Addr().String())
+	require.NoError(t, listener.Close())
+	client := service.Client{Address: nobody}
+	_, err = client.Do(context.Background(), service.Call{Operation: "book"})
+	var refused *service.RefusedError
+	require.ErrorAs(t, err, &refused, "nobody listens: not run")
+
+	cases := []struct {
+		name    string
+		status  int
+		notRun  bool
+		refused bool
+		broken  bool
+	}{
+		{"an answer", http.StatusOK, false, false, false},
+		{"the service's own refusal is its answer", http.StatusPaymentRequired, false, false, false},
+		{"a refusal with proof", http.StatusServiceUnavailable, true, true, false},
+		{"a failure without proof may have run", http.StatusServiceUnavailable, false, false, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if c.notRun {
+					w.Header().Set("Outcome", "NotRun")
+				}
+				w.WriteHeader(c.status)
+			}))
+			defer server.Close()
+			client := service.Client{Address: address(server)}
+			answer, err := client.Do(context.Background(), service.Call{Operation: "book"})
+			var refused *service.RefusedError
+			var broken *service.BrokenError
+			switch {
+			case c.refused:
+				require.ErrorAs(t, err, &refused)
+			case c.broken:
+				require.ErrorAs(t, err, &broken)
+			default:
+				require.NoError(t, err)
+				require.Equal(t, c.status, answer.Status)
+			}
+		})
+	}
+}
--- a/fleet/target/admission.go
+++ b/fleet/target/admission.go
@@ -144,6 +144,10 @@
 // Cold reports whether the target bears no more than its cold limit.
 func (a *Admission) Cold() bool { return a.limit <= a.limits.Cold }
 
+// Uncertain reports whether a new report would tell much: the last one said
+// cold, or none has come since a takeover.
+func (a *Admission) Uncertain() bool { return a.cold || a.unproved || a.inherited > 0 }
+
 func (a *Admission) room() bool { return !a.unproved && a.InFlight() < a.limit }
 
 // Offer decides on a request that has arrived. A more urgent request may take
--- a/hibiscusd/internal/keeper/keeper.go
+++ b/hibiscusd/internal/keeper/keeper.go
@@ -37,13 +37,13 @@
 const (
 	expireTime = 100 * time.Millisecond
 	reportTime = 2 * time.Second
-	// coldReportTime is how often a cold target, or one that was taken over,
-	// is asked for its report.
-	coldReportTime = 500 * time.Millisecond
-	reportTimeout  = time.Second
-	downTime       = time.Second
-	residentLimit  = 20_000 // keys, of 32 bytes each
-	exportsQueued  = 64
+	// uncertainReportTime is how often a target is asked that is cold or was
+	// taken over.
+	uncertainReportTime = 500 * time.Millisecond
+	reportTimeout       = time.Second
+	downTime            = time.Second
+	residentLimit       = 20_000 // keys, of 32 bytes each
+	exportsQueued       = 64
 )
 
 func newKeeper(set *Set, declared *declaration.Target, epoch fleet.Epoch) *Keeper {
@@ -103,8 +103,8 @@
 func (k *Keeper) reportEvery() time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.admission.Cold() {
-		return coldReportTime
+	if k.admission.Uncertain() {
+		return uncertainReportTime
 	}
 	return reportTime
 }
--- a/hibiscusd/internal/node/node.go
+++ b/hibiscusd/internal/node/node.go
@@ -14,10 +14,12 @@
 	"github.com/rs/zerolog"
 
 	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/engine"
 	"hibiscuslb/fleet/lease"
 	"hibiscuslb/fleet/meter"
 	"hibiscuslb/fleet/peer"
 	"hibiscuslb/fleet/platform"
+	"hibiscuslb/fleet/traffic"
 	"hibiscuslb/hibiscusd/internal/control"
 	"hibiscuslb/hibiscusd/internal/entry"
 	"hibiscuslb/hibiscusd/internal/keeper"
@@ -91,13 +93,20 @@
 		}
 	})
 	n.metrics.Show("Peers", func() any {
-		return struct{ Sent, Received int64 }{n.pool.Traffic.Sent.Load(), n.pool.Traffic.Received.Load()}
+		return bytesOf(&n.pool.Traffic)
 	})
+	n.metrics.Show("PlatformBytes", func() any { return bytesOf(&n.direct.Traffic) })
+	n.metrics.Show("TargetBytes", func() any { return bytesOf(engine.Traffic()) })
 	n.metrics.Show("Goroutines", func() any { return runtime.NumGoroutine() })
 	n.metrics.Show("Targets", func() any { return n.keepers.Statuses() })
 	n.metrics.Show("Lease", func() any { return n.control.Until().Sub(n.clock()).String() })
 }
 
+// Bytes is what a process has sent and received.
+type Bytes struct{ Sent, Received int64 }
+
+func bytesOf(c *traffic.Counter) Bytes { return Bytes{c.Sent.Load(), c.Received.Load()} }
+
 // servers are the listeners of a node.
 type servers struct {
 	callers, hosts, operators *http.Server
@@ -153,7 +162,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "callers' interface")
 	}
-	hosts := &peer.Server{Key: n.settings.FleetKey, Handler: n, Traffic: &n.pool.Traffic}
+	hosts := &peer.Server{Key: n.settings.FleetKey, Handler: n}
 	s := &servers{failed: make(chan error, 3)}
 	listeners := []struct {
 		server  **http.Server
@@ -170,6 +179,9 @@
 			s.close()
 			return nil, eris.Wrapf(err, "listen at %s", l.address)
 		}
+		if l.server == &s.hosts {
+			listener = n.pool.Traffic.Listener(listener)
+		}
 		server := &http.Server{
 			Handler: l.handler, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 16 << 10,
 			BaseContext: func(net.Listener) context.Context { return ctx },
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -56,14 +56,14 @@
 	NODE_PID[$2]=$!
 }
 
-# wait_ready INDEX... waits until the nodes are ready, for up to a minute.
-wait_ready() {
-	local tries=0
-	for i in "$@"; do
-		until curl -fsS -o /dev/null "http://127.0.0.1:22${i}02/ready" 2>/dev/null; do
+# wait_urls URL... waits until all of them answer well, for up to a minute.
+wait_urls() {
+	local tries=0 url
+	for url in "$@"; do
+		until curl -fsS -o /dev/null "$url" 2>/dev/null; do
 			tries=$((tries + 1))
 			if [ "$tries" -gt 600 ]; then
-				echo "node $i is not ready" >&2
+				echo "$url does not answer" >&2
 				return 1
 			fi
 			sleep 0.1
@@ -71,6 +71,12 @@
 	done
 }
 
+# wait_ready INDEX... waits until the nodes are ready.
+wait_ready() {
+	local i
+	for i in "$@"; do wait_urls "http://127.0.0.1:22${i}02/ready"; done
+}
+
 # start_targets MODEL starts four engines, two stores, a service and the
 # weight store.
 start_targets() {
