Balance the witnesses, and end single replies in one frame

Cause: at 100 nodes the mean node spent 630 B/s on other hosts, the worst 1983 B/s in all: witnesses were chosen by rendezvous hashing for each host, so some hosts witnessed many more than others, and each heartbeat took three frames with field names in them. Witnesses are now the next on a ring of hashed names, a single reply ends its exchange, and seats travel as arrays.

--- a/fleet/lease/lease.go
+++ b/fleet/lease/lease.go
@@ -58,6 +58,7 @@
 
 // A Seat is one life of a host on a panel.
 type Seat struct {
+	_           struct{} `cbor:",toarray"`
 	Host        fleet.HostID
 	Incarnation fleet.Incarnation
 }
--- a/fleet/lease/witness.go
+++ b/fleet/lease/witness.go
@@ -54,7 +54,7 @@
 	if seat.Incarnation > w.Self.Incarnation {
 		return false
 	}
-	holder := Seat{member.Host, member.Incarnation}
+	holder := Seat{Host: member.Host, Incarnation: member.Incarnation}
 	if w.refused == nil {
 		w.refused = make(map[Seat]fleet.Version)
 	}
--- a/fleet/peer/conn.go
+++ b/fleet/peer/conn.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"sync"
@@ -14,11 +15,11 @@
 )
 
 // A Handler serves the exchanges that others open. Send may be called any
-// number of times before Handle returns; the error that Handle returns ends
-// the exchange, nil for a good end. The context ends when the other side gives
-// up.
+// number of times before Handle returns. What Handle returns ends the exchange:
+// an error, or a last reply, which is nil if there is none. The context ends
+// when the other side gives up.
 type Handler interface {
-	Handle(ctx context.Context, kind Kind, body cbor.RawMessage, send func(any) error) error
+	Handle(ctx context.Context, kind Kind, body cbor.RawMessage, send func(any) error) (any, error)
 }
 
 // conn is one connection, of either direction.
@@ -105,7 +106,7 @@
 	tasks.Go(func() {
 		defer cancel()
 		send := func(body any) error { return c.send(ctx, f.Exchange, kindReply, body) }
-		err := c.handler.Handle(ctx, f.Kind, f.Body, send)
+		last, err := c.handler.Handle(ctx, f.Kind, f.Body, send)
 		c.mu.Lock()
 		delete(c.serving, f.Exchange)
 		c.idle = time.Now()
@@ -114,7 +115,7 @@
 		if err != nil {
 			_ = c.send(ctx, f.Exchange, kindFail, fail(err))
 		} else {
-			_ = c.send(ctx, f.Exchange, kindEnd, nil)
+			_ = c.send(ctx, f.Exchange, kindEnd, last)
 		}
 	})
 }
@@ -237,6 +238,9 @@
 	case kindReply:
 		e.replies = append(e.replies, f.Body)
 	case kindEnd:
+		if !bytes.Equal(f.Body, null) {
+			e.replies = append(e.replies, f.Body)
+		}
 		e.end = io.EOF
 	case kindFail:
 		var failed failure
--- a/fleet/peer/frame.go
+++ b/fleet/peer/frame.go
@@ -1,7 +1,7 @@
 // Package peer carries messages between hosts, as CBOR over WebSocket.
 //
 // Two hosts share one connection in each direction of dialling. An exchange is
-// one request with any number of replies and an end; many exchanges run on a
+// one request with any number of replies, of which the last may end it; many exchanges run on a
 // connection at once. Whoever ends an exchange early says so, and the other
 // side's context ends.
 //
@@ -41,7 +41,7 @@
 	_        struct{} `cbor:",toarray"`
 	Exchange uint64
 	Kind     Kind
-	Body     cbor.RawMessage
+	Body     cbor.RawMessage // the null value for none
 }
 
 // failure is the body of a kindFail frame.
@@ -92,12 +92,15 @@
 	idleTime = time.Minute
 )
 
+// null is the coded form of no body.
+var null = cbor.RawMessage{0xf6}
+
 var errClosed = errors.New("closed")
 
 // encode marshals a body, which is always one of our own types.
 func encode(body any) (cbor.RawMessage, error) {
 	if body == nil {
-		return nil, nil
+		return null, nil
 	}
 	data, err := cbor.Marshal(body)
 	if err != nil {
--- a/fleet/peer/peer_test.go
+++ b/fleet/peer/peer_test.go
@@ -27,26 +27,26 @@
 	begun, ended chan struct{}
 }
 
-func (h *handler) Handle(ctx context.Context, kind peer.Kind, body cbor.RawMessage, send func(any) error) error {
+func (h *handler) Handle(ctx context.Context, kind peer.Kind, body cbor.RawMessage, send func(any) error) (any, error) {
 	switch kind {
 	case kindCount:
 		var n int
 		if err := cbor.Unmarshal(body, &n); err != nil {
-			return err
+			return nil, err
 		}
 		for i := range n {
 			if err := send(i); err != nil {
-				return err
+				return nil, err
 			}
 		}
-		return nil
+		return nil, nil
 	case kindRefuse:
-		return fleet.Refuse(fleet.ReasonOverloaded, "full")
+		return nil, fleet.Refuse(fleet.ReasonOverloaded, "full")
 	default:
 		close(h.begun)
 		<-ctx.Done()
 		close(h.ended)
-		return ctx.Err()
+		return nil, ctx.Err()
 	}
 }
 
--- a/hibiscusd/internal/control/membership.go
+++ b/hibiscusd/internal/control/membership.go
@@ -1,17 +1,18 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
 	"hibiscuslb/fleet"
-	"hibiscuslb/fleet/cache"
 	"hibiscuslb/fleet/lease"
-	"hibiscuslb/fleet/placement"
 	"hibiscuslb/fleet/platform"
 	"hibiscuslb/hibiscusd/internal/wire"
 )
@@ -178,24 +179,15 @@
 	return len(c.choosePanel()) <= size
 }
 
-// choosePanel picks witnesses among the active members of the region, no more
-// than half of them of one data centre where others can be had, so that the
-// loss of a data centre leaves enough of them to end this host.
+// choosePanel picks witnesses among the active members of the region: those
+// that follow this host on a ring of hashed names, so that every host witnesses
+// about as many as it has witnesses. No more than half of them are of one data
+// centre where others can be had, so that the loss of a data centre leaves
+// enough of them to end this host.
 func (c *Control) choosePanel() lease.Panel {
-	var candidates []*lease.Member
-	for _, member := range c.members {
-		if member.Host != c.Host.ID && member.State == lease.Active && member.Region == c.Host.Region {
-			candidates = append(candidates, member)
-		}
-	}
-	root := uint64(cache.RootOf("", []byte(c.Host.ID)))
-	ranked := placement.Rank(root, candidates,
-		func(member *lease.Member) string { return string(member.Host) },
-		func(*lease.Member) float64 { return 1 })
-	var panel lease.Panel
+	var panel, spare lease.Panel
 	perCentre := make(map[fleet.DataCentreID]int)
-	var spare []lease.Seat
-	for _, member := range ranked {
+	for _, member := range c.ring() {
 		seat := lease.Seat{Host: member.Host, Incarnation: member.Incarnation}
 		if perCentre[member.DataCentre] >= panelSize/2 {
 			spare = append(spare, seat)
@@ -208,6 +200,24 @@
 	return panel[:min(len(panel), panelSize)]
 }
 
+// ring returns the active members of the region in the order in which they
+// follow this host.
+func (c *Control) ring() []*lease.Member {
+	var members []*lease.Member
+	for _, member := range c.members {
+		if member.Host != c.Host.ID && member.State == lease.Active && member.Region == c.Host.Region {
+			members = append(members, member)
+		}
+	}
+	place := func(host fleet.HostID) uint64 { return xxhash.Sum64String(string(host)) }
+	self := place(c.Host.ID)
+	slices.SortFunc(members, func(a, b *lease.Member) int {
+		// The distance wraps around.
+		return cmp.Or(cmp.Compare(place(a.Host)-self, place(b.Host)-self), cmp.Compare(a.Host, b.Host))
+	})
+	return members
+}
+
 // beat asks the panel for grants.
 func (c *Control) beat(ctx context.Context, now fleet.Instant) {
 	if now.Sub(c.lastBeat) < c.beatTime() {
--- a/hibiscusd/internal/node/node.go
+++ b/hibiscusd/internal/node/node.go
@@ -250,46 +250,46 @@
 var _ peer.Handler = (*Node)(nil)
 
 // Handle implements peer.Handler.
-func (n *Node) Handle(ctx context.Context, kind peer.Kind, body cbor.RawMessage, send func(any) error) error {
+func (n *Node) Handle(ctx context.Context, kind peer.Kind, body cbor.RawMessage, send func(any) error) (any, error) {
 	switch kind {
 	case wire.KindBeat:
-		return answer(body, send, func(beat lease.Beat) (lease.Grant, error) { return n.control.Beat(ctx, beat), nil })
+		return answer(body, func(beat lease.Beat) (lease.Grant, error) { return n.control.Beat(ctx, beat), nil })
 	case wire.KindRefuse:
-		return answer(body, send, func(ask wire.RefuseAsk) (wire.RefuseAnswer, error) {
+		return answer(body, func(ask wire.RefuseAsk) (wire.RefuseAnswer, error) {
 			return wire.RefuseAnswer{Refused: n.control.Refuse(ctx, ask)}, nil
 		})
 	case wire.KindRead:
-		return answer(body, send, func(read wire.Read) (wire.Stored, error) {
+		return answer(body, func(read wire.Read) (wire.Stored, error) {
 			return relay.Serve(ctx, n.direct, &read, nil)
 		})
 	case wire.KindWrite:
-		return answer(body, send, func(write wire.Write) (wire.Stored, error) {
+		return answer(body, func(write wire.Write) (wire.Stored, error) {
 			return relay.Serve(ctx, n.direct, nil, &write)
 		})
 	case wire.KindSlot:
-		return answer(body, send, n.keepers.Slot)
+		return answer(body, n.keepers.Slot)
 	case wire.KindOrder:
-		return answer(body, send, func(ask wire.Order) (wire.OrderAnswer, error) { return n.keepers.Order(ctx, &ask) })
+		return answer(body, func(ask wire.Order) (wire.OrderAnswer, error) { return n.keepers.Order(ctx, &ask) })
 	case wire.KindGenerate:
 		var ask wire.Generate
 		if err := cbor.Unmarshal(body, &ask); err != nil {
-			return fleet.Refuse(fleet.ReasonMalformed, err.Error())
+			return nil, fleet.Refuse(fleet.ReasonMalformed, err.Error())
 		}
-		return n.keepers.Generate(ctx, &ask, func(piece *wire.Piece) error { return send(piece) })
+		return nil, n.keepers.Generate(ctx, &ask, func(piece *wire.Piece) error { return send(piece) })
 	default:
-		return fleet.Refuse(fleet.ReasonMalformed, "unknown kind of request")
+		return nil, fleet.Refuse(fleet.ReasonMalformed, "unknown kind of request")
 	}
 }
 
 // answer serves a request that has one reply.
-func answer[Ask, Reply any](body cbor.RawMessage, send func(any) error, serve func(Ask) (Reply, error)) error {
+func answer[Ask, Reply any](body cbor.RawMessage, serve func(Ask) (Reply, error)) (any, error) {
 	var ask Ask
 	if err := cbor.Unmarshal(body, &ask); err != nil {
-		return fleet.Refuse(fleet.ReasonMalformed, err.Error())
+		return nil, fleet.Refuse(fleet.ReasonMalformed, err.Error())
 	}
 	reply, err := serve(ask)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	return send(reply)
+	return reply, nil
 }
--- a/hibiscusd/internal/proof/silent_test.go
+++ b/hibiscusd/internal/proof/silent_test.go
@@ -23,7 +23,7 @@
 	kindEcho
 )
 
-func (p *patient) Handle(ctx context.Context, kind peer.Kind, _ cbor.RawMessage, send func(any) error) error {
+func (p *patient) Handle(ctx context.Context, kind peer.Kind, _ cbor.RawMessage, _ func(any) error) (any, error) {
 	if kind == kindWait {
 		close(p.begun)
 		select {
@@ -31,7 +31,7 @@
 		case <-ctx.Done():
 		}
 	}
-	return send(true)
+	return true, nil
 }
 
 // TestSilentConnectionIsReplaced lets a connection between two hosts go silent
--- a/hibiscusload/internal/command/command.go
+++ b/hibiscusload/internal/command/command.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -16,6 +17,8 @@
 	"hibiscuslb/fleet/operator"
 	"hibiscuslb/hibiscusload/internal/control"
 	"hibiscuslb/hibiscusload/internal/demo"
+	"hibiscuslb/hibiscusload/internal/experiment"
+	"hibiscuslb/hibiscusload/internal/report"
 	"hibiscuslb/hibiscusload/internal/target"
 )
 
@@ -28,6 +31,10 @@
 	pids, label             string
 	time                    time.Duration
 	changes                 int
+	run                     experiment.Experiment
+	model, workspace        string
+	platform, events        string
+	folder                  string
 }
 
 // Run parses the command line and carries out the command.
@@ -48,6 +55,12 @@
 	parser.AttachSubcommand(show, 1)
 	cost := o.controlCommand()
 	parser.AttachSubcommand(cost, 1)
+	run := o.runCommand()
+	parser.AttachSubcommand(run, 1)
+	table := flaggy.NewSubcommand("report")
+	table.Description = "show all runs of a folder as a table and as plots"
+	table.String(&o.folder, "f", "folder", "folder of the runs")
+	parser.AttachSubcommand(table, 1)
 	if err := parser.ParseArgs(args); err != nil {
 		return err
 	}
@@ -57,6 +70,12 @@
 	if cost.Used {
 		return o.control(ctx, out)
 	}
+	if run.Used {
+		return o.experiment(ctx)
+	}
+	if table.Used {
+		return o.report(out)
+	}
 	parser.ShowHelp()
 	return errors.New("name a command")
 }
@@ -87,6 +106,63 @@
 	return m.Run(ctx)
 }
 
+func (o *options) runCommand() *flaggy.Subcommand {
+	o.folder = "out/bench"
+	o.run = experiment.Experiment{
+		Name: "run", Route: "Fleet", Deployment: "Kandyan", Key: "clerks-key",
+		Conversations: 60, Requests: 600, Rate: 10, Seed: 1,
+	}
+	o.model, o.workspace = "answer", "clerks"
+	sub := flaggy.NewSubcommand("run")
+	sub.Description = "send a workload through a fleet or a baseline and measure"
+	sub.String(&o.run.Name, "", "name", "name of the run")
+	sub.String(&o.run.Route, "", "route", "Fleet, Random or Hash")
+	sub.String(&o.run.Deployment, "", "deployment", "Kandyan or Kypseli")
+	sub.String(&o.run.Key, "", "caller-key", "key of the workspace")
+	sub.String(&o.model, "", "model", "model that is asked")
+	sub.String(&o.workspace, "", "workspace", "workspace that asks")
+	sub.String(&o.platform, "", "platform", "address of the platform, for its faults")
+	sub.String(&o.events, "", "events", "what is brought about, such as \"0.3 out negombo, 0.6 back negombo\"")
+	sub.String(&o.folder, "f", "folder", "folder for the result")
+	sub.Int(&o.run.Conversations, "", "conversations", "conversations that return")
+	sub.Int(&o.run.Requests, "", "requests", "requests in all")
+	sub.Float64(&o.run.Rate, "", "rate", "requests per second")
+	sub.UInt64(&o.run.Seed, "", "seed", "seed of all that is random")
+	return sub
+}
+
+func (o *options) experiment(ctx context.Context) error {
+	events, err := experiment.ParseEvents(o.events)
+	if err != nil {
+		return err
+	}
+	e := &o.run
+	e.Events = events
+	e.Model, e.Workspace = fleet.ModelID(o.model), fleet.WorkspaceID(o.workspace)
+	e.Entries, e.Targets, e.Platform = addresses(o.entries), o.targets(), fleet.Address(o.platform)
+	e.Operator = operator.Client{Hosts: addresses(o.operators), Key: o.key}
+	e.Progress = os.Stderr
+	result, err := e.Run(ctx)
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(o.folder, 0o755); err != nil {
+		return err
+	}
+	return result.Save(o.folder)
+}
+
+func (o *options) report(out io.Writer) error {
+	runs, err := report.Load(o.folder)
+	if err != nil {
+		return err
+	}
+	if err := report.Table(out, runs); err != nil {
+		return err
+	}
+	return report.Plot(o.folder, runs)
+}
+
 func addresses(text string) []fleet.Address {
 	var list []fleet.Address
 	for address := range strings.SplitSeq(text, ",") {
--- /dev/null
+++ b/hibiscusload/internal/experiment/collect.go
@@ -0,0 +1,87 @@
+package experiment
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"hibiscuslb/fleet/meter"
+	"hibiscuslb/hibiscusload/internal/report"
+	"hibiscuslb/hibiscusload/internal/target"
+)
+
+var errWrong = errors.New("experiment: answer of another prompt")
+
+// collector gathers the outcomes of a run.
+type collector struct {
+	experiment *Experiment
+	mu         sync.Mutex
+	first      meter.Histograms
+	between    meter.Histograms
+	result     report.Run
+}
+
+func newCollector(e *Experiment) *collector {
+	return &collector{experiment: e, result: report.Run{
+		Name: e.Name, Route: e.Route, Deployment: e.Deployment, Rate: e.Rate, Seed: e.Seed, Refusals: make(map[string]int),
+	}}
+}
+
+// mark notes that an event has been brought about.
+func (c *collector) mark(name string, at time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.result.Events = append(c.result.Events, report.Mark{Name: name, At: at})
+}
+
+func (c *collector) add(o outcome, begun time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := &c.result
+	r.Requests++
+	switch {
+	case errors.Is(o.err, errWrong):
+		r.Wrong++
+		return
+	case refused(o.err):
+		r.Refused++
+		r.Refusals[o.err.Error()]++
+		return
+	case o.err != nil:
+		r.Unknown++
+		r.Refusals[o.err.Error()]++
+		return
+	}
+	r.Whole++
+	series := meter.Series{Workspace: o.workspace, Class: o.class}
+	c.first.Record(series, o.answer.FirstToken)
+	for _, d := range o.answer.Between {
+		c.between.Record(series, d)
+	}
+	if o.deadline > 0 && o.answer.FirstToken > o.deadline {
+		r.Late++
+	}
+	r.Points = append(r.Points, report.Point{At: o.began.Sub(begun), FirstToken: o.answer.FirstToken})
+}
+
+// run returns the measures, given the counters of the stand-ins before and
+// after.
+func (c *collector) run(before, after *target.Counts, took time.Duration) *report.Run {
+	r := &c.result
+	r.Took = took
+	r.FirstToken = c.first.Summaries()
+	r.Between = c.between.Summaries()
+	prompt := after.Engine.PromptTokens - before.Engine.PromptTokens
+	cached := after.Engine.CachedTokens - before.Engine.CachedTokens
+	if prompt > 0 {
+		r.Recomputed = 1 - float64(cached)/float64(prompt)
+	}
+	r.MemoryBytes = after.Store.MemoryBytes - before.Store.MemoryBytes
+	r.DiskBytes = after.Store.DiskBytes - before.Store.DiskBytes
+	r.WrittenBytes = after.Store.WrittenBytes - before.Store.WrittenBytes
+	if stores := len(c.experiment.Targets.Stores); stores > 0 {
+		r.LinkUse = (after.Store.LinkBusy - before.Store.LinkBusy).Seconds() / took.Seconds() / float64(stores)
+	}
+	r.Overloads = after.Engine.Overloads - before.Engine.Overloads
+	return r
+}
--- /dev/null
+++ b/hibiscusload/internal/report/plot.go
@@ -0,0 +1,83 @@
+package report
+
+import (
+	"cmp"
+	"fmt"
+	"path/filepath"
+	"slices"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	width  = 18 * vg.Centimeter
+	height = 10 * vg.Centimeter
+)
+
+// Plot draws, for each deployment, how the times to first token of its runs
+// are distributed, and for each run with events how they went over time.
+func Plot(folder string, runs []*Run) error {
+	byDeployment := make(map[string][]*Run)
+	for _, r := range runs {
+		if len(r.Events) > 0 {
+			if err := plotTimes(folder, r); err != nil {
+				return err
+			}
+			continue
+		}
+		byDeployment[r.Deployment] = append(byDeployment[r.Deployment], r)
+	}
+	for name, group := range byDeployment {
+		if err := plotDistribution(folder, name, group); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func plotDistribution(folder, name string, runs []*Run) error {
+	p := plot.New()
+	p.Title.Text = name
+	p.X.Label.Text = "time to first token, s"
+	p.Y.Label.Text = "share of answers"
+	var lines []any
+	for _, r := range runs {
+		points := slices.Clone(r.Points)
+		slices.SortFunc(points, func(a, b Point) int { return cmp.Compare(a.FirstToken, b.FirstToken) })
+		line := make(plotter.XYs, len(points))
+		for i, point := range points {
+			line[i].X = point.FirstToken.Seconds()
+			line[i].Y = float64(i+1) / float64(len(points))
+		}
+		lines = append(lines, r.Name, line)
+	}
+	if err := plotutil.AddLines(p, lines...); err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	p.Legend.Left = false
+	return p.Save(width, height, filepath.Join(folder, "first-token-"+name+".svg"))
+}
+
+func plotTimes(folder string, r *Run) error {
+	p := plot.New()
+	p.Title.Text = r.Name
+	for _, mark := range r.Events {
+		p.Title.Text += fmt.Sprintf("   %s at %.0f s", mark.Name, mark.At.Seconds())
+	}
+	p.X.Label.Text = "time of arrival, s"
+	p.Y.Label.Text = "time to first token, s"
+	points := make(plotter.XYs, len(r.Points))
+	for i, point := range r.Points {
+		points[i].X, points[i].Y = point.At.Seconds(), point.FirstToken.Seconds()
+	}
+	scatter, err := plotter.NewScatter(points)
+	if err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	scatter.Radius = vg.Points(1.5)
+	p.Add(scatter)
+	return p.Save(width, height, filepath.Join(folder, r.Name+".svg"))
+}
