Hold large declarations and many order keys within their limits

Cause, found by scripts/capacity.sh with 23,000 workspaces: the change that declares them all did not fit into an object of the platform (status 413).

Orders: the index of a log held attempt, answer and times of each key. Writes of one log are at least 100 ms apart under load, and there are 32 logs instead of 256, since at 210 orders a second a group forms only where entries meet.

--- a/fleet/edition/edition.go
+++ b/fleet/edition/edition.go
@@ -51,8 +51,17 @@
 	Base    Number                 // of the snapshot
 	BaseID  declaration.ChangeID   // of the change that was folded last
 	Parts   int                    // of the snapshot
-	Changes []declaration.ChangeID // from Base+1 to Number
-	Folded  []declaration.ChangeID // the latest of those in the snapshot, for who reads back
+	Changes []declaration.ChangeID // the latest, up to Number; they may begin before Base
+}
+
+// since returns the changes after the given version, or false if not all of
+// them are listed.
+func (h *Head) since(number Number) ([]declaration.ChangeID, bool) {
+	missing := int(h.Number) - int(number)
+	if missing < 0 || missing > len(h.Changes) {
+		return nil, false
+	}
+	return h.Changes[len(h.Changes)-missing:], true
 }
 
 // An Edition is a document with its number.
@@ -123,16 +132,20 @@
 		return nil, err
 	}
 	next := &Edition{Number: head.Number, seen: object.Version, head: head}
-	first := head.Base
-	switch {
-	case from != nil && from.Number >= head.Base:
-		next.Document, first = from.Document, from.Number
-	default:
+	var changes []declaration.ChangeID
+	listed := false
+	if from != nil {
+		changes, listed = head.since(from.Number)
+	}
+	if listed {
+		next.Document = from.Document
+	} else {
 		if next.Document, err = loadParts(ctx, client, head); err != nil {
 			return nil, err
 		}
+		changes, _ = head.since(head.Base) // those are always listed
 	}
-	for _, id := range head.Changes[first-head.Base:] {
+	for _, id := range changes {
 		change, err := loadChange(ctx, client, id)
 		if err != nil {
 			return nil, err
@@ -187,24 +200,12 @@
 	if _, err := declaration.Build(document, now); err != nil {
 		return nil, err
 	}
-	value, err := cbor.Marshal(change)
+	head, err := store(ctx, client, &seen.head, change, document)
 	if err != nil {
-		return nil, fmt.Errorf("edition: %w", err)
-	}
-	if err := create(ctx, client, changeName+platform.Name(change.ID), value); err != nil {
 		return nil, err
 	}
-	head := seen.head
-	head.Number++
-	head.Changes = append(slices.Clone(head.Changes), change.ID)
-	if len(head.Changes) > changesKept || (head.Base == 0 && len(change.Put) > partSections) {
-		folded := head.Changes[max(0, len(head.Changes)-changesKept):]
-		if head, err = fold(ctx, client, head.Number, change.ID, document); err != nil {
-			return nil, err
-		}
-		head.Folded = folded
-	}
-	if value, err = cbor.Marshal(head); err != nil {
+	value, err := cbor.Marshal(head)
+	if err != nil {
 		return nil, fmt.Errorf("edition: %w", err)
 	}
 	version, err := client.Write(ctx, HeadName, value, seen.seen)
@@ -214,6 +215,38 @@
 	return settle(ctx, client, seen, change, err)
 }
 
+// store writes the change, and if it is due a snapshot, and returns the head
+// that names them. A change of many sections would not fit into an object and
+// is written as a snapshot only.
+func store(ctx context.Context, client platform.Client, seen *Head, change *declaration.Change, document declaration.Document) (Head, error) {
+	head := *seen
+	head.Number++
+	large := len(change.Put)+len(change.Drop) > partSections
+	stored := *change
+	if large {
+		stored.Put, stored.Drop = nil, nil
+	}
+	value, err := cbor.Marshal(stored)
+	if err != nil {
+		return head, fmt.Errorf("edition: %w", err)
+	}
+	if err := create(ctx, client, changeName+platform.Name(change.ID), value); err != nil {
+		return head, err
+	}
+	head.Changes = append(slices.Clone(head.Changes), change.ID)
+	if !large && head.Number-head.Base <= changesKept {
+		return head, nil
+	}
+	if err := fold(ctx, client, &head, change.ID, document); err != nil {
+		return head, err
+	}
+	if large {
+		head.Changes = nil // nobody can go on by changes
+	}
+	head.Changes = head.Changes[max(0, len(head.Changes)-changesKept):]
+	return head, nil
+}
+
 // create writes an object that must not exist. Its name is unique to the
 // writer, so an object that exists is the writer's own, written before.
 func create(ctx context.Context, client platform.Client, name platform.Name, value []byte) error {
@@ -225,21 +258,20 @@
 	return err
 }
 
-// fold writes the document as a snapshot and returns the head that names it.
-func fold(ctx context.Context, client platform.Client, number Number, id declaration.ChangeID, document declaration.Document) (Head, error) {
-	sections := document.Sorted()
-	head := Head{Number: number, Base: number, BaseID: id}
-	for chunk := range slices.Chunk(sections, partSections) {
+// fold writes the document as a snapshot, which the head names from then on.
+func fold(ctx context.Context, client platform.Client, head *Head, id declaration.ChangeID, document declaration.Document) error {
+	head.Base, head.BaseID, head.Parts = head.Number, id, 0
+	for chunk := range slices.Chunk(document.Sorted(), partSections) {
 		value, err := cbor.Marshal(chunk)
 		if err != nil {
-			return head, fmt.Errorf("edition: %w", err)
+			return fmt.Errorf("edition: %w", err)
 		}
 		if err := create(ctx, client, partOf(id, head.Parts), value); err != nil {
-			return head, err
+			return err
 		}
 		head.Parts++
 	}
-	return head, nil
+	return nil
 }
 
 // settle finds out what became of a change whose head write failed or got no
@@ -268,15 +300,14 @@
 // is still listed.
 func Race(ctx context.Context, client platform.Client, read Number, current *Edition) *RaceError {
 	race := &RaceError{Read: read, Current: current.Number}
-	i := int(read) - int(current.head.Base)
-	if i >= 0 && i < len(current.head.Changes) {
+	if changes, ok := current.head.since(read); ok && len(changes) > 0 {
 		// Without it the error is less helpful and as true.
-		race.Other, _ = loadChange(ctx, client, current.head.Changes[i])
+		race.Other, _ = loadChange(ctx, client, changes[0])
 	}
 	return race
 }
 
 // Contains reports whether the change is one of the latest that were accepted.
 func (e *Edition) Contains(id declaration.ChangeID) bool {
-	return slices.Contains(e.head.Changes, id) || slices.Contains(e.head.Folded, id)
+	return id == e.head.BaseID || slices.Contains(e.head.Changes, id)
 }
--- a/fleet/edition/edition_test.go
+++ b/fleet/edition/edition_test.go
@@ -193,7 +193,7 @@
 	current, err := edition.Load(ctx, &service, nil)
 	require.NoError(t, err)
 	large := declaration.Change{ID: "large"}
-	for i := range 5000 {
+	for i := range 23_000 {
 		large.Put = append(large.Put, class(fmt.Sprint(i), "1"))
 	}
 	for i := range 70 {
@@ -204,9 +204,14 @@
 		current, err = edition.Accept(ctx, &service, current, &change, time.Now())
 		require.NoError(t, err)
 	}
+	listing, err := service.List(ctx, "")
+	require.NoError(t, err)
+	for _, object := range listing.Objects {
+		require.Less(t, fleet.Bytes(len(object.Value)), platform.ValueLimit, object.Name)
+	}
 	fresh, err := edition.Load(ctx, &service, nil)
 	require.NoError(t, err)
 	require.Equal(t, current.Number, fresh.Number)
 	require.Equal(t, current.Document, fresh.Document)
-	require.Len(t, fresh.Document, 5001)
+	require.Len(t, fresh.Document, 23_001)
 }
--- a/fleet/order/fuzz_test.go
+++ b/fleet/order/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -178,11 +179,71 @@
 	if err != nil || dropped == 0 {
 		t.Fatalf("dropped %d segments, %v", dropped, err)
 	}
-	if _, ok := log.Find(order.KeyOf("w", "m", "3")); ok {
+	if log.Knows(order.KeyOf("w", "m", "3")) {
 		t.Fatal("a key is remembered beyond the retention")
 	}
-	if _, ok := log.Find(order.KeyOf("w", "m", "1999")); !ok {
+	if !log.Knows(order.KeyOf("w", "m", "1999")) {
 		t.Fatal("a key of the open segment is forgotten")
 	}
 	claims(2000, 2100)
 }
+
+// TestOldAnswersAreReadFromTheirSegments repeats a key whose answer is no
+// longer in memory.
+func TestOldAnswersAreReadFromTheirSegments(t *testing.T) {
+	var service platform.Memory
+	log := &order.Log{Client: &service}
+	ctx := context.Background()
+	entry := func(kind order.Kind, n int) order.Entry {
+		name := fmt.Sprint(n)
+		return order.Entry{Kind: kind, Key: order.KeyOf("w", "m", name), Attempt: order.AttemptID(name), Answer: []byte("answer " + name), Status: 200}
+	}
+	for n := range 1000 {
+		log.Commit(ctx, []order.Entry{entry(order.Claim, n)})
+		log.Commit(ctx, []order.Entry{entry(order.Finish, n)})
+	}
+	for _, reader := range []*order.Log{log, {Client: &service}} {
+		for _, n := range []int{0, 500, 999} {
+			repeat := entry(order.Claim, n)
+			repeat.Attempt = "again"
+			result := reader.Commit(ctx, []order.Entry{repeat})[0]
+			if result.Verdict != order.Finished || string(result.Earlier.Answer) != fmt.Sprint("answer ", n) {
+				t.Fatalf("key %d: %+v", n, result)
+			}
+		}
+	}
+	service.SetFault(platform.Down)
+	repeat := entry(order.Claim, 0)
+	repeat.Attempt = "again"
+	if result := log.Commit(ctx, []order.Entry{repeat})[0]; result.Verdict != order.Failed || !result.Earlier.Finished {
+		t.Fatalf("an answer that can not be read: %+v", result)
+	}
+}
+
+// BenchmarkIndex measures the memory of the keys that a log remembers.
+func BenchmarkIndex(b *testing.B) {
+	for b.Loop() {
+		const keys = 560_000
+		var service platform.Memory
+		log := &order.Log{Client: &service}
+		ctx := context.Background()
+		batch := make([]order.Entry, 0, 200)
+		for n := range keys {
+			name := fmt.Sprint(n)
+			claim := order.Entry{Kind: order.Claim, Key: order.KeyOf("w", "m", name), Attempt: order.AttemptID(name)}
+			finish := claim
+			finish.Kind = order.Finish
+			if batch = append(batch, claim, finish); len(batch) == cap(batch) {
+				log.Commit(ctx, batch)
+				batch = batch[:0]
+			}
+		}
+		log.Client = nil
+		service = platform.Memory{}
+		runtime.GC()
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		b.ReportMetric(float64(stats.HeapAlloc)/keys, "B/key")
+		runtime.KeepAlive(log)
+	}
+}
--- a/fleet/order/log.go
+++ b/fleet/order/log.go
@@ -34,7 +34,7 @@
 	number    uint64 // of the last segment
 	tail      Segment
 	version   fleet.Version // of the last segment's object; zero if not written yet
-	records   map[Key]Record
+	index     index
 	abandoned map[AttemptID]bool // claims of ours that are never dispatched
 	spans     map[uint64]span
 }
@@ -46,15 +46,12 @@
 	keys    []Key
 }
 
-// Find returns what the log knows of the key, as of the last commit.
-func (l *Log) Find(key Key) (Record, bool) {
-	record, ok := l.records[key]
-	return record, ok
+// Knows reports whether the log remembers the key, as of the last commit.
+func (l *Log) Knows(key Key) bool {
+	_, ok := l.index.find(key)
+	return ok
 }
 
-// Len is how many keys the log remembers.
-func (l *Log) Len() int { return len(l.records) }
-
 // Commit writes the entries in one conditional write and returns a result for
 // each. Claims of keys that are taken are left out.
 func (l *Log) Commit(ctx context.Context, entries []Entry) []Result {
@@ -65,10 +62,10 @@
 		}
 		results, fresh := l.decide(entries)
 		if len(fresh) == 0 {
-			return results
+			return l.complete(ctx, entries, results)
 		}
 		if err = l.append(ctx, fresh); err == nil {
-			return results
+			return l.complete(ctx, entries, results)
 		}
 		// Somebody else has written, or the write got no answer and may have
 		// taken effect or yet do so. Read on either way; a claim of ours that
@@ -78,13 +75,50 @@
 	return l.fail(entries, err)
 }
 
+// complete reads the answers of earlier attempts that are no longer in memory.
+func (l *Log) complete(ctx context.Context, entries []Entry, results []Result) []Result {
+	for i := range results {
+		if results[i].Verdict != Finished {
+			continue
+		}
+		if err := l.readAnswer(ctx, entries[i].Key, &results[i].Earlier); err != nil {
+			results[i] = Result{Verdict: Failed, Earlier: results[i].Earlier, Err: err}
+		}
+	}
+	return results
+}
+
+// readAnswer fills in the answer of a finished key.
+func (l *Log) readAnswer(ctx context.Context, key Key, record *Record) error {
+	if finish, ok := l.index.recent(key); ok {
+		record.Status, record.Answer = finish.Status, finish.Answer
+		return nil
+	}
+	name := segmentName(l.Shard, l.index.segmentOf(key))
+	object, err := l.Client.Read(ctx, name)
+	if err != nil {
+		return err
+	}
+	var segment Segment
+	if err := cbor.Unmarshal(object.Value, &segment); err != nil {
+		return fmt.Errorf("order: %s: %w", name, err)
+	}
+	for i := range segment.Entries {
+		if entry := &segment.Entries[i]; entry.Kind == Finish && entry.Key == key {
+			record.Status, record.Answer = entry.Status, entry.Answer
+			return nil
+		}
+	}
+	return fmt.Errorf("order: %s does not hold the answer that the index says", name)
+}
+
 // decide returns the results that hold if the fresh entries get written.
 func (l *Log) decide(entries []Entry) (results []Result, fresh []Entry) {
 	results = make([]Result, len(entries))
 	taken := make(map[Key]Record)
 	for i := range entries {
 		entry := &entries[i]
-		record, known := l.records[entry.Key]
+		record, known := l.index.find(entry.Key)
 		if claimed, ok := taken[entry.Key]; ok {
 			record, known = claimed, true
 		}
@@ -153,7 +187,7 @@
 // entries are known.
 func (l *Log) adopt(segment Segment, version fleet.Version, known int) {
 	for i := range segment.Entries[known:] {
-		l.learn(&segment.Entries[known+i])
+		l.index.learn(&segment.Entries[known+i], l.number)
 	}
 	l.tail, l.version = segment, version
 	if !segment.Sealed {
@@ -169,30 +203,13 @@
 	l.tail, l.version = Segment{}, 0
 }
 
-func (l *Log) learn(entry *Entry) {
-	record, known := l.records[entry.Key]
-	switch entry.Kind {
-	case Claim:
-		l.records[entry.Key] = Record{Digest: entry.Digest, Attempt: entry.Attempt, At: time.Unix(entry.At, 0)}
-	case Finish:
-		if known && record.Attempt == entry.Attempt {
-			record.Finished, record.Status, record.Answer = true, entry.Status, entry.Answer
-			l.records[entry.Key] = record
-		}
-	case Release:
-		if known && record.Attempt == entry.Attempt && !record.Finished {
-			delete(l.records, entry.Key)
-		}
-	}
-}
-
 // advance reads on from what is known to the end of the chain. In the normal
 // case nothing is read: a write by somebody else shows as a conflict.
 func (l *Log) advance(ctx context.Context) error {
 	if l.loaded {
 		return nil
 	}
-	if l.records == nil {
+	if l.spans == nil {
 		if err := l.start(ctx); err != nil {
 			return err
 		}
@@ -236,7 +253,6 @@
 	}
 	l.firstAt = object.Version
 	l.number = l.first
-	l.records = make(map[Key]Record)
 	l.spans = make(map[uint64]span)
 	return nil
 }
@@ -283,7 +299,7 @@
 			return dropped, err
 		}
 		l.firstAt = version
-		l.forget(old, now)
+		l.index.forget(old.keys, now.Add(-l.Retention))
 		// A segment before the first one is never read; if this delete fails
 		// the object stays behind and does no harm.
 		_ = l.Client.Delete(ctx, segmentName(l.Shard, l.first), old.version)
@@ -293,13 +309,3 @@
 	}
 	return dropped, nil
 }
-
-// forget drops the records that are as old as the segment. A key that was
-// claimed anew later stays.
-func (l *Log) forget(old span, now time.Time) {
-	for _, key := range old.keys {
-		if record, ok := l.records[key]; ok && now.Sub(record.At) >= l.Retention {
-			delete(l.records, key)
-		}
-	}
-}
--- a/fleet/order/order.go
+++ b/fleet/order/order.go
@@ -133,7 +133,7 @@
 // A Record is what a log knows of a key.
 type Record struct {
 	Digest   Digest
-	Attempt  AttemptID
+	Attempt  AttemptID // of an open claim
 	Finished bool
 	Status   int
 	Answer   []byte
--- a/hibiscusd/internal/keeper/ledger.go
+++ b/hibiscusd/internal/keeper/ledger.go
@@ -31,6 +31,9 @@
 const (
 	commitsQueued = 256
 	commitBatch   = 64
+	// commitSpace is the least time between two writes of one log, so that
+	// entries gather under load. A log that is quiet is written at once.
+	commitSpace   = 100 * time.Millisecond
 	commitTimeout = 5 * time.Second
 	trimTime      = time.Minute
 )
@@ -90,6 +93,7 @@
 func write(ctx context.Context, log *order.Log, queue <-chan commit) {
 	trim := time.NewTicker(trimTime)
 	defer trim.Stop()
+	var written time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -98,11 +102,25 @@
 			// What can not be dropped now is dropped the next time.
 			_, _ = log.Trim(ctx, time.Now())
 		case first := <-queue:
+			pause(ctx, commitSpace-time.Since(written))
+			written = time.Now()
 			commitAll(ctx, log, gather(first, queue))
 		}
 	}
 }
 
+func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // gather takes what else waits, up to a batch.
 func gather(first commit, queue <-chan commit) []commit {
 	batch := []commit{first}
@@ -142,6 +160,9 @@
 		return refusal
 	default:
 		refusal := fleet.RefuseFor(fleet.ReasonNoPlatform, time.Second)
+		if result.Earlier.Finished {
+			refusal.Outcome = fleet.Ran // only its answer can not be read now
+		}
 		if result.Err != nil {
 			refusal.Detail = result.Err.Error()
 		}
--- a/hibiscusd/internal/keeper/order.go
+++ b/hibiscusd/internal/keeper/order.go
@@ -15,8 +15,9 @@
 )
 
 // Shards is how many logs the keys of orders are spread over. It is a property
-// of what is stored: all hosts must agree on it for the life of the fleet.
-const Shards = 256
+// of what is stored: all hosts must agree on it for the life of the fleet. Few
+// shards make large groups of entries for each write, many make small indexes.
+const Shards = 32
 
 // ShardOf returns the shard of an order's idempotency key.
 func ShardOf(ask *wire.Order, model fleet.ModelID) order.Shard {
