Let three witnesses outlive the loss of a data centre

With two of four witnesses in a host's own data centre, its loss leaves two, and an end needs three refusals: the lost hosts stay in address answers and apply waits for them. Ruled out: two of the own data centre, which lets a cut one serve on without the platform.

Requests also waited for hosts that had just died, up to a dial's second each. A host that could not be reached is passed over for two seconds where there is a choice.

The load of the proofs now comes from two workspaces that ask the same prompts; before, no foreign read between workspaces could have shown.

--- a/hibiscusd/internal/control/control.go
+++ b/hibiscusd/internal/control/control.go
@@ -35,7 +35,6 @@
 	// settleTime is how long a duty must be misplaced before it is handed over,
 	// so that a host that restarts quickly does not cause moves.
 	settleTime   = 10 * time.Second
-	panelSize    = 4
 	watchWait    = 10 * time.Second
 	watchRetry   = 500 * time.Millisecond
 	callTime     = 3 * time.Second
--- a/hibiscusd/internal/control/membership.go
+++ b/hibiscusd/internal/control/membership.go
@@ -1,14 +1,11 @@
 package control
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
 	"hibiscuslb/fleet"
@@ -179,45 +176,6 @@
 	return len(c.choosePanel()) <= size
 }
 
-// choosePanel picks witnesses among the active members of the region: those
-// that follow this host on a ring of hashed names, so that every host witnesses
-// about as many as it has witnesses. No more than half of them are of one data
-// centre where others can be had, so that the loss of a data centre leaves
-// enough of them to end this host.
-func (c *Control) choosePanel() lease.Panel {
-	var panel, spare lease.Panel
-	perCentre := make(map[fleet.DataCentreID]int)
-	for _, member := range c.ring() {
-		seat := lease.Seat{Host: member.Host, Incarnation: member.Incarnation}
-		if perCentre[member.DataCentre] >= panelSize/2 {
-			spare = append(spare, seat)
-			continue
-		}
-		perCentre[member.DataCentre]++
-		panel = append(panel, seat)
-	}
-	panel = append(panel, spare...)
-	return panel[:min(len(panel), panelSize)]
-}
-
-// ring returns the active members of the region in the order in which they
-// follow this host.
-func (c *Control) ring() []*lease.Member {
-	var members []*lease.Member
-	for _, member := range c.members {
-		if member.Host != c.Host.ID && member.State == lease.Active && member.Region == c.Host.Region {
-			members = append(members, member)
-		}
-	}
-	place := func(host fleet.HostID) uint64 { return xxhash.Sum64String(string(host)) }
-	self := place(c.Host.ID)
-	slices.SortFunc(members, func(a, b *lease.Member) int {
-		// The distance wraps around.
-		return cmp.Or(cmp.Compare(place(a.Host)-self, place(b.Host)-self), cmp.Compare(a.Host, b.Host))
-	})
-	return members
-}
-
 // beat asks the panel for grants.
 func (c *Control) beat(ctx context.Context, now fleet.Instant) {
 	if now.Sub(c.lastBeat) < c.beatTime() {
--- /dev/null
+++ b/hibiscusd/internal/control/panel_test.go
@@ -0,0 +1,67 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/duty"
+	"hibiscuslb/fleet/lease"
+)
+
+// region returns the controls of hosts that are spread over data centres of
+// one region and all know each other.
+func region(centres, hosts int) []*Control {
+	members := make(duty.Members)
+	var controls []*Control
+	for i := range hosts {
+		host := Host{
+			ID: fleet.HostID(fmt.Sprint("host-", i)), Region: "r",
+			DataCentre: fleet.DataCentreID(fmt.Sprint("centre-", i%centres)),
+		}
+		members[host.ID] = &lease.Member{
+			Host: host.ID, Incarnation: 1, State: lease.Active, DataCentre: host.DataCentre, Region: host.Region,
+		}
+		controls = append(controls, &Control{Host: host, members: members})
+	}
+	return controls
+}
+
+// TestPanelOutlivesADataCentre checks that the loss of a host's data centre
+// leaves enough witnesses to end it, and that the loss of another leaves it
+// enough of them to act.
+func TestPanelOutlivesADataCentre(t *testing.T) {
+	for _, size := range []struct{ centres, hosts int }{{3, 7}, {3, 9}, {4, 8}, {4, 9}, {3, 110}} {
+		for _, c := range region(size.centres, size.hosts) {
+			panel := c.choosePanel()
+			require.Len(t, panel, panelSize)
+			of := make(map[fleet.DataCentreID]int)
+			for _, seat := range panel {
+				require.NotEqual(t, c.Host.ID, seat.Host)
+				of[c.members[seat.Host].DataCentre]++
+			}
+			for centre, seats := range of {
+				if centre == c.Host.DataCentre {
+					require.GreaterOrEqual(t, len(panel)-seats, panel.EndQuorum(), "%+v: %s is lost", size, c.Host.ID)
+				} else {
+					require.GreaterOrEqual(t, len(panel)-seats, panel.HoldQuorum(), "%+v: %s is lost", size, centre)
+				}
+			}
+		}
+	}
+}
+
+// TestWitnessesAreBalanced bounds what the busiest host witnesses.
+func TestWitnessesAreBalanced(t *testing.T) {
+	witnessed := make(map[fleet.HostID]int)
+	for _, c := range region(3, 110) {
+		for _, seat := range c.choosePanel() {
+			witnessed[seat.Host]++
+		}
+	}
+	for host, n := range witnessed {
+		require.LessOrEqual(t, n, 2*panelSize, host)
+	}
+}
--- a/hibiscusd/internal/entry/complete.go
+++ b/hibiscusd/internal/entry/complete.go
@@ -149,7 +149,7 @@
 			left = append(left, target)
 		}
 	}
-	return left
+	return c.entry.reachable(view, left)
 }
 
 // weight is how much a target is to carry; zero if it has no keeper now or
@@ -196,6 +196,7 @@
 		err = c.entry.Keepers.Generate(ctx, ask, take)
 	} else {
 		err = c.forward(ctx, owner.Address, ask, take)
+		c.entry.noteLost(owner.Address, err)
 	}
 	var refusal *fleet.RefusalError
 	if errors.As(err, &refusal) && refusal.RetryAfter > 0 {
--- a/hibiscusd/internal/entry/entry.go
+++ b/hibiscusd/internal/entry/entry.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -47,6 +48,7 @@
 
 	retries retry.Budget
 	loads   loads
+	silent  silent
 	streams chan struct{}
 	once    sync.Once
 }
@@ -90,6 +92,36 @@
 	return time.Duration(float64(seen.wait) * (1 - float64(age)/float64(forgetTime)))
 }
 
+// silent remembers the hosts that could not be reached lately, so that not every
+// request waits in vain for one that has just died.
+type silent struct {
+	mu    sync.Mutex
+	hosts map[fleet.Address]fleet.Instant
+}
+
+// silentTime is how long a host is passed over where there is a choice.
+const silentTime = 2 * time.Second
+
+func (s *silent) note(host fleet.Address, now fleet.Instant) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.hosts == nil {
+		s.hosts = make(map[fleet.Address]fleet.Instant)
+	}
+	s.hosts[host] = now
+}
+
+func (s *silent) has(host fleet.Address, now fleet.Instant) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, ok := s.hosts[host]
+	if ok && now.Sub(at) >= silentTime {
+		delete(s.hosts, host)
+		return false
+	}
+	return ok
+}
+
 // enter takes one of the streams, or refuses.
 func (e *Entry) enter() error {
 	e.once.Do(func() { e.streams = make(chan struct{}, e.Limits.Streams) })
@@ -132,6 +164,31 @@
 	return left, nil
 }
 
+// reachable moves the targets whose keepers were silent lately behind the
+// others, and keeps the order otherwise.
+func (e *Entry) reachable(view *control.View, ranked []*declaration.Target) []*declaration.Target {
+	now := e.Clock()
+	var first, last []*declaration.Target
+	for _, target := range ranked {
+		owner, ok := view.Keeper(target)
+		if ok && owner.Seat != view.Self && e.silent.has(owner.Address, now) {
+			last = append(last, target)
+		} else {
+			first = append(first, target)
+		}
+	}
+	return append(first, last...)
+}
+
+// noteLost remembers a host that a request could not be sent to.
+func (e *Entry) noteLost(host fleet.Address, err error) {
+	var dial *peer.DialError
+	var lost *peer.LostError
+	if errors.As(err, &dial) || errors.As(err, &lost) {
+		e.silent.note(host, e.Clock())
+	}
+}
+
 func (e *Entry) withTime(ctx context.Context) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(ctx, e.Limits.Time)
 }
--- a/hibiscusd/internal/entry/order.go
+++ b/hibiscusd/internal/entry/order.go
@@ -28,7 +28,7 @@
 		if ask.Deadline, err = e.remaining(c); err != nil {
 			return wire.OrderAnswer{}, err
 		}
-		target, ok := orderTarget(view, model, ask, tried)
+		target, ok := e.orderTarget(view, model, ask, tried)
 		if !ok {
 			break
 		}
@@ -53,11 +53,11 @@
 
 // orderTarget ranks targets by the shard of the key, not the key itself, so
 // that all orders of a shard meet in one host and share its writes.
-func orderTarget(view *control.View, model fleet.ModelID, ask *wire.Order, tried map[fleet.TargetID]bool) (*declaration.Target, bool) {
+func (e *Entry) orderTarget(view *control.View, model fleet.ModelID, ask *wire.Order, tried map[fleet.TargetID]bool) (*declaration.Target, bool) {
 	ranked := placement.Rank(uint64(keeper.ShardOf(ask, model)), view.Declaration.TargetsOf(model),
 		func(t *declaration.Target) string { return string(t.ID) },
 		func(t *declaration.Target) float64 { return weight(view, t) })
-	for _, target := range ranked {
+	for _, target := range e.reachable(view, ranked) {
 		if !tried[target.ID] {
 			return target, true
 		}
@@ -75,5 +75,6 @@
 	}
 	var answer wire.OrderAnswer
 	err := e.Pool.Ask(ctx, owner.Address, wire.KindOrder, ask, &answer)
+	e.noteLost(owner.Address, err)
 	return answer, err
 }
--- a/hibiscusd/internal/proof/fleet_test.go
+++ b/hibiscusd/internal/proof/fleet_test.go
@@ -105,6 +105,7 @@
 	document string
 	operator *operator.Client
 	caller   *caller.Client
+	agents   *caller.Client // of another workspace
 	engine   modelengine.Config
 }
 
@@ -135,13 +136,16 @@
 		b.hosts = append(b.hosts, b.newHost(i))
 	}
 	b.operator = &operator.Client{Key: "operators-key"}
-	b.caller = &caller.Client{Key: "clerks-key", HTTP: &http.Client{Transport: &http.Transport{
+	fresh := &http.Client{Transport: &http.Transport{
 		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, DisableKeepAlives: true,
-	}}}
+	}}
+	b.caller = &caller.Client{Key: "clerks-key", HTTP: fresh}
+	b.agents = &caller.Client{Key: "agents-key", HTTP: fresh}
 	for _, h := range b.hosts {
 		b.start(h)
 		b.operator.Hosts = append(b.operator.Hosts, h.operators)
 		b.caller.Entries = append(b.caller.Entries, h.callers)
+		b.agents.Entries = append(b.agents.Entries, h.callers)
 	}
 	b.awaitReady(b.hosts...)
 	b.document = b.declare()
@@ -374,7 +378,9 @@
 	failed  []error
 }
 
-// startLoad starts so many callers. Each checks the content of each answer.
+// startLoad starts so many callers, of two workspaces in turn. Two callers of
+// different workspaces ask the same prompts. Each checks the content of each
+// answer.
 func (b *bench) startLoad(callers int, tokens fleet.Tokens) *load {
 	l := &load{b: b, stop: make(chan struct{})}
 	for i := range callers {
@@ -390,9 +396,10 @@
 			return
 		default:
 		}
-		text := fmt.Sprintf("caller %d asks %d %s", who, n%5, strings.Repeat("long file ", 2000))
+		client := []*caller.Client{l.b.caller, l.b.agents}[who%2]
+		text := fmt.Sprintf("pair %d asks %d %s", who/2, n%5, strings.Repeat("long file ", 2000))
 		prompt := caller.Prompt{Model: "answer", Text: text, MaxTokens: tokens}
-		answer, err := l.b.caller.Complete(context.Background(), prompt)
+		answer, err := client.Complete(context.Background(), prompt)
 		if err == nil && answer.Text != script.New([]byte(text)).Answer(tokens) {
 			err = fmt.Errorf("caller %d has got another answer", who)
 		}
