Make three proofs catch what they are for

Cause: with mechanisms switched off on a scratch copy, three tests still passed. - No count of a predecessor's requests: killing a keeper closes its streams, so nothing is left. TestFrozenKeeperLeavesWorkAtAColdTarget freezes it while two long answers run at a cold engine. Red with the count off: 6 requests beyond the bound of 2. - Listeners closed at once on a planned stop: the callers asked again by themselves. They have one try now. - Versions left out of block names: the stand-in refused such imports without counting them. An import names the version it is for, and a block of another one counts as foreign.

--- a/fleet/caller/caller.go
+++ b/fleet/caller/caller.go
@@ -31,6 +31,7 @@
 	Entries []fleet.Address // some hosts to ask for addresses
 	Key     string          // the workspace's key
 	HTTP    *http.Client    // nil for a default
+	Tries   int             // most hosts that one call is sent to; zero for a default
 
 	mu        sync.Mutex
 	addresses []fleet.Address
@@ -73,10 +74,10 @@
 }
 
 const (
-	dialTimeout = time.Second
-	tries       = 4
-	retryPause  = 50 * time.Millisecond
-	lineLimit   = 1 << 20
+	dialTimeout  = time.Second
+	defaultTries = 4
+	retryPause   = 50 * time.Millisecond
+	lineLimit    = 1 << 20
 )
 
 // transport is shared by all clients.
@@ -164,6 +165,10 @@
 // not be made again.
 func (c *Client) each(ctx context.Context, again func(error) bool, call func(fleet.Address) error) error {
 	var last error
+	tries := c.Tries
+	if tries == 0 {
+		tries = defaultTries
+	}
 	for try := range tries {
 		if try > 0 {
 			pause(ctx, retryPause)
--- a/fleet/engine/engine.go
+++ b/fleet/engine/engine.go
@@ -80,12 +80,14 @@
 	Removed  bool
 }
 
-// An Import orders an engine to take a block from a store.
+// An Import orders an engine to take a block from a store, if it still has the
+// weight version that the block is for.
 type Import struct {
-	Key   cache.Key
-	Store fleet.Address
-	Seal  cache.Seal
-	Fence fleet.Epoch
+	Key     cache.Key
+	Version fleet.WeightVersion
+	Store   fleet.Address
+	Seal    cache.Seal
+	Fence   fleet.Epoch
 }
 
 // An Export orders an engine to write a block to a store.
--- a/fleet/peer/peer_test.go
+++ b/fleet/peer/peer_test.go
@@ -151,3 +151,32 @@
 	var dial *peer.DialError
 	require.ErrorAs(t, err, &dial)
 }
+
+// BenchmarkPiece carries pieces of answers between two hosts over loopback.
+func BenchmarkPiece(b *testing.B) {
+	server := httptest.NewServer(&peer.Server{Key: "k", Handler: &handler{}})
+	defer server.Close()
+	pool := &peer.Pool{Key: "k"}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		pool.Run(ctx)
+		close(ended)
+	}()
+	defer func() {
+		cancel()
+		<-ended
+	}()
+	var exchange *peer.Exchange
+	for err := errors.New("not open yet"); err != nil; {
+		exchange, err = pool.Open(ctx, fleet.Address(strings.TrimPrefix(server.URL, "http://")), kindCount, b.N)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		var piece int
+		if err := exchange.Next(ctx, &piece); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/fleet/target/bench_test.go
@@ -0,0 +1,39 @@
+package target_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"hibiscuslb/fleet/target"
+)
+
+// BenchmarkAdmission admits and ends one request with so many others in
+// flight and waiting.
+func BenchmarkAdmission(b *testing.B) {
+	for _, waiting := range []int{0, 64} {
+		b.Run(fmt.Sprint("waiting ", waiting), func(b *testing.B) {
+			a := new(target.Admission)
+			a.SetLimits(target.Limits{Cold: 16, Warm: 16, Queue: 65})
+			id := target.TicketID(0)
+			for range 16 + waiting {
+				id++
+				a.Offer(start, target.Ticket{ID: id, Priority: int(id) % 3})
+			}
+			flying := make([]target.TicketID, 0, 17+waiting)
+			for n := range target.TicketID(16) {
+				flying = append(flying, n+1)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				id++
+				a.Offer(start, target.Ticket{ID: id, Priority: 1})
+				change := a.Done(start.Add(time.Millisecond), flying[0], target.Whole)
+				flying = flying[1:]
+				for _, ticket := range change.Admitted {
+					flying = append(flying, ticket.ID)
+				}
+			}
+		})
+	}
+}
--- a/hibiscusd/internal/keeper/blocks.go
+++ b/hibiscusd/internal/keeper/blocks.go
@@ -82,7 +82,8 @@
 	client := engine.Client{Address: j.target.Address}
 	for i, holding := range holdings {
 		order := engine.Import{
-			Key: j.chain[j.prompt.Resident+i], Store: host.Address, Seal: holding.Seal, Fence: j.keeper.epoch,
+			Key: j.chain[j.prompt.Resident+i], Version: j.version,
+			Store: host.Address, Seal: holding.Seal, Fence: j.keeper.epoch,
 		}
 		if j.keeper.set.mayDispatch(j.keeper) != nil {
 			return
--- a/hibiscusd/internal/proof/failure_test.go
+++ b/hibiscusd/internal/proof/failure_test.go
@@ -226,3 +226,28 @@
 	require.Empty(t, load.end())
 	b.checkTargets()
 }
+
+// TestFrozenKeeperLeavesWorkAtAColdTarget freezes a keeper while its long
+// answers go on at a cold engine. The new keeper has to count them.
+func TestFrozenKeeperLeavesWorkAtAColdTarget(t *testing.T) {
+	b := newBench(t, 3)
+	b.engineAt[0].kill()
+	b.engine.ColdTime = time.Hour
+	b.startEngine(0, 100)
+	long := b.startLoad(24, 1500)
+	b.eventually("the cold engine is full", func() bool { return b.engines[0].Report(0).Running == coldBound })
+	frozen, epoch := b.keeperOf("answer-0")
+	frozen.signal(syscall.SIGSTOP)
+	short := b.startLoad(4, 5)
+	b.eventually("another host keeps the target", func() bool {
+		h, e := b.keeperOf("answer-0")
+		return h != nil && h != frozen && e > epoch
+	})
+	b.eventually("the new keeper sends work", func() bool { return b.engines[0].Counts().Requests > coldBound })
+	frozen.signal(syscall.SIGCONT)
+	for _, err := range append(short.end(), long.end()...) {
+		var refusal *fleet.RefusalError
+		require.ErrorAs(t, err, &refusal)
+	}
+	b.checkTargets()
+}
--- a/hibiscusd/internal/proof/operation_test.go
+++ b/hibiscusd/internal/proof/operation_test.go
@@ -98,8 +98,11 @@
 	}
 }
 
+// TestPlannedStopCutsNoRequest stops one host after the other. Its callers do
+// not try again, so that a single cut shows.
 func TestPlannedStopCutsNoRequest(t *testing.T) {
 	b := newBench(t, 3)
+	b.caller.Tries, b.agents.Tries = 1, 1
 	load := b.startLoad(8, 100)
 	load.awaitMore(8)
 	for _, h := range b.hosts {
--- a/standin/modelengine/handler.go
+++ b/standin/modelengine/handler.go
@@ -113,7 +113,10 @@
 		http.Error(w, err.Error(), http.StatusBadGateway)
 		return
 	}
-	if o.Version != e.version {
+	if o.Version != order.Version {
+		e.counts.ForeignReads++
+	}
+	if order.Version != e.version || o.Version != e.version {
 		http.Error(w, errVersion.Error(), http.StatusConflict)
 		return
 	}
