Take a target's room for the dispatch of an order alone

At 181 orders/s 1166 of 3150 were refused as overloaded, and at 5/s each took 108 ms: writes of one log were 100 ms apart, so an order's outcome waited for its own claim, and held one of the target's 16 places meanwhile. Now a log is written at once while it is quiet and ten times a second under load, an order is claimed before it takes a place, and gives the place back before its outcome is recorded.

Ruled out: recording outcomes after answering (orders in doubt after a crash).

The proof of silent engines waits for every caller now: with the watchdog off it had passed, because the later cut set the waiting callers free.

--- a/fleet/target/admission.go
+++ b/fleet/target/admission.go
@@ -154,31 +154,42 @@
 // the place of a waiting one, which the next Expire drops.
 func (a *Admission) Offer(now fleet.Instant, ticket Ticket) Decision {
 	ticket.arrived = now
+	decision := a.Preview(now, ticket)
+	switch decision.Verdict {
+	case Admitted:
+		a.admit(now, ticket)
+	case Queued:
+		if len(a.queue) >= a.limits.Queue {
+			a.queue[a.lessUrgent(ticket)].Deadline = expired
+		}
+		a.queue = append(a.queue, ticket)
+	}
+	return decision
+}
+
+// Preview returns what Offer would decide.
+func (a *Admission) Preview(now fleet.Instant, ticket Ticket) Decision {
 	wait := a.estimate(ticket)
-	if late(now, ticket, wait) {
+	switch {
+	case late(now, ticket, wait):
 		return Decision{Verdict: Refused, Reason: fleet.ReasonDeadline, Wait: wait}
-	}
-	if a.room() && len(a.queue) == 0 {
-		a.admit(now, ticket)
+	case a.room() && len(a.queue) == 0:
 		return Decision{Verdict: Admitted}
-	}
-	if ticket.Patience > 0 && wait > ticket.Patience {
+	case ticket.Patience > 0 && wait > ticket.Patience,
+		len(a.queue) >= a.limits.Queue && a.lessUrgent(ticket) < 0:
 		return Decision{Verdict: Refused, Reason: fleet.ReasonOverloaded, Wait: wait}
+	default:
+		return Decision{Verdict: Queued, Wait: wait}
 	}
-	if len(a.queue) >= a.limits.Queue && !a.displace(ticket) {
-		return Decision{Verdict: Refused, Reason: fleet.ReasonOverloaded, Wait: wait}
-	}
-	a.queue = append(a.queue, ticket)
-	return Decision{Verdict: Queued, Wait: wait}
 }
 
 func late(now fleet.Instant, ticket Ticket, wait time.Duration) bool {
 	return ticket.Deadline != 0 && now.Add(wait+ticket.Work) > ticket.Deadline
 }
 
-// displace makes room for a ticket by marking a waiting one of a lesser
-// priority as due to be dropped.
-func (a *Admission) displace(ticket Ticket) bool {
+// lessUrgent returns the index of the waiting request of the least priority
+// below the ticket's, the last of equals, or -1.
+func (a *Admission) lessUrgent(ticket Ticket) int {
 	worst := -1
 	for i, waiting := range a.queue {
 		if waiting.Priority > ticket.Priority && waiting.Deadline != expired &&
@@ -186,11 +197,7 @@
 			worst = i
 		}
 	}
-	if worst < 0 {
-		return false
-	}
-	a.queue[worst].Deadline = expired
-	return true
+	return worst
 }
 
 // expired is a deadline that lies before every moment of a clock.
--- a/hibiscusd/internal/keeper/keeper.go
+++ b/hibiscusd/internal/keeper/keeper.go
@@ -214,6 +214,21 @@
 	}
 }
 
+// promises refuses a ticket that would be refused now, so that nothing is
+// written for it.
+func (k *Keeper) promises(ticket target.Ticket) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.set.Clock()
+	if now < k.downUntil || k.loading {
+		return fleet.RefuseFor(fleet.ReasonNoTarget, downTime)
+	}
+	if decision := k.admission.Preview(now, ticket); decision.Verdict == target.Refused {
+		return fleet.RefuseFor(decision.Reason, decision.Wait)
+	}
+	return nil
+}
+
 // release gives a ticket back.
 func (k *Keeper) release(id target.TicketID, result target.Result) {
 	k.mu.Lock()
--- a/hibiscusd/internal/keeper/ledger.go
+++ b/hibiscusd/internal/keeper/ledger.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/order"
 	"hibiscuslb/fleet/platform"
@@ -31,9 +33,10 @@
 const (
 	commitsQueued = 256
 	commitBatch   = 64
-	// commitSpace is the least time between two writes of one log, so that
-	// entries gather under load. A log that is quiet is written at once.
-	commitSpace   = 100 * time.Millisecond
+	// A log is written commitRate times a second under load, so that entries
+	// gather, and at once while it is quiet.
+	commitRate    = 10
+	commitBurst   = 4
 	commitTimeout = 5 * time.Second
 	trimTime      = time.Minute
 )
@@ -93,7 +96,7 @@
 func write(ctx context.Context, log *order.Log, queue <-chan commit) {
 	trim := time.NewTicker(trimTime)
 	defer trim.Stop()
-	var written time.Time
+	spaced := rate.NewLimiter(commitRate, commitBurst)
 	for {
 		select {
 		case <-ctx.Done():
@@ -102,25 +105,14 @@
 			// What can not be dropped now is dropped the next time.
 			_, _ = log.Trim(ctx, time.Now())
 		case first := <-queue:
-			pause(ctx, commitSpace-time.Since(written))
-			written = time.Now()
+			if spaced.Wait(ctx) != nil {
+				return
+			}
 			commitAll(ctx, log, gather(first, queue))
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // gather takes what else waits, up to a batch.
 func gather(first commit, queue <-chan commit) []commit {
 	batch := []commit{first}
--- a/hibiscusd/internal/keeper/order.go
+++ b/hibiscusd/internal/keeper/order.go
@@ -34,27 +34,15 @@
 	if err != nil {
 		return wire.OrderAnswer{}, err
 	}
-	ticket := target.Ticket{Workspace: ask.Workspace, Class: ask.Class, Priority: ask.Priority}
+	run := &orderRun{set: s, keeper: keeper, target: declared, ask: ask}
+	run.ticket = target.Ticket{Workspace: ask.Workspace, Class: ask.Class, Priority: ask.Priority}
 	if ask.Deadline > 0 {
-		ticket.Deadline = s.Clock().Add(ask.Deadline)
-	}
-	id, err := keeper.acquire(ctx, ticket)
-	if err != nil {
-		return wire.OrderAnswer{}, err
+		run.ticket.Deadline = s.Clock().Add(ask.Deadline)
 	}
-	// From here on the caller's going away does not end the call, since its
-	// outcome has to be recorded.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.Limits.CallTime+commitTimeout)
-	defer cancel()
-	run := &orderRun{set: s, keeper: keeper, target: declared, ask: ask}
-	var answer wire.OrderAnswer
 	if ask.Repeatable {
-		answer, err = run.dispatch(ctx)
-	} else {
-		answer, err = run.once(ctx)
+		return run.admitted(ctx)
 	}
-	keeper.release(id, run.result)
-	return answer, err
+	return run.once(ctx)
 }
 
 // An orderRun is one service call on its way through a keeper.
@@ -63,40 +51,53 @@
 	keeper *Keeper
 	target *declaration.Target
 	ask    *wire.Order
-	result target.Result
+	ticket target.Ticket
+}
+
+// admitted waits for the target to have room and dispatches.
+func (r *orderRun) admitted(ctx context.Context) (wire.OrderAnswer, error) {
+	id, err := r.keeper.acquire(ctx, r.ticket)
+	if err != nil {
+		return wire.OrderAnswer{}, err
+	}
+	answer, result, err := r.dispatch(ctx)
+	r.keeper.release(id, result)
+	return answer, err
 }
 
 // dispatch sends the call. After an error that is not a *service.RefusedError
 // it may have run.
-func (r *orderRun) dispatch(ctx context.Context) (wire.OrderAnswer, error) {
-	r.result = target.Untouched
+func (r *orderRun) dispatch(ctx context.Context) (wire.OrderAnswer, target.Result, error) {
 	if err := r.set.mayDispatch(r.keeper); err != nil {
-		return wire.OrderAnswer{}, err
+		return wire.OrderAnswer{}, target.Untouched, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, r.set.Limits.CallTime)
+	// From here on the caller's going away does not end the call, since its
+	// outcome has to be recorded.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.set.Limits.CallTime)
 	defer cancel()
 	client := service.Client{Address: r.target.Address}
 	answer, err := client.Do(ctx, service.Call{Operation: r.ask.Operation, Key: r.ask.Key, Body: r.ask.Body})
 	var refused *service.RefusedError
 	switch {
 	case err == nil:
-		r.result = target.Whole
-		return wire.OrderAnswer{Status: answer.Status, Body: answer.Body}, nil
+		return wire.OrderAnswer{Status: answer.Status, Body: answer.Body}, target.Whole, nil
 	case errors.As(err, &refused):
 		r.keeper.markDown()
-		return wire.OrderAnswer{}, fleet.RefuseFor(fleet.ReasonTargetFailed, downTime)
+		return wire.OrderAnswer{}, target.Untouched, fleet.RefuseFor(fleet.ReasonTargetFailed, downTime)
 	default:
-		r.result = target.Broken
-		return wire.OrderAnswer{}, &fleet.RefusalError{
+		return wire.OrderAnswer{}, target.Broken, &fleet.RefusalError{
 			Reason: fleet.ReasonTargetFailed, Outcome: fleet.Unknown, Detail: err.Error(),
 		}
 	}
 }
 
 // once claims the call's key, dispatches if the claim is this attempt's, and
-// records what came of it.
+// records what came of it. The target's room is taken for the dispatch alone,
+// not while the platform is written.
 func (r *orderRun) once(ctx context.Context) (wire.OrderAnswer, error) {
-	r.result = target.Untouched
+	if err := r.keeper.promises(r.ticket); err != nil {
+		return wire.OrderAnswer{}, err
+	}
 	entry := order.Entry{
 		Kind: order.Claim, Key: order.KeyOf(r.ask.Workspace, r.target.Model, r.ask.Key),
 		Digest:  order.DigestOf(r.ask.Operation, r.ask.Body),
@@ -111,7 +112,7 @@
 	default:
 		return wire.OrderAnswer{}, refusalOf(claim, r.set.Limits.CallTime)
 	}
-	answer, err := r.dispatch(ctx)
+	answer, err := r.admitted(ctx)
 	var refusal *fleet.RefusalError
 	switch {
 	case err == nil:
@@ -124,7 +125,9 @@
 	default:
 		return answer, err // the claim stays, and with it the doubt
 	}
-	r.record(ctx, shard, entry)
+	recording, cancel := context.WithTimeout(context.WithoutCancel(ctx), commitTimeout)
+	defer cancel()
+	r.record(recording, shard, entry)
 	return answer, err
 }
 
--- a/hibiscusd/internal/proof/failure_test.go
+++ b/hibiscusd/internal/proof/failure_test.go
@@ -193,7 +193,7 @@
 	load := b.startLoad(8, 60)
 	load.awaitMore(10)
 	relay.SetMode(link.Silent)
-	load.awaitMore(30)
+	load.awaitEach()
 	relay.SetMode(link.Pass)
 	b.engineAt[0].kill()
 	load.awaitMore(30)
--- a/hibiscusd/internal/proof/fleet_test.go
+++ b/hibiscusd/internal/proof/fleet_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -375,6 +376,7 @@
 	callers sync.WaitGroup
 	mu      sync.Mutex
 	whole   int
+	each    []int // whole answers of each caller
 	failed  []error
 }
 
@@ -382,7 +384,7 @@
 // different workspaces ask the same prompts. Each checks the content of each
 // answer.
 func (b *bench) startLoad(callers int, tokens fleet.Tokens) *load {
-	l := &load{b: b, stop: make(chan struct{})}
+	l := &load{b: b, stop: make(chan struct{}), each: make([]int, callers)}
 	for i := range callers {
 		l.callers.Go(func() { l.run(i, tokens) })
 	}
@@ -406,6 +408,7 @@
 		l.mu.Lock()
 		if err == nil {
 			l.whole++
+			l.each[who]++
 		} else {
 			l.failed = append(l.failed, err)
 		}
@@ -420,6 +423,25 @@
 	l.b.eventually(fmt.Sprintf("%d more answers", n), func() bool { return l.count() >= goal })
 }
 
+// awaitEach waits until every caller has got another whole answer that it had
+// not yet asked for.
+func (l *load) awaitEach() {
+	l.b.t.Helper()
+	l.mu.Lock()
+	goals := slices.Clone(l.each)
+	l.mu.Unlock()
+	l.b.eventually("an answer for every caller", func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for i, goal := range goals {
+			if l.each[i] < goal+2 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 func (l *load) count() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/hibiscusload/internal/command/command.go
+++ b/hibiscusload/internal/command/command.go
@@ -14,6 +14,7 @@
 	"github.com/integrii/flaggy"
 
 	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/caller"
 	"hibiscuslb/fleet/operator"
 	"hibiscuslb/hibiscusload/internal/control"
 	"hibiscuslb/hibiscusload/internal/demo"
@@ -57,6 +58,8 @@
 	parser.AttachSubcommand(cost, 1)
 	run := o.runCommand()
 	parser.AttachSubcommand(run, 1)
+	book := o.ordersCommand()
+	parser.AttachSubcommand(book, 1)
 	table := flaggy.NewSubcommand("report")
 	table.Description = "show all runs of a folder as a table and as plots"
 	table.String(&o.folder, "f", "folder", "folder of the runs")
@@ -73,6 +76,9 @@
 	if run.Used {
 		return o.experiment(ctx)
 	}
+	if book.Used {
+		return o.orders(ctx, out)
+	}
 	if table.Used {
 		return o.report(out)
 	}
@@ -152,6 +158,25 @@
 	return result.Save(o.folder)
 }
 
+func (o *options) ordersCommand() *flaggy.Subcommand {
+	sub := flaggy.NewSubcommand("orders")
+	sub.Description = "send orders that may not repeat and count the platform's writes"
+	sub.Int(&o.run.Requests, "", "requests", "orders in all")
+	sub.Float64(&o.run.Rate, "", "rate", "orders per second")
+	sub.UInt64(&o.run.Seed, "", "seed", "seed of the arrivals")
+	sub.String(&o.platform, "", "platform", "address of the platform, for its counts")
+	return sub
+}
+
+func (o *options) orders(ctx context.Context, out io.Writer) error {
+	m := &experiment.Orders{
+		Client:   &caller.Client{Entries: addresses(o.entries), Key: o.run.Key},
+		Platform: fleet.Address(o.platform), Targets: o.targets(),
+		Requests: o.run.Requests, Rate: o.run.Rate, Seed: o.run.Seed, Out: out,
+	}
+	return m.Run(ctx)
+}
+
 func (o *options) report(out io.Writer) error {
 	runs, err := report.Load(o.folder)
 	if err != nil {
--- a/hibiscusload/internal/control/control.go
+++ b/hibiscusload/internal/control/control.go
@@ -46,6 +46,10 @@
 
 // Run measures and prints one row: means over the nodes, and the worst node.
 func (m *Measurement) Run(ctx context.Context) error {
+	start, err := m.samples(ctx)
+	if err != nil {
+		return err
+	}
 	inForce, err := m.change(ctx)
 	if err != nil {
 		return err
@@ -63,11 +67,11 @@
 	if err != nil {
 		return err
 	}
-	return m.print(before, after, inForce)
+	return m.print(start, before, after, inForce)
 }
 
-func (m *Measurement) print(before, after []sample, inForce []time.Duration) error {
-	var cpu, worstCPU, peers, platform, targets, worstBytes, calls, writes float64
+func (m *Measurement) print(start, before, after []sample, inForce []time.Duration) error {
+	var cpu, worstCPU, peers, platform, targets, worstBytes, calls, writes, perChange float64
 	var resident, worstResident fleet.Bytes
 	for i := range after {
 		seconds := after[i].at.Sub(before[i].at).Seconds()
@@ -75,6 +79,7 @@
 		peer := float64(after[i].peers-before[i].peers) / seconds
 		service := float64(after[i].platform-before[i].platform) / seconds
 		target := float64(after[i].targets-before[i].targets) / seconds
+		perChange += float64(before[i].platform-start[i].platform) / float64(max(1, m.Changes))
 		cpu += share
 		peers += peer
 		platform += service
@@ -90,10 +95,10 @@
 	const megabyte = 1 << 20
 	slices.Sort(inForce)
 	w := tabwriter.NewWriter(m.Out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "RUN\tNODES\tCPU %\tWORST\tMB\tWORST\tPEERS B/S\tPLATFORM B/S\tTARGETS B/S\tWORST SUM\tFLEET READS+WATCHES/S\tFLEET WRITES/S\tIN FORCE P50\tMAX")
-	fmt.Fprintf(w, "%s\t%d\t%.2f\t%.2f\t%.1f\t%.1f\t%.0f\t%.0f\t%.0f\t%.0f\t%.2f\t%.2f\t%v\t%v\n", m.Label, len(after),
+	fmt.Fprintln(w, "RUN\tNODES\tCPU %\tWORST\tMB\tWORST\tPEERS B/S\tPLATFORM B/S\tTARGETS B/S\tWORST SUM\tFLEET READS+WATCHES/S\tFLEET WRITES/S\tPLATFORM B/CHANGE\tIN FORCE P50\tMAX")
+	fmt.Fprintf(w, "%s\t%d\t%.2f\t%.2f\t%.1f\t%.1f\t%.0f\t%.0f\t%.0f\t%.0f\t%.2f\t%.2f\t%.0f\t%v\t%v\n", m.Label, len(after),
 		cpu/n, worstCPU, float64(resident)/n/megabyte, float64(worstResident)/megabyte,
-		peers/n, platform/n, targets/n, worstBytes, calls, writes,
+		peers/n, platform/n, targets/n, worstBytes, calls, writes, perChange/n,
 		inForce[len(inForce)/2].Round(time.Millisecond), inForce[len(inForce)-1].Round(time.Millisecond))
 	return w.Flush()
 }
--- a/standin/internal/command/command.go
+++ b/standin/internal/command/command.go
@@ -29,7 +29,7 @@
 	callTime              time.Duration
 	coldTime              time.Duration
 	reportLag             time.Duration
-	delay                 time.Duration
+	delay, latency        time.Duration
 	cacheBlocks           int
 	coldBound             int
 	eventGap              int
@@ -66,7 +66,7 @@
 	address := fleet.Address(o.listen)
 	switch {
 	case platform.Used:
-		return web.Serve(ctx, address, new(objectservice.Service).Handler())
+		return web.Serve(ctx, address, (&objectservice.Service{Latency: o.latency}).Handler())
 	case engine.Used:
 		return web.Serve(ctx, address, modelengine.New(o.engineConfig()).Handler())
 	case store.Used:
@@ -90,7 +90,9 @@
 }
 
 func (o *options) platformCommand() *flaggy.Subcommand {
-	return newCommand("platform", "the platform's object service")
+	sub := newCommand("platform", "the platform's object service")
+	sub.Duration(&o.latency, "", "latency", "latency of reads and writes")
+	return sub
 }
 
 func (o *options) engineCommand() *flaggy.Subcommand {
--- a/standin/objectservice/objectservice.go
+++ b/standin/objectservice/objectservice.go
@@ -17,8 +17,9 @@
 
 // A Service serves objects. The zero value is empty and healthy.
 type Service struct {
-	Memory platform.Memory
-	counts Counts
+	Memory  platform.Memory
+	Latency time.Duration // of reads and writes
+	counts  Counts
 }
 
 // Counts is how many calls of each kind the service has met.
@@ -42,6 +43,7 @@
 
 func (s *Service) read(w http.ResponseWriter, r *http.Request) {
 	s.counts.Reads.Add(1)
+	web.Sleep(r.Context(), s.Latency)
 	object, err := s.Memory.Read(r.Context(), platform.Name(r.PathValue("name")))
 	answer(w, object, err)
 }
@@ -53,6 +55,7 @@
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 		return
 	}
+	web.Sleep(r.Context(), s.Latency)
 	version, err := s.Memory.Write(r.Context(), platform.Name(r.PathValue("name")), value, versionOf(r, "Version"))
 	answer(w, platform.Object{Version: version}, err)
 }
