Resume at a model's only target when its answer broke

Cause: each candidate was tried once, so an answer of a model with one target could not go on where it broke. TestOnlyTargetIsTriedAgain was red before ("unexpected EOF, outcome unknown") and passes now; the retry budget bounds it as before. A first form of the test passed without the change, since it cut the link before the request had reached the engine. Bodies have a deadline now.

--- a/hibiscusd/internal/entry/complete.go
+++ b/hibiscusd/internal/entry/complete.go
@@ -114,7 +114,7 @@
 	if err != nil && c.usage.CompletionTokens == 0 {
 		return &exhaustedError{err}
 	}
-	candidates := c.candidates(view)
+	candidates := c.candidates(view, last)
 	if len(candidates) == 0 || len(c.tried) >= candidatesTried && notRun(last) {
 		return &exhaustedError{fleet.RefuseFor(fleet.ReasonNoTarget, time.Second)}
 	}
@@ -137,18 +137,22 @@
 	return err
 }
 
-// candidates ranks the targets that serve the model and were not tried.
-func (c *completion) candidates(view *control.View) []*declaration.Target {
+// candidates ranks the targets that serve the model and were not tried. When
+// there are no others, an answer that broke may go on where it broke.
+func (c *completion) candidates(view *control.View, last error) []*declaration.Target {
 	d := view.Declaration
 	ranked := placement.Rank(uint64(cache.RootOf(c.caller.workspace.ID, c.prompt)), d.TargetsOf(c.model),
 		func(t *declaration.Target) string { return string(t.ID) },
 		func(t *declaration.Target) float64 { return weight(view, t) })
-	left := ranked[:0]
+	var left []*declaration.Target
 	for _, target := range ranked {
 		if !c.tried[target.ID] {
 			left = append(left, target)
 		}
 	}
+	if len(left) == 0 && last != nil && !notRun(last) {
+		left = ranked
+	}
 	return c.entry.reachable(view, left)
 }
 
--- a/hibiscusd/internal/entry/handler.go
+++ b/hibiscusd/internal/entry/handler.go
@@ -37,6 +37,8 @@
 	// defaultPriority is that of requests without a declared class.
 	defaultPriority  = 5
 	defaultMaxTokens = 16
+	// bodyTime is how long a caller may take to send its body.
+	bodyTime = 10 * time.Second
 )
 
 // names is what operations, classes and keys may look like. Nothing that has a
@@ -303,6 +305,10 @@
 }
 
 func (e *Entry) readBody(ctx iris.Context) ([]byte, error) {
+	reading := http.NewResponseController(ctx.ResponseWriter().Naive())
+	// A connection without deadlines has only its length to bound it.
+	_ = reading.SetReadDeadline(time.Now().Add(bodyTime))
+	defer func() { _ = reading.SetReadDeadline(time.Time{}) }()
 	body, err := io.ReadAll(http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, int64(e.Limits.Body)))
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/hibiscusd/internal/node/node.go
+++ b/hibiscusd/internal/node/node.go
@@ -107,6 +107,13 @@
 
 func bytesOf(c *traffic.Counter) Bytes { return Bytes{c.Sent.Load(), c.Received.Load()} }
 
+// Bounds of the HTTP connections of callers, hosts and operators.
+const (
+	headerTime  = 5 * time.Second
+	idleTime    = 2 * time.Minute
+	headerLimit = 16 << 10 // bytes
+)
+
 // servers are the listeners of a node.
 type servers struct {
 	callers, hosts, operators *http.Server
@@ -181,7 +188,7 @@
 			listener = n.pool.Traffic.Listener(listener)
 		}
 		server := &http.Server{
-			Handler: l.handler, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 16 << 10,
+			Handler: l.handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: headerLimit,
 			BaseContext: func(net.Listener) context.Context { return ctx },
 		}
 		*l.server = server
--- a/hibiscusd/internal/proof/failure_test.go
+++ b/hibiscusd/internal/proof/failure_test.go
@@ -15,6 +15,8 @@
 	"hibiscuslb/fleet/caller"
 	"hibiscuslb/fleet/platform"
 	"hibiscuslb/standin/link"
+	"hibiscuslb/standin/modelengine"
+	"hibiscuslb/standin/script"
 )
 
 func TestKeeperIsKilledUnderLoad(t *testing.T) {
@@ -205,6 +207,45 @@
 	b.checkTargets()
 }
 
+// TestOnlyTargetIsTriedAgain breaks all streams of a model's only target. There
+// is nowhere else to go on.
+func TestOnlyTargetIsTriedAgain(t *testing.T) {
+	b := newBench(t, 2)
+	relay := &link.Relay{Listen: freeAddress(t), Target: b.engineAt[0].address}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- relay.Run(ctx) }()
+	defer func() {
+		cancel()
+		<-ended
+	}()
+	b.apply(b.document + fmt.Sprintf("[Model single]\nVersion = v1\n[Target single]\nModel = single\nDataCentre = a\nAddress = %s\n", relay.Listen))
+	only := b.engine
+	only.Model = "single"
+	b.engineAt[0].kill()
+	b.engines[0] = modelengine.New(only)
+	b.engineAt[0].start(t, b.engines[0].Handler())
+	prompt := caller.Prompt{Model: "single", Text: "long answer", MaxTokens: 100}
+	b.eventually("it serves", func() bool {
+		_, err := b.caller.Complete(ctx, prompt)
+		return err == nil
+	})
+	before := b.engines[0].Counts().Requests
+	answers := make(chan error, 1)
+	once := &caller.Client{Entries: b.caller.Entries, Key: b.caller.Key, HTTP: b.caller.HTTP, Tries: 1}
+	go func() {
+		answer, err := once.Complete(ctx, prompt)
+		if err == nil && answer.Text != script.New([]byte(prompt.Text)).Answer(prompt.MaxTokens) {
+			err = errors.New("wrong answer")
+		}
+		answers <- err
+	}()
+	b.eventually("it answers", func() bool { return b.engines[0].Counts().Requests > before })
+	relay.SetMode(link.Cut)
+	relay.SetMode(link.Pass)
+	require.NoError(t, <-answers)
+}
+
 // TestColdTargetAfterRestartAndKeeperKill restarts an engine and kills its
 // keeper at once: the new keeper must not give a cold engine more than it
 // bears, whatever the old one has left there.
