Remember finished keys in 37 bytes

Finished keys are kept in sorted runs now. Before 127.3 bytes a key, after 36.7 (BenchmarkIndex): 21 MB. A claim of a new key searches up to 70 runs: 48 microseconds in that benchmark, 8 before. Ruled out: more logs, which would let writes grow to 640 a second.

--- a/fleet/order/index.go
+++ b/fleet/order/index.go
@@ -3,22 +3,15 @@
 import "time"
 
 // index is what a log remembers of its keys. Finished keys are by far the
-// most, so each takes few bytes; their answers are kept for the latest only and
-// else read from their segment.
+// most, see archive; their answers are kept for the latest only and else read
+// from their segment.
 type index struct {
 	open     map[Key]Record
-	finished map[Key]finished
+	finished archive
 	answers  map[Key]Entry
 	order    []Key // of answers, oldest first
 }
 
-// finished is the memory of one finished key.
-type finished struct {
-	digest  Digest
-	segment uint32 // that holds the answer
-	at      uint32 // seconds since 1970
-}
-
 // answersKept bounds the answers in memory of one log.
 const answersKept = 256
 
@@ -27,8 +20,8 @@
 	if record, ok := x.open[key]; ok {
 		return record, true
 	}
-	if f, ok := x.finished[key]; ok {
-		return Record{Digest: f.digest, Finished: true, At: time.Unix(int64(f.at), 0)}, true
+	if l, ok := x.finished.find(key); ok {
+		return Record{Digest: l.digest, Finished: true, At: time.Unix(int64(l.at), 0)}, true
 	}
 	return Record{}, false
 }
@@ -39,14 +32,17 @@
 	return entry, ok
 }
 
-func (x *index) segmentOf(key Key) uint64 { return uint64(x.finished[key].segment) }
+// segmentOf returns the segment that holds the answer of a finished key.
+func (x *index) segmentOf(key Key) uint64 {
+	l, _ := x.finished.find(key)
+	return uint64(l.segment)
+}
 
 // learn takes an entry of the given segment. An entry of an attempt that is
 // not the key's open one changes nothing.
 func (x *index) learn(entry *Entry, segment uint64) {
 	if x.open == nil {
 		x.open = make(map[Key]Record)
-		x.finished = make(map[Key]finished)
 		x.answers = make(map[Key]Entry)
 	}
 	if entry.Kind == Claim {
@@ -61,7 +57,7 @@
 	if entry.Kind == Release {
 		return
 	}
-	x.finished[entry.Key] = finished{record.Digest, uint32(segment), uint32(record.At.Unix())}
+	x.finished.add(line{entry.Key, record.Digest, uint32(segment), uint32(record.At.Unix())})
 	x.keep(entry)
 }
 
@@ -75,13 +71,12 @@
 	x.order = append(x.order, entry.Key)
 }
 
-// forget drops those of the keys that are from before the given moment. A key
-// that was claimed anew later stays.
-func (x *index) forget(keys []Key, before time.Time) {
-	for _, key := range keys {
-		if record, ok := x.find(key); ok && !record.At.After(before) {
+// forget drops what is from before the given moment.
+func (x *index) forget(before time.Time) {
+	for key, record := range x.open {
+		if record.At.Before(before) {
 			delete(x.open, key)
-			delete(x.finished, key)
 		}
 	}
+	x.finished.forget(uint32(max(0, before.Unix())))
 }
--- a/fleet/order/log.go
+++ b/fleet/order/log.go
@@ -43,7 +43,6 @@
 type span struct {
 	version fleet.Version
 	newest  int64
-	keys    []Key
 }
 
 // Knows reports whether the log remembers the key, as of the last commit.
@@ -196,7 +195,6 @@
 	sealed := span{version: version}
 	for i := range segment.Entries {
 		sealed.newest = max(sealed.newest, segment.Entries[i].At)
-		sealed.keys = append(sealed.keys, segment.Entries[i].Key)
 	}
 	l.spans[l.number] = sealed
 	l.number++
@@ -299,7 +297,7 @@
 			return dropped, err
 		}
 		l.firstAt = version
-		l.index.forget(old.keys, now.Add(-l.Retention))
+		l.index.forget(now.Add(-l.Retention))
 		// A segment before the first one is never read; if this delete fails
 		// the object stays behind and does no harm.
 		_ = l.Client.Delete(ctx, segmentName(l.Shard, l.first), old.version)
--- a/fleet/order/order.go
+++ b/fleet/order/order.go
@@ -41,7 +41,7 @@
 
 // A Digest is the hash of a request, by which a key that is used for another
 // request is found out.
-type Digest [16]byte
+type Digest [8]byte
 
 // DigestOf returns the hash of an operation and its body.
 func DigestOf(operation string, body []byte) Digest {
@@ -49,7 +49,7 @@
 	// Writing to a hash never fails.
 	_, _ = fmt.Fprintf(hasher, "%d %s ", len(operation), operation)
 	_, _ = hasher.Write(body)
-	return Digest(hasher.Sum(nil)[:16])
+	return Digest(hasher.Sum(nil)[:8])
 }
 
 // AttemptID names an attempt uniquely over all processes.
