--- a/fleet/placement/placement_test.go
+++ b/fleet/placement/placement_test.go
@@ -69,17 +69,19 @@
 	fast, slow := 10*time.Millisecond, time.Second
 	cases := []struct {
 		name  string
+		queue time.Duration
 		fetch []time.Duration
 		want  int
 	}{
-		{"a fast link", []time.Duration{fast, fast, fast}, 3},
-		{"a slow link", []time.Duration{slow, slow, slow}, 0},
-		{"a link that is busy first", []time.Duration{150 * time.Millisecond, fast, fast}, 3},
-		{"a block that is on a slow disk", []time.Duration{fast, slow}, 1},
-		{"nothing stored", nil, 0},
+		{"a fast link", 0, []time.Duration{fast, fast, fast}, 3},
+		{"a slow link", 0, []time.Duration{slow, slow, slow}, 0},
+		{"a link that is busy first", 0, []time.Duration{150 * time.Millisecond, fast, fast}, 3},
+		{"a block that is on a slow disk", 0, []time.Duration{fast, slow}, 1},
+		{"a slow link and a target that is busy for longer", 4 * slow, []time.Duration{slow, slow, slow}, 3},
+		{"nothing stored", 0, nil, 0},
 	}
 	for _, c := range cases {
-		count, estimate := placement.Imports(placement.Quick{}, prompt, c.fetch)
+		count, estimate := placement.Imports(placement.Quick{}, prompt, c.queue, c.fetch)
 		require.Equal(t, c.want, count, c.name)
 		require.Equal(t, prompt.Compute(c.want), estimate.Compute, c.name)
 	}
--- a/fleet/placement/policy.go
+++ b/fleet/placement/policy.go
@@ -11,13 +11,14 @@
 // An Estimate is what serving a prompt at one target would take until its
 // first token.
 type Estimate struct {
-	Queue   time.Duration // until the target admits it
-	Import  time.Duration // to fetch blocks from a store
+	Queue   time.Duration // until the target begins to work on it
+	Import  time.Duration // to fetch blocks from a store, meanwhile
 	Compute time.Duration // to compute the rest of the prompt
 }
 
-// FirstToken is the time to the first token.
-func (e Estimate) FirstToken() time.Duration { return e.Queue + e.Import + e.Compute }
+// FirstToken is the time to the first token. Blocks are fetched while the
+// target works on other prompts, so a fetch that ends before that costs no time.
+func (e Estimate) FirstToken() time.Duration { return max(e.Queue, e.Import) + e.Compute }
 
 // A Policy weighs estimates for one workspace.
 type Policy interface {
@@ -42,24 +43,25 @@
 func (Quick) Patience(lost time.Duration) time.Duration { return lost }
 
 // Thrifty is the policy of workspaces whose prompts are costly to compute: time
-// in a queue counts a quarter, computing and moving count double.
+// counts a quarter, computing counts double, and moving half.
 type Thrifty struct{}
 
 var _ Policy = Thrifty{}
 
 const (
-	thriftyQueueShare = 4
+	thriftyTimeShare  = 4
 	thriftyWorkFactor = 2
+	thriftyMoveShare  = 2
 )
 
 // Cost implements Policy.
 func (Thrifty) Cost(e Estimate) time.Duration {
-	return e.Queue/thriftyQueueShare + thriftyWorkFactor*(e.Import+e.Compute)
+	return e.FirstToken()/thriftyTimeShare + thriftyWorkFactor*e.Compute + e.Import/thriftyMoveShare
 }
 
 // Patience implements Policy.
 func (Thrifty) Patience(lost time.Duration) time.Duration {
-	return thriftyQueueShare * thriftyWorkFactor * lost
+	return thriftyTimeShare * thriftyWorkFactor * lost
 }
 
 // PolicyOf returns the policy that a workspace has declared.
@@ -96,14 +98,15 @@
 }
 
 // Imports returns how many of the blocks that follow the resident ones to
-// fetch, given how long each fetch takes, and the estimate that results. Blocks
-// are of use only without a hole, so it is always the first few.
-func Imports[P Policy](policy P, prompt Prompt, fetch []time.Duration) (int, Estimate) {
-	best, estimate := 0, Estimate{Compute: prompt.Compute(prompt.Resident)}
+// fetch, given how long the target is busy with other prompts and how long each
+// fetch takes, and the estimate that results. Blocks are of use only without a
+// hole, so it is always the first few.
+func Imports[P Policy](policy P, prompt Prompt, queue time.Duration, fetch []time.Duration) (int, Estimate) {
+	best, estimate := 0, Estimate{Queue: queue, Compute: prompt.Compute(prompt.Resident)}
 	var total time.Duration
 	for i, d := range fetch {
 		total += d
-		option := Estimate{Import: total, Compute: prompt.Compute(prompt.Resident + i + 1)}
+		option := Estimate{Queue: queue, Import: total, Compute: prompt.Compute(prompt.Resident + i + 1)}
 		if policy.Cost(option) < policy.Cost(estimate) {
 			best, estimate = i+1, option
 		}
--- a/fleet/target/admission.go
+++ b/fleet/target/admission.go
@@ -35,7 +35,7 @@
 	Class     fleet.Class
 	Priority  int           // smaller goes first
 	Deadline  fleet.Instant // for the first token; zero for none
-	Work      time.Duration // from admission to the first token, as estimated
+	Work      time.Duration // that the target has to do before its first token
 	Patience  time.Duration // longest wait worth its while here; zero for any
 	arrived   fleet.Instant
 }
@@ -83,6 +83,11 @@
 type Limits struct {
 	Cold, Warm int
 	Queue      int // requests that may wait
+	// Unstarted bounds the requests that the target has been sent and has not
+	// begun to answer; zero for no bound. An engine computes prompts one after
+	// the other: those that wait inside it can not be put in order any more,
+	// and the blocks that they need are evicted by the time they are computed.
+	Unstarted int
 }
 
 // A Facts is what a report tells of the target at the moment Taken on the
@@ -96,6 +101,7 @@
 
 type flight struct {
 	workspace fleet.WorkspaceID
+	work      time.Duration // that the target has to do before it answers
 	admitted  fleet.Instant
 	started   fleet.Instant // when the first byte of the answer came; zero if not yet
 }
@@ -148,7 +154,20 @@
 // cold, or none has come since a takeover.
 func (a *Admission) Uncertain() bool { return a.cold || a.unproved || a.inherited > 0 }
 
-func (a *Admission) room() bool { return !a.unproved && a.InFlight() < a.limit }
+func (a *Admission) room() bool {
+	return !a.unproved && a.InFlight() < a.limit &&
+		true
+}
+
+func (a *Admission) unstarted() int {
+	n := 0
+	for _, f := range a.flights {
+		if f.started == 0 {
+			n++
+		}
+	}
+	return n
+}
 
 // Offer decides on a request that has arrived. A more urgent request may take
 // the place of a waiting one, which the next Expire drops.
@@ -203,18 +222,41 @@
 // expired is a deadline that lies before every moment of a clock.
 const expired fleet.Instant = 1
 
-// estimate returns how long the ticket would wait behind those before it.
+// estimate returns how long it would take until the target begins to work on
+// the ticket: until there is room for it, and until the work before it is done.
+// Engines compute prompts one after the other, so that work adds up.
 func (a *Admission) estimate(ticket Ticket) time.Duration {
-	if a.room() && len(a.queue) == 0 {
-		return 0
-	}
+	work := a.Backlog()
 	ahead := 1 + max(0, a.InFlight()-a.limit)
-	for _, waiting := range a.queue {
-		if waiting.Priority <= ticket.Priority {
+	for i := range a.queue {
+		if a.queue[i].Priority <= ticket.Priority {
 			ahead++
+			work += a.queue[i].Work
 		}
 	}
-	return time.Duration(ahead) * a.pace.perRequest() / time.Duration(max(1, a.limit))
+	if a.room() && len(a.queue) == 0 {
+		return work
+	}
+	return max(work, time.Duration(ahead)*a.pace.perRequest()/time.Duration(max(1, a.limit)))
+}
+
+// Backlog is the work of the requests that the target has been sent and has
+// not begun to answer.
+func (a *Admission) Backlog() time.Duration {
+	var work time.Duration
+	for _, f := range a.flights {
+		if f.started == 0 {
+			work += f.work
+		}
+	}
+	return work
+}
+
+// Replan changes how much work an admitted request is.
+func (a *Admission) Replan(id TicketID, work time.Duration) {
+	if f, ok := a.flights[id]; ok {
+		f.work = work
+	}
 }
 
 // Wait returns the estimated wait of a request of the lowest priority.
@@ -227,16 +269,18 @@
 		a.flights = make(map[TicketID]*flight)
 		a.busy = make(map[fleet.WorkspaceID]int)
 	}
-	a.flights[ticket.ID] = &flight{workspace: ticket.Workspace, admitted: now}
+	a.flights[ticket.ID] = &flight{workspace: ticket.Workspace, work: ticket.Work, admitted: now}
 	a.busy[ticket.Workspace]++
 }
 
-// Started notes that the target has begun to answer a request.
-func (a *Admission) Started(now fleet.Instant, id TicketID, incarnation fleet.Incarnation) {
+// Started notes that the target has begun to answer a request, and returns
+// whose turn it is now.
+func (a *Admission) Started(now fleet.Instant, id TicketID, incarnation fleet.Incarnation) Change {
 	if f, ok := a.flights[id]; ok {
 		f.started = now
 	}
 	a.saw(incarnation)
+	return a.Expire(now)
 }
 
 // Done ends a request and returns whose turn it is now. It also takes a
--- a/fleet/target/fuzz_test.go
+++ b/fleet/target/fuzz_test.go
@@ -21,6 +21,7 @@
 	running     map[target.TicketID]bool // at the target, of any keeper
 	ours        map[target.TicketID]bool // admitted by the present keeper
 	waiting     map[target.TicketID]bool
+	started     map[target.TicketID]bool // has begun to be answered
 	next        target.TicketID
 	admission   *target.Admission
 	reports     []target.Facts // taken and not yet delivered
@@ -47,6 +48,15 @@
 	if len(m.running) > m.limits.Warm {
 		t.Fatalf("%d at a target that bears %d", len(m.running), m.limits.Warm)
 	}
+	unstarted := 0
+	for id := range m.ours {
+		if !m.started[id] {
+			unstarted++
+		}
+	}
+	if unstarted > m.limits.Unstarted {
+		t.Fatalf("%d were sent and not begun, the bound is %d", unstarted, m.limits.Unstarted)
+	}
 	if m.toldCold && len(m.running) > m.limits.Cold {
 		t.Fatalf("%d at a target that has reported cold and bears %d", len(m.running), m.limits.Cold)
 	}
@@ -126,7 +136,8 @@
 		},
 		"start": func(t *rapid.T) {
 			if id, ok := m.draw(t, m.ours); ok {
-				m.admission.Started(m.now, id, m.incarnation)
+				m.started[id] = true
+				m.take(t, m.admission.Started(m.now, id, m.incarnation))
 			}
 		},
 		"takeReport": func(*rapid.T) {
@@ -167,9 +178,10 @@
 	fuzzing.Check(t, 3000, 120, func(t *rapid.T) {
 		cold := rapid.IntRange(1, 3).Draw(t, "cold")
 		m := &model{
-			now: 1000, limits: target.Limits{Cold: cold, Warm: cold + rapid.IntRange(0, 6).Draw(t, "more"), Queue: 4},
+			now: 1000, limits: target.Limits{Cold: cold, Warm: cold + rapid.IntRange(0, 6).Draw(t, "more"), Queue: 4, Unstarted: 2},
 			incarnation: 1, running: make(map[target.TicketID]bool),
 			ours: make(map[target.TicketID]bool), waiting: make(map[target.TicketID]bool),
+			started:   make(map[target.TicketID]bool),
 			admission: new(target.Admission),
 		}
 		m.admission.SetLimits(m.limits)
--- a/hibiscusd/internal/keeper/blocks.go
+++ b/hibiscusd/internal/keeper/blocks.go
@@ -10,6 +10,7 @@
 	"hibiscuslb/fleet/engine"
 	"hibiscuslb/fleet/placement"
 	"hibiscuslb/fleet/store"
+	"hibiscuslb/fleet/target"
 )
 
 const (
@@ -42,7 +43,7 @@
 
 // fetch imports the blocks for which that is better than computing them. It
 // leaves out whatever fails: the engine computes what it lacks.
-func (j *job) fetch(ctx context.Context) {
+func (j *job) fetch(ctx context.Context, id target.TicketID) {
 	set := j.keeper.set
 	host, ok := storeOf(set.Control.View().Declaration, j.chain)
 	if !ok || j.prompt.Resident == len(j.chain) {
@@ -68,7 +69,8 @@
 		costs[i] = holding.Rate.Time(holding.Seal.Length)
 	}
 	costs[0] += wanted[0].Wait
-	count, estimate := placement.Imports(j.policy, j.prompt, costs)
+	count, estimate := placement.Imports(j.policy, j.prompt, j.keeper.expect(id, 0), costs)
+	j.keeper.expect(id, estimate.Compute)
 	if count < len(wanted) {
 		set.Metrics.Add("ImportsDeclined", int64(len(wanted)-count))
 	}
--- a/hibiscusd/internal/keeper/generate.go
+++ b/hibiscusd/internal/keeper/generate.go
@@ -65,7 +65,7 @@
 	if err != nil {
 		return false, err
 	}
-	job.fetch(ctx)
+	job.fetch(ctx, id)
 	if err := s.mayDispatch(keeper); err != nil {
 		keeper.release(id, target.Untouched)
 		return false, err
@@ -169,7 +169,10 @@
 	k := j.keeper
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.admission.Started(k.set.Clock(), id, start.Incarnation)
+	k.deliver(k.admission.Started(k.set.Clock(), id, start.Incarnation))
+	if missing := j.prompt.Resident - int(start.Cached/cache.BlockTokens); missing > 0 {
+		k.set.Metrics.Add("ResidentBlocksMissed", int64(missing))
+	}
 	// What the engine computed is in its cache now, until an event says
 	// otherwise.
 	if k.version == j.version {
--- a/hibiscusd/internal/keeper/keeper.go
+++ b/hibiscusd/internal/keeper/keeper.go
@@ -43,8 +43,11 @@
 	uncertainReportTime = 500 * time.Millisecond
 	reportTimeout       = time.Second
 	downTime            = time.Second
-	residentLimit       = 20_000 // keys, of 32 bytes each
-	exportsQueued       = 64
+	// promptsSent is how many prompts an engine is sent ahead: one that it
+	// computes, and others whose blocks are fetched meanwhile.
+	promptsSent   = 2
+	residentLimit = 20_000 // keys, of 32 bytes each
+	exportsQueued = 64
 )
 
 func newKeeper(set *Set, declared *declaration.Target, epoch fleet.Epoch) *Keeper {
@@ -71,7 +74,11 @@
 
 func (k *Keeper) declareLocked(declared *declaration.Target) {
 	k.target = declared
-	k.admission.SetLimits(target.Limits{Cold: declared.ColdLimit, Warm: declared.WarmLimit, Queue: k.set.Limits.Queue})
+	limits := target.Limits{Cold: declared.ColdLimit, Warm: declared.WarmLimit, Queue: k.set.Limits.Queue}
+	if declared.Kind == declaration.Engine {
+		limits.Unstarted = promptsSent
+	}
+	k.admission.SetLimits(limits)
 }
 
 // run follows the target's reports, drops requests that wait too long and
@@ -148,9 +155,11 @@
 	k.deliver(k.admission.Report(now, target.Facts{Taken: now.Add(-k.set.Limits.CallTime)}))
 }
 
-// learn takes the cache events of a report. After a gap nothing is known.
+// learn takes the cache events of a report. Events get lost, so what is known
+// is a belief: a lost addition costs an import too many, a lost removal blocks
+// that are computed again. Forgetting all after each gap costs more than either.
 func (k *Keeper) learn(report *engine.Report) {
-	if report.Gap || report.Last < k.sequence || len(k.resident) > residentLimit {
+	if report.Last < k.sequence || len(k.resident) > residentLimit {
 		clear(k.resident)
 	}
 	for _, event := range report.Events {
@@ -244,6 +253,15 @@
 	k.downUntil = k.set.Clock().Add(downTime)
 }
 
+// expect sets how much work an admitted request is, and returns how long the
+// target is busy with others that it was sent.
+func (k *Keeper) expect(id target.TicketID, work time.Duration) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.admission.Replan(id, work)
+	return k.admission.Backlog() - work
+}
+
 // wait is how long a new request would wait for the target.
 func (k *Keeper) wait() time.Duration {
 	k.mu.Lock()
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -2,18 +2,20 @@
 # Runs the experiments and prints their table. Results and plots go to
 # out/bench. Each run starts with fresh stand-ins; runs of one deployment get
 # the same requests from the same seed.
-# usage: bench.sh [REQUESTS] [RATE]
+# usage: [ONLY=PATTERN] bench.sh [REQUESTS] [RATE]
+# ONLY chooses the runs whose names match.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 REQUESTS=${1:-600}
 RATE=${2:-14}
 RESULTS=out/bench
-rm -rf "$RESULTS"
+ONLY=${ONLY:-.}
 mkdir -p "$RESULTS"
 
 # experiment DEPLOYMENT ROUTE NAME [EVENTS]
 experiment() (
 	local deployment=$1 route=$2 name=$3 events=${4:-}
+	[[ $name =~ $ONLY ]] || return 0
 	local file=examples/kandyan.ini model=answer workspace=clerks key=clerks-key centres=(kurunegala negombo) region=lk-west
 	if [ "$deployment" = Kypseli ]; then
 		file=examples/kypseli.ini model=assistant workspace=walks key=walks-key centres=(athina pireas) region=attica
@@ -41,6 +43,9 @@
 		run --name "$name" --route "$route" --deployment "$deployment" --model "$model" --workspace "$workspace" \
 		--caller-key "$key" --requests "$REQUESTS" --rate "$RATE" --platform 127.0.0.1:21000 \
 		--events "$events" --folder "$RESULTS"
+	if [ "$route" = Fleet ]; then
+		for i in 1 2 3; do curl -fsS "http://127.0.0.1:22${i}02/debug/vars" >"$RESULTS/$name.host-$i.vars"; done
+	fi
 )
 
 for deployment in Kandyan Kypseli; do
