--- a/hibiscusd/internal/keeper/blocks.go
+++ b/hibiscusd/internal/keeper/blocks.go
@@ -94,20 +94,11 @@
 			metrics.Add("ImportsFailed", 1)
 			return
 		}
-		j.imported++
-		j.keeper.use(order.Key)
 		metrics.Add("ImportedBlocks", 1)
 		metrics.Add("ImportedBytes", int64(holding.Seal.Length))
 	}
 }
 
-// use notes that the engine has a block that it has imported.
-func (k *Keeper) use(key cache.Key) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.belief.Use([]cache.Key{key})
-}
-
 // An export is a chain whose blocks from the given one on are to be stored.
 type export struct {
 	chain   []cache.Key
--- a/hibiscusd/internal/keeper/generate.go
+++ b/hibiscusd/internal/keeper/generate.go
@@ -29,7 +29,6 @@
 	prompt   placement.Prompt
 	deadline fleet.Instant
 	stored   int // leading blocks that a store has
-	imported int // blocks that were fetched
 }
 
 // plansTried bounds how often a prompt is planned anew because its target has
@@ -104,7 +103,12 @@
 		Tokens: cache.TokensOf(len(ask.Prompt)) + ask.From,
 		Rate:   declared.PrefillRate,
 	}
-	j.prompt.Resident = keeper.belief.Prefix(j.chain)
+	for _, key := range j.chain {
+		if _, ok := keeper.resident[key]; !ok {
+			break
+		}
+		j.prompt.Resident++
+	}
 	return j, nil
 }
 
@@ -166,12 +170,16 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.deliver(k.admission.Started(k.set.Clock(), id, start.Incarnation))
-	expected, cached := j.prompt.Resident+j.imported, int(start.Cached/cache.BlockTokens)
+	if missing := j.prompt.Resident - int(start.Cached/cache.BlockTokens); missing > 0 {
+		k.set.Metrics.Add("ResidentBlocksMissed", int64(missing))
+	}
+	// What the engine computed is in its cache now, until an event says
+	// otherwise.
 	if k.version == j.version {
-		k.belief.Found(j.chain, expected, cached)
-		k.belief.Use(j.chain)
+		for _, key := range j.chain {
+			k.resident[key] = struct{}{}
+		}
 	}
-	k.set.Metrics.Add("ExpectedBlocksMissed", int64(max(0, expected-cached)))
 	metrics := k.set.Metrics
 	metrics.Add("PromptTokens", int64(start.Cached+start.Computed))
 	metrics.Add("ComputedTokens", int64(start.Computed))
--- a/hibiscusd/internal/keeper/keeper.go
+++ b/hibiscusd/internal/keeper/keeper.go
@@ -29,7 +29,7 @@
 	version   fleet.WeightVersion // loaded, as far as is known
 	loading   bool
 	loadedAt  fleet.Instant // reports from before say nothing of the version
-	belief    cache.Belief  // what the engine has in its cache
+	resident  map[cache.Key]struct{}
 	sequence  uint64        // of the last cache event
 	downUntil fleet.Instant // no connection could be made lately
 	exports   chan export
@@ -46,13 +46,14 @@
 	// promptsSent is how many prompts an engine is sent ahead: one that it
 	// computes, and others whose blocks are fetched meanwhile.
 	promptsSent   = 2
+	residentLimit = 20_000 // keys, of 32 bytes each
 	exportsQueued = 64
 )
 
 func newKeeper(set *Set, declared *declaration.Target, epoch fleet.Epoch) *Keeper {
 	k := &Keeper{
 		set: set, id: declared.ID, epoch: epoch,
-		gates:   make(map[target.TicketID]chan bool),
+		gates: make(map[target.TicketID]chan bool), resident: make(map[cache.Key]struct{}),
 		exports: make(chan export, exportsQueued),
 	}
 	k.declareLocked(declared)
@@ -154,15 +155,18 @@
 	k.deliver(k.admission.Report(now, target.Facts{Taken: now.Add(-k.set.Limits.CallTime)}))
 }
 
-// learn takes the cache events of a report. They are late and some are lost, so
-// only removals are of use: what the engine was sent is known already.
+// learn takes the cache events of a report. Events get lost, so what is known
+// is a belief: a lost addition costs an import too many, a lost removal blocks
+// that are computed again. Forgetting all after each gap costs more than either.
 func (k *Keeper) learn(report *engine.Report) {
-	if report.Last < k.sequence {
-		k.belief.Clear() // another life of the engine
+	if report.Last < k.sequence || len(k.resident) > residentLimit {
+		clear(k.resident)
 	}
 	for _, event := range report.Events {
 		if event.Removed {
-			k.belief.Remove(event.Key)
+			delete(k.resident, event.Key)
+		} else {
+			k.resident[event.Key] = struct{}{}
 		}
 	}
 	k.sequence = report.Last
@@ -271,6 +275,6 @@
 	return contract.Target{
 		Target: k.id, Epoch: k.epoch, Limit: k.admission.Limit(), InFlight: k.admission.InFlight(),
 		Waiting: k.admission.Waiting(), Cold: k.admission.Cold(), Down: k.set.Clock() < k.downUntil,
-		Version: k.version, Blocks: k.belief.Len(),
+		Version: k.version, Blocks: len(k.resident),
 	}
 }
--- a/hibiscusd/internal/keeper/weights.go
+++ b/hibiscusd/internal/keeper/weights.go
@@ -62,7 +62,7 @@
 		return
 	}
 	k.version = version
-	k.belief.Clear()
+	clear(k.resident)
 }
 
 func (k *Keeper) loadedVersion() fleet.WeightVersion {
