Mirror an engine's cache, and fetch blocks of a prompt at once

Cause of the misses, from a log of each answer's beginning: six blocks fetched, none of them there when the engine came to the prompt. Fetches of one prompt waited for each other on a busy link, up to seconds, while the other prompts that were sent evicted the first ones. Residency was also judged before the request had waited for its turn. Changes: all fetches of a prompt are ordered at once; residency is judged after the wait, by a mirror of the engine's cache with its declared capacity (CacheBlocks), which leaves out what the prompts ahead will evict.

--- a/fleet/declaration/build.go
+++ b/fleet/declaration/build.go
@@ -168,7 +168,8 @@
 			Model: fleet.ModelID(f.text("Model")), DataCentre: fleet.DataCentreID(f.text("DataCentre")),
 			Address: f.address("Address"), Share: f.share("Share"),
 			ColdLimit: f.count("ColdLimit", 1), WarmLimit: f.count("WarmLimit", 16),
-			PrefillRate: fleet.TokenRate(f.count("PrefillRate", 40_000)), State: f.state("State"),
+			PrefillRate: fleet.TokenRate(f.count("PrefillRate", 40_000)),
+			CacheBlocks: f.count("CacheBlocks", 0), State: f.state("State"),
 		}
 	},
 	KindStore: func(d *Declaration, name string, f *fields) {
--- a/fleet/declaration/declaration.go
+++ b/fleet/declaration/declaration.go
@@ -65,6 +65,7 @@
 	ColdLimit   int // requests at once that it bears while cold
 	WarmLimit   int // requests at once that it bears when warm
 	PrefillRate fleet.TokenRate
+	CacheBlocks int // that an engine's cache holds; zero if not known
 	State       ServiceState
 }
 
--- a/hibiscusd/internal/keeper/blocks.go
+++ b/hibiscusd/internal/keeper/blocks.go
@@ -11,6 +11,7 @@
 	"hibiscuslb/fleet/placement"
 	"hibiscuslb/fleet/store"
 	"hibiscuslb/fleet/target"
+	"hibiscuslb/fleet/task"
 )
 
 const (
@@ -18,6 +19,9 @@
 	exportTimeout = 5 * time.Second
 	// importSlack is how much longer than estimated an import may take.
 	importSlack = 4
+	// blocksAhead is how many blocks the prompts that were sent before may add
+	// to an engine's cache until it comes to the next one.
+	blocksAhead = 8
 )
 
 // storeOf returns the store that holds a chain of blocks: all blocks of a
@@ -45,6 +49,8 @@
 // leaves out whatever fails: the engine computes what it lacks.
 func (j *job) fetch(ctx context.Context, id target.TicketID) {
 	set := j.keeper.set
+	// While the request waited, others have used the cache.
+	j.prompt.Resident = j.keeper.resident(j.chain)
 	host, ok := storeOf(set.Control.View().Declaration, j.chain)
 	if !ok || j.prompt.Resident == len(j.chain) {
 		j.stored = len(j.chain)
@@ -79,26 +85,58 @@
 	j.importBlocks(ctx, host, wanted[:count])
 }
 
+// importBlocks orders all imports at once, so that they are booked on the link
+// one behind the other. If each waited for the one before, what other prompts
+// fetch would come between, and the first blocks would be evicted before the
+// last one arrives.
 func (j *job) importBlocks(ctx context.Context, host *declaration.Store, holdings []store.Holding) {
-	metrics := j.keeper.set.Metrics
-	client := engine.Client{Address: j.target.Address}
+	arrived := make([]bool, len(holdings))
+	var imports task.Group
 	for i, holding := range holdings {
 		order := engine.Import{
 			Key: j.chain[j.prompt.Resident+i], Version: j.version,
 			Store: host.Address, Seal: holding.Seal, Fence: j.keeper.epoch,
 		}
 		if j.keeper.set.mayDispatch(j.keeper) != nil {
-			return
-		}
-		if err := client.Import(ctx, order); err != nil {
-			metrics.Add("ImportsFailed", 1)
-			return
+			break
 		}
-		metrics.Add("ImportedBlocks", 1)
-		metrics.Add("ImportedBytes", int64(holding.Seal.Length))
+		imports.Go(ctx, func(ctx context.Context) { arrived[i] = j.importBlock(ctx, order) })
+	}
+	imports.Wait()
+	for j.imported < len(arrived) && arrived[j.imported] {
+		j.imported++
 	}
 }
 
+// importBlock reports whether the engine has taken the block.
+func (j *job) importBlock(ctx context.Context, order engine.Import) bool {
+	metrics := j.keeper.set.Metrics
+	client := engine.Client{Address: j.target.Address}
+	if err := client.Import(ctx, order); err != nil {
+		metrics.Add("ImportsFailed", 1)
+		return false
+	}
+	j.keeper.use(order.Key)
+	metrics.Add("ImportedBlocks", 1)
+	metrics.Add("ImportedBytes", int64(order.Seal.Length))
+	return true
+}
+
+// use notes that the engine uses blocks.
+func (k *Keeper) use(keys ...cache.Key) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.mirror.Use(keys...)
+}
+
+// resident returns how many of the chain's first blocks the engine has now and
+// will still have when it comes to the prompt.
+func (k *Keeper) resident(chain []cache.Key) int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.mirror.Prefix(chain, blocksAhead)
+}
+
 // An export is a chain whose blocks from the given one on are to be stored.
 type export struct {
 	chain   []cache.Key
--- a/hibiscusd/internal/keeper/generate.go
+++ b/hibiscusd/internal/keeper/generate.go
@@ -29,6 +29,7 @@
 	prompt   placement.Prompt
 	deadline fleet.Instant
 	stored   int // leading blocks that a store has
+	imported int // blocks that were fetched
 }
 
 // plansTried bounds how often a prompt is planned anew because its target has
@@ -103,12 +104,7 @@
 		Tokens: cache.TokensOf(len(ask.Prompt)) + ask.From,
 		Rate:   declared.PrefillRate,
 	}
-	for _, key := range j.chain {
-		if _, ok := keeper.resident[key]; !ok {
-			break
-		}
-		j.prompt.Resident++
-	}
+	j.prompt.Resident = keeper.mirror.Prefix(j.chain, blocksAhead)
 	return j, nil
 }
 
@@ -170,15 +166,12 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.deliver(k.admission.Started(k.set.Clock(), id, start.Incarnation))
-	if missing := j.prompt.Resident - int(start.Cached/cache.BlockTokens); missing > 0 {
-		k.set.Metrics.Add("ResidentBlocksMissed", int64(missing))
-	}
-	// What the engine computed is in its cache now, until an event says
-	// otherwise.
+	expected, cached := j.prompt.Resident+j.imported, int(start.Cached/cache.BlockTokens)
+	k.set.Metrics.Add("ExpectedBlocksMissed", int64(max(0, expected-cached)))
+	k.set.Log.Debug().Str("Target", string(k.id)).Int("Blocks", len(j.chain)).Int("Resident", j.prompt.Resident).
+		Int("Imported", j.imported).Int("Stored", j.stored).Int("Cached", cached).Msg("answer begins")
 	if k.version == j.version {
-		for _, key := range j.chain {
-			k.resident[key] = struct{}{}
-		}
+		k.mirror.Use(j.chain...)
 	}
 	metrics := k.set.Metrics
 	metrics.Add("PromptTokens", int64(start.Cached+start.Computed))
--- a/hibiscusd/internal/keeper/keeper.go
+++ b/hibiscusd/internal/keeper/keeper.go
@@ -29,7 +29,7 @@
 	version   fleet.WeightVersion // loaded, as far as is known
 	loading   bool
 	loadedAt  fleet.Instant // reports from before say nothing of the version
-	resident  map[cache.Key]struct{}
+	mirror    cache.Mirror  // of the engine's cache
 	sequence  uint64        // of the last cache event
 	downUntil fleet.Instant // no connection could be made lately
 	exports   chan export
@@ -46,14 +46,13 @@
 	// promptsSent is how many prompts an engine is sent ahead: one that it
 	// computes, and others whose blocks are fetched meanwhile.
 	promptsSent   = 2
-	residentLimit = 20_000 // keys, of 32 bytes each
 	exportsQueued = 64
 )
 
 func newKeeper(set *Set, declared *declaration.Target, epoch fleet.Epoch) *Keeper {
 	k := &Keeper{
 		set: set, id: declared.ID, epoch: epoch,
-		gates: make(map[target.TicketID]chan bool), resident: make(map[cache.Key]struct{}),
+		gates:   make(map[target.TicketID]chan bool),
 		exports: make(chan export, exportsQueued),
 	}
 	k.declareLocked(declared)
@@ -79,6 +78,7 @@
 		limits.Unstarted = promptsSent
 	}
 	k.admission.SetLimits(limits)
+	k.mirror.SetCapacity(declared.CacheBlocks)
 }
 
 // run follows the target's reports, drops requests that wait too long and
@@ -155,18 +155,15 @@
 	k.deliver(k.admission.Report(now, target.Facts{Taken: now.Add(-k.set.Limits.CallTime)}))
 }
 
-// learn takes the cache events of a report. Events get lost, so what is known
-// is a belief: a lost addition costs an import too many, a lost removal blocks
-// that are computed again. Forgetting all after each gap costs more than either.
+// learn takes the cache events of a report. They are late and some are lost, so
+// only removals are of use: what the engine was sent is known already.
 func (k *Keeper) learn(report *engine.Report) {
-	if report.Last < k.sequence || len(k.resident) > residentLimit {
-		clear(k.resident)
+	if report.Last < k.sequence {
+		k.mirror.Clear() // another life of the engine
 	}
 	for _, event := range report.Events {
 		if event.Removed {
-			delete(k.resident, event.Key)
-		} else {
-			k.resident[event.Key] = struct{}{}
+			k.mirror.Remove(event.Key)
 		}
 	}
 	k.sequence = report.Last
@@ -275,6 +272,6 @@
 	return contract.Target{
 		Target: k.id, Epoch: k.epoch, Limit: k.admission.Limit(), InFlight: k.admission.InFlight(),
 		Waiting: k.admission.Waiting(), Cold: k.admission.Cold(), Down: k.set.Clock() < k.downUntil,
-		Version: k.version, Blocks: len(k.resident),
+		Version: k.version, Blocks: k.mirror.Len(),
 	}
 }
--- a/hibiscusd/internal/keeper/weights.go
+++ b/hibiscusd/internal/keeper/weights.go
@@ -62,7 +62,7 @@
 		return
 	}
 	k.version = version
-	clear(k.resident)
+	k.mirror.Clear()
 }
 
 func (k *Keeper) loadedVersion() fleet.WeightVersion {
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -33,7 +33,9 @@
 		start_node 2 host-2 "${centres[0]}" "$region"
 		start_node 3 host-3 "${centres[1]}" "$region"
 		wait_ready 1 2 3
-		"$BIN/hibiscusctl" --hosts 127.0.0.1:22102 --key operators-key apply "$file" >"$OUT/apply.log"
+		# The baselines know no shares, so the fleet gets none either.
+		grep -v '^Share' "$file" >"$OUT/fleet.ini"
+		"$BIN/hibiscusctl" --hosts 127.0.0.1:22102 --key operators-key apply "$OUT/fleet.ini" >"$OUT/apply.log"
 	fi
 	sleep 4 # engines turn warm, keepers learn of it
 	"$BIN/hibiscusload" --entries 127.0.0.1:22100,127.0.0.1:22200,127.0.0.1:22300 \
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -44,6 +44,9 @@
 Operators = operators-key
 CacheSecret = 00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff
 
+[Log]
+Level = ${LOG_LEVEL:-info}
+
 [Limits]
 AddressTTL = ${ADDRESS_TTL:-2s}
 INI
