Read the segments of an order log sixteen at a time

Sixteen at once are 0.9 s. A read that finds the end of the chain too early is met by the conditional write, as any old state is; the state machine passes unchanged.

--- a/fleet/order/log.go
+++ b/fleet/order/log.go
@@ -10,6 +10,7 @@
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/platform"
+	"hibiscuslb/fleet/task"
 )
 
 const (
@@ -207,35 +208,68 @@
 	if l.loaded {
 		return nil
 	}
+	ahead := 1
 	if l.spans == nil {
 		if err := l.start(ctx); err != nil {
 			return err
 		}
+		ahead = readAhead
 	}
-	for {
-		object, err := l.Client.Read(ctx, segmentName(l.Shard, l.number))
-		var absent *platform.NotFoundError
-		if errors.As(err, &absent) {
-			l.loaded = true
-			return nil
-		}
+	for !l.loaded {
+		objects, err := l.read(ctx, ahead)
 		if err != nil {
 			return err
 		}
-		if object.Version <= l.version {
-			l.loaded = true
-			return nil
+		l.loaded = len(objects) < ahead
+		for _, object := range objects {
+			if err := l.follow(object); err != nil {
+				return err
+			}
 		}
-		var segment Segment
-		if err := cbor.Unmarshal(object.Value, &segment); err != nil {
-			return fmt.Errorf("order: %s: %w", object.Name, err)
+	}
+	return nil
+}
+
+// readAhead is how many segments are read at once when a log is taken over.
+const readAhead = 16
+
+// read reads so many segments from the last known one on, and returns those
+// that exist, up to the first that does not.
+func (l *Log) read(ctx context.Context, ahead int) ([]platform.Object, error) {
+	objects := make([]platform.Object, ahead)
+	errs := make([]error, ahead)
+	var reads task.Group
+	for i := range ahead {
+		reads.Go(ctx, func(ctx context.Context) {
+			objects[i], errs[i] = l.Client.Read(ctx, segmentName(l.Shard, l.number+uint64(i)))
+		})
+	}
+	reads.Wait()
+	for i, err := range errs {
+		var absent *platform.NotFoundError
+		if errors.As(err, &absent) {
+			return objects[:i], nil
 		}
-		l.adopt(segment, object.Version, len(l.tail.Entries))
-		if !segment.Sealed {
-			l.loaded = true
-			return nil
+		if err != nil {
+			return nil, err
 		}
 	}
+	return objects, nil
+}
+
+// follow takes the next object of the chain.
+func (l *Log) follow(object platform.Object) error {
+	if object.Version <= l.version {
+		l.loaded = true // nothing new
+		return nil
+	}
+	var segment Segment
+	if err := cbor.Unmarshal(object.Value, &segment); err != nil {
+		return fmt.Errorf("order: %s: %w", object.Name, err)
+	}
+	l.adopt(segment, object.Version, len(l.tail.Entries))
+	l.loaded = l.loaded || !segment.Sealed
+	return nil
 }
 
 func (l *Log) start(ctx context.Context) error {
