--- a/fleet/target/admission.go
+++ b/fleet/target/admission.go
@@ -156,7 +156,7 @@
 
 func (a *Admission) room() bool {
 	return !a.unproved && a.InFlight() < a.limit &&
-		true
+		(a.limits.Unstarted == 0 || a.unstarted() < a.limits.Unstarted)
 }
 
 func (a *Admission) unstarted() int {
