Let a silent link hide that an end has closed

Cause: TestAnswersStayWhole passed with the watchdog of engine streams off. The stand-in link dropped what passed, but closed one end when the other closed, so an engine that had finished ended the stream for its keeper. A connection that something in between has lost track of shows nothing of that. The test also waits now until answers are on their way over the link before it goes silent.

--- a/hibiscusd/internal/proof/failure_test.go
+++ b/hibiscusd/internal/proof/failure_test.go
@@ -192,8 +192,9 @@
 	b.apply(b.declare())
 	b.engineAt[3].address = direct
 	b.awaitService()
-	load := b.startLoad(8, 60)
+	load := b.startLoad(8, 200)
 	load.awaitMore(10)
+	b.eventually("answers are on their way", func() bool { return b.engines[3].Report(0).Running > 1 })
 	relay.SetMode(link.Silent)
 	load.awaitEach()
 	relay.SetMode(link.Pass)
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -40,6 +40,8 @@
 // pair is one relayed connection.
 type pair struct {
 	client, server net.Conn
+	cut            chan struct{} // closed by close
+	once           sync.Once
 	mu             sync.Mutex
 	silent         bool
 }
@@ -106,7 +108,7 @@
 		client.Close()
 		return
 	}
-	p := &pair{client: client, server: server}
+	p := &pair{client: client, server: server, cut: make(chan struct{})}
 	if !r.enter(p) {
 		p.close()
 		return
@@ -152,17 +154,23 @@
 }
 
 func (p *pair) close() {
-	p.client.Close()
-	p.server.Close()
+	p.once.Do(func() {
+		close(p.cut)
+		p.client.Close()
+		p.server.Close()
+	})
 }
 
-// copy carries one direction. Once muted it reads on and drops, so that
-// neither end notices.
+// copy carries one direction. Once muted it reads on and drops, and hides that
+// an end has closed, so that the other does not notice.
 func (p *pair) copy(ended chan<- struct{}, to io.Writer, from io.Reader, delay time.Duration) {
 	defer func() { ended <- struct{}{} }()
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
+		if err != nil && p.muted() {
+			<-p.cut
+		}
 		if err != nil {
 			return
 		}
