Do not count hosts that are gone as refusals

One host kept three of four targets when it was killed; each counted as one of the three candidates that a prompt is offered to, and the fourth was never asked.

--- a/hibiscusd/internal/entry/complete.go
+++ b/hibiscusd/internal/entry/complete.go
@@ -33,6 +33,7 @@
 	lastPiece fleet.Instant
 	usage     Usage
 	tried     map[fleet.TargetID]bool
+	refused   int   // keepers that have refused; hosts that are gone do not count
 	callerErr error // emit failed: the caller has gone
 }
 
@@ -115,7 +116,7 @@
 		return &exhaustedError{err}
 	}
 	candidates := c.candidates(view, last)
-	if len(candidates) == 0 || len(c.tried) >= candidatesTried && notRun(last) {
+	if len(candidates) == 0 || c.refused >= candidatesTried {
 		return &exhaustedError{fleet.RefuseFor(fleet.ReasonNoTarget, time.Second)}
 	}
 	best := c.choose(candidates)
@@ -124,7 +125,7 @@
 		Attempt: engine.Attempt(rand.Text()), Target: best.ID, Workspace: c.caller.workspace.ID,
 		Class: c.caller.class.ID, Priority: c.caller.class.Priority, Policy: c.caller.workspace.Policy,
 		Prompt: c.prompt, MaxTokens: c.maxTokens, Deadline: left,
-		Last: len(candidates) == 1 || len(c.tried) == candidatesTried,
+		Last: len(candidates) == 1 || c.refused == candidatesTried-1,
 	}
 	if c.usage.CompletionTokens > 0 {
 		ask.Deadline = 0 // it was met
@@ -203,7 +204,10 @@
 		c.entry.noteLost(owner.Address, err)
 	}
 	var refusal *fleet.RefusalError
-	if errors.As(err, &refusal) && refusal.RetryAfter > 0 {
+	if errors.As(err, &refusal) && refusal.Outcome == fleet.NotRun {
+		c.refused++
+	}
+	if refusal != nil && refusal.RetryAfter > 0 {
 		c.entry.loads.note(target.ID, refusal.RetryAfter, c.entry.Clock())
 	}
 	return err
--- a/hibiscusd/internal/entry/entry.go
+++ b/hibiscusd/internal/entry/entry.go
@@ -53,7 +53,7 @@
 	once    sync.Once
 }
 
-// candidatesTried bounds how many targets one request is offered to.
+// candidatesTried bounds how many keepers may refuse one request.
 const candidatesTried = 3
 
 // loads remembers what keepers said of their targets' queues. The facts ride
