Hash a prompt's blocks outside the keeper's lock

Planning hashed the prompt, up to megabytes, while it held the lock of the target's admission point, and looked up version and residency in copies of loadedVersion and resident; it calls these two now. Three copies of starting a relay in the proofs are one, runRelay. Behaviour is as it was: gofmt, vet and staticcheck clean; OnlyTarget, BadInput, WeightSwap and HostCut pass.

--- a/hibiscusd/internal/keeper/generate.go
+++ b/hibiscusd/internal/keeper/generate.go
@@ -92,9 +92,7 @@
 	if ask.Deadline > 0 {
 		j.deadline = s.Clock().Add(ask.Deadline)
 	}
-	keeper.mu.Lock()
-	defer keeper.mu.Unlock()
-	j.version = keeper.version
+	j.version = keeper.loadedVersion()
 	if j.version == "" {
 		j.version = view.Declaration.Models[declared.Model].Version
 	}
@@ -104,7 +102,7 @@
 		Tokens: cache.TokensOf(len(ask.Prompt)) + ask.From,
 		Rate:   declared.PrefillRate,
 	}
-	j.prompt.Resident = keeper.mirror.Prefix(j.chain, blocksAhead)
+	j.prompt.Resident = keeper.resident(j.chain)
 	return j, nil
 }
 
--- a/hibiscusd/internal/proof/failure_test.go
+++ b/hibiscusd/internal/proof/failure_test.go
@@ -177,13 +177,7 @@
 func TestAnswersStayWholeWhenEnginesDieOrGoSilent(t *testing.T) {
 	b := newBench(t, 3)
 	relay := &link.Relay{Listen: freeAddress(t), Target: b.engineAt[3].address}
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- relay.Run(ctx) }()
-	defer func() {
-		cancel()
-		<-ended
-	}()
+	runRelay(t, relay)
 	direct := b.engineAt[3].address
 	b.engineAt[3].address = relay.Listen
 	b.apply(b.declare())
@@ -210,13 +204,7 @@
 func TestOnlyTargetIsTriedAgain(t *testing.T) {
 	b := newBench(t, 2)
 	relay := &link.Relay{Listen: freeAddress(t), Target: b.engineAt[0].address}
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- relay.Run(ctx) }()
-	defer func() {
-		cancel()
-		<-ended
-	}()
+	runRelay(t, relay)
 	b.apply(b.document + fmt.Sprintf("[Model single]\nVersion = v1\n[Target single]\nModel = single\nDataCentre = a\nAddress = %s\n", relay.Listen))
 	only := b.engine
 	only.Model = "single"
@@ -225,14 +213,14 @@
 	b.engineAt[0].start(t, b.engines[0].Handler())
 	prompt := caller.Prompt{Model: "single", Text: "long answer", MaxTokens: 100}
 	b.eventually("it serves", func() bool {
-		_, err := b.caller.Complete(ctx, prompt)
+		_, err := b.caller.Complete(context.Background(), prompt)
 		return err == nil
 	})
 	before := b.engines[0].Counts().Requests
 	answers := make(chan error, 1)
 	once := &caller.Client{Entries: b.caller.Entries, Key: b.caller.Key, HTTP: b.caller.HTTP, Tries: 1}
 	go func() {
-		answer, err := once.Complete(ctx, prompt)
+		answer, err := once.Complete(context.Background(), prompt)
 		if err == nil && answer.Text != script.New([]byte(prompt.Text)).Answer(prompt.MaxTokens) {
 			err = errors.New("wrong answer")
 		}
--- a/hibiscusd/internal/proof/fleet_test.go
+++ b/hibiscusd/internal/proof/fleet_test.go
@@ -199,14 +199,20 @@
 		callers: freeAddress(b.t), hosts: freeAddress(b.t), operators: freeAddress(b.t),
 		platform: &link.Relay{Listen: freeAddress(b.t), Target: b.access.address},
 	}
+	runRelay(b.t, h.platform)
+	return h
+}
+
+// runRelay runs a relay until the test ends.
+func runRelay(t *testing.T, relay *link.Relay) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- h.platform.Run(ctx) }()
-	b.t.Cleanup(func() {
+	go func() { ended <- relay.Run(ctx) }()
+	t.Cleanup(func() {
 		cancel()
 		<-ended
 	})
-	return h
 }
 
 // start runs the host's process.
