--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
-MODULES := fleet standin hibiscusd hibiscusctl hibiscusload
-PROGRAMS := standin hibiscusd hibiscusctl hibiscusload
+MODULES := fleet platform standin hibiscusd hibiscusfront hibiscusctl hibiscusload
+PROGRAMS := standin hibiscusd hibiscusfront hibiscusctl hibiscusload
 
 .PHONY: all build test fuzz bench demo lint
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -42,6 +42,9 @@
 // Class is the kind of a request within its workspace, such as "nudge".
 type Class string
 
+// RequestID names one attempt of a caller at a request.
+type RequestID string
+
 // Address is an IP number and a port, as in "127.0.0.1:7000".
 type Address string
 
--- a/fleet/outcome.go
+++ b/fleet/outcome.go
@@ -28,6 +28,8 @@
 	ReasonRetryBudget   Reason = "retry budget spent"
 	ReasonNotKept       Reason = "answer of the earlier call was too long to keep"
 	ReasonInProgress    Reason = "in progress"
+	ReasonUnknownRoute  Reason = "unknown route"
+	ReasonCallerLeft    Reason = "the caller left"
 	ReasonStreamTimeout Reason = "stream timeout"
 )
 
--- /dev/null
+++ b/fleet/plan/admit.go
@@ -0,0 +1,252 @@
+package plan
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/roster"
+	"hibiscuslb/fleet/shelf"
+)
+
+// Engines start what they are sent in order of urgency, but what they have is
+// theirs: it can not be taken back and given to another. So a request that no
+// engine can start soon waits with the planner, for an eighth of its objective
+// at most, and goes to the first engine that has room. What can not be begun by
+// then is refused at once, with the time at which room is expected.
+//
+// The pattern that this answers: a burst beyond what the engines bear, by which
+// a queue at each engine would make everybody late. Requests that can be in
+// time go first, the most urgent of them first, then the one that has the least
+// time left.
+const (
+	// waitShare of the objective is the longest wait with the planner.
+	waitShare = 8
+	// leastRetry and mostRetry bound the time after which a refused caller is
+	// told to come back.
+	leastRetry = 100 * time.Millisecond
+	mostRetry  = time.Second
+	// lateFactor times the objective is the latest first piece that a request
+	// is accepted for: beyond it, it would only keep others late, too.
+	lateFactor = 2.5
+)
+
+type waiter struct {
+	ask   *Ask
+	since fleet.Instant
+	until fleet.Instant
+}
+
+// Ask decides on a request. No verdict means that it waits; its verdict comes
+// out of a later Tick.
+func (f *Fleet) Ask(now fleet.Instant, ask *Ask) (Verdict, bool) {
+	s, ok := f.services[ask.Service]
+	if !ok {
+		return refused(ask, fleet.ReasonNoTarget, leastRetry), true
+	}
+	if ask.Repeat {
+		if !f.mayRepeat(now, s) {
+			return refused(ask, fleet.ReasonRetryBudget, leastRetry), true
+		}
+		s.repeats.add(now)
+	} else {
+		s.arrived.add(now)
+	}
+	if v, ok := f.try(now, ask); ok {
+		return v, true
+	}
+	f.waiting = append(f.waiting, &waiter{ask, now, now.Add(max(0, ask.Objective) / waitShare)})
+	return Verdict{}, false
+}
+
+// mayRepeat reports whether a service may get one more repeat in the window.
+func (f *Fleet) mayRepeat(now fleet.Instant, s *service) bool {
+	const margin = 0.7 // hosts that cannot reach the planner repeat, too
+	allowed := margin * (f.RetryRatio*float64(s.arrived.count(now, f.RetryWindow)) + f.RetryBurst)
+	return float64(s.repeats.count(now, f.RetryWindow)) < allowed
+}
+
+// try grants the request if a target can start it in time.
+func (f *Fleet) try(now fleet.Instant, ask *Ask) (Verdict, bool) {
+	o, any := f.best(now, ask)
+	if !any && o.target == nil && !f.expected(ask) {
+		return refused(ask, fleet.ReasonNoTarget, mostRetry/2), true
+	}
+	if o.target == nil {
+		return Verdict{}, false
+	}
+	if ask.Objective > 0 && o.first > time.Duration(lateFactor*float64(ask.Objective)) {
+		return Verdict{}, false
+	}
+	return Verdict{Ask: ask, Grant: f.grant(now, ask, &o)}, true
+}
+
+// expected reports whether a target that takes no work now may do so soon.
+func (f *Fleet) expected(ask *Ask) bool {
+	for _, t := range f.targets {
+		if t.Service == ask.Service && !t.Leaving && !t.evacuated && !contains(ask.Avoid, t.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+// grant takes the room for a request at the chosen target.
+func (f *Fleet) grant(now fleet.Instant, ask *Ask, o *option) *Grant {
+	f.next++
+	t := o.target
+	g := &Grant{
+		Number: f.next, Target: t.ID, Address: t.Address, Service: ask.Service, Rank: min(ask.Rank, lastRank),
+	}
+	fl := &flight{ask: ask, target: t, granted: now, read: o.read}
+	if p := ask.Prompt; p != nil && t.engine() {
+		g.Version = t.version(p.Model)
+		g.Salt = Salt(p.Model, g.Version, ask.Workspace, ask.Isolated)
+		g.Fetch = o.fetch
+		for i, address := range o.fetch {
+			if s := f.stores[address]; s != nil {
+				s.shelf.Read(now, o.parts[i], now.Add(FetchTime+readMargin))
+			}
+		}
+		if f.FetchAllowed && g.Version >= f.model(p.Model).version {
+			g.Save = f.saves(now, o, p)
+		}
+		fl.parts, fl.size = o.parts, p.Input+p.Output
+	}
+	t.grant(now, fl)
+	if f.flights == nil {
+		f.flights = make(map[Number]*flight)
+	}
+	f.flights[g.Number] = fl
+	return g
+}
+
+const (
+	// lastRank is the least urgent rank that engines know.
+	lastRank = 9
+	// readMargin covers the error of the estimate of the engines' clock.
+	readMargin = 300 * time.Millisecond
+)
+
+func refused(ask *Ask, reason fleet.Reason, after time.Duration) Verdict {
+	return Verdict{Ask: ask, Refusal: fleet.RefuseFor(reason, after)}
+}
+
+// Tick decides on the requests that wait.
+func (f *Fleet) Tick(now fleet.Instant) []Verdict {
+	f.sweep(now)
+	slices.SortStableFunc(f.waiting, func(a, b *waiter) int {
+		return cmp.Or(cmp.Compare(a.ask.Rank, b.ask.Rank), cmp.Compare(a.until, b.until))
+	})
+	var verdicts []Verdict
+	var left []*waiter
+	for _, w := range f.waiting {
+		waited := now.Sub(w.since)
+		ask := *w.ask
+		ask.Objective -= waited
+		ask.Deadline -= waited
+		if v, ok := f.try(now, &ask); ok {
+			v.Ask = w.ask
+			verdicts = append(verdicts, v)
+			continue
+		}
+		if now >= w.until {
+			verdicts = append(verdicts, refused(w.ask, fleet.ReasonOverloaded, f.retryAfter(now, w.ask)))
+			continue
+		}
+		left = append(left, w)
+	}
+	f.waiting = left
+	return verdicts
+}
+
+// Withdraw drops a request that waits, because its host no longer wants it.
+func (f *Fleet) Withdraw(ask *Ask) {
+	f.waiting = slices.DeleteFunc(f.waiting, func(w *waiter) bool { return w.ask == ask })
+}
+
+// Waiting is how many requests wait.
+func (f *Fleet) Waiting() int { return len(f.waiting) }
+
+// retryAfter is when a refused caller should find room: when the service's
+// least loaded target has read what it has. Callers are spread over as much
+// time again, so that they do not come back together.
+func (f *Fleet) retryAfter(now fleet.Instant, ask *Ask) time.Duration {
+	soonest := mostRetry
+	for _, t := range f.targets {
+		if t.Service == ask.Service && t.usable(now) {
+			soonest = min(soonest, t.wait(now))
+		}
+	}
+	after := max(leastRetry, soonest)
+	return min(after+after*time.Duration(rootHash(ask)%retrySpread)/retrySpread, 2*mostRetry)
+}
+
+// retrySpread is how many steps the return of refused callers is spread over.
+const retrySpread = 64
+
+// A Free tells a store to free parts.
+type Free struct {
+	Address fleet.Address
+	Life    uint64
+	Parts   []shelf.Part
+}
+
+// Frees returns the parts that stores shall free now.
+func (f *Fleet) Frees(now fleet.Instant) []Free {
+	var frees []Free
+	for address, s := range f.stores {
+		if parts := s.shelf.Victims(now, f.stale); len(parts) > 0 {
+			frees = append(frees, Free{address, s.shelf.Life(), parts})
+		}
+	}
+	return frees
+}
+
+// stale reports whether no request can use the part any more, since all engines
+// have newer weights.
+func (f *Fleet) stale(p shelf.Part) bool {
+	id, version, ok := saltVersion(p.Salt)
+	if !ok {
+		return true // not of this system
+	}
+	if version >= f.model(id).version {
+		return false
+	}
+	for _, t := range f.targets {
+		if v := t.version(id); v > 0 && v <= version {
+			return false
+		}
+	}
+	return true
+}
+
+// Shelf returns the account of the store at the address, or nil.
+func (f *Fleet) Shelf(address fleet.Address) *shelf.Shelf {
+	if s, ok := f.stores[address]; ok {
+		return &s.shelf
+	}
+	return nil
+}
+
+// Engines returns the entries of all model engines.
+func (f *Fleet) Engines() []roster.Target {
+	var result []roster.Target
+	for _, t := range f.targets {
+		if t.service != nil && t.engine() {
+			result = append(result, t.Target)
+		}
+	}
+	return result
+}
+
+// Stores returns the addresses of all stores.
+func (f *Fleet) Stores() []fleet.Address {
+	result := make([]fleet.Address, 0, len(f.stores))
+	for address := range f.stores {
+		result = append(result, address)
+	}
+	slices.Sort(result)
+	return result
+}
--- /dev/null
+++ b/fleet/roster/roster.go
@@ -0,0 +1,43 @@
+// Package roster holds what is known of the targets of a fleet.
+//
+// Targets enter themselves in the platform's store and write there now and
+// then. A Roster is a frozen picture of these entries at one revision. Entries
+// that are gone while the store was out of reach may be live targets whose
+// entry lapsed, which is for Merge to decide.
+package roster
+
+import (
+	"time"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/route"
+)
+
+// A Target is an entry that a target has made of itself.
+type Target struct {
+	ID         fleet.TargetID
+	Service    route.ServiceID
+	Address    fleet.Address
+	DataCentre fleet.DataCentreID
+	Slots      int
+	Leaving    bool // takes no new work
+	ColdFor    time.Duration
+	Born       time.Time // start of this life; zero if not said
+	Models     []Model
+}
+
+// A Model is a model that an engine serves.
+type Model struct {
+	ID      fleet.ModelID
+	Version uint64
+}
+
+// Version returns the version of the model's weights at the target, or zero.
+func (t *Target) Version(model fleet.ModelID) uint64 {
+	for _, m := range t.Models {
+		if m.ID == model {
+			return m.Version
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/hibiscusfront/internal/chooser/alone.go
@@ -0,0 +1,65 @@
+package chooser
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/placement"
+	"hibiscuslb/fleet/plan"
+	"hibiscuslb/fleet/roster"
+	"hibiscuslb/hibiscusfront/internal/view"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Alone chooses targets without a planner: by rendezvous hashing over the
+// targets that the host knows, so that hosts that choose alone agree on where
+// a prompt's parts are. It fetches and saves nothing, since nobody knows what
+// the stores hold, and gives cold targets nothing, since nobody counts what
+// all hosts send them. The zero value works.
+type Alone struct{}
+
+// noTargetPause is what a caller is told to wait for when no target is known.
+const noTargetPause = 500 * time.Millisecond
+
+// Choose decides on a request.
+func (Alone) Choose(_ fleet.Instant, v *view.View, ask *plan.Ask) plan.Verdict {
+	var usable []*roster.Target
+	for i := range v.Targets {
+		t := &v.Targets[i]
+		if t.Service != ask.Service || !v.Usable(t) || t.ColdFor > 0 || slices.Contains(ask.Avoid, t.ID) {
+			continue
+		}
+		if ask.Prompt != nil && t.Version(ask.Prompt.Model) == 0 {
+			continue
+		}
+		usable = append(usable, t)
+	}
+	if len(usable) == 0 {
+		return plan.Verdict{Ask: ask, Refusal: fleet.RefuseFor(fleet.ReasonNoTarget, noTargetPause)}
+	}
+	root := xxhash.Sum64String(string(ask.ID))
+	if ask.Prompt != nil {
+		root = xxhash.Sum64String(string(ask.Prompt.Root()))
+		// Engines with newer weights go first.
+		slices.SortStableFunc(usable, func(a, b *roster.Target) int {
+			return cmp.Compare(b.Version(ask.Prompt.Model), a.Version(ask.Prompt.Model))
+		})
+		newest := usable[0].Version(ask.Prompt.Model)
+		usable = slices.DeleteFunc(usable, func(t *roster.Target) bool { return t.Version(ask.Prompt.Model) < newest })
+	}
+	ranked := placement.Rank(root, usable, func(t *roster.Target) string { return string(t.ID) },
+		func(*roster.Target) float64 { return 1 })
+	t := ranked[0]
+	g := &plan.Grant{Target: t.ID, Address: t.Address, Service: ask.Service, Rank: min(ask.Rank, lastRank)}
+	if ask.Prompt != nil {
+		g.Version = t.Version(ask.Prompt.Model)
+		g.Salt = plan.Salt(ask.Prompt.Model, g.Version, ask.Workspace, ask.Isolated)
+	}
+	return plan.Verdict{Ask: ask, Grant: g}
+}
+
+// lastRank is the least urgent rank that engines know.
+const lastRank = 9
--- /dev/null
+++ b/hibiscusfront/internal/control/control.go
@@ -0,0 +1,211 @@
+// Package control keeps what a host believes of the fleet.
+//
+// One goroutine owns that state. Others read the store, exchange heartbeats
+// and decode messages, and hand it what they learn; after each change it
+// publishes a frozen view for the traffic.
+//
+// A host learns of a change in three ways: by its own watch of the store, by
+// heartbeats that tell which revisions another host knows, and by snapshots
+// that it then asks that host for. So a host that the store turns away, or
+// whose watch has gone silent, is behind by a heartbeat and no more.
+package control
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/peer"
+	"hibiscuslb/fleet/route"
+	"hibiscuslb/fleet/task"
+	"hibiscuslb/fleet/tenure"
+	"hibiscuslb/hibiscusfront/internal/replica"
+	"hibiscuslb/hibiscusfront/internal/view"
+	"hibiscuslb/hibiscusfront/internal/wire"
+	"hibiscuslb/platform"
+)
+
+// DutyName is the name of the object that says who plans.
+const DutyName = "planner"
+
+const (
+	// tickTime is the step of the control goroutine: renewals and heartbeats
+	// are multiples of it.
+	tickTime = 25 * time.Millisecond
+	// beatTime is the time between two heartbeats of a host.
+	beatTime = 300 * time.Millisecond
+	// aliveTime is how long a host counts as alive after its last heartbeat.
+	aliveTime = 1100 * time.Millisecond
+	// buryTime is how long after a host's last heartbeat its entry is
+	// removed.
+	buryTime = 15 * time.Second
+	// inboxSize is how many messages may wait for the control goroutine.
+	inboxSize = 256
+)
+
+// watched are the kinds of objects that every host follows.
+var watched = []string{
+	platform.KindConfiguration, platform.KindTargets, platform.KindEvacuations, platform.KindWeights,
+	platform.KindHosts, platform.KindDuties,
+}
+
+// A Control is the control state of a host.
+type Control struct {
+	Settings platform.Settings
+	Store    *platform.Store
+	Peers    *peer.Pool
+	Clock    fleet.Clock
+	Log      zerolog.Logger
+	Self     wire.Host
+	// Elected is called, on the control goroutine, when the host begins to
+	// plan (true) or ends.
+	Elected func(epoch fleet.Epoch, planning bool)
+	// Published is called, on the control goroutine, after a new view.
+	Published func(*view.View)
+	// HostGone is called, on the control goroutine, when a host is lost.
+	HostGone func(fleet.HostID)
+	// Ordering reports whether the host wants to give orders.
+	Ordering func() bool
+
+	view  atomic.Pointer[view.View]
+	until atomic.Int64 // end of the own tenure, an Instant
+	order atomic.Int64 // an Instant after which orders are allowed; zero for not
+	epoch atomic.Uint64
+
+	life    context.Context // of Run, for what outlives the message that began it
+	inbox   chan func(now fleet.Instant)
+	tasks   task.Group
+	kinds   map[string]*replica.Kind
+	table   *route.Table
+	targets targets
+	duty    tenure.Duty
+	members members
+	pulses  pulses
+	leaving bool
+	writing bool // a write of the duty's object is under way
+	planned bool // whether Elected was told so
+	bad     map[string]fleet.Version
+	contact fleet.Instant // last answer of the store
+	outage  bool
+	began   fleet.Instant // of the own tenure
+}
+
+// View returns the current view; never nil once Run has begun.
+func (c *Control) View() *view.View {
+	if v := c.view.Load(); v != nil {
+		return v
+	}
+	return new(view.View)
+}
+
+// Planning reports whether the host holds the planner's duty right now.
+func (c *Control) Planning() bool { return int64(c.Clock()) < c.until.Load() }
+
+// MayOrder reports whether the host may give orders right now.
+func (c *Control) MayOrder() bool {
+	at := c.order.Load()
+	return c.Planning() && at > 0 && int64(c.Clock()) >= at
+}
+
+// TenureEnd is the end of the own tenure unless it is renewed.
+func (c *Control) TenureEnd() fleet.Instant { return fleet.Instant(c.until.Load()) }
+
+// Epoch is the epoch of the own tenure.
+func (c *Control) Epoch() fleet.Epoch { return fleet.Epoch(c.epoch.Load()) }
+
+// Run keeps the state until the context ends.
+func (c *Control) Run(ctx context.Context) {
+	c.life = ctx
+	c.inbox = make(chan func(fleet.Instant), inboxSize)
+	c.kinds = make(map[string]*replica.Kind)
+	c.bad = make(map[string]fleet.Version)
+	c.duty = tenure.Duty{Self: c.Settings.Host, Address: c.Settings.Peers}
+	for _, kind := range watched {
+		c.kinds[kind] = new(replica.Kind)
+		c.tasks.Go(ctx, func(ctx context.Context) { c.follow(ctx, kind) })
+	}
+	c.tasks.Go(ctx, c.register)
+	ticker := time.NewTicker(tickTime)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			c.tasks.Wait()
+			return
+		case f := <-c.inbox:
+			f(c.Clock())
+		case <-ticker.C:
+			c.tick(ctx, c.Clock())
+		}
+	}
+}
+
+// do runs f on the control goroutine, unless the context ends first.
+func (c *Control) do(ctx context.Context, f func(now fleet.Instant)) {
+	select {
+	case c.inbox <- f:
+	case <-ctx.Done():
+	}
+}
+
+// ask runs f on the control goroutine and waits for its end.
+func (c *Control) ask(ctx context.Context, f func(now fleet.Instant)) bool {
+	done := make(chan struct{})
+	c.do(ctx, func(now fleet.Instant) {
+		f(now)
+		close(done)
+	})
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (c *Control) tick(ctx context.Context, now fleet.Instant) {
+	c.renew(ctx, now)
+	c.beat(ctx, now)
+	if c.targets.expire(now) {
+		c.publish()
+	}
+	if c.members.expire(now, c) {
+		c.publish()
+	}
+	c.bury(ctx, now)
+}
+
+// Leave takes the host out of what callers are told, and gives the duty up.
+func (c *Control) Leave(ctx context.Context) {
+	c.ask(ctx, func(now fleet.Instant) {
+		c.leaving = true
+		c.publish()
+		c.resign(ctx, now)
+	})
+}
+
+// publish builds and publishes the view.
+func (c *Control) publish() {
+	v := &view.View{
+		Table: c.table, Targets: c.targets.list(), Evacuated: c.evacuated(), Weights: c.weights(),
+		Hosts: c.live(), Duty: c.duty.Holder(), Leaving: c.leaving,
+	}
+	c.view.Store(v.Freeze())
+	if c.Published != nil {
+		c.Published(v)
+	}
+}
+
+// decode logs an object that can not be read, once for each of its revisions.
+func (c *Control) malformed(o platform.Object, err error) {
+	name := o.Kind + "/" + o.Name
+	if c.bad[name] == o.Revision {
+		return
+	}
+	c.bad[name] = o.Revision
+	c.Log.Warn().Err(err).Str("Object", name).Uint64("Revision", uint64(o.Revision)).
+		Msg("object of another writer can not be read; it names nothing")
+}
--- /dev/null
+++ b/hibiscusfront/internal/control/members.go
@@ -0,0 +1,287 @@
+package control
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/task"
+	"hibiscuslb/hibiscusfront/internal/wire"
+	"hibiscuslb/platform"
+)
+
+// members are the hosts of the fleet. Each host has an entry in the store and
+// sends heartbeats to the host that plans, which tells the others who lives.
+type members struct {
+	hosts  map[fleet.HostID]wire.Host // that have an entry
+	beats  map[fleet.HostID]beatSeen
+	told   []wire.Host // that the planner has told
+	toldAt fleet.Instant
+}
+
+type beatSeen struct {
+	at      fleet.Instant
+	leaving bool
+	alive   bool
+}
+
+// pulses is the state of the own heartbeats.
+type pulses struct {
+	last fleet.Instant
+	open bool // one is under way
+}
+
+// register writes the host's own entry and tries until it is there.
+func (c *Control) register(ctx context.Context) {
+	name := string(c.Settings.Host)
+	for ctx.Err() == nil {
+		o, err := c.Store.Read(ctx, platform.KindHosts, name)
+		if err == nil {
+			_, err = c.Store.Replace(ctx, platform.KindHosts, name, o.Revision, c.Self)
+		} else if isNotFound(err) {
+			_, err = c.Store.Create(ctx, platform.KindHosts, name, c.Self)
+		}
+		if err == nil {
+			return
+		}
+		c.Log.Warn().Err(err).Msg("own entry can not be written; trying again")
+		if !task.Pause(ctx, lastPause) {
+			return
+		}
+	}
+}
+
+// Unregister removes the host's own entry.
+func (c *Control) Unregister(ctx context.Context) error {
+	o, err := c.Store.Read(ctx, platform.KindHosts, string(c.Settings.Host))
+	if err != nil {
+		return err
+	}
+	return c.Store.Delete(ctx, platform.KindHosts, o.Name, o.Revision)
+}
+
+// registered takes the hosts' entries. A host that is new counts as alive from
+// now on, until it fails to send heartbeats.
+func (m *members) registered(now fleet.Instant, c *Control) {
+	hosts := make(map[fleet.HostID]wire.Host)
+	c.kinds[platform.KindHosts].Objects(func(o platform.Object) {
+		var h wire.Host
+		if err := platform.Decode(o, &h); err != nil || h.ID == "" || h.Peers == "" || h.Callers == "" {
+			c.malformed(o, err)
+			return
+		}
+		hosts[h.ID] = h
+	})
+	for id, h := range hosts {
+		if old, ok := m.hosts[id]; !ok || old.Incarnation != h.Incarnation || old.Peers != h.Peers {
+			m.note(now, id, false)
+		}
+	}
+	for id := range m.beats {
+		if _, ok := hosts[id]; !ok {
+			delete(m.beats, id)
+		}
+	}
+	m.hosts = hosts
+}
+
+func (m *members) note(now fleet.Instant, id fleet.HostID, leaving bool) (changed bool) {
+	if m.beats == nil {
+		m.beats = make(map[fleet.HostID]beatSeen)
+	}
+	old := m.beats[id]
+	m.beats[id] = beatSeen{at: now, leaving: leaving, alive: true}
+	return !old.alive || old.leaving != leaving
+}
+
+// expire takes hosts whose heartbeats have ceased for dead, if this host plans
+// and has therefore had time to hear them all.
+func (m *members) expire(now fleet.Instant, c *Control) bool {
+	if !c.duty.Holds(now) || now.Sub(c.began) < aliveTime {
+		return false
+	}
+	changed := false
+	for id, seen := range m.beats {
+		if id != c.Self.ID && seen.alive && now.Sub(seen.at) > aliveTime {
+			seen.alive = false
+			m.beats[id] = seen
+			changed = true
+			c.Log.Warn().Str("Peer", string(id)).Dur("LastBeatAgo", now.Sub(seen.at)).
+				Msg("host sends no heartbeats; callers are no longer sent there")
+			if c.HostGone != nil {
+				c.HostGone(id)
+			}
+		}
+	}
+	return changed
+}
+
+// live returns the hosts that callers may be sent to.
+func (c *Control) live() []wire.Host {
+	m := &c.members
+	now := c.Clock()
+	var result []wire.Host
+	if !c.duty.Holds(now) && m.toldAt > 0 {
+		for _, h := range m.told {
+			if h.ID != c.Self.ID {
+				result = append(result, h)
+			}
+		}
+	} else {
+		for id, h := range m.hosts {
+			if seen := m.beats[id]; id != c.Self.ID && seen.alive && !seen.leaving {
+				result = append(result, h)
+			}
+		}
+	}
+	if !c.leaving {
+		result = append(result, c.Self)
+	}
+	slices.SortFunc(result, func(a, b wire.Host) int { return cmp.Compare(a.ID, b.ID) })
+	return result
+}
+
+// bury removes the entries of hosts that have been dead for long, if this host
+// plans.
+func (c *Control) bury(ctx context.Context, now fleet.Instant) {
+	if !c.duty.Holds(now) || now.Sub(c.began) < buryTime {
+		return
+	}
+	for id, seen := range c.members.beats {
+		if id == c.Self.ID || now.Sub(seen.at) < buryTime {
+			continue
+		}
+		o, ok := c.kinds[platform.KindHosts].Get(string(id))
+		if !ok {
+			continue
+		}
+		seen.at = now // tried again later if this fails
+		c.members.beats[id] = seen
+		c.tasks.Go(ctx, func(ctx context.Context) {
+			err := c.Store.Delete(ctx, platform.KindHosts, o.Name, o.Revision)
+			c.Log.Info().AnErr("Cause", err).Str("Peer", o.Name).Msg("removed the entry of a host that is gone")
+		})
+	}
+}
+
+// Beat serves another host's heartbeat.
+func (c *Control) Beat(ctx context.Context, beat wire.Beat) (wire.Pulse, error) {
+	var pulse wire.Pulse
+	if !c.ask(ctx, func(now fleet.Instant) {
+		if c.members.hosts == nil {
+			c.members.hosts = make(map[fleet.HostID]wire.Host)
+		}
+		if _, ok := c.members.hosts[beat.Host.ID]; !ok {
+			c.members.hosts[beat.Host.ID] = beat.Host // its entry is still to come
+		}
+		if c.members.note(now, beat.Host.ID, beat.Leaving) {
+			c.publish()
+		}
+		pulse = wire.Pulse{Revisions: c.revisions(), Duty: c.duty.Holder(), Planning: c.duty.Holds(now)}
+		if pulse.Planning {
+			pulse.Live = c.live()
+		}
+		c.catchUp(beat.Host.Peers, beat.Revisions)
+	}) {
+		return pulse, ctx.Err()
+	}
+	return pulse, nil
+}
+
+// Snapshot serves another host's question for the objects of a kind.
+func (c *Control) Snapshot(ctx context.Context, ask wire.Snapshot) (platform.Listing, error) {
+	var listing platform.Listing
+	if !c.ask(ctx, func(fleet.Instant) {
+		if kind, ok := c.kinds[ask.Kind]; ok {
+			listing = kind.Listing()
+		}
+	}) {
+		return listing, ctx.Err()
+	}
+	return listing, nil
+}
+
+func (c *Control) revisions() wire.Revisions {
+	result := make(wire.Revisions, len(c.kinds))
+	for name, kind := range c.kinds {
+		result[name] = kind.Revision()
+	}
+	return result
+}
+
+// beat sends a heartbeat to the host that plans, and one to a host drawn at
+// random, so that news travels also where the planner is out of reach.
+func (c *Control) beat(ctx context.Context, now fleet.Instant) {
+	if now.Sub(c.pulses.last) < beatTime {
+		return
+	}
+	c.pulses.last = now
+	beat := wire.Beat{Host: c.Self, Leaving: c.leaving, Revisions: c.revisions()}
+	holder := c.duty.Holder()
+	if holder.Holder != "" && holder.Holder != c.Self.ID {
+		c.tasks.Go(ctx, func(ctx context.Context) { c.sendBeat(ctx, holder.Address, beat) })
+	}
+	for _, other := range c.drawPeers(1) {
+		if other.ID == holder.Holder {
+			continue
+		}
+		c.tasks.Go(ctx, func(ctx context.Context) { c.sendBeat(ctx, other.Peers, beat) })
+	}
+}
+
+// drawPeers draws up to n other hosts that are not known to be dead.
+func (c *Control) drawPeers(n int) []wire.Host {
+	var others []wire.Host
+	for id, h := range c.members.hosts {
+		if id != c.Self.ID && c.members.beats[id].alive {
+			others = append(others, h)
+		}
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return others[:min(n, len(others))]
+}
+
+func (c *Control) sendBeat(ctx context.Context, address fleet.Address, beat wire.Beat) {
+	ctx, cancel := context.WithTimeout(ctx, aliveTime)
+	defer cancel()
+	var pulse wire.Pulse
+	if err := c.Peers.Ask(ctx, address, wire.KindBeat, beat, &pulse); err != nil {
+		return // whoever misses heartbeats notices it by their absence
+	}
+	c.do(ctx, func(now fleet.Instant) { c.pulse(now, address, pulse) })
+}
+
+// pulse takes the answer to a heartbeat.
+func (c *Control) pulse(now fleet.Instant, from fleet.Address, pulse wire.Pulse) {
+	if pulse.Planning && pulse.Duty.Epoch >= c.duty.Holder().Epoch {
+		same := slices.Equal(c.members.told, pulse.Live)
+		c.members.told, c.members.toldAt = pulse.Live, now
+		if !same {
+			c.publish()
+		}
+	}
+	c.catchUp(from, pulse.Revisions)
+}
+
+// catchUp asks another host for the kinds that it knows a newer revision of. A
+// watch of one's own is mostly as quick, so small differences wait for the
+// next heartbeat.
+func (c *Control) catchUp(from fleet.Address, theirs wire.Revisions) {
+	for name, kind := range c.kinds {
+		if theirs[name] <= kind.Revision() || kind.Fetching(c.Clock()) {
+			continue
+		}
+		c.tasks.Go(c.life, func(ctx context.Context) {
+			ctx, cancel := context.WithTimeout(ctx, aliveTime)
+			defer cancel()
+			var listing platform.Listing
+			if err := c.Peers.Ask(ctx, from, wire.KindSnapshot, wire.Snapshot{Kind: name}, &listing); err != nil {
+				c.Log.Debug().Err(err).Str("From", string(from)).Str("Kind", name).Msg("no snapshot from a peer")
+				return
+			}
+			c.do(ctx, func(now fleet.Instant) { c.listed(now, name, listing) })
+		})
+	}
+}
--- /dev/null
+++ b/hibiscusfront/internal/host/host.go
@@ -0,0 +1,256 @@
+// Package host puts the parts of a front host together and runs them from its
+// start to its planned stop.
+package host
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/peer"
+	"hibiscuslb/fleet/plan"
+	"hibiscuslb/fleet/task"
+	"hibiscuslb/hibiscusfront/internal/backend"
+	"hibiscuslb/hibiscusfront/internal/chooser"
+	"hibiscuslb/hibiscusfront/internal/clock"
+	"hibiscuslb/hibiscusfront/internal/control"
+	"hibiscuslb/hibiscusfront/internal/gateway"
+	"hibiscuslb/hibiscusfront/internal/planner"
+	"hibiscuslb/hibiscusfront/internal/view"
+	"hibiscuslb/hibiscusfront/internal/wire"
+	"hibiscuslb/platform"
+)
+
+const (
+	// addressTTL is how long callers may keep addresses: short, so that they
+	// learn soon of a host that has gone.
+	addressTTL = time.Second
+	// headerTime and idleTime hold until a configuration says otherwise.
+	headerTime = 3 * time.Second
+	idleTime   = 15 * time.Second
+	// headerLimit bounds the head of a request until a configuration is
+	// known; the platform's own limit is no larger.
+	headerLimit = 16 << 10
+	// sweepTime is the time between two looks at idle connections.
+	sweepTime = time.Second
+	// openTime is how long a host that stops still takes new requests: callers
+	// keep addresses for a while.
+	openTime = 2800 * time.Millisecond
+	// exitMargin is left of the grace time when the host exits.
+	exitMargin = 500 * time.Millisecond
+	// leastGrace is the grace time where the settings say none.
+	leastGrace = 5 * time.Second
+)
+
+// A Host is the process of a front host.
+type Host struct {
+	settings platform.Settings
+	log      zerolog.Logger
+	clock    fleet.Clock
+	peers    peer.Pool
+	pool     backend.Pool
+	control  *control.Control
+	planner  *planner.Planner
+	chooser  *chooser.Chooser
+	gateway  *gateway.Gateway
+	meter    *meters
+	leaving  atomic.Bool
+	closing  atomic.Bool
+	serving  task.Group
+	failed   chan error
+}
+
+// New returns a host that has not started.
+func New(settings platform.Settings, log zerolog.Logger) *Host {
+	h := &Host{settings: settings, log: log, clock: clock.Boot(), failed: make(chan error, listeners), meter: newMeters()}
+	h.control = &control.Control{
+		Settings: settings, Store: platform.NewStore(settings.Store), Peers: &h.peers, Clock: h.clock, Log: log,
+		Self: wire.Host{
+			ID: settings.Host, DataCentre: settings.DataCentre, Callers: settings.Callers, Peers: settings.Peers,
+			Incarnation: fleet.Incarnation(time.Now().UnixNano()),
+		},
+	}
+	h.planner = planner.New(settings.Host, settings.Bounds, platform.NewTargets(), h.control, h.clock, log)
+	h.chooser = chooser.New(settings.Host, h.planner, &h.peers, h.clock, log)
+	h.gateway = &gateway.Gateway{
+		Host: settings.Host, Near: settings.DataCentre, View: h.control.View, Chooser: h.chooser, Pool: &h.pool,
+		Meter: h.meter, Log: log, Closing: h.closing.Load,
+	}
+	return h
+}
+
+// Run serves until the context ends, and then stops as planned.
+func (h *Host) Run(ctx context.Context) error {
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	h.log.Info().Str("Callers", string(h.settings.Callers)).Str("DataCentre", string(h.settings.DataCentre)).Msg("starting")
+	h.control.Elected = func(epoch fleet.Epoch, planning bool) { h.planner.Elect(life, epoch, planning) }
+	h.control.Published = func(v *view.View) { h.planner.SetView(life, v) }
+	h.control.HostGone = func(id fleet.HostID) { h.planner.HostGone(life, id) }
+	h.control.Ordering = h.planner.Outdated
+	var parts task.Group
+	parts.Go(life, h.peers.Run)
+	parts.Go(life, h.planner.Run)
+	parts.Go(life, h.chooser.Run)
+	parts.Go(life, h.control.Run)
+	parts.Go(life, h.sweep)
+	servers, err := h.listen(life)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+	case err = <-h.failed:
+	}
+	if err == nil {
+		h.stop(life, servers)
+	}
+	end()
+	for _, server := range servers {
+		_ = server.Close() // all requests have ended, or their time is over
+	}
+	h.serving.Wait()
+	parts.Wait()
+	h.log.Info().Msg("stopped")
+	return err
+}
+
+// listeners is how many addresses a host listens at.
+const listeners = 5
+
+func (h *Host) listen(ctx context.Context) ([]*http.Server, error) {
+	callers := &http.Server{
+		Handler: h.gateway, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: headerLimit,
+	}
+	list := []struct {
+		server  *http.Server
+		address fleet.Address
+	}{
+		{callers, h.settings.Callers},
+		{&http.Server{Handler: platform.Directory(h.resolve), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}, h.settings.Directory},
+		{&http.Server{Handler: platform.Readiness(h.ready), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}, h.settings.Readiness},
+		{&http.Server{Handler: &peer.Server{Handler: h}, ReadHeaderTimeout: headerTime}, h.settings.Peers},
+		{&http.Server{Handler: h.meter.handler(), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}, h.settings.Metrics},
+	}
+	var servers []*http.Server
+	for _, l := range list {
+		listener, err := net.Listen("tcp", string(l.address))
+		if err != nil {
+			return nil, eris.Wrapf(err, "listen at %s", l.address)
+		}
+		l.server.BaseContext = func(net.Listener) context.Context { return ctx }
+		servers = append(servers, l.server)
+		h.serving.Go(ctx, func(context.Context) {
+			if err := l.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				h.failed <- err
+			}
+		})
+	}
+	return servers, nil
+}
+
+// resolve answers a caller that asks for addresses.
+func (h *Host) resolve(platform.Lookup) ([]fleet.Address, time.Duration) {
+	var addresses []fleet.Address
+	for _, host := range h.control.View().Hosts {
+		addresses = append(addresses, host.Callers)
+	}
+	return addresses, addressTTL
+}
+
+// ready reports whether the host can serve callers.
+func (h *Host) ready() bool {
+	v := h.control.View()
+	return !h.leaving.Load() && v.Table != nil && len(v.Targets) > 0
+}
+
+// sweep closes idle connections.
+func (h *Host) sweep(ctx context.Context) {
+	for task.Pause(ctx, sweepTime) {
+		v := h.control.View()
+		h.pool.Sweep(func(id fleet.TargetID) bool { return v.Target(id) != nil })
+	}
+}
+
+// stop is a planned stop: callers are sent elsewhere, the duty is given up,
+// requests end.
+func (h *Host) stop(ctx context.Context, servers []*http.Server) {
+	h.log.Info().Msg("stopping: callers are sent elsewhere")
+	began := time.Now()
+	grace := max(h.settings.Bounds.Grace, leastGrace) - exitMargin
+	h.leaving.Store(true)
+	servers[0].SetKeepAlivesEnabled(false)
+	h.control.Leave(ctx)
+	h.serving.Go(ctx, func(ctx context.Context) {
+		if err := h.control.Unregister(ctx); err != nil {
+			h.log.Warn().Err(err).Msg("own entry stays; the planner will remove it")
+		}
+	})
+	task.Pause(ctx, min(openTime, grace/2))
+	h.closing.Store(true)
+	ending, cancel := context.WithTimeout(ctx, grace-time.Since(began))
+	defer cancel()
+	if err := servers[0].Shutdown(ending); err != nil {
+		h.log.Error().Err(err).Msg("requests did not end in time")
+	}
+}
+
+var _ peer.Handler = (*Host)(nil)
+
+// Handle implements peer.Handler.
+func (h *Host) Handle(ctx context.Context, kind peer.Kind, body cbor.RawMessage, _ func(any) error) (any, error) {
+	switch kind {
+	case wire.KindBeat:
+		return answer(body, func(beat wire.Beat) (wire.Pulse, error) { return h.control.Beat(ctx, beat) })
+	case wire.KindSnapshot:
+		return answer(body, func(ask wire.Snapshot) (platform.Listing, error) { return h.control.Snapshot(ctx, ask) })
+	case wire.KindRenew:
+		return answer(body, func(ask wire.Renew) (wire.Renewed, error) { return h.control.RenewFor(ctx, ask) })
+	case wire.KindAsk:
+		return answer(body, func(ask wire.Ask) (wire.Verdict, error) { return h.decide(ctx, &ask) })
+	case wire.KindReports:
+		return answer(body, func(r wire.Reports) (struct{}, error) {
+			h.planner.Report(ctx, r.Reports)
+			return struct{}{}, nil
+		})
+	default:
+		return nil, fleet.Refuse(fleet.ReasonMalformed, "unknown kind of message")
+	}
+}
+
+// decide answers another host's question for a target.
+func (h *Host) decide(ctx context.Context, ask *wire.Ask) (wire.Verdict, error) {
+	verdict, err := h.planner.Ask(ctx, &ask.Ask)
+	if err != nil {
+		return wire.Verdict{}, err
+	}
+	if verdict.Refusal != nil {
+		return wire.Verdict{Reason: verdict.Refusal.Reason, RetryAfter: verdict.Refusal.RetryAfter}, nil
+	}
+	return wire.Verdict{Grant: verdict.Grant}, nil
+}
+
+var _ gateway.Chooser = (*chooser.Chooser)(nil)
+var _ planner.Tenure = (*control.Control)(nil)
+var _ = plan.Begun
+
+// answer serves a message that has one reply.
+func answer[Ask, Reply any](body cbor.RawMessage, serve func(Ask) (Reply, error)) (any, error) {
+	var ask Ask
+	if err := cbor.Unmarshal(body, &ask); err != nil {
+		return nil, fleet.Refuse(fleet.ReasonMalformed, err.Error())
+	}
+	reply, err := serve(ask)
+	if err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/hibiscusfront/internal/planner/planner.go
@@ -0,0 +1,336 @@
+// Package planner runs the decisions of package plan on the host that holds the
+// planner's duty.
+//
+// One goroutine owns the plan. It takes the questions and reports of all hosts,
+// the views of the control goroutine and what watchers tell of engines and
+// stores, and starts what the plan asks for: orders, frees, lists.
+package planner
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/plan"
+	"hibiscuslb/fleet/shelf"
+	"hibiscuslb/fleet/task"
+	"hibiscuslb/hibiscusfront/internal/view"
+	"hibiscuslb/platform"
+)
+
+const (
+	// tickTime is the step at which waiting requests are looked at again.
+	tickTime = 10 * time.Millisecond
+	// actTime is the step at which orders and frees are looked for.
+	actTime = 40 * time.Millisecond
+	// inboxSize is how many messages may wait for the planner.
+	inboxSize = 1024
+)
+
+// Tenure tells whether this host may act as the planner. It is asked right
+// before each act.
+type Tenure interface {
+	Planning() bool
+	MayOrder() bool
+	TenureEnd() fleet.Instant
+	Epoch() fleet.Epoch
+}
+
+// A Planner plans while its host holds the duty.
+type Planner struct {
+	Host    fleet.HostID
+	Bounds  platform.Bounds
+	Targets *platform.Targets
+	Tenure  Tenure
+	Clock   fleet.Clock
+	Log     zerolog.Logger
+
+	inbox    chan func(now fleet.Instant)
+	tasks    task.Group
+	fleet    plan.Fleet
+	active   bool
+	epoch    fleet.Epoch
+	life     context.CancelFunc // ends the watchers
+	answers  map[*plan.Ask]func(plan.Verdict)
+	watchers map[fleet.Address]context.CancelFunc
+	clock    engineClock
+	lastAct  fleet.Instant
+	outdated outdated
+}
+
+// New returns a planner that does not plan yet.
+func New(host fleet.HostID, bounds platform.Bounds, targets *platform.Targets, tenure Tenure, clock fleet.Clock, log zerolog.Logger) *Planner {
+	p := &Planner{
+		Host: host, Bounds: bounds, Targets: targets, Tenure: tenure, Clock: clock, Log: log,
+		inbox:    make(chan func(fleet.Instant), inboxSize),
+		answers:  make(map[*plan.Ask]func(plan.Verdict)),
+		watchers: make(map[fleet.Address]context.CancelFunc),
+	}
+	p.fleet = plan.Fleet{
+		RetryRatio: bounds.RetryRatio, RetryWindow: bounds.RetryWindow, RetryBurst: bounds.RetryReserve,
+	}
+	return p
+}
+
+// Run plans until the context ends.
+func (p *Planner) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickTime)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			p.stop()
+			p.tasks.Wait()
+			return
+		case f := <-p.inbox:
+			f(p.Clock())
+		case <-ticker.C:
+			p.tick(ctx, p.Clock())
+		}
+	}
+}
+
+func (p *Planner) do(ctx context.Context, f func(now fleet.Instant)) {
+	select {
+	case p.inbox <- f:
+	case <-ctx.Done():
+	}
+}
+
+// Elect begins or ends a tenure.
+func (p *Planner) Elect(ctx context.Context, epoch fleet.Epoch, planning bool) {
+	p.do(ctx, func(now fleet.Instant) {
+		if planning == p.active && epoch == p.epoch {
+			return
+		}
+		p.stop()
+		p.active, p.epoch = planning, epoch
+		if planning {
+			p.fleet.Begin(now, firstNumber(epoch))
+			p.watch(ctx)
+		}
+	})
+}
+
+// firstNumber returns a number below those of all grants of an epoch, so that
+// the grants of two planners differ.
+func firstNumber(epoch fleet.Epoch) plan.Number {
+	const grantsPerEpoch = 1 << 40
+	return plan.Number(epoch) * grantsPerEpoch
+}
+
+func (p *Planner) stop() {
+	p.active = false
+	for address, cancel := range p.watchers {
+		cancel()
+		delete(p.watchers, address)
+	}
+	for ask, answer := range p.answers {
+		answer(plan.Verdict{Ask: ask, Refusal: fleet.Refuse(fleet.ReasonNotKeeper, "the planner has changed")})
+		delete(p.answers, ask)
+	}
+}
+
+// SetView takes a new view of the fleet.
+func (p *Planner) SetView(ctx context.Context, v *view.View) {
+	p.do(ctx, func(now fleet.Instant) {
+		if v.Table == nil {
+			return
+		}
+		p.fleet.SetServices(now, v.Table.Services)
+		p.fleet.SetTargets(now, v.Targets, v.Evacuated)
+		for model, version := range v.Weights {
+			p.fleet.SetWeights(now, model, version)
+		}
+		p.outdated.Store(p.fleet.Outdated())
+		if p.active {
+			p.watch(ctx)
+			p.act(ctx, now)
+		}
+	})
+}
+
+// HostGone notes that a host will report no more.
+func (p *Planner) HostGone(ctx context.Context, host fleet.HostID) {
+	p.do(ctx, func(now fleet.Instant) { p.fleet.HostGone(now, host) })
+}
+
+// Outdated reports whether engines have older weights than named, so that the
+// planner wants to give orders.
+func (p *Planner) Outdated() bool { return p.outdated.Load() }
+
+// Ask decides on a request. It waits as long as the plan lets the request wait.
+func (p *Planner) Ask(ctx context.Context, ask *plan.Ask) (plan.Verdict, error) {
+	answer := make(chan plan.Verdict, 1)
+	p.do(ctx, func(now fleet.Instant) {
+		if !p.active {
+			answer <- plan.Verdict{Ask: ask, Refusal: fleet.Refuse(fleet.ReasonNotKeeper, "does not plan")}
+			return
+		}
+		v, ok := p.fleet.Ask(now, ask)
+		if ok {
+			answer <- p.finish(now, v)
+			return
+		}
+		p.answers[ask] = func(v plan.Verdict) { answer <- v }
+	})
+	select {
+	case v := <-answer:
+		return v, nil
+	case <-ctx.Done():
+		p.do(context.WithoutCancel(ctx), func(now fleet.Instant) { p.withdraw(now, ask, answer) })
+		return plan.Verdict{}, ctx.Err()
+	}
+}
+
+// withdraw takes back a question whose asker has gone, and a grant that nobody
+// will use.
+func (p *Planner) withdraw(now fleet.Instant, ask *plan.Ask, answer <-chan plan.Verdict) {
+	delete(p.answers, ask)
+	p.fleet.Withdraw(ask)
+	select {
+	case v := <-answer:
+		if v.Grant != nil {
+			p.fleet.Report(now, plan.Report{Number: v.Grant.Number, Progress: plan.Rejected})
+		}
+	default:
+	}
+}
+
+// Report takes a host's reports.
+func (p *Planner) Report(ctx context.Context, reports []plan.Report) {
+	p.do(ctx, func(now fleet.Instant) {
+		for _, r := range reports {
+			p.fleet.Report(now, r)
+		}
+	})
+}
+
+// finish adds to a verdict what the plan leaves to its surroundings.
+func (p *Planner) finish(now fleet.Instant, v plan.Verdict) plan.Verdict {
+	if v.Grant != nil && v.Grant.Fetch != nil {
+		v.Grant.Until = p.clock.at(now).Add(plan.FetchTime)
+	}
+	return v
+}
+
+func (p *Planner) tick(ctx context.Context, now fleet.Instant) {
+	if !p.active {
+		return
+	}
+	for _, v := range p.fleet.Tick(now) {
+		if answer, ok := p.answers[v.Ask]; ok {
+			delete(p.answers, v.Ask)
+			answer(p.finish(now, v))
+		}
+	}
+	if now.Sub(p.lastAct) >= actTime {
+		p.act(ctx, now)
+	}
+}
+
+// act starts what is due: orders, frees and lists.
+func (p *Planner) act(ctx context.Context, now fleet.Instant) {
+	p.lastAct = now
+	p.fleet.FetchAllowed = p.clock.known && p.Tenure.Planning()
+	p.outdated.Store(p.fleet.Outdated())
+	for _, order := range p.fleet.Orders(now, p.Tenure.MayOrder()) {
+		p.tasks.Go(ctx, func(ctx context.Context) { p.order(ctx, order) })
+	}
+	for id, address := range p.fleet.Unclear(now) {
+		p.tasks.Go(ctx, func(ctx context.Context) { p.inquire(ctx, id, address) })
+	}
+	if !p.Tenure.Planning() {
+		return
+	}
+	for _, free := range p.fleet.Frees(now) {
+		p.tasks.Go(ctx, func(ctx context.Context) { p.free(ctx, free) })
+	}
+	for _, address := range p.fleet.Stores() {
+		if s := p.fleet.Shelf(address); s.NeedsList(now) {
+			p.tasks.Go(ctx, func(ctx context.Context) { p.list(ctx, address, now) })
+		}
+	}
+}
+
+// order gives an engine an order.
+func (p *Planner) order(ctx context.Context, order plan.Order) {
+	if !p.Tenure.MayOrder() {
+		return
+	}
+	result, err := p.Targets.Give(ctx, order.Address, order.Target, platform.Order{
+		Model: order.Model, Version: order.Version, Holder: p.Host, Epoch: p.epoch, Accepted: order.Accepted,
+	})
+	p.Log.Info().AnErr("Cause", err).Str("Target", string(order.Target)).Uint64("Version", order.Version).
+		Uint64("Accepted", order.Accepted).Uint64("Epoch", uint64(p.epoch)).Uint8("Result", uint8(result)).Msg("ordered weights")
+	p.do(ctx, func(now fleet.Instant) {
+		p.fleet.Ordered(now, order, result)
+		p.act(ctx, now)
+	})
+}
+
+// inquire asks an engine how far its load is.
+func (p *Planner) inquire(ctx context.Context, id fleet.TargetID, address fleet.Address) {
+	report, err := p.Targets.Report(ctx, address)
+	if err != nil {
+		p.Log.Warn().Err(err).Str("Target", string(id)).Msg("engine does not report; its entry will tell")
+		return
+	}
+	p.do(ctx, func(now fleet.Instant) {
+		for model, version := range report.Models {
+			if report.Busy {
+				continue
+			}
+			p.fleet.Loaded(id, model, version, report.Orders)
+		}
+	})
+}
+
+// free frees parts of a store.
+func (p *Planner) free(ctx context.Context, free plan.Free) {
+	if !p.Tenure.Planning() {
+		return
+	}
+	parts := make([]platform.StoredPart, 0, len(free.Parts))
+	for _, part := range free.Parts {
+		parts = append(parts, platform.StoredPart{Salt: part.Salt, Part: part.ID})
+	}
+	err := p.Targets.Free(ctx, free.Address, free.Life, p.clock.at(p.Tenure.TenureEnd()), parts)
+	if err != nil {
+		p.Log.Warn().Err(err).Str("Store", string(free.Address)).Int("Parts", len(parts)).Msg("store has not confirmed a free")
+		return
+	}
+	p.do(ctx, func(now fleet.Instant) {
+		if s := p.fleet.Shelf(free.Address); s != nil {
+			s.Freed(now, free.Life, free.Parts)
+		}
+	})
+}
+
+// list reads all that a store holds.
+func (p *Planner) list(ctx context.Context, address fleet.Address, asked fleet.Instant) {
+	list, err := p.Targets.List(ctx, address)
+	p.do(ctx, func(now fleet.Instant) {
+		s := p.fleet.Shelf(address)
+		if s == nil {
+			return
+		}
+		if err != nil {
+			p.Log.Warn().Err(err).Str("Store", string(address)).Msg("store does not list its parts")
+			s.ListFailed(now)
+			return
+		}
+		var entries []shelf.Entry
+		for _, held := range list.Held {
+			entries = append(entries, shelf.Entry{Part: shelf.Part{Salt: held.Salt, ID: held.Part}, Tokens: held.Tokens, Whole: true})
+		}
+		for _, partial := range list.Partial {
+			entries = append(entries, shelf.Entry{Part: shelf.Part{Salt: partial.Salt, ID: partial.Part}, Tokens: partial.Tokens})
+		}
+		s.Listed(now, asked, list.Life, list.Next, entries)
+		p.Log.Info().Str("Store", string(address)).Uint64("Life", list.Life).Int("Held", len(list.Held)).
+			Int("Partial", len(list.Partial)).Msg("listed a store")
+	})
+}
--- /dev/null
+++ b/hibiscusfront/internal/wire/wire.go
@@ -0,0 +1,82 @@
+// Package wire defines the messages between hosts. They travel as CBOR over
+// the connections of package peer.
+package wire
+
+import (
+	"time"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/peer"
+	"hibiscuslb/fleet/plan"
+	"hibiscuslb/fleet/tenure"
+	"hibiscuslb/platform"
+)
+
+// The kinds of messages.
+const (
+	KindBeat peer.Kind = iota + 1
+	KindSnapshot
+	KindAsk
+	KindReports
+	KindRenew
+)
+
+// A Host is what a host says of itself, in the store and in its heartbeats.
+type Host struct {
+	ID          fleet.HostID
+	DataCentre  fleet.DataCentreID
+	Callers     fleet.Address // where callers connect
+	Peers       fleet.Address // where other hosts connect
+	Incarnation fleet.Incarnation
+}
+
+// Revisions says up to which revision of the store a host knows each kind.
+type Revisions map[string]fleet.Version
+
+// A Beat is a host's heartbeat.
+type Beat struct {
+	Host      Host
+	Leaving   bool
+	Revisions Revisions
+}
+
+// A Pulse answers a Beat.
+type Pulse struct {
+	Revisions Revisions
+	Duty      tenure.Record // as the answering host knows it
+	Planning  bool          // whether the answering host holds the duty
+	Live      []Host        // the hosts that take callers; if Planning
+}
+
+// A Snapshot asks for the objects of a kind.
+type Snapshot struct{ Kind string }
+
+// An Ask asks the planner for a target.
+type Ask struct {
+	Epoch fleet.Epoch // of the planner that is meant
+	Ask   plan.Ask
+}
+
+// A Verdict answers an Ask. The epoch makes grant numbers of two planners
+// differ.
+type Verdict struct {
+	Grant      *plan.Grant
+	Reason     fleet.Reason
+	RetryAfter time.Duration
+}
+
+// Reports tells the planner what became of its grants.
+type Reports struct{ Reports []plan.Report }
+
+// A Renew asks a host to make a write of the duty's object for a holder that
+// the store turns away.
+type Renew struct {
+	Seen   fleet.Version
+	Record tenure.Record
+}
+
+// A Renewed answers a Renew with the object as the store has it.
+type Renewed struct {
+	Object   platform.Object
+	Conflict bool // the write had no effect
+}
