Let the planner alone watch the store, and keep the weights' bound

Change: watches are as short as the configuration's bound asks, by the planner alone; others hear of revisions with heartbeats and fetch the changes. An empty watch proves nothing. A planner plans on while the store is down for all. Orders are given for 0.7 s after a renewal, so that a successor waits less. No run is sent to an engine with old weights that it would begin after the bound.

--- a/fleet/plan/place.go
+++ b/fleet/plan/place.go
@@ -58,7 +58,7 @@
 		if t.Service != ask.Service || !t.usable(now) || contains(ask.Avoid, t.ID) {
 			continue
 		}
-		if ask.Prompt != nil && !f.serves(t, ask.Prompt.Model) {
+		if ask.Prompt != nil && !f.serves(now, t, ask.Prompt.Model) {
 			continue
 		}
 		any = true
@@ -83,11 +83,20 @@
 	return false
 }
 
-// serves reports whether the engine may begin a run: it is not about to load
-// weights.
-func (f *Fleet) serves(t *target, id fleet.ModelID) bool {
-	m := f.model(id)
-	return t.version(id) > 0 && m.rollout.Serves(t.ID)
+// serves reports whether the engine may begin a run: it does not load weights,
+// and it has weights that a run may still begin on.
+func (f *Fleet) serves(now fleet.Instant, t *target, id fleet.ModelID) bool {
+	m, version := f.model(id), t.version(id)
+	return version > 0 && m.rollout.Serves(t.ID) && (version >= m.version || WeightsHold(now, m.named, f.WeightsBound))
+}
+
+// beginMargin is how long a run may wait at an engine before it begins.
+const beginMargin = 1200 * time.Millisecond
+
+// WeightsHold reports whether a request may be sent to an engine with older
+// weights than those that were named at the given moment.
+func WeightsHold(now, named fleet.Instant, bound time.Duration) bool {
+	return bound == 0 || now.Sub(named) < bound-beginMargin
 }
 
 // room reports whether the target can start one more request soon.
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -124,6 +124,9 @@
 	RetryRatio  float64
 	RetryWindow time.Duration
 	RetryBurst  float64
+	// WeightsBound is the time from the naming of weights to the last run that
+	// may begin on older ones; zero for none.
+	WeightsBound time.Duration
 
 	// FetchAllowed tells whether parts may be fetched and saved: the engines'
 	// clock is known, and nobody else frees parts.
@@ -205,7 +208,8 @@
 	}
 }
 
-// SetWeights takes the newest named weights of a model.
+// SetWeights takes the newest weights of a model, which were named at the given
+// moment.
 func (f *Fleet) SetWeights(now fleet.Instant, id fleet.ModelID, version uint64) {
 	if m := f.model(id); version > m.version {
 		m.version, m.named = version, now
--- a/fleet/tenure/tenure.go
+++ b/fleet/tenure/tenure.go
@@ -32,6 +32,10 @@
 	Length = 1500 * time.Millisecond
 	// Renewal is the time between two writes of the holder: three may fail.
 	Renewal = 350 * time.Millisecond
+	// OrderLength is how long a holder gives orders after it sent its last
+	// write. A successor has to wait for the end of the last order's bound, so
+	// this is shorter than Length.
+	OrderLength = 700 * time.Millisecond
 	// Margin covers the difference of two clocks' rates, and the time from
 	// the holder's last look at its clock to the moment its message leaves.
 	Margin = 300 * time.Millisecond
@@ -94,11 +98,21 @@
 
 // MayOrder reports whether the host may give orders to targets.
 func (d *Duty) MayOrder(now fleet.Instant) bool {
-	return d.Holds(now) && d.seen.Ordering && now >= d.ordersAt
+	from, until := d.Orders()
+	return d.Holds(now) && from <= now && now < until
 }
 
-// OrdersAt is the moment from which the own tenure may give orders.
-func (d *Duty) OrdersAt() fleet.Instant { return max(d.ordersAt, 1) }
+// Orders is the span in which the host may give orders, as long as it holds the
+// duty.
+func (d *Duty) Orders() (from, until fleet.Instant) {
+	if !d.seen.Ordering || d.held == 0 {
+		return 0, 0
+	}
+	return d.ordersAt, d.held.Add(OrderLength - Length)
+}
+
+// Revision is the revision of the duty's object as last seen.
+func (d *Duty) Revision() fleet.Version { return d.revision }
 
 // Holder returns the record as last seen.
 func (d *Duty) Holder() Record { return d.seen }
@@ -132,9 +146,9 @@
 	if w.Record.Epoch != d.seen.Epoch {
 		d.ordersAt = w.Sent
 		if d.seen.Ordering && d.seen.Holder != d.Self {
-			// The last order may have left at the end of the old tenure,
-			// which was over when the write was sent.
-			d.ordersAt = now.Add(bound + Margin)
+			// The last order left before the old holder's write had been
+			// seen here for longer than it may order.
+			d.ordersAt = d.changed.Add(OrderLength + bound + Margin)
 		}
 	}
 	d.known, d.revision, d.seen, d.changed = true, revision, w.Record, now
--- a/hibiscusfront/internal/chooser/alone.go
+++ b/hibiscusfront/internal/chooser/alone.go
@@ -19,20 +19,23 @@
 // a prompt's parts are. It fetches and saves nothing, since nobody knows what
 // the stores hold, and gives cold targets nothing, since nobody counts what
 // all hosts send them. The zero value works.
-type Alone struct{}
+type Alone struct {
+	// WeightsBound is as in plan.Fleet.
+	WeightsBound time.Duration
+}
 
 // noTargetPause is what a caller is told to wait for when no target is known.
 const noTargetPause = 500 * time.Millisecond
 
 // Choose decides on a request.
-func (Alone) Choose(_ fleet.Instant, v *view.View, ask *plan.Ask) plan.Verdict {
+func (a Alone) Choose(now fleet.Instant, v *view.View, ask *plan.Ask) plan.Verdict {
 	var usable []*roster.Target
 	for i := range v.Targets {
 		t := &v.Targets[i]
 		if t.Service != ask.Service || !v.Usable(t) || t.ColdFor > 0 || slices.Contains(ask.Avoid, t.ID) {
 			continue
 		}
-		if ask.Prompt != nil && t.Version(ask.Prompt.Model) == 0 {
+		if ask.Prompt != nil && !a.begins(now, v, t, ask.Prompt.Model) {
 			continue
 		}
 		usable = append(usable, t)
@@ -61,5 +64,11 @@
 	return plan.Verdict{Ask: ask, Grant: g}
 }
 
+// begins reports whether a run may begin on the engine's weights.
+func (a Alone) begins(now fleet.Instant, v *view.View, t *roster.Target, model fleet.ModelID) bool {
+	version, newest := t.Version(model), v.Weights[model]
+	return version > 0 && (version >= newest.Version || plan.WeightsHold(now, newest.Named, a.WeightsBound))
+}
+
 // lastRank is the least urgent rank that engines know.
 const lastRank = 9
--- a/hibiscusfront/internal/control/control.go
+++ b/hibiscusfront/internal/control/control.go
@@ -4,14 +4,16 @@
 // and decode messages, and hand it what they learn; after each change it
 // publishes a frozen view for the traffic.
 //
-// A host learns of a change in three ways: by its own watch of the store, by
-// heartbeats that tell which revisions another host knows, and by snapshots
-// that it then asks that host for. So a host that the store turns away, or
-// whose watch has gone silent, is behind by a heartbeat and no more.
+// The store counts each call of each host, so not every host watches it. The
+// host that plans does; the others hear from it, by heartbeats that tell which
+// revisions it knows, and ask it for what has changed. A host that hears from
+// nobody who watches the store watches it itself. So a host that the store
+// turns away is behind by a heartbeat and no more.
 package control
 
 import (
 	"context"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -39,6 +41,9 @@
 	beatTime = 300 * time.Millisecond
 	// aliveTime is how long a host counts as alive after its last heartbeat.
 	aliveTime = 1100 * time.Millisecond
+	// quietTime is how long a host relies on others to watch the store after
+	// it last heard from one.
+	quietTime = 800 * time.Millisecond
 	// buryTime is how long after a host's last heartbeat its entry is
 	// removed.
 	buryTime = 15 * time.Second
@@ -49,7 +54,7 @@
 // watched are the kinds of objects that every host follows.
 var watched = []string{
 	platform.KindConfiguration, platform.KindTargets, platform.KindEvacuations, platform.KindWeights,
-	platform.KindHosts, platform.KindDuties,
+	platform.KindHosts,
 }
 
 // A Control is the control state of a host.
@@ -70,26 +75,38 @@
 	// Ordering reports whether the host wants to give orders.
 	Ordering func() bool
 
-	view  atomic.Pointer[view.View]
-	until atomic.Int64 // end of the own tenure, an Instant
-	order atomic.Int64 // an Instant after which orders are allowed; zero for not
-	epoch atomic.Uint64
+	view atomic.Pointer[view.View]
+	// Instants, for other goroutines: the end of the own tenure, that of
+	// planning without one, and the span in which orders are allowed.
+	until, lame           atomic.Int64
+	orderFrom, orderUntil atomic.Int64
+	epoch                 atomic.Uint64
 
 	life    context.Context // of Run, for what outlives the message that began it
 	inbox   chan func(now fleet.Instant)
 	tasks   task.Group
 	kinds   map[string]*replica.Kind
 	table   *route.Table
+	weighed bool // whether weights were read before
+	named   map[fleet.ModelID]view.Weights
 	targets targets
 	duty    tenure.Duty
 	members members
 	pulses  pulses
 	leaving bool
-	writing bool // a write of the duty's object is under way
-	planned bool // whether Elected was told so
+	writing bool          // a write of the duty's object is under way
+	planned bool          // whether Elected was told so
+	elected fleet.Epoch   // that Elected was told
+	tried   fleet.Instant // when the duty's object was last to be written
 	bad     map[string]fleet.Version
 	contact fleet.Instant // last answer of the store
 	outage  bool
+	dark    atomic.Bool   // outage, for other goroutines
+	follows atomic.Bool   // the host watches the store
+	heard   fleet.Instant // last pulse of a host that watches the store
+	planner fleet.Instant // last pulse of the planner
+	reading bool          // the duty's object is being read
+	looked  fleet.Instant // when it was last read
 	began   fleet.Instant // of the own tenure
 }
 
@@ -101,13 +118,20 @@
 	return new(view.View)
 }
 
-// Planning reports whether the host holds the planner's duty right now.
-func (c *Control) Planning() bool { return int64(c.Clock()) < c.until.Load() }
+// Planning reports whether the host may plan right now.
+func (c *Control) Planning() bool {
+	now := int64(c.Clock())
+	return now < c.until.Load() || now < c.lame.Load()
+}
+
+// Holds reports whether the host holds the planner's duty right now, and may
+// therefore free parts of stores.
+func (c *Control) Holds() bool { return int64(c.Clock()) < c.until.Load() }
 
 // MayOrder reports whether the host may give orders right now.
 func (c *Control) MayOrder() bool {
-	at := c.order.Load()
-	return c.Planning() && at > 0 && int64(c.Clock()) >= at
+	now := int64(c.Clock())
+	return now < c.until.Load() && c.orderFrom.Load() <= now && now < c.orderUntil.Load()
 }
 
 // TenureEnd is the end of the own tenure unless it is renewed.
@@ -122,6 +146,7 @@
 	c.inbox = make(chan func(fleet.Instant), inboxSize)
 	c.kinds = make(map[string]*replica.Kind)
 	c.bad = make(map[string]fleet.Version)
+	c.named = make(map[fleet.ModelID]view.Weights)
 	c.duty = tenure.Duty{Self: c.Settings.Host, Address: c.Settings.Peers}
 	for _, kind := range watched {
 		c.kinds[kind] = new(replica.Kind)
@@ -167,6 +192,8 @@
 }
 
 func (c *Control) tick(ctx context.Context, now fleet.Instant) {
+	c.follows.Store(c.planned || now.Sub(c.heard) > quietTime)
+	c.look(ctx, now)
 	c.renew(ctx, now)
 	c.beat(ctx, now)
 	if c.targets.expire(now) {
@@ -190,7 +217,7 @@
 // publish builds and publishes the view.
 func (c *Control) publish() {
 	v := &view.View{
-		Table: c.table, Targets: c.targets.list(), Evacuated: c.evacuated(), Weights: c.weights(),
+		Table: c.table, Targets: c.targets.list(), Evacuated: c.evacuated(), Weights: maps.Clone(c.named),
 		Hosts: c.live(), Duty: c.duty.Holder(), Leaving: c.leaving,
 	}
 	c.view.Store(v.Freeze())
--- a/hibiscusfront/internal/control/duty.go
+++ b/hibiscusfront/internal/control/duty.go
@@ -11,6 +11,46 @@
 	"hibiscuslb/platform"
 )
 
+const (
+	// lookPause is the pause between two reads of the duty's object while
+	// nothing is heard from its holder.
+	lookPause = 300 * time.Millisecond
+)
+
+// look reads the duty's object while nothing is heard from its holder, so that
+// its end is seen.
+func (c *Control) look(ctx context.Context, now fleet.Instant) {
+	if c.reading || c.leaving || c.planned || c.outage || now.Sub(c.planner) < quietTime || now.Sub(c.looked) < lookPause {
+		return
+	}
+	c.reading, c.looked = true, now
+	c.tasks.Go(ctx, func(ctx context.Context) {
+		o, err := c.Store.Read(ctx, platform.KindDuties, DutyName)
+		c.do(ctx, func(now fleet.Instant) {
+			c.reading = false
+			switch {
+			case err == nil:
+				c.dutySeen(now, o)
+			case isNotFound(err):
+				c.duty.Missing(now)
+			default:
+				c.unreached(now, platform.KindDuties, err)
+			}
+		})
+	})
+}
+
+// dutySeen takes the duty's object.
+func (c *Control) dutySeen(now fleet.Instant, o platform.Object) {
+	var record tenure.Record
+	if err := platform.Decode(o, &record); err != nil {
+		c.malformed(o, err)
+		return
+	}
+	c.duty.Seen(now, o.Revision, record)
+	c.elect(now)
+}
+
 // renew writes the duty's object when that is due, and tells the planner when
 // the tenure begins and ends.
 func (c *Control) renew(ctx context.Context, now fleet.Instant) {
@@ -18,6 +58,9 @@
 	if c.writing || c.leaving {
 		return
 	}
+	if c.outage && now.Sub(c.tried) < lookPause {
+		return
+	}
 	ordering := c.Ordering != nil && c.Ordering()
 	holds := c.duty.Holds(now)
 	rushing := holds && ordering && !c.duty.Holder().Ordering
@@ -28,7 +71,7 @@
 	if !due || !holds && !c.candidate() {
 		return
 	}
-	c.writing = true
+	c.writing, c.tried = true, now
 	peers := c.drawPeers(hedges)
 	c.tasks.Go(ctx, func(ctx context.Context) {
 		o, err := c.writeDuty(ctx, w, peers)
@@ -124,16 +167,12 @@
 		c.duty.Written(now, w, o.Revision, c.Settings.Bounds.Lease)
 	case errors.As(err, &conflict):
 		var record tenure.Record
-		if err := platform.Decode(conflict.Current, &record); err != nil {
-			c.malformed(conflict.Current, err)
-			break
-		}
-		if record == w.Record {
+		if platform.Decode(conflict.Current, &record) == nil && record == w.Record {
 			// This very write took effect, though its answer was lost.
 			c.duty.Written(now, w, conflict.Current.Revision, c.Settings.Bounds.Lease)
 			break
 		}
-		c.duty.Seen(now, conflict.Current.Revision, record)
+		c.dutySeen(now, conflict.Current)
 	default:
 		c.Log.Warn().Err(err).Uint64("Epoch", uint64(w.Record.Epoch)).Msg("the planner's duty could not be written")
 	}
@@ -146,29 +185,57 @@
 	if holds {
 		c.until.Store(int64(c.duty.End()))
 		c.epoch.Store(uint64(c.duty.Holder().Epoch))
-		c.order.Store(0)
-		if c.duty.Holder().Ordering {
-			c.order.Store(int64(c.duty.OrdersAt()))
-		}
+		from, until := c.duty.Orders()
+		c.orderFrom.Store(int64(from))
+		c.orderUntil.Store(int64(until))
+		c.lame.Store(0)
 	} else {
 		c.until.Store(0)
+		c.limp(now)
 	}
-	if holds == c.planned {
+	plans := holds || now < fleet.Instant(c.lame.Load())
+	if plans == c.planned && (!plans || c.duty.Holder().Epoch == c.elected) {
 		return
 	}
-	c.planned = holds
-	c.Log.Info().Bool("Planning", holds).Uint64("Epoch", uint64(c.duty.Holder().Epoch)).
+	c.planned, c.elected = plans, c.duty.Holder().Epoch
+	c.Log.Info().Bool("Planning", plans).Uint64("Epoch", uint64(c.duty.Holder().Epoch)).
 		Str("Holder", string(c.duty.Holder().Holder)).Msg("tenure changed")
-	if holds {
+	if plans {
 		c.began = now
-		for id := range c.members.hosts {
-			c.members.note(now, id, c.members.beats[id].leaving)
-		}
+		c.members.inherit(now)
 	}
 	if c.Elected != nil {
-		c.Elected(c.duty.Holder().Epoch, holds)
+		c.Elected(c.duty.Holder().Epoch, plans)
 	}
 	c.publish()
+	if plans {
+		c.announce()
+	}
+}
+
+const (
+	// lameTime is how long a planner plans on after its tenure ended because
+	// no host could write to the store.
+	lameTime = 15 * time.Second
+	// lameStep is how long one look at the other hosts allows it.
+	lameStep = 150 * time.Millisecond
+	// nearTime is how old a heartbeat may be that shows a host to be in reach.
+	nearTime = 700 * time.Millisecond
+)
+
+// limp lets a planner plan on while the store is down for all, so that requests
+// are still planned in one place. Nobody can succeed it without the store, and
+// whoever does tells the other hosts at once. So it plans on while it hears
+// from most hosts and none of them knows a successor. It gives no orders and
+// frees nothing.
+func (c *Control) limp(now fleet.Instant) {
+	end := c.duty.End()
+	if c.leaving || !c.planned || end == 0 || c.duty.Holder().Holder != c.Self.ID || now.Sub(end) > lameTime ||
+		!c.members.most(now, c.Self.ID) {
+		c.lame.Store(0)
+		return
+	}
+	c.lame.Store(int64(now.Add(lameStep)))
 }
 
 // resignTime bounds the write by which a host gives its duty up.
--- a/hibiscusfront/internal/control/members.go
+++ b/hibiscusfront/internal/control/members.go
@@ -5,6 +5,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/task"
@@ -99,7 +100,7 @@
 // expire takes hosts whose heartbeats have ceased for dead, if this host plans
 // and has therefore had time to hear them all.
 func (m *members) expire(now fleet.Instant, c *Control) bool {
-	if !c.duty.Holds(now) || now.Sub(c.began) < aliveTime {
+	if !c.planned || now.Sub(c.began) < aliveTime {
 		return false
 	}
 	changed := false
@@ -118,12 +119,42 @@
 	return changed
 }
 
+// inherit takes the hosts that the last planner told of for alive, when this
+// host begins to plan. All others are, too, if nobody has told.
+func (m *members) inherit(now fleet.Instant) {
+	for id := range m.hosts {
+		known := m.toldAt == 0 || slices.ContainsFunc(m.told, func(h wire.Host) bool { return h.ID == id })
+		switch seen := m.beats[id]; {
+		case known:
+			m.note(now, id, seen.leaving)
+		case now.Sub(seen.at) > aliveTime:
+			seen.alive = false
+			m.beats[id] = seen
+		}
+	}
+}
+
+// most reports whether more than half of the hosts that were alive have sent a
+// heartbeat a moment ago, this one included.
+func (m *members) most(now fleet.Instant, self fleet.HostID) bool {
+	alive, near := 1, 1
+	for id, seen := range m.beats {
+		if id == self || !seen.alive {
+			continue
+		}
+		alive++
+		if now.Sub(seen.at) < nearTime {
+			near++
+		}
+	}
+	return 2*near > alive
+}
+
 // live returns the hosts that callers may be sent to.
 func (c *Control) live() []wire.Host {
 	m := &c.members
-	now := c.Clock()
 	var result []wire.Host
-	if !c.duty.Holds(now) && m.toldAt > 0 {
+	if !c.planned && m.toldAt > 0 {
 		for _, h := range m.told {
 			if h.ID != c.Self.ID {
 				result = append(result, h)
@@ -179,10 +210,17 @@
 		if c.members.note(now, beat.Host.ID, beat.Leaving) {
 			c.publish()
 		}
-		pulse = wire.Pulse{Revisions: c.revisions(), Duty: c.duty.Holder(), Planning: c.duty.Holds(now)}
+		pulse = wire.Pulse{
+			Revisions: c.revisions(), Follows: c.follows.Load() && now.Sub(c.contact) < freshTime,
+			Duty: c.duty.Holder(), Revision: c.duty.Revision(), Planning: c.planned,
+		}
 		if pulse.Planning {
 			pulse.Live = c.live()
 		}
+		if beat.Revision > 0 {
+			c.duty.Seen(now, beat.Revision, beat.Duty)
+			c.elect(now)
+		}
 		c.catchUp(beat.Host.Peers, beat.Revisions)
 	}) {
 		return pulse, ctx.Err()
@@ -191,16 +229,22 @@
 }
 
 // Snapshot serves another host's question for the objects of a kind.
-func (c *Control) Snapshot(ctx context.Context, ask wire.Snapshot) (platform.Listing, error) {
-	var listing platform.Listing
+func (c *Control) Snapshot(ctx context.Context, ask wire.Snapshot) (wire.News, error) {
+	var news wire.News
 	if !c.ask(ctx, func(fleet.Instant) {
-		if kind, ok := c.kinds[ask.Kind]; ok {
-			listing = kind.Listing()
+		kind, ok := c.kinds[ask.Kind]
+		if !ok {
+			return
 		}
+		if changes, ok := kind.Since(ask.Since); ok && ask.Since > 0 {
+			news.Changes = changes
+			return
+		}
+		news.All, news.Listing = true, kind.Listing()
 	}) {
-		return listing, ctx.Err()
+		return news, ctx.Err()
 	}
-	return listing, nil
+	return news, nil
 }
 
 func (c *Control) revisions() wire.Revisions {
@@ -211,6 +255,10 @@
 	return result
 }
 
+// freshTime is how old the store's last answer may be at a host that others
+// rely on.
+const freshTime = 1500 * time.Millisecond
+
 // beat sends a heartbeat to the host that plans, and one to a host drawn at
 // random, so that news travels also where the planner is out of reach.
 func (c *Control) beat(ctx context.Context, now fleet.Instant) {
@@ -218,7 +266,7 @@
 		return
 	}
 	c.pulses.last = now
-	beat := wire.Beat{Host: c.Self, Leaving: c.leaving, Revisions: c.revisions()}
+	beat := c.ownBeat()
 	holder := c.duty.Holder()
 	if holder.Holder != "" && holder.Holder != c.Self.ID {
 		c.tasks.Go(ctx, func(ctx context.Context) { c.sendBeat(ctx, holder.Address, beat) })
@@ -231,6 +279,20 @@
 	}
 }
 
+func (c *Control) ownBeat() wire.Beat {
+	return wire.Beat{
+		Host: c.Self, Leaving: c.leaving, Revisions: c.revisions(), Duty: c.duty.Holder(), Revision: c.duty.Revision(),
+	}
+}
+
+// announce tells all hosts that this one plans.
+func (c *Control) announce() {
+	beat := c.ownBeat()
+	for _, h := range c.drawPeers(len(c.members.hosts)) {
+		c.tasks.Go(c.life, func(ctx context.Context) { c.sendBeat(ctx, h.Peers, beat) })
+	}
+}
+
 // drawPeers draws up to n other hosts that are not known to be dead.
 func (c *Control) drawPeers(n int) []wire.Host {
 	var others []wire.Host
@@ -255,7 +317,15 @@
 
 // pulse takes the answer to a heartbeat.
 func (c *Control) pulse(now fleet.Instant, from fleet.Address, pulse wire.Pulse) {
+	if pulse.Follows {
+		c.heard = now
+	}
+	if pulse.Revision > 0 {
+		c.duty.Seen(now, pulse.Revision, pulse.Duty)
+		c.elect(now)
+	}
 	if pulse.Planning && pulse.Duty.Epoch >= c.duty.Holder().Epoch {
+		c.planner = now
 		same := slices.Equal(c.members.told, pulse.Live)
 		c.members.told, c.members.toldAt = pulse.Live, now
 		if !same {
@@ -265,23 +335,37 @@
 	c.catchUp(from, pulse.Revisions)
 }
 
-// catchUp asks another host for the kinds that it knows a newer revision of. A
-// watch of one's own is mostly as quick, so small differences wait for the
-// next heartbeat.
+// takeNews takes another host's news of a kind.
+func (c *Control) takeNews(now fleet.Instant, ask wire.Snapshot, news wire.News) {
+	if news.All {
+		c.listed(now, ask.Kind, news.Listing)
+		return
+	}
+	kind := c.kinds[ask.Kind]
+	if kind.Revision() != ask.Since {
+		return // something else has come in between; the next heartbeat asks again
+	}
+	if kind.Told(news.Changes) {
+		c.changed(now, ask.Kind)
+	}
+}
+
+// catchUp asks another host for the kinds that it knows a newer revision of.
 func (c *Control) catchUp(from fleet.Address, theirs wire.Revisions) {
 	for name, kind := range c.kinds {
 		if theirs[name] <= kind.Revision() || kind.Fetching(c.Clock()) {
 			continue
 		}
+		ask := wire.Snapshot{Kind: name, Since: kind.Revision()}
 		c.tasks.Go(c.life, func(ctx context.Context) {
 			ctx, cancel := context.WithTimeout(ctx, aliveTime)
 			defer cancel()
-			var listing platform.Listing
-			if err := c.Peers.Ask(ctx, from, wire.KindSnapshot, wire.Snapshot{Kind: name}, &listing); err != nil {
-				c.Log.Debug().Err(err).Str("From", string(from)).Str("Kind", name).Msg("no snapshot from a peer")
+			var news wire.News
+			if err := c.Peers.Ask(ctx, from, wire.KindSnapshot, ask, &news); err != nil {
+				c.Log.Debug().Err(err).Str("From", string(from)).Str("Kind", name).Msg("no news from a peer")
 				return
 			}
-			c.do(ctx, func(now fleet.Instant) { c.listed(now, name, listing) })
+			c.do(ctx, func(now fleet.Instant) { c.takeNews(now, ask, news) })
 		})
 	}
 }
--- a/hibiscusfront/internal/control/objects.go
+++ b/hibiscusfront/internal/control/objects.go
@@ -9,13 +9,22 @@
 	"hibiscuslb/fleet/roster"
 	"hibiscuslb/fleet/route"
 	"hibiscuslb/fleet/task"
-	"hibiscuslb/fleet/tenure"
+	"hibiscuslb/hibiscusfront/internal/view"
 	"hibiscuslb/platform"
 )
 
 const (
-	// watchTime is how long a watch waits. Each costs the store a call.
-	watchTime = 12 * time.Second
+	// watchShare of the time in which a configuration must be in force is how
+	// long a watch waits: its connection may be silent for good, which shows
+	// only by the end of the wait.
+	watchShare = 3
+	// hostsWatchTime is how long a watch for hosts waits: heartbeats tell more
+	// than their entries do.
+	hostsWatchTime = 6 * time.Second
+	// leastWatchTime bounds the calls where no bound is set.
+	leastWatchTime = 500 * time.Millisecond
+	// restTime is the pause between two looks whether to watch.
+	restTime = 50 * time.Millisecond
 	// firstPause and lastPause bound the pause after a failed call.
 	firstPause = 100 * time.Millisecond
 	lastPause  = 800 * time.Millisecond
@@ -23,31 +32,39 @@
 
 // follow keeps the replica of a kind up to date from the store.
 func (c *Control) follow(ctx context.Context, kind string) {
-	var since fleet.Version
+	since := func() (revision fleet.Version) {
+		c.ask(ctx, func(fleet.Instant) { revision = c.kinds[kind].Revision() })
+		return revision
+	}
+	list := true
 	pause := firstPause
 	for ctx.Err() == nil {
+		if !c.follows.Load() || c.dark.Load() && kind != platform.KindConfiguration {
+			// Others tell of changes meanwhile; or the store is out of reach,
+			// and one kind is enough to find out when it is back.
+			task.Pause(ctx, restTime)
+			continue
+		}
 		var err error
-		if since == 0 {
-			since, err = c.list(ctx, kind)
+		if from := since(); list || from == 0 {
+			err = c.list(ctx, kind)
 		} else {
-			since, err = c.watch(ctx, kind, since)
+			err = c.watch(ctx, kind, from)
 		}
+		// A watch that was cut may have missed changes that a list shows.
+		list = err != nil
 		if err == nil {
 			pause = firstPause
-			c.do(ctx, c.reached)
 			continue
 		}
 		var gone *platform.CompactedError
 		if errors.As(err, &gone) {
-			since = 0
 			continue
 		}
 		if ctx.Err() != nil {
 			return
 		}
 		c.do(ctx, func(now fleet.Instant) { c.unreached(now, kind, err) })
-		// A watch that was cut may have missed changes that a list shows.
-		since = 0
 		if !task.Pause(ctx, pause) {
 			return
 		}
@@ -55,27 +72,38 @@
 	}
 }
 
-func (c *Control) list(ctx context.Context, kind string) (fleet.Version, error) {
+// watchTime is how long a watch of the kind waits.
+func (c *Control) watchTime(kind string) time.Duration {
+	if kind == platform.KindHosts {
+		return hostsWatchTime
+	}
+	return max(leastWatchTime, c.Settings.Bounds.Configuration/watchShare)
+}
+
+func (c *Control) list(ctx context.Context, kind string) error {
 	listing, err := c.Store.List(ctx, kind)
 	if err != nil {
-		return 0, err
+		return err
 	}
-	c.do(ctx, func(now fleet.Instant) { c.listed(now, kind, listing) })
-	return listing.Revision, nil
+	c.ask(ctx, func(now fleet.Instant) {
+		c.reached(now)
+		c.listed(now, kind, listing)
+	})
+	return nil
 }
 
-func (c *Control) watch(ctx context.Context, kind string, since fleet.Version) (fleet.Version, error) {
-	changes, err := c.Store.Watch(ctx, kind, since, watchTime)
+func (c *Control) watch(ctx context.Context, kind string, since fleet.Version) error {
+	changes, err := c.Store.Watch(ctx, kind, since, c.watchTime(kind))
 	if err != nil {
-		return 0, err
+		return err
 	}
-	c.do(ctx, func(now fleet.Instant) {
+	c.ask(ctx, func(now fleet.Instant) {
 		c.reached(now)
-		if c.kinds[kind].Change(changes) {
+		if c.kinds[kind].Watched(changes) {
 			c.changed(now, kind)
 		}
 	})
-	return max(since, changes.Revision), nil
+	return nil
 }
 
 // listed takes a list from the store or from another host.
@@ -90,6 +118,7 @@
 	c.contact = now
 	if c.outage {
 		c.outage = false
+		c.dark.Store(false)
 		c.Log.Info().Msg("the store answers again")
 		c.targets.storeBack(now)
 	}
@@ -98,6 +127,7 @@
 func (c *Control) unreached(now fleet.Instant, kind string, err error) {
 	if !c.outage {
 		c.outage = true
+		c.dark.Store(true)
 		c.Log.Warn().Err(err).Str("Kind", kind).Dur("LastAnswerAgo", now.Sub(c.contact)).
 			Msg("the store does not answer; going on with what is known")
 	}
@@ -111,12 +141,12 @@
 		c.configure()
 	case platform.KindTargets:
 		c.enroll(now)
-	case platform.KindDuties:
-		c.dutySeen(now)
 	case platform.KindHosts:
 		c.members.registered(now, c)
-	case platform.KindEvacuations, platform.KindWeights:
-		c.Log.Info().Str("Kind", kind).Uint64("Revision", uint64(c.kinds[kind].Revision())).Msg("objects changed")
+	case platform.KindWeights:
+		c.nameWeights(now)
+	case platform.KindEvacuations:
+		c.Log.Info().Interface("DataCentres", c.evacuated()).Msg("evacuations changed")
 	}
 	c.publish()
 }
@@ -161,32 +191,26 @@
 	return result
 }
 
-func (c *Control) weights() map[fleet.ModelID]uint64 {
-	result := make(map[fleet.ModelID]uint64)
+// nameWeights takes the weights that the operator has named. When those were
+// named that the host finds at its start is not known: long ago, for all it may
+// do with older ones.
+func (c *Control) nameWeights(now fleet.Instant) {
+	if c.weighed {
+		now = max(now, 1)
+	} else {
+		now = 0
+	}
+	c.weighed = true
 	c.kinds[platform.KindWeights].Objects(func(o platform.Object) {
 		w, err := platform.DecodeWeights(o)
 		if err != nil {
 			c.malformed(o, err)
 			return
 		}
-		result[w.Model] = max(result[w.Model], w.Version)
-	})
-	return result
-}
-
-// dutySeen takes the duty's object.
-func (c *Control) dutySeen(now fleet.Instant) {
-	o, ok := c.kinds[platform.KindDuties].Get(DutyName)
-	if !ok {
-		if c.kinds[platform.KindDuties].Revision() > 0 {
-			c.duty.Missing(now)
+		if w.Version > c.named[w.Model].Version {
+			c.named[w.Model] = view.Weights{Version: w.Version, Named: now}
+			c.Log.Info().Str("Model", string(w.Model)).Uint64("Version", w.Version).
+				Uint64("Revision", uint64(o.Revision)).Msg("weights named")
 		}
-		return
-	}
-	var record tenure.Record
-	if err := platform.Decode(o, &record); err != nil {
-		c.malformed(o, err)
-		return
-	}
-	c.duty.Seen(now, o.Revision, record)
+	})
 }
--- a/hibiscusfront/internal/host/host.go
+++ b/hibiscusfront/internal/host/host.go
@@ -80,6 +80,7 @@
 	}
 	h.planner = planner.New(settings.Host, settings.Bounds, platform.NewTargets(), h.control, h.clock, log)
 	h.chooser = chooser.New(settings.Host, h.planner, &h.peers, h.clock, log)
+	h.chooser.Alone.WeightsBound = settings.Bounds.Weights
 	h.gateway = &gateway.Gateway{
 		Host: settings.Host, Near: settings.DataCentre, View: h.control.View, Chooser: h.chooser, Pool: &h.pool,
 		Meter: h.meter, Log: log, Closing: h.closing.Load,
@@ -211,7 +212,7 @@
 	case wire.KindBeat:
 		return answer(body, func(beat wire.Beat) (wire.Pulse, error) { return h.control.Beat(ctx, beat) })
 	case wire.KindSnapshot:
-		return answer(body, func(ask wire.Snapshot) (platform.Listing, error) { return h.control.Snapshot(ctx, ask) })
+		return answer(body, func(ask wire.Snapshot) (wire.News, error) { return h.control.Snapshot(ctx, ask) })
 	case wire.KindRenew:
 		return answer(body, func(ask wire.Renew) (wire.Renewed, error) { return h.control.RenewFor(ctx, ask) })
 	case wire.KindAsk:
--- a/hibiscusfront/internal/planner/planner.go
+++ b/hibiscusfront/internal/planner/planner.go
@@ -33,6 +33,7 @@
 // before each act.
 type Tenure interface {
 	Planning() bool
+	Holds() bool
 	MayOrder() bool
 	TenureEnd() fleet.Instant
 	Epoch() fleet.Epoch
@@ -70,6 +71,7 @@
 	}
 	p.fleet = plan.Fleet{
 		RetryRatio: bounds.RetryRatio, RetryWindow: bounds.RetryWindow, RetryBurst: bounds.RetryReserve,
+		WeightsBound: bounds.Weights,
 	}
 	return p
 }
@@ -102,7 +104,7 @@
 // Elect begins or ends a tenure.
 func (p *Planner) Elect(ctx context.Context, epoch fleet.Epoch, planning bool) {
 	p.do(ctx, func(now fleet.Instant) {
-		if planning == p.active && epoch == p.epoch {
+		if planning == p.active && (epoch == p.epoch || !planning) {
 			return
 		}
 		p.stop()
@@ -141,8 +143,8 @@
 		}
 		p.fleet.SetServices(now, v.Table.Services)
 		p.fleet.SetTargets(now, v.Targets, v.Evacuated)
-		for model, version := range v.Weights {
-			p.fleet.SetWeights(now, model, version)
+		for model, w := range v.Weights {
+			p.fleet.SetWeights(w.Named, model, w.Version)
 		}
 		p.outdated.Store(p.fleet.Outdated())
 		if p.active {
@@ -165,7 +167,7 @@
 func (p *Planner) Ask(ctx context.Context, ask *plan.Ask) (plan.Verdict, error) {
 	answer := make(chan plan.Verdict, 1)
 	p.do(ctx, func(now fleet.Instant) {
-		if !p.active {
+		if !p.active || !p.Tenure.Planning() {
 			answer <- plan.Verdict{Ask: ask, Refusal: fleet.Refuse(fleet.ReasonNotKeeper, "does not plan")}
 			return
 		}
@@ -242,7 +244,7 @@
 	for id, address := range p.fleet.Unclear(now) {
 		p.tasks.Go(ctx, func(ctx context.Context) { p.inquire(ctx, id, address) })
 	}
-	if !p.Tenure.Planning() {
+	if !p.Tenure.Holds() {
 		return
 	}
 	for _, free := range p.fleet.Frees(now) {
@@ -290,7 +292,7 @@
 
 // free frees parts of a store.
 func (p *Planner) free(ctx context.Context, free plan.Free) {
-	if !p.Tenure.Planning() {
+	if !p.Tenure.Holds() {
 		return
 	}
 	parts := make([]platform.StoredPart, 0, len(free.Parts))
--- a/hibiscusfront/internal/replica/replica.go
+++ b/hibiscusfront/internal/replica/replica.go
@@ -4,9 +4,13 @@
 // Objects come from the store, by lists and watches, and from other hosts that
 // have read the store. The revision is the only order: what is older than what
 // is held changes nothing, wherever it comes from.
+//
+// A watch that says nothing proves nothing: the store may have failed to tell.
+// Only a list or an event moves the revision on.
 package replica
 
 import (
+	"slices"
 	"time"
 
 	"hibiscuslb/fleet"
@@ -18,10 +22,24 @@
 	objects  map[string]platform.Object
 	revision fleet.Version
 	asked    fleet.Instant // a peer, last
+
+	log   []entry // the latest changes, oldest first
+	since fleet.Version
+}
+
+// entry is a change that brought the replica to a revision.
+type entry struct {
+	revision fleet.Version
+	change   platform.Change
 }
 
-// fetchPause is the shortest time between two questions to peers for a kind.
-const fetchPause = 150 * time.Millisecond
+const (
+	// fetchPause is the shortest time between two questions to peers for a
+	// kind.
+	fetchPause = 150 * time.Millisecond
+	// logSize bounds the changes that are kept for peers.
+	logSize = 512
+)
 
 // Fetching reports whether a peer was asked for the kind a moment ago, and
 // notes the question otherwise.
@@ -37,40 +55,78 @@
 // none is.
 func (k *Kind) Revision() fleet.Version { return k.revision }
 
-// List takes all objects of the kind at a revision and reports whether that is
-// news.
+// List takes all objects of the kind at a revision and reports whether an
+// object has changed.
 func (k *Kind) List(listing platform.Listing) bool {
 	if listing.Revision < k.revision || listing.Revision == k.revision && k.objects != nil {
 		return false
 	}
-	objects := make(map[string]platform.Object, len(listing.Objects))
+	first := k.objects == nil
+	changes := platform.Changes{Revision: listing.Revision}
+	listed := make(map[string]bool, len(listing.Objects))
 	for _, o := range listing.Objects {
-		objects[o.Name] = o
+		listed[o.Name] = true
+		if k.objects[o.Name].Revision != o.Revision {
+			changes.Changes = append(changes.Changes, platform.Change{Object: o})
+		}
+	}
+	for name, o := range k.objects {
+		if !listed[name] {
+			changes.Changes = append(changes.Changes, platform.Change{Object: o, Removed: true})
+		}
 	}
-	k.objects, k.revision = objects, listing.Revision
-	return true
+	if first {
+		k.objects = make(map[string]platform.Object, len(listing.Objects))
+		k.since = listing.Revision
+	}
+	k.apply(changes)
+	return first || len(changes.Changes) > 0
+}
+
+// Watched takes the events of a watch from the revision held, and reports
+// whether there was one.
+func (k *Kind) Watched(changes platform.Changes) bool {
+	return len(changes.Changes) > 0 && k.Told(changes)
 }
 
-// Change takes the changes since a revision that is not newer than the one
-// held, and reports whether there was one.
-func (k *Kind) Change(changes platform.Changes) bool {
-	changed := false
-	if k.objects == nil {
-		k.objects = make(map[string]platform.Object)
+// Told takes another replica's changes since the revision held, and reports
+// whether there was one.
+func (k *Kind) Told(changes platform.Changes) bool {
+	if changes.Revision <= k.revision || k.objects == nil {
+		return false
 	}
+	k.apply(changes)
+	return len(changes.Changes) > 0
+}
+
+func (k *Kind) apply(changes platform.Changes) {
 	for _, c := range changes.Changes {
-		if c.Object.Revision <= k.revision && c.Object.Revision > 0 {
-			continue
-		}
-		changed = true
 		if c.Removed {
 			delete(k.objects, c.Object.Name)
 		} else {
 			k.objects[c.Object.Name] = c.Object
 		}
+		k.log = append(k.log, entry{changes.Revision, c})
+	}
+	k.revision = changes.Revision
+	if extra := len(k.log) - logSize; extra > 0 {
+		k.since = k.log[extra-1].revision
+		k.log = slices.Delete(k.log, 0, extra)
+	}
+}
+
+// Since returns the changes since a revision, if they are all known.
+func (k *Kind) Since(revision fleet.Version) (platform.Changes, bool) {
+	if k.objects == nil || revision < k.since {
+		return platform.Changes{}, false
+	}
+	changes := platform.Changes{Revision: k.revision}
+	for _, e := range k.log {
+		if e.revision > revision {
+			changes.Changes = append(changes.Changes, e.change)
+		}
 	}
-	k.revision = max(k.revision, changes.Revision)
-	return changed
+	return changes, true
 }
 
 // Objects calls f for each object.
--- a/hibiscusfront/internal/wire/wire.go
+++ b/hibiscusfront/internal/wire/wire.go
@@ -38,18 +38,33 @@
 	Host      Host
 	Leaving   bool
 	Revisions Revisions
+	Duty      tenure.Record // as the host knows it
+	Revision  fleet.Version // of the duty's object
 }
 
 // A Pulse answers a Beat.
 type Pulse struct {
 	Revisions Revisions
+	Follows   bool          // the answering host hears of the store's changes
 	Duty      tenure.Record // as the answering host knows it
+	Revision  fleet.Version // of the duty's object
 	Planning  bool          // whether the answering host holds the duty
 	Live      []Host        // the hosts that take callers; if Planning
 }
 
-// A Snapshot asks for the objects of a kind.
-type Snapshot struct{ Kind string }
+// A Snapshot asks for the objects of a kind that changed since a revision.
+type Snapshot struct {
+	Kind  string
+	Since fleet.Version
+}
+
+// A News answers a Snapshot: by the changes, or by all objects if not all
+// changes are known.
+type News struct {
+	All     bool
+	Changes platform.Changes
+	Listing platform.Listing
+}
 
 // An Ask asks the planner for a target.
 type Ask struct {
