Count the weights' bound from each naming

Ruled out: orders that were lost; all twelve first loads were done in 0.7 s, the rest waited for the successor of a frozen planner.

Change: the namings of a model are kept, and an engine's weights count as old from the first naming of newer ones.

--- a/fleet/plan/place.go
+++ b/fleet/plan/place.go
@@ -87,16 +87,7 @@
 // and it has weights that a run may still begin on.
 func (f *Fleet) serves(now fleet.Instant, t *target, id fleet.ModelID) bool {
 	m, version := f.model(id), t.version(id)
-	return version > 0 && m.rollout.Serves(t.ID) && (version >= m.version || WeightsHold(now, m.named, f.WeightsBound))
-}
-
-// beginMargin is how long a run may wait at an engine before it begins.
-const beginMargin = 1200 * time.Millisecond
-
-// WeightsHold reports whether a request may be sent to an engine with older
-// weights than those that were named at the given moment.
-func WeightsHold(now, named fleet.Instant, bound time.Duration) bool {
-	return bound == 0 || now.Sub(named) < bound-beginMargin
+	return version > 0 && m.rollout.Serves(t.ID) && m.named.Holds(now, version, f.WeightsBound)
 }
 
 // room reports whether the target can start one more request soon.
@@ -131,9 +122,9 @@
 		o.cost += farCost
 	}
 	if id := ask.modelID(); id != "" {
-		if m := f.model(id); t.version(id) < m.version {
+		if named, old := f.model(id).named.Since(t.version(id)); old {
 			o.cost += oldWeightsCost
-			if now.Sub(m.named) > oldWeightsTime {
+			if now.Sub(named) > oldWeightsTime {
 				o.cost += lateWeightsCost
 			}
 		}
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -106,8 +106,8 @@
 
 // model is a model's weights.
 type model struct {
-	version uint64
-	named   fleet.Instant // when the version was first heard of
+	version uint64 // the newest
+	named   wave.Namings
 	rollout wave.Rollout
 }
 
@@ -208,11 +208,10 @@
 	}
 }
 
-// SetWeights takes the newest weights of a model, which were named at the given
-// moment.
-func (f *Fleet) SetWeights(now fleet.Instant, id fleet.ModelID, version uint64) {
-	if m := f.model(id); version > m.version {
-		m.version, m.named = version, now
+// SetWeights takes the weights of a model that were named.
+func (f *Fleet) SetWeights(id fleet.ModelID, named wave.Namings) {
+	if m := f.model(id); named.Newest() >= m.version {
+		m.version, m.named = named.Newest(), named
 	}
 }
 
--- a/hibiscusfront/internal/chooser/alone.go
+++ b/hibiscusfront/internal/chooser/alone.go
@@ -66,8 +66,8 @@
 
 // begins reports whether a run may begin on the engine's weights.
 func (a Alone) begins(now fleet.Instant, v *view.View, t *roster.Target, model fleet.ModelID) bool {
-	version, newest := t.Version(model), v.Weights[model]
-	return version > 0 && (version >= newest.Version || plan.WeightsHold(now, newest.Named, a.WeightsBound))
+	version := t.Version(model)
+	return version > 0 && v.Weights[model].Holds(now, version, a.WeightsBound)
 }
 
 // lastRank is the least urgent rank that engines know.
--- a/hibiscusfront/internal/control/control.go
+++ b/hibiscusfront/internal/control/control.go
@@ -24,6 +24,7 @@
 	"hibiscuslb/fleet/route"
 	"hibiscuslb/fleet/task"
 	"hibiscuslb/fleet/tenure"
+	"hibiscuslb/fleet/wave"
 	"hibiscuslb/hibiscusfront/internal/replica"
 	"hibiscuslb/hibiscusfront/internal/view"
 	"hibiscuslb/hibiscusfront/internal/wire"
@@ -88,7 +89,7 @@
 	kinds   map[string]*replica.Kind
 	table   *route.Table
 	weighed bool // whether weights were read before
-	named   map[fleet.ModelID]view.Weights
+	named   map[fleet.ModelID]wave.Namings
 	targets targets
 	duty    tenure.Duty
 	members members
@@ -146,7 +147,7 @@
 	c.inbox = make(chan func(fleet.Instant), inboxSize)
 	c.kinds = make(map[string]*replica.Kind)
 	c.bad = make(map[string]fleet.Version)
-	c.named = make(map[fleet.ModelID]view.Weights)
+	c.named = make(map[fleet.ModelID]wave.Namings)
 	c.duty = tenure.Duty{Self: c.Settings.Host, Address: c.Settings.Peers}
 	for _, kind := range watched {
 		c.kinds[kind] = new(replica.Kind)
--- a/hibiscusfront/internal/control/objects.go
+++ b/hibiscusfront/internal/control/objects.go
@@ -9,7 +9,6 @@
 	"hibiscuslb/fleet/roster"
 	"hibiscuslb/fleet/route"
 	"hibiscuslb/fleet/task"
-	"hibiscuslb/hibiscusfront/internal/view"
 	"hibiscuslb/platform"
 )
 
@@ -207,8 +206,8 @@
 			c.malformed(o, err)
 			return
 		}
-		if w.Version > c.named[w.Model].Version {
-			c.named[w.Model] = view.Weights{Version: w.Version, Named: now}
+		if w.Version > c.named[w.Model].Newest() {
+			c.named[w.Model] = c.named[w.Model].Name(w.Version, now)
 			c.Log.Info().Str("Model", string(w.Model)).Uint64("Version", w.Version).
 				Uint64("Revision", uint64(o.Revision)).Msg("weights named")
 		}
--- a/hibiscusfront/internal/planner/planner.go
+++ b/hibiscusfront/internal/planner/planner.go
@@ -144,7 +144,7 @@
 		p.fleet.SetServices(now, v.Table.Services)
 		p.fleet.SetTargets(now, v.Targets, v.Evacuated)
 		for model, w := range v.Weights {
-			p.fleet.SetWeights(w.Named, model, w.Version)
+			p.fleet.SetWeights(model, w)
 		}
 		p.outdated.Store(p.fleet.Outdated())
 		if p.active {
--- a/hibiscusfront/internal/view/view.go
+++ b/hibiscusfront/internal/view/view.go
@@ -9,21 +9,16 @@
 	"hibiscuslb/fleet/roster"
 	"hibiscuslb/fleet/route"
 	"hibiscuslb/fleet/tenure"
+	"hibiscuslb/fleet/wave"
 	"hibiscuslb/hibiscusfront/internal/wire"
 )
 
-// Weights are a model's newest weights.
-type Weights struct {
-	Version uint64
-	Named   fleet.Instant // when the host heard of them; zero for long ago
-}
-
 // A View is a frozen picture of the fleet.
 type View struct {
 	Table     *route.Table // nil until a configuration is known
 	Targets   []roster.Target
 	Evacuated map[fleet.DataCentreID]bool
-	Weights   map[fleet.ModelID]Weights
+	Weights   map[fleet.ModelID]wave.Namings
 	Hosts     []wire.Host   // that take callers
 	Duty      tenure.Record // who plans
 	Leaving   bool          // this host is about to stop
