Fetch the parts before a fetched part, and follow parts that are held in part

Cause: a third of the tokens that were planned to be fetched were read again. A part begins within a block of the engine's memory; of that block the engine has only the beginning, so a fetched part could not be joined to it. Events say how many tokens of a part are held now, which was taken for all or none.

Change: where a part is fetched, the parts before it get their sources, too; the mirror of an engine's cache counts tokens; holders of a part are indexed, so that a request costs one look at each target.

--- a/fleet/plan/admit.go
+++ b/fleet/plan/admit.go
@@ -85,7 +85,7 @@
 // expected reports whether a target that takes no work now may do so soon.
 func (f *Fleet) expected(ask *Ask) bool {
 	for _, t := range f.targets {
-		if t.Service == ask.Service && !t.Leaving && !t.evacuated && !contains(ask.Avoid, t.ID) {
+		if t.Service == ask.Service && !t.Leaving && !t.evacuated && !slices.Contains(ask.Avoid, t.ID) {
 			return true
 		}
 	}
@@ -102,18 +102,23 @@
 	fl := &flight{ask: ask, target: t, granted: now, read: o.read}
 	if p := ask.Prompt; p != nil && t.engine() {
 		g.Version = t.version(p.Model)
-		g.Salt = Salt(p.Model, g.Version, ask.Workspace, ask.Isolated)
+		g.Salt = o.chain.salt
 		g.Fetch = o.fetch
 		for i, address := range o.fetch {
 			if s := f.stores[address]; s != nil {
-				s.shelf.Read(now, o.parts[i], now.Add(FetchTime+readMargin))
+				s.shelf.Read(now, o.chain.parts[i], now.Add(FetchTime+readMargin))
 			}
 		}
 		if f.FetchAllowed && g.Version >= f.model(p.Model).version {
 			g.Save = f.saves(now, o, p)
 		}
-		fl.parts, fl.size = o.parts, p.Input+p.Output
+		fl.parts, fl.size = o.chain.parts, p.Input+p.Output
 	}
+	f.count.Grants++
+	f.count.Read += o.read
+	f.count.Reread += o.again
+	f.count.Fetched += o.moved
+	f.count.Kept += o.kept
 	t.grant(now, fl)
 	if f.flights == nil {
 		f.flights = make(map[Number]*flight)
--- a/fleet/plan/place.go
+++ b/fleet/plan/place.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -35,6 +36,12 @@
 	// farCost is the cost of a target in another data centre, where the rest
 	// is equal.
 	farCost = 2 * time.Millisecond
+	// fetchWorth times the time to read a part is the longest fetch that is
+	// better than reading: reading keeps the engine busy, a fetch does not.
+	fetchWorth = 3
+	// engineSourceCost is added to a transfer from an engine, compared with
+	// one from a store.
+	engineSourceCost = 8 * time.Millisecond
 	// setupTime is what a transfer between engines takes beside its bytes.
 	setupTime = 3 * time.Millisecond
 )
@@ -42,20 +49,38 @@
 // option is a target with what a request would cost there.
 type option struct {
 	target *target
+	chain  *chain
 	first  time.Duration // estimate until the first piece
 	cost   time.Duration
-	read   fleet.Tokens
+	read   fleet.Tokens // that the engine would read
+	again  fleet.Tokens // of read, what some engine has read before
+	kept   fleet.Tokens
+	moved  fleet.Tokens
 	fetch  []fleet.Address
-	stores []*store // of the parts that are fetched; nil for engines
-	parts  []shelf.Part
 }
 
-// options returns the best usable target for a request, and whether there is
-// any that may take it at all.
+// chain is a prompt's parts under one version of the weights, with what is known
+// of where they are.
+type chain struct {
+	salt  string
+	parts []shelf.Part
+	from  []origin // of the shared parts
+}
+
+// origin is where a part can be had.
+type origin struct {
+	stores  []*store  // that hold it whole
+	engines []*target // that have said that they hold it whole
+	known   bool      // some engine has read it, or reads it
+}
+
+// best returns the best usable target for a request, and whether there is any
+// that may take it at all.
 func (f *Fleet) best(now fleet.Instant, ask *Ask) (best option, any bool) {
 	root := rootHash(ask)
+	chains := make(map[uint64]*chain) // by version of the weights
 	for _, t := range f.targets {
-		if t.Service != ask.Service || !t.usable(now) || contains(ask.Avoid, t.ID) {
+		if t.Service != ask.Service || !t.usable(now) || slices.Contains(ask.Avoid, t.ID) {
 			continue
 		}
 		if ask.Prompt != nil && !f.serves(now, t, ask.Prompt.Model) {
@@ -65,7 +90,15 @@
 		if !t.coldRoom(now, f.from) || !t.room(ask) {
 			continue
 		}
-		o := f.weigh(now, t, ask)
+		o := option{target: t}
+		if ask.Prompt != nil && t.engine() {
+			version := t.version(ask.Prompt.Model)
+			if chains[version] == nil {
+				chains[version] = f.chain(now, ask, version)
+			}
+			o.chain = chains[version]
+		}
+		f.weigh(now, &o, ask)
 		o.cost += spread(root, t.ID)
 		if best.target == nil || o.cost < best.cost || o.cost == best.cost && t.ID < best.target.ID {
 			best = o
@@ -74,13 +107,37 @@
 	return best, any
 }
 
-func contains(list []fleet.TargetID, id fleet.TargetID) bool {
-	for _, other := range list {
-		if other == id {
-			return true
+// chain looks up where the prompt's parts are.
+func (f *Fleet) chain(now fleet.Instant, ask *Ask, version uint64) *chain {
+	p := ask.Prompt
+	c := &chain{salt: Salt(p.Model, version, ask.Workspace, ask.Isolated)}
+	c.parts = make([]shelf.Part, len(p.Parts))
+	c.from = make([]origin, len(p.Shared()))
+	for i, part := range p.Parts {
+		c.parts[i] = shelf.Part{Salt: c.salt, ID: part.ID}
+	}
+	for i := range c.from {
+		c.from[i] = f.origin(now, c.parts[i], p.Parts[i].Tokens)
+	}
+	return c
+}
+
+func (f *Fleet) origin(now fleet.Instant, p shelf.Part, tokens fleet.Tokens) origin {
+	var o origin
+	for _, s := range f.stores {
+		o.known = o.known || s.shelf.Holds(p)
+		if f.FetchAllowed && s.shelf.Has(p) {
+			o.stores = append(o.stores, s)
 		}
 	}
-	return false
+	for _, t := range f.holders.engines[p] {
+		o.known = true
+		// What was only granted may not be read yet.
+		if t.cache.parts[p].tokens >= tokens && !t.silent && now >= t.downTill {
+			o.engines = append(o.engines, t)
+		}
+	}
+	return o
 }
 
 // serves reports whether the engine may begin a run: it does not load weights,
@@ -106,11 +163,11 @@
 // that is about to be started when another ends.
 const plainQueue = 1
 
-// weigh returns what the request costs at the target.
-func (f *Fleet) weigh(now fleet.Instant, t *target, ask *Ask) option {
-	o := option{target: t}
-	if ask.Prompt != nil && t.engine() {
-		f.weighPrompt(now, &o, ask)
+// weigh estimates what the request costs at the target.
+func (f *Fleet) weigh(now fleet.Instant, o *option, ask *Ask) {
+	t := o.target
+	if o.chain != nil {
+		f.weighPrompt(now, o, ask)
 	} else {
 		busy := t.flights - t.slots() + 1
 		o.first = time.Duration(max(0, busy)) * plainTime
@@ -129,7 +186,6 @@
 			}
 		}
 	}
-	return o
 }
 
 const (
@@ -152,30 +208,30 @@
 	return a.Prompt.Model
 }
 
-// weighPrompt adds what the parts of the prompt cost.
+// weighPrompt estimates what the parts of the prompt cost.
 func (f *Fleet) weighPrompt(now fleet.Instant, o *option, ask *Ask) {
 	t, p := o.target, ask.Prompt
 	engine := t.service.spec.Engine
-	salt := Salt(p.Model, t.version(p.Model), ask.Workspace, ask.Isolated)
-	shared := len(p.Shared())
-	o.parts = make([]shelf.Part, len(p.Parts))
-	wait := t.wait(now)
-	var reread fleet.Tokens
 	var fetch time.Duration
+	gap := false // a part before is read, so that kept ones are of no use
 	for i, part := range p.Parts {
-		o.parts[i] = shelf.Part{Salt: salt, ID: part.ID}
-		if i >= shared {
+		if i >= len(o.chain.from) {
 			o.read += part.Tokens
 			continue
 		}
-		if t.cache.has(o.parts[i]) {
+		kept := t.cache.holds(o.chain.parts[i], part.Tokens)
+		if kept == part.Tokens && !gap {
+			o.kept += kept
 			continue
 		}
-		source, s, known := f.source(now, t, o.parts[i])
-		if source == "" {
-			o.read += part.Tokens
-			if known {
-				reread += part.Tokens
+		from := &o.chain.from[i]
+		size := engine.TokenBytes * fleet.Bytes(part.Tokens-kept)
+		source, took := from.nearest(t, engine.Link.Time(size))
+		if gap || source == "" || took > readRate.Time(part.Tokens-kept)*fetchWorth {
+			gap = true
+			o.read += part.Tokens - kept
+			if from.known {
+				o.again += part.Tokens - kept
 			}
 			continue
 		}
@@ -183,103 +239,73 @@
 			o.fetch = make([]fleet.Address, len(p.Parts))
 		}
 		o.fetch[i] = source
-		if s != nil {
-			o.stores = append(o.stores, s)
-		}
-		fetch += f.transfer(t, engine.Link, engine.TokenBytes*fleet.Bytes(part.Tokens), s)
+		o.from(t, i)
+		o.moved += part.Tokens
+		fetch += took
 	}
-	o.first = wait + fetch + readRate.Time(o.read) + firstStep
-	o.cost = o.first + time.Duration((rereadWeight-1)*float64(readRate.Time(reread)))
+	o.first = t.wait(now) + fetch + readRate.Time(o.read) + firstStep
+	o.cost = o.first + time.Duration((rereadWeight-1)*float64(readRate.Time(o.again)))
 	// A target that would be late costs more than one that is only slower.
 	if late := o.first - ask.Objective; late > 0 && ask.Objective > 0 {
 		o.cost += 2 * late
 	}
 }
 
-// firstStep is what an engine takes from the last prompt token to the first
-// piece, with the way there and back.
-const firstStep = 12 * time.Millisecond
-
-// transfer is how long it takes to fetch so many bytes to the target.
-func (f *Fleet) transfer(t *target, link fleet.ByteRate, size fleet.Bytes, s *store) time.Duration {
-	d := setupTime + link.Time(size)
-	if s != nil {
-		d += s.spec.FirstByte
-		if s.spec.DataCentre != t.DataCentre {
-			d += (crossWeight - 1) * link.Time(size)
+// from adds the sources of the parts before a part that is fetched. The engine
+// has them, but a part may begin within a block of its memory, of which it has
+// only the beginning; it fetches no more than it lacks.
+func (o *option) from(t *target, part int) {
+	for i := range part {
+		if o.fetch[i] == "" {
+			o.fetch[i], _ = o.chain.from[i].nearest(t, 0)
 		}
 	}
-	return d
 }
 
-// source returns where a part can be fetched from, and whether any engine has
-// read it.
-func (f *Fleet) source(now fleet.Instant, t *target, p shelf.Part) (address fleet.Address, from *store, known bool) {
-	for _, s := range f.stores {
-		if !s.shelf.Has(p) || !f.FetchAllowed {
-			known = known || s.shelf.Holds(p)
-			continue
+// nearest returns the source from which a transfer to the target takes least,
+// and how long it takes. Without a source the address is empty.
+func (o *origin) nearest(t *target, link time.Duration) (source fleet.Address, took time.Duration) {
+	for _, s := range o.stores {
+		d := setupTime + s.spec.FirstByte + link
+		if s.spec.DataCentre != t.DataCentre {
+			d += (crossWeight - 1) * link
 		}
-		known = true
-		if from == nil || f.nearer(t, s, from) {
-			from = s
+		if source == "" || d < took || d == took && s.spec.Address < source {
+			source, took = s.spec.Address, d
 		}
 	}
-	if from != nil {
-		return from.spec.Address, from, true
-	}
-	var best *target
-	for _, other := range f.targets {
-		if other == t || !other.cache.has(p) {
+	for _, e := range o.engines {
+		if e == t {
 			continue
 		}
-		known = true
-		// A part that was granted may not be read yet; its tokens are known
-		// once the engine has said that it holds it.
-		if other.cache.parts[p].tokens == 0 || other.silent || now < other.downTill || other.gone {
-			continue
+		// The engine may drop the part before it is fetched, and its link
+		// serves its own fetches, too.
+		d := setupTime + engineSourceCost + link
+		if e.DataCentre != t.DataCentre {
+			d += (crossWeight - 1) * link
 		}
-		if best == nil || other.DataCentre == t.DataCentre && best.DataCentre != t.DataCentre ||
-			(other.DataCentre == t.DataCentre) == (best.DataCentre == t.DataCentre) && other.ID < best.ID {
-			best = other
+		if source == "" || d < took || d == took && e.Address < source {
+			source, took = e.Address, d
 		}
 	}
-	if best != nil {
-		return best.Address, nil, true
-	}
-	return "", nil, known
+	return source, took
 }
 
-// nearer reports whether a transfer from a takes less than from b.
-func (f *Fleet) nearer(t *target, a, b *store) bool {
-	near := func(s *store) int {
-		if s.spec.DataCentre == t.DataCentre {
-			return 0
-		}
-		return 1
-	}
-	if near(a) != near(b) {
-		return near(a) < near(b)
-	}
-	if a.spec.FirstByte != b.spec.FirstByte {
-		return a.spec.FirstByte < b.spec.FirstByte
-	}
-	return a.spec.Address < b.spec.Address
-}
+// firstStep is what an engine takes from the last prompt token to the first
+// piece, with the way there and back.
+const firstStep = 12 * time.Millisecond
 
 // saves chooses where the shared parts that an engine reads are saved, if they
 // are on no shelf: in the engine's data centre if there is room.
 func (f *Fleet) saves(now fleet.Instant, o *option, p *prompt.Prompt) []fleet.Address {
 	var result []fleet.Address
 	for i, part := range p.Shared() {
-		if o.fetch != nil && o.fetch[i] != "" && f.stores[o.fetch[i]] != nil {
-			continue
-		}
-		if f.onShelf(o.parts[i]) {
+		if f.onShelf(o.chain.parts[i]) {
 			continue
 		}
-		s := f.roomiest(now, o.target, part.Tokens)
-		if s == nil || !s.shelf.Save(now, o.parts[i], part.Tokens) {
+		s := f.roomiest(o.target, part.Tokens)
+		if s == nil || !s.shelf.Save(now, o.chain.parts[i], part.Tokens) {
+			f.count.Unsaved++
 			continue
 		}
 		if result == nil {
@@ -301,7 +327,7 @@
 
 // roomiest returns the store for a new part: the emptiest, those in the
 // target's data centre first as long as they have room.
-func (f *Fleet) roomiest(now fleet.Instant, t *target, tokens fleet.Tokens) *store {
+func (f *Fleet) roomiest(t *target, tokens fleet.Tokens) *store {
 	const nearBonus = 0.25 // of the capacity; a nearer store may be that much fuller
 	var best *store
 	var bestScore float64
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -136,6 +136,8 @@
 	services map[route.ServiceID]*service
 	stores   map[fleet.Address]*store
 	models   map[fleet.ModelID]*model
+	holders  holders
+	count    Count
 	flights  map[Number]*flight
 	next     Number
 	waiting  []*waiter
@@ -152,6 +154,7 @@
 // Begin starts a tenure: what an earlier planner has granted is not known.
 func (f *Fleet) Begin(now fleet.Instant, first Number) {
 	f.from, f.next = now, first
+	f.count = Count{}
 	f.waiting = nil
 	f.flights = make(map[Number]*flight)
 	for _, t := range f.targets {
@@ -240,7 +243,10 @@
 			ok = false // the same name, another life
 		}
 		if !ok {
-			t = newTarget(now)
+			if t != nil {
+				t.leave()
+			}
+			t = newTarget(now, &f.holders)
 			f.targets[entry.ID] = t
 		}
 		t.enter(now, entry)
@@ -249,12 +255,15 @@
 	}
 	for id, t := range f.targets {
 		if !live[id] {
-			t.gone = true
+			t.leave()
 			delete(f.targets, id)
 		}
 	}
 }
 
+// Count is what was granted in this tenure.
+func (f *Fleet) Count() Count { return f.count }
+
 // Report takes a host's word on a grant.
 func (f *Fleet) Report(now fleet.Instant, report Report) {
 	fl, ok := f.flights[report.Number]
--- a/fleet/plan/target.go
+++ b/fleet/plan/target.go
@@ -7,7 +7,6 @@
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/roster"
-	"hibiscuslb/fleet/shelf"
 )
 
 // target is what a planner knows of one target.
@@ -25,7 +24,7 @@
 	pending  int           // runs whose first piece has not come
 	memory   fleet.Tokens  // of runs
 	readyAt  fleet.Instant // when the engine will have read what it was granted
-	cache    cache
+	cache    *cache
 	lastSeen fleet.Instant // last sign of life
 
 	failures float64                  // decaying share of answers that failed
@@ -39,7 +38,9 @@
 	ordersAsked fleet.Instant // the engine was asked for them
 }
 
-func newTarget(now fleet.Instant) *target { return &target{lastSeen: now} }
+func newTarget(now fleet.Instant, holders *holders) *target {
+	return &target{lastSeen: now, cache: &cache{holders: holders}}
+}
 
 const (
 	// readRate is how many prompt tokens an engine reads in a second. It
@@ -67,6 +68,12 @@
 	t.Target = entry
 }
 
+// leave notes that the target's life is over.
+func (t *target) leave() {
+	t.gone = true
+	t.cache.clear(t)
+}
+
 // forgetFlights starts anew as a new planner does.
 func (t *target) forgetFlights(now fleet.Instant) {
 	t.flights, t.pending, t.unread, t.memory, t.readyAt = 0, 0, 0, 0, now
@@ -127,7 +134,7 @@
 	t.memory += fl.size
 	t.readyAt = max(now, t.readyAt).Add(readRate.Time(fl.read))
 	t.sent.add(now)
-	t.cache.use(now, fl.parts...)
+	t.cache.grant(t, fl.parts...)
 }
 
 // begin notes the first piece of a flight.
@@ -167,7 +174,7 @@
 	case Unreached:
 		t.pause(now)
 	case Rejected, Moved:
-		t.cache.forget(fl.parts...)
+		t.cache.forget(t, fl.parts...)
 	case Abandoned:
 		return
 	}
@@ -223,75 +230,6 @@
 	return len(w.moments)
 }
 
-// cache is what a planner takes to be in an engine's cache: what it was granted
-// to read, corrected by the engine's events.
-type cache struct {
-	parts map[shelf.Part]cached
-}
-
-type cached struct {
-	used   fleet.Instant
-	tokens fleet.Tokens
-}
-
-func (c *cache) has(p shelf.Part) bool {
-	_, ok := c.parts[p]
-	return ok
-}
-
-func (c *cache) use(now fleet.Instant, parts ...shelf.Part) {
-	if c.parts == nil {
-		c.parts = make(map[shelf.Part]cached)
-	}
-	for _, p := range parts {
-		c.parts[p] = cached{used: now, tokens: c.parts[p].tokens}
-	}
-}
-
-func (c *cache) forget(parts ...shelf.Part) {
-	for _, p := range parts {
-		delete(c.parts, p)
-	}
-}
-
-// size is how many tokens the engine has said that it holds.
-func (c *cache) size() fleet.Tokens {
-	var sum fleet.Tokens
-	for _, entry := range c.parts {
-		sum += entry.tokens
-	}
-	return sum
-}
-
-// Cached notes that an engine holds a part.
-func (f *Fleet) Cached(now fleet.Instant, id fleet.TargetID, p shelf.Part, tokens fleet.Tokens) {
-	if t, ok := f.targets[id]; ok {
-		if t.cache.parts == nil {
-			t.cache.parts = make(map[shelf.Part]cached)
-		}
-		entry, known := t.cache.parts[p]
-		if !known {
-			entry.used = now
-		}
-		entry.tokens = tokens
-		t.cache.parts[p] = entry
-	}
-}
-
-// Evicted notes that an engine no longer holds a part.
-func (f *Fleet) Evicted(id fleet.TargetID, p shelf.Part) {
-	if t, ok := f.targets[id]; ok {
-		t.cache.forget(p)
-	}
-}
-
-// Emptied notes that an engine's cache is empty, as after a restart.
-func (f *Fleet) Emptied(id fleet.TargetID) {
-	if t, ok := f.targets[id]; ok {
-		t.cache = cache{}
-	}
-}
-
 // saltMark separates the fields of a salt.
 const saltMark = "@"
 
--- a/fleet/plan/weights.go
+++ b/fleet/plan/weights.go
@@ -49,7 +49,7 @@
 			continue
 		}
 		result = append(result, wave.Engine{
-			ID: t.ID, Version: version, Orders: t.orders, Flights: t.flights, Cached: t.cache.size(),
+			ID: t.ID, Version: version, Orders: t.orders, Flights: t.flights, Cached: t.cache.tokens,
 			Usable: !t.silent && now >= t.downTill && t.ordersKnown,
 		})
 	}
@@ -67,7 +67,7 @@
 	switch {
 	case result == wave.Accepted:
 		t.orders = max(t.orders, order.Accepted+1)
-		t.cache = cache{} // the load discards it
+		t.cache.clear(t) // the load discards it
 	case result == wave.Holds:
 		f.Loaded(order.Target, order.Model, order.Version, order.Accepted)
 	case doubt:
--- a/hibiscusfront/internal/planner/planner.go
+++ b/hibiscusfront/internal/planner/planner.go
@@ -25,6 +25,8 @@
 	tickTime = 10 * time.Millisecond
 	// actTime is the step at which orders and frees are looked for.
 	actTime = 40 * time.Millisecond
+	// countTime is the step at which the planner logs what it has granted.
+	countTime = 2 * time.Second
 	// inboxSize is how many messages may wait for the planner.
 	inboxSize = 1024
 )
@@ -58,7 +60,9 @@
 	watchers map[fleet.Address]context.CancelFunc
 	clock    engineClock
 	lastAct  fleet.Instant
-	outdated outdated
+
+	lastCount fleet.Instant
+	outdated  outdated
 }
 
 // New returns a planner that does not plan yet.
@@ -236,6 +240,10 @@
 // act starts what is due: orders, frees and lists.
 func (p *Planner) act(ctx context.Context, now fleet.Instant) {
 	p.lastAct = now
+	if now.Sub(p.lastCount) >= countTime {
+		p.lastCount = now
+		p.Log.Info().Stringer("Count", p.fleet.Count()).Int("Waiting", p.fleet.Waiting()).Msg("planned")
+	}
 	p.fleet.FetchAllowed = p.clock.known && p.Tenure.Planning()
 	p.outdated.Store(p.fleet.Outdated())
 	for _, order := range p.fleet.Orders(now, p.Tenure.MayOrder()) {
--- a/hibiscusfront/internal/planner/watch.go
+++ b/hibiscusfront/internal/planner/watch.go
@@ -126,12 +126,7 @@
 			p.fleet.Emptied(id)
 		}
 		for _, e := range events.Events {
-			part := shelf.Part{Salt: e.Salt, ID: e.Part}
-			if e.Gone {
-				p.fleet.Evicted(id, part)
-			} else {
-				p.fleet.Cached(now, id, part, e.Tokens)
-			}
+			p.fleet.Cached(id, shelf.Part{Salt: e.Salt, ID: e.Part}, e.Tokens)
 		}
 	}, func(now fleet.Instant, err error) {
 		if !silent {
@@ -154,7 +149,7 @@
 		}
 		for _, e := range events.Events {
 			part := shelf.Part{Salt: e.Salt, ID: e.Part}
-			if e.Gone {
+			if e.Dropped {
 				s.Gone(events.Life, e.Number, part)
 			} else {
 				s.Stored(now, events.Life, e.Number, part, e.Tokens)
