Plan on the largest hosts, and tell live hosts by their changes

Change: six hosts, the largest, stand by to plan and to watch the store when the planner is gone; the others hold back for 1.5 s. A smaller planner gives the duty up to them. Live hosts travel with heartbeats only when their list has changed, and one heartbeat in four goes to another host than the planner.

--- a/hibiscusfront/internal/control/control.go
+++ b/hibiscusfront/internal/control/control.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -94,21 +95,25 @@
 	duty    tenure.Duty
 	members members
 	pulses  pulses
-	leaving bool
-	writing bool          // a write of the duty's object is under way
-	planned bool          // whether Elected was told so
-	elected fleet.Epoch   // that Elected was told
-	tried   fleet.Instant // when the duty's object was last to be written
-	bad     map[string]fleet.Version
-	contact fleet.Instant // last answer of the store
-	outage  bool
-	dark    atomic.Bool   // outage, for other goroutines
-	follows atomic.Bool   // the host watches the store
-	heard   fleet.Instant // last pulse of a host that watches the store
-	planner fleet.Instant // last pulse of the planner
-	reading bool          // the duty's object is being read
-	looked  fleet.Instant // when it was last read
-	began   fleet.Instant // of the own tenure
+	// The list of live hosts that this host tells as the planner.
+	roll      wire.Roll
+	rollHosts []wire.Host
+	leaving   bool
+	writing   bool          // a write of the duty's object is under way
+	planned   bool          // whether Elected was told so
+	elected   fleet.Epoch   // that Elected was told
+	tried     fleet.Instant // when the duty's object was last to be written
+	vacant    fleet.Instant // since when the duty could be taken over
+	bad       map[string]fleet.Version
+	contact   fleet.Instant // last answer of the store
+	outage    bool
+	dark      atomic.Bool   // outage, for other goroutines
+	follows   atomic.Bool   // the host watches the store
+	heard     fleet.Instant // last pulse of a host that watches the store
+	planner   fleet.Instant // last pulse of the planner
+	reading   bool          // the duty's object is being read
+	looked    fleet.Instant // when it was last read
+	began     fleet.Instant // of the own tenure
 }
 
 // View returns the current view; never nil once Run has begun.
@@ -148,6 +153,7 @@
 	c.kinds = make(map[string]*replica.Kind)
 	c.bad = make(map[string]fleet.Version)
 	c.named = make(map[fleet.ModelID]wave.Namings)
+	c.heard, c.planner = c.Clock(), c.Clock()
 	c.duty = tenure.Duty{Self: c.Settings.Host, Address: c.Settings.Peers}
 	for _, kind := range watched {
 		c.kinds[kind] = new(replica.Kind)
@@ -193,7 +199,7 @@
 }
 
 func (c *Control) tick(ctx context.Context, now fleet.Instant) {
-	c.follows.Store(c.planned || now.Sub(c.heard) > quietTime)
+	c.follows.Store(c.planned || now.Sub(c.heard) > quietTime+c.standBack())
 	c.look(ctx, now)
 	c.renew(ctx, now)
 	c.beat(ctx, now)
@@ -217,9 +223,14 @@
 
 // publish builds and publishes the view.
 func (c *Control) publish() {
+	hosts := c.live()
+	if c.planned && !slices.Equal(hosts, c.rollHosts) {
+		c.roll.Number++
+		c.rollHosts = hosts
+	}
 	v := &view.View{
 		Table: c.table, Targets: c.targets.list(), Evacuated: c.evacuated(), Weights: maps.Clone(c.named),
-		Hosts: c.live(), Duty: c.duty.Holder(), Leaving: c.leaving,
+		Hosts: hosts, Duty: c.duty.Holder(), Leaving: c.leaving,
 	}
 	c.view.Store(v.Freeze())
 	if c.Published != nil {
--- a/hibiscusfront/internal/control/duty.go
+++ b/hibiscusfront/internal/control/duty.go
@@ -20,7 +20,7 @@
 // look reads the duty's object while nothing is heard from its holder, so that
 // its end is seen.
 func (c *Control) look(ctx context.Context, now fleet.Instant) {
-	if c.reading || c.leaving || c.planned || c.outage || now.Sub(c.planner) < quietTime || now.Sub(c.looked) < lookPause {
+	if c.reading || c.leaving || c.planned || c.outage || now.Sub(c.planner) < quietTime+c.standBack() || now.Sub(c.looked) < lookPause {
 		return
 	}
 	c.reading, c.looked = true, now
@@ -68,7 +68,12 @@
 		return
 	}
 	w, due := c.duty.Due(now, ordering)
-	if !due || !holds && !c.candidate() {
+	if !due || !holds && !c.candidate(now) {
+		return
+	}
+	if holds && c.members.rank(c.Self) >= seconds && now.Sub(c.began) > handOverTime {
+		c.Log.Info().Msg("larger hosts are there; giving the planner's duty up")
+		c.resign(ctx, now)
 		return
 	}
 	c.writing, c.tried = true, now
@@ -79,9 +84,37 @@
 	})
 }
 
+const (
+	// seconds is how many hosts stand by to succeed the planner: the largest.
+	// The others would only add calls and conflicts.
+	seconds = 6
+	// standBackTime is how long all others leave it to them.
+	standBackTime = 1500 * time.Millisecond
+	// handOverTime is how long a host plans that larger ones should succeed.
+	handOverTime = time.Second
+)
+
+// standBack is how long this host leaves it to others to act when the planner
+// is gone.
+func (c *Control) standBack() time.Duration {
+	if c.members.rank(c.Self) < seconds {
+		return 0
+	}
+	return standBackTime
+}
+
 // candidate reports whether this host should offer to plan: it knows the
-// configuration, so that it can decide.
-func (c *Control) candidate() bool { return c.table != nil && len(c.targets.entries) > 0 }
+// configuration, so that it can decide, and it is not for others to do so.
+func (c *Control) candidate(now fleet.Instant) bool {
+	if c.table == nil || len(c.targets.entries) == 0 {
+		c.vacant = 0
+		return false
+	}
+	if c.vacant == 0 || now.Sub(c.vacant) > 2*standBackTime {
+		c.vacant = now
+	}
+	return now.Sub(c.vacant) >= c.standBack()
+}
 
 const (
 	// hedgeTime is how long the store may take before a peer is asked to make
@@ -202,6 +235,7 @@
 		Str("Holder", string(c.duty.Holder().Holder)).Msg("tenure changed")
 	if plans {
 		c.began = now
+		c.roll, c.rollHosts = wire.Roll{Epoch: c.duty.Holder().Epoch}, nil
 		c.members.inherit(now)
 	}
 	if c.Elected != nil {
--- a/hibiscusfront/internal/control/members.go
+++ b/hibiscusfront/internal/control/members.go
@@ -18,7 +18,8 @@
 type members struct {
 	hosts  map[fleet.HostID]wire.Host // that have an entry
 	beats  map[fleet.HostID]beatSeen
-	told   []wire.Host // that the planner has told
+	told   []wire.Host // that the planner has told, with its roll
+	roll   wire.Roll
 	toldAt fleet.Instant
 }
 
@@ -30,8 +31,8 @@
 
 // pulses is the state of the own heartbeats.
 type pulses struct {
-	last fleet.Instant
-	open bool // one is under way
+	last  fleet.Instant
+	count uint64
 }
 
 // register writes the host's own entry and tries until it is there.
@@ -150,6 +151,22 @@
 	return 2*near > alive
 }
 
+// rank is how many live hosts are larger than this one, or as large and before
+// it in an order that is the same everywhere.
+func (m *members) rank(self wire.Host) int {
+	rank := 0
+	for id, h := range m.hosts {
+		if id != self.ID && m.beats[id].alive && larger(h, self) {
+			rank++
+		}
+	}
+	return rank
+}
+
+func larger(a, b wire.Host) bool {
+	return cmp.Or(cmp.Compare(a.Cores, b.Cores), cmp.Compare(a.Link, b.Link), cmp.Compare(b.ID, a.ID)) > 0
+}
+
 // live returns the hosts that callers may be sent to.
 func (c *Control) live() []wire.Host {
 	m := &c.members
@@ -215,7 +232,10 @@
 			Duty: c.duty.Holder(), Revision: c.duty.Revision(), Planning: c.planned,
 		}
 		if pulse.Planning {
-			pulse.Live = c.live()
+			pulse.Roll = c.roll
+			if beat.Roll != c.roll {
+				pulse.Live = c.rollHosts
+			}
 		}
 		if beat.Revision > 0 {
 			c.duty.Seen(now, beat.Revision, beat.Duty)
@@ -255,6 +275,10 @@
 	return result
 }
 
+// gossipShare is how many heartbeats go to the planner for each that goes to
+// another host, too.
+const gossipShare = 4
+
 // freshTime is how old the store's last answer may be at a host that others
 // rely on.
 const freshTime = 1500 * time.Millisecond
@@ -271,6 +295,9 @@
 	if holder.Holder != "" && holder.Holder != c.Self.ID {
 		c.tasks.Go(ctx, func(ctx context.Context) { c.sendBeat(ctx, holder.Address, beat) })
 	}
+	if c.pulses.count++; c.pulses.count%gossipShare != 0 && now.Sub(c.planner) < quietTime {
+		return
+	}
 	for _, other := range c.drawPeers(1) {
 		if other.ID == holder.Holder {
 			continue
@@ -282,6 +309,7 @@
 func (c *Control) ownBeat() wire.Beat {
 	return wire.Beat{
 		Host: c.Self, Leaving: c.leaving, Revisions: c.revisions(), Duty: c.duty.Holder(), Revision: c.duty.Revision(),
+		Roll: c.members.roll,
 	}
 }
 
@@ -326,9 +354,9 @@
 	}
 	if pulse.Planning && pulse.Duty.Epoch >= c.duty.Holder().Epoch {
 		c.planner = now
-		same := slices.Equal(c.members.told, pulse.Live)
-		c.members.told, c.members.toldAt = pulse.Live, now
-		if !same {
+		c.members.toldAt = now
+		if c.members.roll != pulse.Roll && pulse.Live != nil {
+			c.members.roll, c.members.told = pulse.Roll, pulse.Live
 			c.publish()
 		}
 	}
--- a/hibiscusfront/internal/host/host.go
+++ b/hibiscusfront/internal/host/host.go
@@ -75,7 +75,7 @@
 		Settings: settings, Store: platform.NewStore(settings.Store), Peers: &h.peers, Clock: h.clock, Log: log,
 		Self: wire.Host{
 			ID: settings.Host, DataCentre: settings.DataCentre, Callers: settings.Callers, Peers: settings.Peers,
-			Incarnation: fleet.Incarnation(time.Now().UnixNano()),
+			Incarnation: fleet.Incarnation(time.Now().UnixNano()), Cores: settings.Cores, Link: settings.Link,
 		},
 	}
 	h.planner = planner.New(settings.Host, settings.Bounds, platform.NewTargets(), h.control, h.clock, log)
--- a/hibiscusfront/internal/wire/wire.go
+++ b/hibiscusfront/internal/wire/wire.go
@@ -28,6 +28,8 @@
 	Callers     fleet.Address // where callers connect
 	Peers       fleet.Address // where other hosts connect
 	Incarnation fleet.Incarnation
+	Cores       float64        // that the host may use
+	Link        fleet.ByteRate // of the host
 }
 
 // Revisions says up to which revision of the store a host knows each kind.
@@ -40,6 +42,13 @@
 	Revisions Revisions
 	Duty      tenure.Record // as the host knows it
 	Revision  fleet.Version // of the duty's object
+	Roll      Roll          // of live hosts that the host was told last
+}
+
+// A Roll numbers the lists of live hosts that a planner has told.
+type Roll struct {
+	Epoch  fleet.Epoch
+	Number uint64
 }
 
 // A Pulse answers a Beat.
@@ -49,7 +58,8 @@
 	Duty      tenure.Record // as the answering host knows it
 	Revision  fleet.Version // of the duty's object
 	Planning  bool          // whether the answering host holds the duty
-	Live      []Host        // the hosts that take callers; if Planning
+	Roll      Roll          // of Live; if Planning
+	Live      []Host        // the hosts that take callers; none if the roll is known
 }
 
 // A Snapshot asks for the objects of a kind that changed since a revision.
