--- /dev/null
+++ b/fleet/plan/plan_test.go
@@ -0,0 +1,355 @@
+package plan_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/plan"
+	"hibiscuslb/fleet/prompt"
+	"hibiscuslb/fleet/roster"
+	"hibiscuslb/fleet/route"
+	"hibiscuslb/fleet/shelf"
+	"hibiscuslb/fleet/wave"
+)
+
+const (
+	lm     route.ServiceID = "lm"
+	desk   route.ServiceID = "desk"
+	model  fleet.ModelID   = "m"
+	near   fleet.Address   = "172.20.0.1:1"
+	far    fleet.Address   = "172.20.0.2:1"
+	second                 = time.Second
+)
+
+func at(d time.Duration) fleet.Instant { return fleet.Instant(time.Hour + d) }
+
+func services() []route.Service {
+	const gigabit = 1e9 / 8
+	engine := &route.Engine{Slots: 64, Memory: 110_000, TokenBytes: 327_680, Link: 740 * gigabit}
+	return []route.Service{
+		{ID: lm, Engine: engine, ColdRate: 14, ColdTime: 3 * second},
+		{ID: desk},
+		{ID: "near", Store: &route.Store{Address: near, DataCentre: "a", Capacity: 300_000, Managed: true}},
+		{ID: "far", Store: &route.Store{Address: far, DataCentre: "b", Capacity: 300_000, Managed: true}},
+	}
+}
+
+func engineID(i int) fleet.TargetID { return fleet.TargetID(fmt.Sprintf("e%02d", i)) }
+
+func engines(n int) []roster.Target {
+	var result []roster.Target
+	for i := range n {
+		result = append(result, roster.Target{
+			ID: engineID(i), Service: lm, Address: fleet.Address(fmt.Sprintf("10.0.0.%d:1", i)), DataCentre: "a",
+			Models: []roster.Model{{ID: model, Version: 1}},
+		})
+	}
+	return result
+}
+
+// newFleet returns a fleet with engines whose planner has been in office for a
+// while and knows that the stores are empty.
+func newFleet(t *testing.T, entries []roster.Target) *plan.Fleet {
+	t.Helper()
+	f := &plan.Fleet{
+		RetryRatio: 0.2, RetryWindow: 10 * second, RetryBurst: 50, WeightsBound: 6 * second, FetchAllowed: true,
+	}
+	f.SetServices(at(-time.Minute), services())
+	f.SetTargets(at(-time.Minute), entries, nil)
+	f.SetWeights(model, wave.Namings(nil).Name(1, 0))
+	f.Begin(at(-time.Minute), 0)
+	for _, address := range f.Stores() {
+		f.Shelf(address).Listed(at(0), at(0), 1, 0, nil)
+	}
+	return f
+}
+
+var asked int
+
+func ask(objective time.Duration, parts ...prompt.Part) *plan.Ask {
+	asked++
+	p := &prompt.Prompt{Model: model, Parts: parts, Output: 50}
+	for _, part := range parts {
+		p.Input += part.Tokens
+	}
+	return &plan.Ask{
+		ID: fleet.RequestID(fmt.Sprint(asked)), Host: "h", Near: "a", Service: lm, Prompt: p,
+		Objective: objective, Deadline: 10 * second,
+	}
+}
+
+// file is a prompt on a long shared file.
+func file(id string) []prompt.Part {
+	asked++
+	return []prompt.Part{{ID: "system", Tokens: 500}, {ID: prompt.PartID(id), Tokens: 9000}, {ID: prompt.PartID(fmt.Sprint("own", asked)), Tokens: 1000}}
+}
+
+func grant(t *testing.T, f *plan.Fleet, now fleet.Instant, a *plan.Ask) *plan.Grant {
+	t.Helper()
+	v, ok := f.Ask(now, a)
+	require.True(t, ok, "the request waits")
+	require.NotNil(t, v.Grant, "%v", v.Refusal)
+	return v.Grant
+}
+
+func done(f *plan.Fleet, now fleet.Instant, g *plan.Grant) {
+	f.Report(now, plan.Report{Number: g.Number, Progress: plan.Begun})
+	f.Report(now, plan.Report{Number: g.Number, Progress: plan.Done})
+}
+
+func ExampleFleet_Ask() {
+	f := &plan.Fleet{}
+	f.SetServices(0, services())
+	f.SetTargets(0, engines(1), nil)
+	f.Begin(0, 0)
+	verdict, decided := f.Ask(at(0), ask(second, file("a")...))
+	fmt.Println(decided, verdict.Grant.Target, verdict.Grant.Salt)
+	// Output: true e00 m@1
+}
+
+// Load pattern: sessions return to their file one after another.
+func TestASessionReturnsToTheEngineThatHasItsFile(t *testing.T) {
+	f := newFleet(t, engines(18))
+	first := grant(t, f, at(0), ask(second, file("a")...))
+	done(f, at(second), first)
+	for i := range 10 {
+		g := grant(t, f, at(time.Duration(i+2)*second), ask(second, file("a")...))
+		require.Equal(t, first.Target, g.Target)
+		require.Nil(t, g.Fetch)
+		done(f, at(time.Duration(i+2)*second), g)
+	}
+}
+
+// Load pattern: the engine that has the file is busy, others are idle, and a
+// store holds the file.
+func TestAFileIsFetchedWhereItsEngineIsBusy(t *testing.T) {
+	f := newFleet(t, engines(3))
+	first := grant(t, f, at(0), ask(second, file("a")...))
+	require.NotEmpty(t, first.Save, "a file that nobody keeps is saved")
+	for i, part := range []string{"system", "a"} {
+		f.Shelf(first.Save[i]).Stored(at(second), 1, uint64(i), shelf.Part{Salt: "m@1", ID: prompt.PartID(part)}, 100)
+	}
+	done(f, at(second), first)
+	// Long prompts fill the engine that has the file.
+	targets := make(map[fleet.TargetID]int)
+	var fetched *plan.Grant
+	for range 6 {
+		g := grant(t, f, at(2*second), ask(second, file("a")...))
+		targets[g.Target]++
+		if g.Target != first.Target && fetched == nil {
+			fetched = g
+		}
+	}
+	require.Greater(t, len(targets), 1, "the others help")
+	require.Equal(t, first.Save[1], fetched.Fetch[1])
+}
+
+// A part begins within a block of memory of which the engine has only the
+// beginning, so a part that is fetched brings those before it.
+func TestThePartsBeforeAFetchedPartAreFetchedToo(t *testing.T) {
+	f := newFleet(t, engines(1))
+	for i, part := range []string{"system", "a"} {
+		f.Shelf(near).Stored(at(0), 1, uint64(i), shelf.Part{Salt: "m@1", ID: prompt.PartID(part)}, 100)
+	}
+	f.Cached(engineID(0), shelf.Part{Salt: "m@1", ID: "system"}, 500)
+	g := grant(t, f, at(0), ask(second, file("a")...))
+	require.Equal(t, []fleet.Address{near, near, ""}, g.Fetch)
+}
+
+// An engine drops a part from its end. What is left of it is kept, but what
+// comes behind it has to be read again.
+func TestAPartThatIsHeldInPartIsReadAgainFromItsGap(t *testing.T) {
+	f := newFleet(t, engines(1))
+	f.Cached(engineID(0), shelf.Part{Salt: "m@1", ID: "system"}, 128)
+	f.Cached(engineID(0), shelf.Part{Salt: "m@1", ID: "a"}, 9000)
+	grant(t, f, at(0), ask(second, file("a")...))
+	count := f.Count()
+	require.Equal(t, fleet.Tokens(0), count.Kept)
+	require.Equal(t, fleet.Tokens(500-128+1000), count.Read, "the file is known to the engine from its own beginning on")
+}
+
+// Load pattern: engines of a data centre come back cold, all requests arrive at
+// once.
+func TestAColdEngineGetsNoMoreThanItBears(t *testing.T) {
+	cold := engines(1)
+	cold[0].ColdFor = 3 * second
+	f := newFleet(t, nil)
+	f.SetTargets(at(0), cold, nil)
+	for start := range 4 {
+		granted := 0
+		for i := range 200 {
+			now := at(time.Duration(start)*second + time.Duration(i)*5*time.Millisecond)
+			if start == 3 {
+				break
+			}
+			v, ok := f.Ask(now, ask(second, prompt.Part{ID: "own", Tokens: 10}))
+			if ok && v.Grant != nil {
+				granted++
+				done(f, now, v.Grant)
+			}
+			f.Tick(now)
+		}
+		require.LessOrEqual(t, granted, 14)
+	}
+}
+
+// A new planner does not know what its predecessor has sent.
+func TestANewPlannerLeavesColdEnginesAloneAtFirst(t *testing.T) {
+	cold := engines(1)
+	cold[0].ColdFor = 3 * second
+	f := newFleet(t, nil)
+	f.SetTargets(at(0), cold, nil)
+	f.Begin(at(0), 1<<40)
+	_, ok := f.Ask(at(900*time.Millisecond), ask(10*second, prompt.Part{ID: "own", Tokens: 10}))
+	require.False(t, ok, "it waits")
+	verdicts := f.Tick(at(1100 * time.Millisecond))
+	require.Len(t, verdicts, 1)
+	require.NotNil(t, verdicts[0].Grant)
+}
+
+// Load pattern: a burst of long prompts beyond what the engines can read in
+// time.
+func TestABurstIsRefusedAtOnceWithTheTimeOfRoom(t *testing.T) {
+	f := newFleet(t, engines(2))
+	const objective = 800 * time.Millisecond
+	var granted, refused, waiting int
+	count := func(v plan.Verdict) {
+		if v.Grant != nil {
+			granted++
+			return
+		}
+		refused++
+		require.Equal(t, fleet.NotRun, v.Refusal.Outcome)
+		require.Greater(t, v.Refusal.RetryAfter, time.Duration(0))
+	}
+	for i := range 200 {
+		if v, ok := f.Ask(at(0), ask(objective, file(fmt.Sprint("f", i))...)); ok {
+			count(v)
+		} else {
+			waiting++
+		}
+	}
+	require.Positive(t, granted)
+	require.Positive(t, waiting)
+	for _, v := range f.Tick(at(objective/8 + 1)) {
+		count(v)
+	}
+	require.Zero(t, f.Waiting(), "nothing waits for longer than an eighth of its objective")
+	require.Equal(t, 200, granted+refused)
+}
+
+// Load pattern: room comes free while requests of two ranks wait.
+func TestTheMostUrgentGoFirst(t *testing.T) {
+	entries := engines(1)
+	f := newFleet(t, entries)
+	var full []*plan.Grant
+	for {
+		v, ok := f.Ask(at(0), ask(10*second, prompt.Part{ID: "own", Tokens: 40_000}))
+		if !ok {
+			break
+		}
+		full = append(full, v.Grant)
+	}
+	urgent := ask(8*second, prompt.Part{ID: "own", Tokens: 40_000})
+	urgent.Rank = 0
+	later := ask(8*second, prompt.Part{ID: "own", Tokens: 40_000})
+	later.Rank = 2
+	for _, a := range []*plan.Ask{later, urgent} {
+		_, ok := f.Ask(at(time.Millisecond), a)
+		require.False(t, ok)
+	}
+	done(f, at(2*time.Millisecond), full[0])
+	verdicts := f.Tick(at(3 * time.Millisecond))
+	require.NotEmpty(t, verdicts)
+	require.Same(t, urgent, verdicts[0].Ask)
+}
+
+// Load pattern: a target fails for all, and everybody wants to repeat.
+func TestRepeatsKeepWithinTheBudgetOfAllHosts(t *testing.T) {
+	f := newFleet(t, []roster.Target{{ID: "d", Service: desk, Address: "10.0.0.1:1", Slots: 1000}})
+	repeats := 0
+	for i := range 1000 {
+		now := at(time.Duration(i) * time.Millisecond)
+		for _, repeat := range []bool{false, true} {
+			v, ok := f.Ask(now, &plan.Ask{ID: fleet.RequestID(fmt.Sprint(i)), Service: desk, Objective: second, Repeat: repeat})
+			require.True(t, ok)
+			if repeat && v.Grant != nil {
+				repeats++
+			}
+			if v.Grant != nil {
+				done(f, now, v.Grant)
+			}
+		}
+	}
+	require.Positive(t, repeats)
+	require.LessOrEqual(t, repeats, 200+50)
+}
+
+func TestNoRunBeginsOnWeightsPastTheirBound(t *testing.T) {
+	f := newFleet(t, engines(1))
+	f.SetWeights(model, wave.Namings(nil).Name(1, 0).Name(2, at(0)))
+	require.NotNil(t, grant(t, f, at(4*second), ask(second, file("a")...)))
+	v, ok := f.Ask(at(5*second), ask(second, file("a")...))
+	if ok {
+		require.NotNil(t, v.Refusal)
+	}
+}
+
+func TestAPartOfAnotherVersionOrWorkspaceIsNotUsed(t *testing.T) {
+	require.NotEqual(t, plan.Salt(model, 1, "w", false), plan.Salt(model, 2, "w", false))
+	require.NotEqual(t, plan.Salt(model, 1, "w", true), plan.Salt(model, 1, "v", true))
+	require.NotEqual(t, plan.Salt(model, 1, "w", true), plan.Salt(model, 1, "w", false))
+	require.Equal(t, plan.Salt(model, 1, "w", false), plan.Salt(model, 1, "v", false))
+}
+
+func TestATargetThatCanNotBeReachedRestsForLongerAndLonger(t *testing.T) {
+	f := newFleet(t, engines(1))
+	now := at(0)
+	var pauses []time.Duration
+	for range 6 {
+		g := grant(t, f, now, ask(10*second, prompt.Part{ID: "own", Tokens: 10}))
+		f.Report(now, plan.Report{Number: g.Number, Progress: plan.Unreached})
+		from := now
+		for {
+			now = now.Add(50 * time.Millisecond)
+			v, ok := f.Ask(now, ask(10*second, prompt.Part{ID: "own", Tokens: 10}))
+			if ok && v.Grant != nil {
+				f.Report(now, plan.Report{Number: v.Grant.Number, Progress: plan.Rejected})
+				break
+			}
+			require.Less(t, now.Sub(from), 5*second)
+		}
+		pauses = append(pauses, now.Sub(from))
+	}
+	require.Less(t, pauses[0], pauses[2])
+	require.LessOrEqual(t, pauses[5], 2100*time.Millisecond)
+}
+
+func TestAnEvacuatedOrLeavingTargetGetsNothing(t *testing.T) {
+	entries := engines(2)
+	entries[0].Leaving = true
+	f := newFleet(t, entries)
+	for range 5 {
+		require.Equal(t, engineID(1), grant(t, f, at(0), ask(second, file("a")...)).Target)
+	}
+	f.SetTargets(at(second), entries, map[fleet.DataCentreID]bool{"a": true})
+	v, ok := f.Ask(at(second), ask(second, file("a")...))
+	require.True(t, ok, "there is nothing to wait for")
+	require.Equal(t, fleet.ReasonNoTarget, v.Refusal.Reason)
+}
+
+// The same name in another life is another target: it has nothing in its cache.
+func TestARestartedEngineHasNothing(t *testing.T) {
+	entries := engines(1)
+	entries[0].Born = time.UnixMilli(1000)
+	f := newFleet(t, entries)
+	f.Cached(engineID(0), shelf.Part{Salt: "m@1", ID: "system"}, 500)
+	entries[0].Born = time.UnixMilli(2000)
+	f.SetTargets(at(0), entries, nil)
+	grant(t, f, at(0), ask(second, file("a")...))
+	require.Equal(t, fleet.Tokens(0), f.Count().Kept)
+}
--- /dev/null
+++ b/fleet/tenure/tenure_test.go
@@ -0,0 +1,203 @@
+package tenure_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/fuzzing"
+	"hibiscuslb/fleet/tenure"
+)
+
+const bound = 3 * time.Second // between orders of two holders
+
+func ExampleDuty() {
+	duty := tenure.Duty{Self: "host-1", Address: "10.0.0.1:7260"}
+	duty.Missing(0) // the store has no object yet
+	write, due := duty.Due(0, false)
+	fmt.Println(due, write.Record.Epoch)
+	duty.Written(fleet.Instant(4*time.Millisecond), write, 17, bound)
+	fmt.Println(duty.Holds(fleet.Instant(time.Second)), duty.Holds(fleet.Instant(2*time.Second)))
+	// Output:
+	// true 1
+	// true false
+}
+
+func at(d time.Duration) fleet.Instant { return fleet.Instant(d) }
+
+func TestSuccessorWaitsForTheLastOrder(t *testing.T) {
+	tests := []struct {
+		name     string
+		ordering bool
+		wait     time.Duration // from the moment the old record was seen
+	}{
+		{"the holder ordered nothing", false, tenure.Length + tenure.Margin},
+		{"the holder may have ordered", true, tenure.OrderLength + bound + tenure.Margin},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			next := tenure.Duty{Self: "b"}
+			next.Seen(at(0), 5, tenure.Record{Holder: "a", Epoch: 3, Ordering: test.ordering})
+			_, due := next.Due(at(tenure.Length+tenure.Margin-1), true)
+			require.False(t, due, "the old tenure may still run")
+			now := at(tenure.Length + tenure.Margin)
+			write, due := next.Due(now, true)
+			require.True(t, due)
+			require.Equal(t, fleet.Epoch(4), write.Record.Epoch)
+			next.Written(now, write, 6, bound)
+			from, until := next.Orders()
+			require.Equal(t, max(now, at(test.wait)), from)
+			require.Equal(t, now.Add(tenure.OrderLength), until)
+		})
+	}
+}
+
+// A renewal whose answer was lost must not lengthen the tenure from a later
+// moment than that of the write which took effect.
+func TestLostRenewalCountsFromItsSending(t *testing.T) {
+	duty := tenure.Duty{Self: "a"}
+	duty.Missing(at(0))
+	first, _ := duty.Due(at(0), false)
+	duty.Written(at(0), first, 1, bound)
+	lost, _ := duty.Due(at(400*time.Millisecond), false)
+	again, _ := duty.Due(at(time.Second), false)
+	require.NotEqual(t, lost.Record, again.Record, "two tries must be told apart")
+	duty.Seen(at(time.Second), 2, lost.Record)
+	require.Equal(t, at(tenure.Length), duty.End())
+}
+
+// The others count from the moment they see a write, so the holder must not
+// count from the moment its answer came.
+func TestATenureCountsFromTheSendingOfItsWrite(t *testing.T) {
+	duty := tenure.Duty{Self: "a"}
+	duty.Missing(at(0))
+	write, _ := duty.Due(at(0), false)
+	duty.Written(at(time.Second), write, 1, bound)
+	require.True(t, duty.Holds(at(tenure.Length-1)))
+	require.False(t, duty.Holds(at(tenure.Length)))
+}
+
+// node is a host with its clock.
+type node struct {
+	duty    tenure.Duty
+	offset  time.Duration
+	order   []func() // writes whose answers are under way
+	stopped bool     // suspended
+}
+
+func (n *node) now(truth time.Duration) fleet.Instant { return at(truth + n.offset) }
+
+// world is the store and the hosts.
+type world struct {
+	truth    time.Duration
+	record   tenure.Record
+	revision fleet.Version
+	nodes    []*node
+	late     []tenure.Write // writes that the store will carry out later
+
+	lastOrder time.Duration
+	orderedBy fleet.HostID
+}
+
+// put carries a write out if its condition holds.
+func (w *world) put(write tenure.Write) bool {
+	if write.Seen != w.revision {
+		return false
+	}
+	w.revision++
+	w.record = write.Record
+	return true
+}
+
+// TestOneHolderAtATime brings about pauses, lost answers, late writes and
+// outages of the store, and asks after every step that no two hosts hold the
+// duty, and that the orders of two holders are the bound apart.
+func TestOneHolderAtATime(t *testing.T) {
+	fuzzing.Check(t, 300, 200, func(t *rapid.T) {
+		w := &world{lastOrder: -time.Hour}
+		for i := range 3 {
+			w.nodes = append(w.nodes, &node{
+				duty:   tenure.Duty{Self: fleet.HostID(fmt.Sprint(i))},
+				offset: time.Duration(rapid.IntRange(0, 1000).Draw(t, "offset")) * time.Second,
+			})
+		}
+		draw := func(t *rapid.T) *node { return w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node")] }
+		t.Repeat(map[string]func(*rapid.T){
+			"time": func(t *rapid.T) {
+				w.truth += time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond
+			},
+			"read": func(t *rapid.T) {
+				n := draw(t)
+				if w.revision == 0 {
+					n.duty.Missing(n.now(w.truth))
+					return
+				}
+				n.duty.Seen(n.now(w.truth), w.revision, w.record)
+			},
+			"write": func(t *rapid.T) {
+				n := draw(t)
+				write, due := n.duty.Due(n.now(w.truth), rapid.Bool().Draw(t, "ordering"))
+				if !due || n.stopped {
+					return
+				}
+				switch rapid.IntRange(0, 4).Draw(t, "fate") {
+				case 0: // nothing arrives
+				case 1: // carried out later, unanswered
+					w.late = append(w.late, write)
+				case 2: // carried out, the answer lost
+					w.put(write)
+				default:
+					if w.put(write) {
+						revision := w.revision
+						n.order = append(n.order, func() { n.duty.Written(n.now(w.truth), write, revision, bound) })
+					} else {
+						n.duty.Seen(n.now(w.truth), w.revision, w.record)
+					}
+				}
+			},
+			"answer": func(t *rapid.T) {
+				n := draw(t)
+				if len(n.order) > 0 && !n.stopped {
+					n.order[0]()
+					n.order = n.order[1:]
+				}
+			},
+			"late write": func(t *rapid.T) {
+				if len(w.late) > 0 {
+					w.put(w.late[0])
+					w.late = w.late[1:]
+				}
+			},
+			"suspend": func(t *rapid.T) { n := draw(t); n.stopped = !n.stopped },
+			"restart": func(t *rapid.T) {
+				n := draw(t)
+				*n = node{duty: tenure.Duty{Self: n.duty.Self}, offset: n.offset}
+			},
+			"order": func(t *rapid.T) {
+				n := draw(t)
+				if n.stopped || !n.duty.MayOrder(n.now(w.truth)) {
+					return
+				}
+				if w.orderedBy != n.duty.Self && w.truth-w.lastOrder < bound {
+					t.Fatalf("%s orders %v after %s", n.duty.Self, w.truth-w.lastOrder, w.orderedBy)
+				}
+				w.lastOrder, w.orderedBy = w.truth, n.duty.Self
+			},
+			"": func(t *rapid.T) {
+				holders := 0
+				for _, n := range w.nodes {
+					if !n.stopped && n.duty.Holds(n.now(w.truth)) {
+						holders++
+					}
+				}
+				if holders > 1 {
+					t.Fatalf("%d hosts hold the duty", holders)
+				}
+			},
+		})
+	})
+}
--- /dev/null
+++ b/fleet/wave/wave_test.go
@@ -0,0 +1,174 @@
+package wave_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/fuzzing"
+	"hibiscuslb/fleet/wave"
+)
+
+func at(d time.Duration) fleet.Instant { return fleet.Instant(time.Hour + d) }
+
+func engines(n int) []wave.Engine {
+	result := make([]wave.Engine, n)
+	for i := range result {
+		result[i] = wave.Engine{ID: fleet.TargetID(fmt.Sprintf("e%02d", i)), Version: 1, Usable: true, Flights: n - i}
+	}
+	return result
+}
+
+func TestAFewLoadAtATimeThoseWithLeastToLoseFirst(t *testing.T) {
+	var rollout wave.Rollout
+	orders := rollout.Step(at(0), 2, engines(18), true)
+	require.Len(t, orders, 3)
+	require.Equal(t, fleet.TargetID("e17"), orders[0].Target)
+	require.False(t, rollout.Serves("e17"))
+	require.True(t, rollout.Serves("e00"))
+	require.Empty(t, rollout.Step(at(time.Millisecond), 2, engines(18), true))
+}
+
+func TestAtOnce(t *testing.T) {
+	for engines, want := range map[int]int{1: 1, 2: 1, 3: 1, 6: 2, 9: 3, 18: 3, 60: 12, 90: 18} {
+		require.Equal(t, want, wave.AtOnce(engines), "of %d", engines)
+	}
+}
+
+func TestNoOrdersWithoutTheRight(t *testing.T) {
+	var rollout wave.Rollout
+	require.Empty(t, rollout.Step(at(0), 2, engines(18), false))
+	require.True(t, rollout.Serves("e17"), "an engine is not kept from work for an order that can not come")
+}
+
+func TestAnOrderWithoutAnAnswerIsRepeatedAfterAPause(t *testing.T) {
+	var rollout wave.Rollout
+	only := engines(1)
+	orders := rollout.Step(at(0), 2, only, true)
+	require.Len(t, orders, 1)
+	require.True(t, rollout.Answered(at(0), "e00", wave.Unknown), "the count of orders is in doubt")
+	require.Empty(t, rollout.Step(at(500*time.Millisecond), 2, only, true))
+	require.Len(t, rollout.Step(at(time.Second), 2, only, true), 1)
+}
+
+// The bound counts from the first weights that an engine lacks: an engine two
+// versions behind did not become old just now.
+func TestWeightsAreOldFromTheFirstNamingOfNewerOnes(t *testing.T) {
+	const bound = 6 * time.Second
+	named := wave.Namings(nil).Name(1, 0).Name(2, at(0)).Name(3, at(9*time.Second))
+	require.False(t, named.Holds(at(9*time.Second), 1, bound))
+	require.True(t, named.Holds(at(9*time.Second), 2, bound))
+	require.True(t, named.Holds(at(time.Minute), 3, bound))
+	require.True(t, named.Holds(at(time.Minute), 1, 0), "no bound is set")
+}
+
+// engine is an engine as it really is.
+type engine struct {
+	version uint64
+	orders  uint64
+	loading uint64 // the version; zero if none
+	late    []wave.Order
+}
+
+func (e *engine) take(o wave.Order) wave.Result {
+	switch {
+	case e.loading != 0 || o.Accepted != e.orders:
+		return wave.Refused
+	case e.version == o.Version:
+		return wave.Holds
+	}
+	e.orders++
+	e.loading = o.Version
+	return wave.Accepted
+}
+
+// TestEveryEngineGetsTheNewestWeights gives orders to engines that answer, lose
+// answers, and carry orders out late. No engine goes back, no more load at once
+// than may as long as answers come, and in the end all have the newest weights.
+func TestEveryEngineGetsTheNewestWeights(t *testing.T) {
+	fuzzing.Check(t, 200, 150, func(t *rapid.T) {
+		const n = 9
+		var rollout wave.Rollout
+		real := make([]*engine, n)
+		for i := range real {
+			real[i] = &engine{version: 1}
+		}
+		now, newest := at(0), uint64(2)
+		var highest [n]uint64
+		known := func() []wave.Engine {
+			result := engines(n)
+			for i, e := range real {
+				result[i].Version, result[i].Orders, result[i].Flights = e.version, e.orders, 0
+			}
+			return result
+		}
+		index := func(id fleet.TargetID) int {
+			var i int
+			_, _ = fmt.Sscanf(string(id), "e%d", &i)
+			return i
+		}
+		step := func(fate func() int) {
+			for _, o := range rollout.Step(now, newest, known(), true) {
+				e := real[index(o.Target)]
+				switch fate() {
+				case 0:
+					e.late = append(e.late, o)
+					rollout.Answered(now, o.Target, wave.Unknown)
+				case 1:
+					e.take(o)
+					rollout.Answered(now, o.Target, wave.Unknown)
+				default:
+					rollout.Answered(now, o.Target, e.take(o))
+				}
+			}
+		}
+		finish := func() {
+			for _, e := range real {
+				if e.loading != 0 {
+					e.version, e.loading = e.loading, 0
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"step": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
+				step(func() int { return rapid.IntRange(0, 5).Draw(t, "fate") })
+			},
+			"load": func(t *rapid.T) { finish() },
+			"name": func(t *rapid.T) {
+				if rapid.IntRange(0, 9).Draw(t, "rarely") == 0 {
+					newest++
+				}
+			},
+			"late": func(t *rapid.T) {
+				e := real[rapid.IntRange(0, n-1).Draw(t, "engine")]
+				if len(e.late) > 0 {
+					e.take(e.late[0])
+					e.late = e.late[1:]
+				}
+			},
+			"": func(t *rapid.T) {
+				for i, e := range real {
+					if e.version < highest[i] {
+						t.Fatalf("engine %d went back from version %d to %d", i, highest[i], e.version)
+					}
+					highest[i] = e.version
+				}
+			},
+		})
+		for range 200 {
+			now = now.Add(100 * time.Millisecond)
+			step(func() int { return 2 })
+			finish()
+		}
+		for i, e := range real {
+			if e.version != newest {
+				t.Fatalf("engine %d has version %d of %d", i, e.version, newest)
+			}
+		}
+	})
+}
