--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -101,7 +101,6 @@
 	parts   []shelf.Part // of the prompt, under the grant's salt
 	read    fleet.Tokens // that the engine has to read
 	size    fleet.Tokens // of memory that the run takes
-	saves   []*store
 }
 
 // model is a model's weights.
