Forget orders that were not sent, keep targets that came back, read settings again

A planner that loses the right to order between decision and sending did not say so, and the engine's step stayed open for good.

Change: an order that did not leave is due again, and no step outlives the longest load; entries in the store end their lapse; SIGHUP and a changed file make the host read its settings, new bounds are taken. Log lines go through a bounded buffer that drops and counts; the planner logs each refusal with its inputs.

--- a/fleet/plan/admit.go
+++ b/fleet/plan/admit.go
@@ -7,6 +7,7 @@
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/roster"
+	"hibiscuslb/fleet/route"
 	"hibiscuslb/fleet/shelf"
 )
 
@@ -171,6 +172,17 @@
 	f.waiting = slices.DeleteFunc(f.waiting, func(w *waiter) bool { return w.ask == ask })
 }
 
+// Usable is how many targets of a service may be given work.
+func (f *Fleet) Usable(now fleet.Instant, service route.ServiceID) int {
+	n := 0
+	for _, t := range f.targets {
+		if t.Service == service && t.usable(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // Waiting is how many requests wait.
 func (f *Fleet) Waiting() int { return len(f.waiting) }
 
--- a/fleet/wave/wave.go
+++ b/fleet/wave/wave.go
@@ -32,7 +32,7 @@
 	// reportTime is how long a load is given before the engine is asked for
 	// its state, when its entry has not told of the new weights.
 	reportTime = 350 * time.Millisecond
-	// longestLoad is when a load counts as failed.
+	// longestLoad is when a load counts as failed, or an order as lost.
 	longestLoad = 4 * time.Second
 )
 
@@ -56,6 +56,8 @@
 	Accepted
 	// Holds means that the engine has the weights.
 	Holds
+	// NotSent means that the order has not left.
+	NotSent
 	// Refused means that another order is in progress, or that the engine has
 	// accepted another number of orders.
 	Refused
@@ -126,7 +128,7 @@
 	for id, s := range r.steps {
 		i := slices.IndexFunc(engines, func(e Engine) bool { return e.ID == id })
 		age := now.Sub(s.since)
-		if i < 0 || engines[i].Version >= s.version || s.doubt && age > againTime || s.phase == loading && age > longestLoad {
+		if i < 0 || engines[i].Version >= s.version || s.doubt && age > againTime || age > longestLoad {
 			delete(r.steps, id)
 		}
 	}
@@ -158,7 +160,7 @@
 	switch result {
 	case Accepted:
 		s.phase, s.since = loading, now
-	case Holds:
+	case Holds, NotSent:
 		delete(r.steps, target)
 	case Refused:
 		delete(r.steps, target)
--- a/fleet/wave/wave_test.go
+++ b/fleet/wave/wave_test.go
@@ -55,6 +55,25 @@
 	require.Len(t, rollout.Step(at(time.Second), 2, only, true), 1)
 }
 
+// The right to give orders may end between the decision and the sending.
+func TestAnOrderThatWasNotSentIsDueAgain(t *testing.T) {
+	var rollout wave.Rollout
+	only := engines(1)
+	require.Len(t, rollout.Step(at(0), 2, only, true), 1)
+	require.False(t, rollout.Answered(at(0), "e00", wave.NotSent))
+	require.True(t, rollout.Serves("e00"))
+	require.Len(t, rollout.Step(at(time.Millisecond), 2, only, true), 1)
+}
+
+// Nothing may keep an engine from work for good.
+func TestAnOrderOfWhichNothingIsHeardIsForgotten(t *testing.T) {
+	var rollout wave.Rollout
+	only := engines(1)
+	rollout.Step(at(0), 2, only, true)
+	rollout.Step(at(5*time.Second), 2, only, false)
+	require.True(t, rollout.Serves("e00"))
+}
+
 // The bound counts from the first weights that an engine lacks: an engine two
 // versions behind did not become old just now.
 func TestWeightsAreOldFromTheFirstNamingOfNewerOnes(t *testing.T) {
--- a/hibiscusfront/internal/control/control.go
+++ b/hibiscusfront/internal/control/control.go
@@ -91,6 +91,7 @@
 	table   *route.Table
 	weighed bool // whether weights were read before
 	named   map[fleet.ModelID]wave.Namings
+	bounds  platform.Bounds
 	targets targets
 	duty    tenure.Duty
 	members members
@@ -153,6 +154,7 @@
 	c.kinds = make(map[string]*replica.Kind)
 	c.bad = make(map[string]fleet.Version)
 	c.named = make(map[fleet.ModelID]wave.Namings)
+	c.bounds = c.Settings.Bounds
 	c.heard, c.planner = c.Clock(), c.Clock()
 	c.duty = tenure.Duty{Self: c.Settings.Host, Address: c.Settings.Peers}
 	for _, kind := range watched {
@@ -221,6 +223,11 @@
 	})
 }
 
+// SetBounds takes the bounds of new settings.
+func (c *Control) SetBounds(ctx context.Context, bounds platform.Bounds) {
+	c.do(ctx, func(fleet.Instant) { c.bounds = bounds })
+}
+
 // publish builds and publishes the view.
 func (c *Control) publish() {
 	hosts := c.live()
--- /dev/null
+++ b/hibiscusfront/internal/control/control_test.go
@@ -0,0 +1,103 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/roster"
+	"hibiscuslb/hibiscusfront/internal/wire"
+)
+
+func at(d time.Duration) fleet.Instant { return fleet.Instant(time.Hour + d) }
+
+func host(id fleet.HostID, cores float64) wire.Host {
+	return wire.Host{ID: id, Cores: cores, Callers: "10.0.0.1:1", Peers: "10.0.0.1:2"}
+}
+
+func newMembers(hosts ...wire.Host) *members {
+	m := &members{hosts: make(map[fleet.HostID]wire.Host)}
+	for _, h := range hosts {
+		m.hosts[h.ID] = h
+		m.note(at(0), h.ID, false)
+	}
+	return m
+}
+
+// A new planner hears of dead hosts by their entries in the store, which stay
+// for a while.
+func TestANewPlannerDoesNotReviveDeadHosts(t *testing.T) {
+	m := newMembers(host("a", 1), host("b", 1), host("c", 1))
+	m.told, m.toldAt = []wire.Host{host("a", 1), host("b", 1)}, at(5*time.Second) // c died
+	m.inherit(at(5 * time.Second))
+	require.True(t, m.beats["a"].alive)
+	require.True(t, m.beats["b"].alive)
+	require.False(t, m.beats["c"].alive)
+}
+
+func TestWithoutAPredecessorAllHostsAreAlive(t *testing.T) {
+	m := newMembers(host("a", 1), host("b", 1))
+	m.inherit(at(time.Minute))
+	require.True(t, m.beats["a"].alive)
+	require.True(t, m.beats["b"].alive)
+}
+
+func TestTheLargestHostsStandBy(t *testing.T) {
+	m := newMembers(host("a", 0.2), host("b", 0.8), host("c", 0.8), host("d", 0.2))
+	for id, want := range map[fleet.HostID]int{"b": 0, "c": 1, "a": 2, "d": 3} {
+		require.Equal(t, want, m.rank(m.hosts[id]), "host %s", id)
+	}
+	dead := m.beats["b"]
+	dead.alive = false
+	m.beats["b"] = dead
+	require.Equal(t, 0, m.rank(m.hosts["c"]))
+}
+
+// A planner that nobody hears must not plan on.
+func TestAPlannerNeedsMostHosts(t *testing.T) {
+	m := newMembers(host("a", 1), host("b", 1), host("c", 1), host("d", 1))
+	now := at(nearTime + time.Millisecond)
+	require.False(t, m.most(now, "a"))
+	m.note(now, "b", false)
+	require.False(t, m.most(now, "a"), "two of four are no majority")
+	m.note(now, "c", false)
+	require.True(t, m.most(now, "a"))
+}
+
+func entries(ids ...fleet.TargetID) map[fleet.TargetID]roster.Target {
+	result := make(map[fleet.TargetID]roster.Target)
+	for _, id := range ids {
+		result[id] = roster.Target{ID: id}
+	}
+	return result
+}
+
+func ids(t *targets) []fleet.TargetID {
+	var result []fleet.TargetID
+	for _, entry := range t.list() {
+		result = append(result, entry.ID)
+	}
+	return result
+}
+
+func TestEntriesThatLapsedWithTheStoreHaveTimeToComeBack(t *testing.T) {
+	var known targets
+	known.take(at(0), entries("a", "b", "c"), zerolog.Nop())
+	known.storeLost(at(time.Second))
+	known.storeBack(at(9 * time.Second))
+	known.take(at(9*time.Second), entries("a"), zerolog.Nop())
+	require.Equal(t, []fleet.TargetID{"a", "b", "c"}, ids(&known))
+	known.take(at(10*time.Second), entries("a", "b"), zerolog.Nop())
+	known.expire(at(9*time.Second + lapseTime))
+	require.Equal(t, []fleet.TargetID{"a", "b"}, ids(&known), "one that is still missing has gone")
+}
+
+func TestAnEntryThatVanishesWhileTheStoreAnswersIsGone(t *testing.T) {
+	var known targets
+	known.take(at(0), entries("a", "b"), zerolog.Nop())
+	known.take(at(time.Second), entries("a"), zerolog.Nop())
+	require.Equal(t, []fleet.TargetID{"a"}, ids(&known))
+}
--- a/hibiscusfront/internal/control/duty.go
+++ b/hibiscusfront/internal/control/duty.go
@@ -197,12 +197,12 @@
 	var conflict *platform.ConflictError
 	switch {
 	case err == nil:
-		c.duty.Written(now, w, o.Revision, c.Settings.Bounds.Lease)
+		c.duty.Written(now, w, o.Revision, c.bounds.Lease)
 	case errors.As(err, &conflict):
 		var record tenure.Record
 		if platform.Decode(conflict.Current, &record) == nil && record == w.Record {
 			// This very write took effect, though its answer was lost.
-			c.duty.Written(now, w, conflict.Current.Revision, c.Settings.Bounds.Lease)
+			c.duty.Written(now, w, conflict.Current.Revision, c.bounds.Lease)
 			break
 		}
 		c.dutySeen(now, conflict.Current)
--- a/hibiscusfront/internal/control/targets.go
+++ b/hibiscusfront/internal/control/targets.go
@@ -43,6 +43,9 @@
 	if t.lapsed == nil {
 		t.lapsed = make(map[fleet.TargetID]fleet.Instant)
 	}
+	for id := range entries {
+		delete(t.lapsed, id) // it is back
+	}
 	inOutage := t.lost || t.backAt > 0 && now.Sub(t.backAt) < lapseTime
 	for id, old := range t.entries {
 		if _, ok := entries[id]; ok {
--- a/hibiscusfront/internal/host/host.go
+++ b/hibiscusfront/internal/host/host.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -66,6 +67,11 @@
 	closing  atomic.Bool
 	serving  task.Group
 	failed   chan error
+
+	// DroppedLines tells how many log lines were dropped; nil if none can be.
+	DroppedLines func() int64
+	file         string // of the settings
+	reload       <-chan os.Signal
 }
 
 // New returns a host that has not started.
@@ -103,6 +109,7 @@
 	parts.Go(life, h.chooser.Run)
 	parts.Go(life, h.control.Run)
 	parts.Go(life, h.sweep)
+	parts.Go(life, h.followSettings)
 	servers, err := h.listen(life)
 	if err != nil {
 		return err
--- a/hibiscusfront/internal/planner/planner.go
+++ b/hibiscusfront/internal/planner/planner.go
@@ -16,6 +16,7 @@
 	"hibiscuslb/fleet/plan"
 	"hibiscuslb/fleet/shelf"
 	"hibiscuslb/fleet/task"
+	"hibiscuslb/fleet/wave"
 	"hibiscuslb/hibiscusfront/internal/view"
 	"hibiscuslb/platform"
 )
@@ -72,13 +73,21 @@
 		answers:  make(map[*plan.Ask]func(plan.Verdict)),
 		watchers: make(map[fleet.Address]context.CancelFunc),
 	}
-	p.fleet = plan.Fleet{
-		RetryRatio: bounds.RetryRatio, RetryWindow: bounds.RetryWindow, RetryBurst: bounds.RetryReserve,
-		WeightsBound: bounds.Weights,
-	}
+	p.setBounds(bounds)
 	return p
 }
 
+// SetBounds takes the bounds of new settings.
+func (p *Planner) SetBounds(ctx context.Context, bounds platform.Bounds) {
+	p.do(ctx, func(fleet.Instant) { p.setBounds(bounds) })
+}
+
+func (p *Planner) setBounds(bounds platform.Bounds) {
+	p.Bounds = bounds
+	p.fleet.RetryRatio, p.fleet.RetryWindow, p.fleet.RetryBurst = bounds.RetryRatio, bounds.RetryWindow, bounds.RetryReserve
+	p.fleet.WeightsBound = bounds.Weights
+}
+
 // Run plans until the context ends.
 func (p *Planner) Run(ctx context.Context) {
 	ticker := time.NewTicker(tickTime)
@@ -215,6 +224,11 @@
 
 // finish adds to a verdict what the plan leaves to its surroundings.
 func (p *Planner) finish(now fleet.Instant, v plan.Verdict) plan.Verdict {
+	if v.Refusal != nil {
+		p.Log.Info().Str("Request", string(v.Ask.ID)).Str("Service", string(v.Ask.Service)).Str("Reason", string(v.Refusal.Reason)).
+			Dur("RetryAfter", v.Refusal.RetryAfter).Int("Waiting", p.fleet.Waiting()).Int("Usable", p.fleet.Usable(now, v.Ask.Service)).
+			Dur("Objective", v.Ask.Objective).Int("Rank", v.Ask.Rank).Uint64("Epoch", uint64(p.epoch)).Msg("refused a request")
+	}
 	if v.Grant != nil && v.Grant.Fetch != nil {
 		v.Grant.Until = p.clock.at(now).Add(plan.FetchTime)
 	}
@@ -267,6 +281,7 @@
 // order gives an engine an order.
 func (p *Planner) order(ctx context.Context, order plan.Order) {
 	if !p.Tenure.MayOrder() {
+		p.do(ctx, func(now fleet.Instant) { p.fleet.Ordered(now, order, wave.NotSent) })
 		return
 	}
 	result, err := p.Targets.Give(ctx, order.Address, order.Target, platform.Order{
--- a/hibiscusfront/internal/soak/soak_test.go
+++ b/hibiscusfront/internal/soak/soak_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -24,11 +25,17 @@
 // regressions are seeds that failed once, with the cause.
 var regressions = []uint64{}
 
-func TestSoak(t *testing.T) {
+// build builds the program of a front host.
+func build(t *testing.T) string {
+	t.Helper()
 	binary := filepath.Join(t.TempDir(), "hibiscusfront")
-	build := exec.Command("go", "build", "-o", binary, "hibiscuslb/hibiscusfront")
-	output, err := build.CombinedOutput()
+	output, err := exec.Command("go", "build", "-o", binary, "hibiscuslb/hibiscusfront").CombinedOutput()
 	require.NoError(t, err, "%s", output)
+	return binary
+}
+
+func TestSoak(t *testing.T) {
+	binary := build(t)
 	list := append([]uint64(nil), regressions...)
 	for i := range *seeds {
 		list = append(list, *first+uint64(i))
@@ -38,6 +45,24 @@
 	}
 }
 
+// Without a handler the signal would end the process.
+func TestSettingsAreReadAgainOnSIGHUP(t *testing.T) {
+	s := newSite(t, build(t), 0)
+	s.awaitReady(t, 10*time.Second)
+	h := s.hosts[0]
+	h.mu.Lock()
+	process := h.process.Pid
+	h.mu.Unlock()
+	h.end(syscall.SIGHUP)
+	require.Eventually(t, func() bool {
+		text, err := os.ReadFile(h.log.Name())
+		return err == nil && strings.Contains(string(text), "settings read again")
+	}, 5*time.Second, 50*time.Millisecond)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	require.Equal(t, process, h.process.Pid, "the process goes on")
+}
+
 func run(t *testing.T, binary string, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 0))
 	s := newSite(t, binary, seed)
@@ -65,7 +90,7 @@
 	h := s.hosts[random.IntN(len(s.hosts))]
 	target := s.targets[random.IntN(len(s.targets))]
 	pause := time.Duration(200+random.IntN(2800)) * time.Millisecond
-	switch random.IntN(10) {
+	switch random.IntN(11) {
 	case 0:
 		h.suspend(pause)
 	case 1:
@@ -87,6 +112,8 @@
 		s.nameWeights()
 	case 9:
 		s.configure()
+	case 10:
+		h.end(syscall.SIGHUP)
 	}
 }
 
--- a/hibiscusfront/main.go
+++ b/hibiscusfront/main.go
@@ -9,16 +9,21 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/integrii/flaggy"
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
 
 	"hibiscuslb/hibiscusfront/internal/host"
 	"hibiscuslb/platform"
 )
 
+// logLines is how many log lines wait for a slow reader.
+const logLines = 2048
+
 // Exit statuses.
 const (
 	exitFailed      = 1
@@ -51,11 +56,32 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitBadSettings)
 	}
-	log := zerolog.New(os.Stdout).Level(least).With().Timestamp().Str("Host", string(settings.Host)).Logger()
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	if err := host.New(settings, log).Run(ctx); err != nil {
+	// A reader of standard output that stands still must not hold requests up:
+	// lines beyond the buffer are dropped and counted.
+	var dropped atomic.Int64
+	out := diode.NewWriter(os.Stdout, logLines, 0, func(missed int) { dropped.Add(int64(missed)) })
+	log := zerolog.New(out).Level(least).With().Timestamp().Str("Host", string(settings.Host)).Logger()
+	err = run(file, settings, log, &dropped)
+	if err != nil {
 		log.Error().Str("Cause", eris.ToString(err, false)).Msg("failed")
+	}
+	if closing := out.Close(); closing != nil {
+		fmt.Fprintln(os.Stderr, "the last log lines may be missing:", closing)
+	}
+	if err != nil {
 		os.Exit(exitFailed)
 	}
 }
+
+// run serves until the process is asked to end. SIGHUP reads the settings again.
+func run(file string, settings platform.Settings, log zerolog.Logger, dropped *atomic.Int64) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	h := host.New(settings, log)
+	h.DroppedLines = dropped.Load
+	h.Reload(file, reload)
+	return h.Run(ctx)
+}
