Read the store at once when a host starts

Ruled out: slow reads of the store; the configuration was there 30 ms after the first list.

Change: a kind that is not known yet is listed whoever else watches.

--- a/hibiscusfront/internal/control/objects.go
+++ b/hibiscusfront/internal/control/objects.go
@@ -38,14 +38,18 @@
 	list := true
 	pause := firstPause
 	for ctx.Err() == nil {
-		if !c.follows.Load() || c.dark.Load() && kind != platform.KindConfiguration {
+		from := since()
+		// A host that starts reads the store at once: it serves nobody
+		// before it knows a configuration.
+		needed := from == 0 || c.follows.Load()
+		if !needed || c.dark.Load() && kind != platform.KindConfiguration {
 			// Others tell of changes meanwhile; or the store is out of reach,
 			// and one kind is enough to find out when it is back.
 			task.Pause(ctx, restTime)
 			continue
 		}
 		var err error
-		if from := since(); list || from == 0 {
+		if list || from == 0 {
 			err = c.list(ctx, kind)
 		} else {
 			err = c.watch(ctx, kind, from)
