Learn slow links, and let transfers wait for one another in the estimates

Change: each store has a lane that knows the transfers granted on it and how much slower than said they were, learned from first pieces and forgotten in seconds; each engine has one for its own transfers.

The harness now takes ports that the kernel gives to nobody, and fails at once if a relay does not listen.

--- a/fleet/plan/admit.go
+++ b/fleet/plan/admit.go
@@ -100,18 +100,32 @@
 	g := &Grant{
 		Number: f.next, Target: t.ID, Address: t.Address, Service: ask.Service, Rank: min(ask.Rank, lastRank),
 	}
-	fl := &flight{ask: ask, target: t, granted: now, read: o.read}
+	fl := &flight{ask: ask, target: t, granted: now, read: o.read, first: o.first, fetch: o.moving}
 	if p := ask.Prompt; p != nil && t.engine() {
 		g.Version = t.version(p.Model)
 		g.Salt = o.chain.salt
 		g.Fetch = o.fetch
+		engine := t.service.spec.Engine
 		for i, address := range o.fetch {
+			size := engine.TokenBytes * fleet.Bytes(p.Parts[i].Tokens)
+			if address != "" {
+				t.link.take(now, engine.Link.Time(size))
+			}
 			if s := f.stores[address]; s != nil {
 				s.shelf.Read(now, o.chain.parts[i], now.Add(FetchTime+readMargin))
+				s.lane.take(now, s.spec.Link.Time(size))
+				if !slices.Contains(fl.from, s) {
+					fl.from = append(fl.from, s)
+				}
 			}
 		}
 		if f.FetchAllowed && g.Version >= f.model(p.Model).version {
 			g.Save = f.saves(now, o, p)
+			for i, address := range g.Save {
+				if address != "" {
+					t.link.take(now, engine.Link.Time(engine.TokenBytes*fleet.Bytes(p.Parts[i].Tokens)))
+				}
+			}
 		}
 		fl.parts, fl.size = o.chain.parts, p.Input+p.Output
 	}
--- a/fleet/plan/place.go
+++ b/fleet/plan/place.go
@@ -38,7 +38,7 @@
 	farCost = 2 * time.Millisecond
 	// fetchWorth times the time to read a part is the longest fetch that is
 	// better than reading: reading keeps the engine busy, a fetch does not.
-	fetchWorth = 3
+	fetchWorth = 6
 	// engineSourceCost is added to a transfer from an engine, compared with
 	// one from a store.
 	engineSourceCost = 8 * time.Millisecond
@@ -56,6 +56,7 @@
 	again  fleet.Tokens // of read, what some engine has read before
 	kept   fleet.Tokens
 	moved  fleet.Tokens
+	moving time.Duration // what the fetches take
 	fetch  []fleet.Address
 }
 
@@ -226,7 +227,7 @@
 		}
 		from := &o.chain.from[i]
 		size := engine.TokenBytes * fleet.Bytes(part.Tokens-kept)
-		source, took := from.nearest(t, engine.Link.Time(size))
+		source, took := from.nearest(now, t, engine.Link.Time(size))
 		if gap || source == "" || took > readRate.Time(part.Tokens-kept)*fetchWorth {
 			gap = true
 			o.read += part.Tokens - kept
@@ -239,10 +240,14 @@
 			o.fetch = make([]fleet.Address, len(p.Parts))
 		}
 		o.fetch[i] = source
-		o.from(t, i)
+		o.from(now, t, i)
 		o.moved += part.Tokens
 		fetch += took
 	}
+	if fetch > 0 {
+		fetch += t.link.wait(now)
+	}
+	o.moving = fetch
 	o.first = t.wait(now) + fetch + readRate.Time(o.read) + firstStep
 	o.cost = o.first + time.Duration((rereadWeight-1)*float64(readRate.Time(o.again)))
 	// A target that would be late costs more than one that is only slower.
@@ -254,22 +259,23 @@
 // from adds the sources of the parts before a part that is fetched. The engine
 // has them, but a part may begin within a block of its memory, of which it has
 // only the beginning; it fetches no more than it lacks.
-func (o *option) from(t *target, part int) {
+func (o *option) from(now fleet.Instant, t *target, part int) {
 	for i := range part {
 		if o.fetch[i] == "" {
-			o.fetch[i], _ = o.chain.from[i].nearest(t, 0)
+			o.fetch[i], _ = o.chain.from[i].nearest(now, t, 0)
 		}
 	}
 }
 
 // nearest returns the source from which a transfer to the target takes least,
 // and how long it takes. Without a source the address is empty.
-func (o *origin) nearest(t *target, link time.Duration) (source fleet.Address, took time.Duration) {
+func (o *origin) nearest(now fleet.Instant, t *target, link time.Duration) (source fleet.Address, took time.Duration) {
 	for _, s := range o.stores {
-		d := setupTime + s.spec.FirstByte + link
+		d := link
 		if s.spec.DataCentre != t.DataCentre {
-			d += (crossWeight - 1) * link
+			d *= crossWeight
 		}
+		d = setupTime + s.spec.FirstByte + s.lane.wait(now) + time.Duration(float64(d)*s.lane.factor(now))
 		if source == "" || d < took || d == took && s.spec.Address < source {
 			source, took = s.spec.Address, d
 		}
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -98,9 +98,12 @@
 	target  *target
 	granted fleet.Instant
 	begun   bool
-	parts   []shelf.Part // of the prompt, under the grant's salt
-	read    fleet.Tokens // that the engine has to read
-	size    fleet.Tokens // of memory that the run takes
+	parts   []shelf.Part  // of the prompt, under the grant's salt
+	read    fleet.Tokens  // that the engine has to read
+	first   time.Duration // estimate until the first piece
+	fetch   time.Duration // of first, what the fetches take
+	from    []*store      // that it fetches from
+	size    fleet.Tokens  // of memory that the run takes
 }
 
 // model is a model's weights.
@@ -115,6 +118,7 @@
 	service route.ServiceID
 	spec    route.Store
 	shelf   shelf.Shelf
+	lane    lane
 }
 
 // A Fleet is all that a planner decides for. The zero value has no targets.
--- a/fleet/plan/target.go
+++ b/fleet/plan/target.go
@@ -25,6 +25,7 @@
 	memory   fleet.Tokens  // of runs
 	readyAt  fleet.Instant // when the engine will have read what it was granted
 	cache    *cache
+	link     lane          // for its transfers
 	lastSeen fleet.Instant // last sign of life
 
 	failures float64                  // decaying share of answers that failed
@@ -146,6 +147,9 @@
 	t.seen(now)
 	t.pending--
 	t.unread -= fl.read
+	for _, s := range fl.from {
+		s.lane.learn(now, fl.fetch, now.Sub(fl.granted)-(fl.first-fl.fetch))
+	}
 	if t.pending == 0 {
 		t.readyAt = now
 		return
--- a/hibiscusfront/internal/soak/site_test.go
+++ b/hibiscusfront/internal/soak/site_test.go
@@ -87,6 +87,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- p.Run(ctx) }()
+	select {
+	case err := <-done:
+		cancel()
+		t.Fatalf("relay at %s: %v", p.Listen, err)
+	case <-time.After(20 * time.Millisecond): // it listens
+	}
 	t.Cleanup(func() {
 		cancel()
 		<-done
@@ -96,18 +102,23 @@
 
 func address(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
 
+// Ports below those that the kernel gives to connections, so that nobody takes
+// one between the look and its use. Each process begins elsewhere.
+const firstPort, portCount = 20_000, 12_000
+
+var nextPort = os.Getpid() * 257 % portCount
+
 // freePorts returns the first of n neighbouring ports that are free.
 func freePorts(t *testing.T, n int) int {
 	t.Helper()
-	for range 100 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		port := l.Addr().(*net.TCPAddr).Port
-		free := l.Close() == nil
-		for i := 1; i < n && free; i++ {
-			next, err := net.Listen("tcp", address(port+i))
+	for range portCount {
+		port := firstPort + nextPort
+		nextPort = (nextPort + n) % (portCount - n)
+		free := true
+		for i := 0; i < n && free; i++ {
+			l, err := net.Listen("tcp", address(port+i))
 			if free = err == nil; free {
-				free = next.Close() == nil
+				free = l.Close() == nil
 			}
 		}
 		if free {
