--- /dev/null
+++ b/fleet/peer/answer.go
@@ -0,0 +1,21 @@
+package peer
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"hibiscuslb/fleet"
+)
+
+// Answer serves an exchange of one request and one reply for a Handler. A
+// request that can not be decoded is refused.
+func Answer[Ask, Reply any](body cbor.RawMessage, serve func(Ask) (Reply, error)) (any, error) {
+	var ask Ask
+	if err := cbor.Unmarshal(body, &ask); err != nil {
+		return nil, fleet.Refuse(fleet.ReasonMalformed, err.Error())
+	}
+	reply, err := serve(ask)
+	if err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -249,7 +249,7 @@
 			if t != nil {
 				t.leave()
 			}
-			t = newTarget(now, &f.holders)
+			t = newTarget(&f.holders)
 			f.targets[entry.ID] = t
 		}
 		t.enter(now, entry)
--- a/fleet/plan/target.go
+++ b/fleet/plan/target.go
@@ -19,14 +19,13 @@
 	evacuated bool
 	gone      bool
 
-	flights  int
-	unread   fleet.Tokens  // of runs whose first piece has not come
-	pending  int           // runs whose first piece has not come
-	memory   fleet.Tokens  // of runs
-	readyAt  fleet.Instant // when the engine will have read what it was granted
-	cache    *cache
-	link     lane          // for its transfers
-	lastSeen fleet.Instant // last sign of life
+	flights int
+	unread  fleet.Tokens  // of runs whose first piece has not come
+	pending int           // runs whose first piece has not come
+	memory  fleet.Tokens  // of runs
+	readyAt fleet.Instant // when the engine will have read what it was granted
+	cache   *cache
+	link    lane // for its transfers
 
 	failures float64                  // decaying share of answers that failed
 	downTill fleet.Instant            // gets nothing before
@@ -39,8 +38,8 @@
 	ordersAsked fleet.Instant // the engine was asked for them
 }
 
-func newTarget(now fleet.Instant, holders *holders) *target {
-	return &target{lastSeen: now, cache: &cache{holders: holders}}
+func newTarget(holders *holders) *target {
+	return &target{cache: &cache{holders: holders}}
 }
 
 const (
@@ -189,7 +188,7 @@
 
 // seen notes a sign of life.
 func (t *target) seen(now fleet.Instant) {
-	t.lastSeen, t.downFor = now, 0
+	t.downFor = 0
 	t.downTill = min(t.downTill, now)
 }
 
--- a/fleet/roster/roster.go
+++ b/fleet/roster/roster.go
@@ -1,9 +1,8 @@
 // Package roster holds what is known of the targets of a fleet.
 //
 // Targets enter themselves in the platform's store and write there now and
-// then. A Roster is a frozen picture of these entries at one revision. Entries
-// that are gone while the store was out of reach may be live targets whose
-// entry lapsed, which is for Merge to decide.
+// then. Each host decides which entries still count after an outage of the
+// store.
 package roster
 
 import (
--- a/fleet/route/route.go
+++ b/fleet/route/route.go
@@ -102,13 +102,11 @@
 
 // A Service is a set of targets, or one store.
 type Service struct {
-	ID          ServiceID
-	HealthPath  string
-	Connections int // a target accepts from all hosts together
-	ColdTime    time.Duration
-	ColdRate    float64 // requests a second that a cold target bears; zero if it bears all
-	Engine      *Engine // nil for plain services and stores
-	Store       *Store  // nil for targets
+	ID       ServiceID
+	ColdTime time.Duration
+	ColdRate float64 // requests a second that a cold target bears; zero if it bears all
+	Engine   *Engine // nil for plain services and stores
+	Store    *Store  // nil for targets
 }
 
 // Limits bound what a caller may send.
--- a/hibiscusctl/internal/command/command.go
+++ b/hibiscusctl/internal/command/command.go
@@ -19,6 +19,7 @@
 	"hibiscuslb/fleet/cache"
 	"hibiscuslb/fleet/declaration"
 	"hibiscuslb/fleet/operator"
+	"hibiscuslb/hibiscusctl/internal/explain"
 )
 
 // Exit statuses.
@@ -28,6 +29,7 @@
 	exitBadInput = 2 // the declaration or the command line is wrong
 	exitWaiting  = 3 // accepted, not yet in force everywhere
 	exitRace     = 4 // somebody else's change came first
+	exitNoStory  = 5 // no line names the request
 )
 
 // A run is one use of the command line.
@@ -91,13 +93,15 @@
 		c.sub.AddPositionalValue(&r.kind, "kind", 1, true, "DataCentre, Host or Target")
 		c.sub.AddPositionalValue(&r.name, "name", 2, true, "its name")
 	}
+	story := add("explain", "tell the story of a request from the logs of front hosts on standard input", r.explain)
+	story.sub.AddPositionalValue(&r.name, "request", 1, true, "the request's id")
 	hash := add("hash", "print the KeyHash of a caller key", r.hash)
 	hash.sub.AddPositionalValue(&r.name, "key", 1, true, "the caller key")
 	drain.sub.String(&r.reason, "r", "reason", "why, for those who read the exceptions")
 	drain.sub.String(&r.until, "u", "until", "when it ends by itself, such as 2026-12-31T18:00:00Z")
 	return []command{
 		check, diff, apply, drain, undrain,
-		hash,
+		hash, story,
 		add("exceptions", "list the exceptions with their reasons", r.exceptions),
 		add("status", "show hosts and targets", r.status),
 	}
@@ -112,7 +116,10 @@
 	var check *declaration.CheckError
 	var waiting *operator.WaitingError
 	var status *operator.StatusError
+	var unknown *explain.NotFoundError
 	switch {
+	case errors.As(err, &unknown):
+		return exitNoStory
 	case errors.As(err, &check):
 		return exitBadInput
 	case errors.As(err, &waiting):
@@ -136,6 +143,8 @@
 	return client
 }
 
+func (r *run) explain(context.Context) error { return explain.Explain(r.name, os.Stdin, r.out) }
+
 // read parses the files into one document.
 func (r *run) read() (declaration.Document, error) {
 	whole := make(declaration.Document)
--- a/hibiscusd/internal/node/node.go
+++ b/hibiscusd/internal/node/node.go
@@ -259,23 +259,23 @@
 func (n *Node) Handle(ctx context.Context, kind peer.Kind, body cbor.RawMessage, send func(any) error) (any, error) {
 	switch kind {
 	case wire.KindBeat:
-		return answer(body, func(beat lease.Beat) (lease.Grant, error) { return n.control.Beat(ctx, beat), nil })
+		return peer.Answer(body, func(beat lease.Beat) (lease.Grant, error) { return n.control.Beat(ctx, beat), nil })
 	case wire.KindRefuse:
-		return answer(body, func(ask wire.RefuseAsk) (wire.RefuseAnswer, error) {
+		return peer.Answer(body, func(ask wire.RefuseAsk) (wire.RefuseAnswer, error) {
 			return wire.RefuseAnswer{Refused: n.control.Refuse(ctx, ask)}, nil
 		})
 	case wire.KindRead:
-		return answer(body, func(read wire.Read) (wire.Stored, error) {
+		return peer.Answer(body, func(read wire.Read) (wire.Stored, error) {
 			return relay.Serve(ctx, n.direct, &read, nil)
 		})
 	case wire.KindWrite:
-		return answer(body, func(write wire.Write) (wire.Stored, error) {
+		return peer.Answer(body, func(write wire.Write) (wire.Stored, error) {
 			return relay.Serve(ctx, n.direct, nil, &write)
 		})
 	case wire.KindSlot:
-		return answer(body, n.keepers.Slot)
+		return peer.Answer(body, n.keepers.Slot)
 	case wire.KindOrder:
-		return answer(body, func(ask wire.Order) (wire.OrderAnswer, error) { return n.keepers.Order(ctx, &ask) })
+		return peer.Answer(body, func(ask wire.Order) (wire.OrderAnswer, error) { return n.keepers.Order(ctx, &ask) })
 	case wire.KindGenerate:
 		var ask wire.Generate
 		if err := cbor.Unmarshal(body, &ask); err != nil {
@@ -286,16 +286,3 @@
 		return nil, fleet.Refuse(fleet.ReasonMalformed, "unknown kind of request")
 	}
 }
-
-// answer serves a request that has one reply.
-func answer[Ask, Reply any](body cbor.RawMessage, serve func(Ask) (Reply, error)) (any, error) {
-	var ask Ask
-	if err := cbor.Unmarshal(body, &ask); err != nil {
-		return nil, fleet.Refuse(fleet.ReasonMalformed, err.Error())
-	}
-	reply, err := serve(ask)
-	if err != nil {
-		return nil, err
-	}
-	return reply, nil
-}
--- a/hibiscusfront/internal/backend/backend.go
+++ b/hibiscusfront/internal/backend/backend.go
@@ -86,6 +86,11 @@
 	// strayAnswers is how many answers to other requests are skipped.
 	strayAnswers = 3
 	bufferSize   = 4 << 10
+	// shortBody is a body that sockets hold even if the target does not read.
+	shortBody = 2 << 10
+	// reportTime is how long a writer may take to report its end after the
+	// whole answer has come.
+	reportTime = 5 * time.Millisecond
 )
 
 // key keeps connections of different targets at one address apart, since an
@@ -137,7 +142,11 @@
 	}
 	e := &Exchange{pool: p, key: k, conn: c, sent: make(chan error, 1)}
 	e.stop = context.AfterFunc(ctx, func() { _ = c.Close() }) // a second close is harmless
-	go e.write(ctx, r)
+	if len(r.Body) <= shortBody {
+		e.write(ctx, r)
+	} else {
+		go e.write(ctx, r)
+	}
 	if err := e.readHead(r); err != nil {
 		e.Close()
 		if ctx.Err() != nil {
@@ -148,8 +157,8 @@
 	return e, nil
 }
 
-// write sends the request. It runs beside the reading, since a target may
-// answer before it has read a long body. It reports its end on sent.
+// write sends the request. With a long body it runs beside the reading, since a
+// target may answer before it has read it. It reports its end on sent.
 func (e *Exchange) write(_ context.Context, r *Request) {
 	var head bytes.Buffer
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host)
@@ -213,12 +222,15 @@
 	e.pool.keep(e.key, e.conn)
 }
 
-// written reports whether the whole request has been sent.
+// written reports whether the whole request has been sent. The answer may have
+// overtaken the writer's report.
 func (e *Exchange) written() bool {
+	timer := time.NewTimer(reportTime)
+	defer timer.Stop()
 	select {
 	case err := <-e.sent:
 		return err == nil
-	default:
+	case <-timer.C:
 		return false
 	}
 }
--- a/hibiscusfront/internal/backend/backend_test.go
+++ b/hibiscusfront/internal/backend/backend_test.go
@@ -84,8 +84,12 @@
 		}
 	})
 	var pool backend.Pool
-	for i := range 5 {
-		body, err := send(t, &pool, request(address, fmt.Sprint(i)))
+	for i := range 40 {
+		r := request(address, fmt.Sprint(i))
+		if i%2 == 1 {
+			r.Body = make([]byte, 32<<10) // is written beside the reading
+		}
+		body, err := send(t, &pool, r)
 		require.NoError(t, err)
 		require.Equal(t, "h.example/a%2Fb?c=d", body)
 	}
--- a/hibiscusfront/internal/chooser/chooser.go
+++ b/hibiscusfront/internal/chooser/chooser.go
@@ -178,13 +178,9 @@
 	c.tasks.Go(ctx, func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, reportTime)
 		defer cancel()
-		if err := c.Peers.Ask(ctx, holder, wire.KindReports, wire.Reports{Reports: batch}, nil); err != nil && !isEnd(err) {
+		var taken struct{}
+		if err := c.Peers.Ask(ctx, holder, wire.KindReports, wire.Reports{Reports: batch}, &taken); err != nil {
 			c.Log.Debug().Err(err).Int("Reports", len(batch)).Msg("the planner did not take reports")
 		}
 	})
 }
-
-func isEnd(err error) bool {
-	var lost *peer.LostError
-	return errors.As(err, &lost) && lost.Cause != nil && lost.Cause.Error() == "unexpected EOF"
-}
--- /dev/null
+++ b/hibiscusfront/internal/control/beats.go
@@ -0,0 +1,194 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/hibiscusfront/internal/wire"
+)
+
+// Beat serves another host's heartbeat.
+func (c *Control) Beat(ctx context.Context, beat wire.Beat) (wire.Pulse, error) {
+	var pulse wire.Pulse
+	if !c.ask(ctx, func(now fleet.Instant) {
+		if c.members.hosts == nil {
+			c.members.hosts = make(map[fleet.HostID]wire.Host)
+		}
+		if _, ok := c.members.hosts[beat.Host.ID]; !ok {
+			c.members.hosts[beat.Host.ID] = beat.Host // its entry is still to come
+		}
+		if c.members.note(now, beat.Host.ID, beat.Leaving) {
+			c.publish()
+		}
+		pulse = wire.Pulse{
+			Revisions: c.revisions(), Follows: c.follows.Load() && now.Sub(c.contact) < freshTime,
+			Duty: c.duty.Holder(), Revision: c.duty.Revision(), Planning: c.planned,
+		}
+		if pulse.Planning {
+			pulse.Roll = c.roll
+			if beat.Roll != c.roll {
+				pulse.Live = c.rollHosts
+			}
+		}
+		if beat.Revision > 0 {
+			c.duty.Seen(now, beat.Revision, beat.Duty)
+			c.elect(now)
+		}
+		c.catchUp(beat.Host.Peers, beat.Revisions)
+	}) {
+		return pulse, ctx.Err()
+	}
+	return pulse, nil
+}
+
+// Snapshot serves another host's question for the objects of a kind.
+func (c *Control) Snapshot(ctx context.Context, ask wire.Snapshot) (wire.News, error) {
+	var news wire.News
+	if !c.ask(ctx, func(fleet.Instant) {
+		kind, ok := c.kinds[ask.Kind]
+		if !ok {
+			return
+		}
+		if changes, ok := kind.Since(ask.Since); ok && ask.Since > 0 {
+			news.Changes = changes
+			return
+		}
+		news.All, news.Listing = true, kind.Listing()
+	}) {
+		return news, ctx.Err()
+	}
+	return news, nil
+}
+
+func (c *Control) revisions() wire.Revisions {
+	result := make(wire.Revisions, len(c.kinds))
+	for name, kind := range c.kinds {
+		result[name] = kind.Revision()
+	}
+	return result
+}
+
+// gossipShare is how many heartbeats go to the planner for each that goes to
+// another host, too.
+const gossipShare = 4
+
+// freshTime is how old the store's last answer may be at a host that others
+// rely on.
+const freshTime = 1500 * time.Millisecond
+
+// beat sends a heartbeat to the host that plans, and one to a host drawn at
+// random, so that news travels also where the planner is out of reach.
+func (c *Control) beat(ctx context.Context, now fleet.Instant) {
+	if now.Sub(c.pulses.last) < beatTime {
+		return
+	}
+	c.pulses.last = now
+	beat := c.ownBeat()
+	holder := c.duty.Holder()
+	if holder.Holder != "" && holder.Holder != c.Self.ID {
+		c.tasks.Go(ctx, func(ctx context.Context) { c.sendBeat(ctx, holder.Address, beat) })
+	}
+	if c.pulses.count++; c.pulses.count%gossipShare != 0 && now.Sub(c.planner) < quietTime {
+		return
+	}
+	for _, other := range c.drawPeers(1) {
+		if other.ID == holder.Holder {
+			continue
+		}
+		c.tasks.Go(ctx, func(ctx context.Context) { c.sendBeat(ctx, other.Peers, beat) })
+	}
+}
+
+func (c *Control) ownBeat() wire.Beat {
+	return wire.Beat{
+		Host: c.Self, Leaving: c.leaving, Revisions: c.revisions(), Duty: c.duty.Holder(), Revision: c.duty.Revision(),
+		Roll: c.members.roll,
+	}
+}
+
+// announce tells all hosts that this one plans.
+func (c *Control) announce() {
+	beat := c.ownBeat()
+	for _, h := range c.drawPeers(len(c.members.hosts)) {
+		c.tasks.Go(c.life, func(ctx context.Context) { c.sendBeat(ctx, h.Peers, beat) })
+	}
+}
+
+// drawPeers draws up to n other hosts that are not known to be dead.
+func (c *Control) drawPeers(n int) []wire.Host {
+	var others []wire.Host
+	for id, h := range c.members.hosts {
+		if id != c.Self.ID && c.members.beats[id].alive {
+			others = append(others, h)
+		}
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return others[:min(n, len(others))]
+}
+
+func (c *Control) sendBeat(ctx context.Context, address fleet.Address, beat wire.Beat) {
+	ctx, cancel := context.WithTimeout(ctx, aliveTime)
+	defer cancel()
+	var pulse wire.Pulse
+	if err := c.Peers.Ask(ctx, address, wire.KindBeat, beat, &pulse); err != nil {
+		return // whoever misses heartbeats notices it by their absence
+	}
+	c.do(ctx, func(now fleet.Instant) { c.pulse(now, address, pulse) })
+}
+
+// pulse takes the answer to a heartbeat.
+func (c *Control) pulse(now fleet.Instant, from fleet.Address, pulse wire.Pulse) {
+	if pulse.Follows {
+		c.heard = now
+	}
+	if pulse.Revision > 0 {
+		c.duty.Seen(now, pulse.Revision, pulse.Duty)
+		c.elect(now)
+	}
+	if pulse.Planning && pulse.Duty.Epoch >= c.duty.Holder().Epoch {
+		c.planner = now
+		c.members.toldAt = now
+		if c.members.roll != pulse.Roll && pulse.Live != nil {
+			c.members.roll, c.members.told = pulse.Roll, pulse.Live
+			c.publish()
+		}
+	}
+	c.catchUp(from, pulse.Revisions)
+}
+
+// takeNews takes another host's news of a kind.
+func (c *Control) takeNews(now fleet.Instant, ask wire.Snapshot, news wire.News) {
+	if news.All {
+		c.listed(now, ask.Kind, news.Listing)
+		return
+	}
+	kind := c.kinds[ask.Kind]
+	if kind.Revision() != ask.Since {
+		return // something else has come in between; the next heartbeat asks again
+	}
+	if kind.Told(news.Changes) {
+		c.changed(now, ask.Kind)
+	}
+}
+
+// catchUp asks another host for the kinds that it knows a newer revision of.
+func (c *Control) catchUp(from fleet.Address, theirs wire.Revisions) {
+	for name, kind := range c.kinds {
+		if theirs[name] <= kind.Revision() || kind.Fetching(c.Clock()) {
+			continue
+		}
+		ask := wire.Snapshot{Kind: name, Since: kind.Revision()}
+		c.tasks.Go(c.life, func(ctx context.Context) {
+			ctx, cancel := context.WithTimeout(ctx, aliveTime)
+			defer cancel()
+			var news wire.News
+			if err := c.Peers.Ask(ctx, from, wire.KindSnapshot, ask, &news); err != nil {
+				c.Log.Debug().Err(err).Str("From", string(from)).Str("Kind", name).Msg("no news from a peer")
+				return
+			}
+			c.do(ctx, func(now fleet.Instant) { c.takeNews(now, ask, news) })
+		})
+	}
+}
--- a/hibiscusfront/internal/gateway/gateway.go
+++ b/hibiscusfront/internal/gateway/gateway.go
@@ -39,7 +39,7 @@
 // A Gateway serves callers.
 type Gateway struct {
 	Host    fleet.HostID
-	Near    fleet.DataCentreID
+	Near    fleet.DataCentreID // where the host stands
 	View    func() *view.View
 	Chooser Chooser
 	Pool    *backend.Pool
--- a/hibiscusfront/internal/host/host.go
+++ b/hibiscusfront/internal/host/host.go
@@ -17,7 +17,6 @@
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/peer"
-	"hibiscuslb/fleet/plan"
 	"hibiscuslb/fleet/task"
 	"hibiscuslb/hibiscusfront/internal/backend"
 	"hibiscuslb/hibiscusfront/internal/chooser"
@@ -171,7 +170,11 @@
 	for _, host := range h.control.View().Hosts {
 		addresses = append(addresses, host.Callers)
 	}
-	return addresses, addressTTL
+	keep := addressTTL
+	if most := h.settings.Bounds.AddressTTL; most > 0 {
+		keep = min(keep, most)
+	}
+	return addresses, keep
 }
 
 // ready reports whether the host can serve callers.
@@ -217,15 +220,15 @@
 func (h *Host) Handle(ctx context.Context, kind peer.Kind, body cbor.RawMessage, _ func(any) error) (any, error) {
 	switch kind {
 	case wire.KindBeat:
-		return answer(body, func(beat wire.Beat) (wire.Pulse, error) { return h.control.Beat(ctx, beat) })
+		return peer.Answer(body, func(beat wire.Beat) (wire.Pulse, error) { return h.control.Beat(ctx, beat) })
 	case wire.KindSnapshot:
-		return answer(body, func(ask wire.Snapshot) (wire.News, error) { return h.control.Snapshot(ctx, ask) })
+		return peer.Answer(body, func(ask wire.Snapshot) (wire.News, error) { return h.control.Snapshot(ctx, ask) })
 	case wire.KindRenew:
-		return answer(body, func(ask wire.Renew) (wire.Renewed, error) { return h.control.RenewFor(ctx, ask) })
+		return peer.Answer(body, func(ask wire.Renew) (wire.Renewed, error) { return h.control.RenewFor(ctx, ask) })
 	case wire.KindAsk:
-		return answer(body, func(ask wire.Ask) (wire.Verdict, error) { return h.decide(ctx, &ask) })
+		return peer.Answer(body, func(ask wire.Ask) (wire.Verdict, error) { return h.decide(ctx, &ask) })
 	case wire.KindReports:
-		return answer(body, func(r wire.Reports) (struct{}, error) {
+		return peer.Answer(body, func(r wire.Reports) (struct{}, error) {
 			h.planner.Report(ctx, r.Reports)
 			return struct{}{}, nil
 		})
@@ -248,17 +251,3 @@
 
 var _ gateway.Chooser = (*chooser.Chooser)(nil)
 var _ planner.Tenure = (*control.Control)(nil)
-var _ = plan.Begun
-
-// answer serves a message that has one reply.
-func answer[Ask, Reply any](body cbor.RawMessage, serve func(Ask) (Reply, error)) (any, error) {
-	var ask Ask
-	if err := cbor.Unmarshal(body, &ask); err != nil {
-		return nil, fleet.Refuse(fleet.ReasonMalformed, err.Error())
-	}
-	reply, err := serve(ask)
-	if err != nil {
-		return nil, err
-	}
-	return reply, nil
-}
--- a/hibiscusfront/internal/wire/wire.go
+++ b/hibiscusfront/internal/wire/wire.go
@@ -77,13 +77,9 @@
 }
 
 // An Ask asks the planner for a target.
-type Ask struct {
-	Epoch fleet.Epoch // of the planner that is meant
-	Ask   plan.Ask
-}
+type Ask struct{ Ask plan.Ask }
 
-// A Verdict answers an Ask. The epoch makes grant numbers of two planners
-// differ.
+// A Verdict answers an Ask: with a grant, or with the reason for none.
 type Verdict struct {
 	Grant      *plan.Grant
 	Reason     fleet.Reason
