Open the control's inbox before messages can come

Cause: reading the diff: peers are served as soon as the host listens, and a heartbeat could come before Run had made the inbox; it would have waited for nothing. The fields of Control stood in no order.

Change: whoever comes first makes the inbox; fields are grouped by what they serve.

--- a/hibiscusfront/internal/control/control.go
+++ b/hibiscusfront/internal/control/control.go
@@ -15,6 +15,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -84,37 +85,46 @@
 	orderFrom, orderUntil atomic.Int64
 	epoch                 atomic.Uint64
 
-	life    context.Context // of Run, for what outlives the message that began it
-	inbox   chan func(now fleet.Instant)
-	tasks   task.Group
+	follows atomic.Bool // the host watches the store
+	dark    atomic.Bool // the store does not answer
+
+	once  sync.Once
+	life  context.Context // of Run, for what outlives the message that began it
+	inbox chan func(now fleet.Instant)
+	tasks task.Group
+
+	// What the host knows of the store's objects.
 	kinds   map[string]*replica.Kind
+	bad     map[string]fleet.Version // revisions of objects that can not be read
+	contact fleet.Instant            // last answer of the store
+	outage  bool
+
+	// What the host believes by them.
 	table   *route.Table
 	weighed bool // whether weights were read before
 	named   map[fleet.ModelID]wave.Namings
-	bounds  platform.Bounds
 	targets targets
-	duty    tenure.Duty
 	members members
-	pulses  pulses
-	// The list of live hosts that this host tells as the planner.
-	roll      wire.Roll
-	rollHosts []wire.Host
-	leaving   bool
-	writing   bool          // a write of the duty's object is under way
-	planned   bool          // whether Elected was told so
-	elected   fleet.Epoch   // that Elected was told
-	tried     fleet.Instant // when the duty's object was last to be written
-	vacant    fleet.Instant // since when the duty could be taken over
-	bad       map[string]fleet.Version
-	contact   fleet.Instant // last answer of the store
-	outage    bool
-	dark      atomic.Bool   // outage, for other goroutines
-	follows   atomic.Bool   // the host watches the store
+	bounds  platform.Bounds
+	leaving bool
+
+	// The planner's duty.
+	duty    tenure.Duty
+	planned bool          // whether Elected was told that the host plans
+	elected fleet.Epoch   // that Elected was told
+	began   fleet.Instant // of planning
+	writing bool          // a write of the duty's object is under way
+	tried   fleet.Instant // when it was last begun
+	reading bool          // a read of the duty's object is under way
+	looked  fleet.Instant // when it was last begun
+	vacant  fleet.Instant // since when the duty could be taken over
+
+	// Heartbeats.
+	pulses    pulses
 	heard     fleet.Instant // last pulse of a host that watches the store
 	planner   fleet.Instant // last pulse of the planner
-	reading   bool          // the duty's object is being read
-	looked    fleet.Instant // when it was last read
-	began     fleet.Instant // of the own tenure
+	roll      wire.Roll     // of the list of live hosts that this host tells as the planner
+	rollHosts []wire.Host
 }
 
 // View returns the current view; never nil once Run has begun.
@@ -150,7 +160,7 @@
 // Run keeps the state until the context ends.
 func (c *Control) Run(ctx context.Context) {
 	c.life = ctx
-	c.inbox = make(chan func(fleet.Instant), inboxSize)
+	c.open()
 	c.kinds = make(map[string]*replica.Kind)
 	c.bad = make(map[string]fleet.Version)
 	c.named = make(map[fleet.ModelID]wave.Namings)
@@ -177,8 +187,12 @@
 	}
 }
 
+// open makes the inbox: messages may come before Run does.
+func (c *Control) open() { c.once.Do(func() { c.inbox = make(chan func(fleet.Instant), inboxSize) }) }
+
 // do runs f on the control goroutine, unless the context ends first.
 func (c *Control) do(ctx context.Context, f func(now fleet.Instant)) {
+	c.open()
 	select {
 	case c.inbox <- f:
 	case <-ctx.Done():
--- a/hibiscusfront/internal/control/duty.go
+++ b/hibiscusfront/internal/control/duty.go
@@ -71,7 +71,7 @@
 	if !due || !holds && !c.candidate(now) {
 		return
 	}
-	if holds && c.members.rank(c.Self) >= seconds && now.Sub(c.began) > handOverTime {
+	if holds && c.members.rank(c.Self) >= standbys && now.Sub(c.began) > handOverTime {
 		c.Log.Info().Msg("larger hosts are there; giving the planner's duty up")
 		c.resign(ctx, now)
 		return
@@ -85,9 +85,9 @@
 }
 
 const (
-	// seconds is how many hosts stand by to succeed the planner: the largest.
+	// standbys is how many hosts stand by to succeed the planner: the largest.
 	// The others would only add calls and conflicts.
-	seconds = 6
+	standbys = 6
 	// standBackTime is how long all others leave it to them.
 	standBackTime = 1500 * time.Millisecond
 	// handOverTime is how long a host plans that larger ones should succeed.
@@ -97,7 +97,7 @@
 // standBack is how long this host leaves it to others to act when the planner
 // is gone.
 func (c *Control) standBack() time.Duration {
-	if c.members.rank(c.Self) < seconds {
+	if c.members.rank(c.Self) < standbys {
 		return 0
 	}
 	return standBackTime
