--- a/hibiscusfront/internal/soak/site_test.go
+++ b/hibiscusfront/internal/soak/site_test.go
@@ -81,23 +81,31 @@
 	ended   chan struct{} // the keeper of the process has returned
 }
 
+// newPath starts a relay. Another process may take its port between the look and
+// the use; then it tries the next one.
 func newPath(t *testing.T, to string) *path {
 	t.Helper()
-	p := &path{Relay: &link.Relay{Listen: fleet.Address(address(freePorts(t, 1))), Target: fleet.Address(to)}}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- p.Run(ctx) }()
-	select {
-	case err := <-done:
-		cancel()
-		t.Fatalf("relay at %s: %v", p.Listen, err)
-	case <-time.After(20 * time.Millisecond): // it listens
+	const tries = 20
+	var failed error
+	for range tries {
+		p := &path{Relay: &link.Relay{Listen: fleet.Address(address(freePorts(t, 1))), Target: fleet.Address(to)}}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- p.Run(ctx) }()
+		select {
+		case failed = <-done:
+			cancel()
+			continue
+		case <-time.After(20 * time.Millisecond): // it listens
+		}
+		t.Cleanup(func() {
+			cancel()
+			<-done
+		})
+		return p
 	}
-	t.Cleanup(func() {
-		cancel()
-		<-done
-	})
-	return p
+	t.Fatalf("no relay: %v", failed)
+	return nil
 }
 
 func address(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
@@ -106,7 +114,7 @@
 // one between the look and its use. Each process begins elsewhere.
 const firstPort, portCount = 20_000, 12_000
 
-var nextPort = os.Getpid() * 257 % portCount
+var nextPort = os.Getpid() * 1009 % portCount
 
 // freePorts returns the first of n neighbouring ports that are free.
 func freePorts(t *testing.T, n int) int {
