Let relays of the process tests wait for their address

The host's log has no error after "serving": its reads of the platform fail without a line, since its relay does not listen. The relay's error was dropped. A test that starts a process at that moment forks; until the program is loaded, the child holds a copy of each open listener, also of the one by which another test had just found the address free, and the relay's listen fails.

Ruled out: taken ports of hosts (they show as "failed"), outgoing connections (they get other ports), load (it failed idle).

Change: the relay tries again while its address is in use, and a relay that fails for another reason fails the test. The new test holds an address while a relay starts; it is red without the change.

--- a/hibiscusd/internal/proof/fleet_test.go
+++ b/hibiscusd/internal/proof/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -208,13 +209,44 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- relay.Run(ctx) }()
+	go func() {
+		for {
+			err := relay.Run(ctx)
+			// A process that another test starts at this moment holds a copy
+			// of each open listener until its program is loaded, also of the
+			// one by which the address was found to be free.
+			if ctx.Err() != nil || !errors.Is(err, syscall.EADDRINUSE) {
+				ended <- err
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}()
 	t.Cleanup(func() {
 		cancel()
-		<-ended
+		if err := <-ended; err != nil {
+			t.Errorf("relay at %s: %v", relay.Listen, err)
+		}
 	})
 }
 
+// A host whose relay did not listen never became ready.
+func TestARelayWaitsForItsAddress(t *testing.T) {
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer target.Close()
+	address := freeAddress(t)
+	holder, err := net.Listen("tcp", string(address))
+	require.NoError(t, err)
+	runRelay(t, &link.Relay{Listen: address, Target: fleet.Address(target.Addr().String())})
+	time.Sleep(50 * time.Millisecond)
+	require.NoError(t, holder.Close())
+	require.Eventually(t, func() bool {
+		conn, err := net.Dial("tcp", string(address))
+		return err == nil && conn.Close() == nil
+	}, 5*time.Second, 10*time.Millisecond)
+}
+
 // start runs the host's process.
 func (b *bench) start(h *host) {
 	settings := fmt.Sprintf(`[Host]
