Keep one copy of the longest wait, the last rank and the root's hash

Cause: hosts that choose alone had copies of three facts of package plan: how long a request may wait with the planner, the last rank that engines know, and the hash by which requests are brought together. Two copies of one bound can drift apart. The epoch of the own tenure was published for nobody.

Change: package plan offers them, chooser calls them; the unused accessor goes. Behaviour stays as it is.

Ruled out: the shapes that look alike in backend, peer and service: typed errors of three packages that are matched apart.

--- a/fleet/plan/admit.go
+++ b/fleet/plan/admit.go
@@ -33,6 +33,9 @@
 	lateFactor = 2.5
 )
 
+// LongestWait is how long the request may wait with the planner.
+func (a *Ask) LongestWait() time.Duration { return max(0, a.Objective) / waitShare }
+
 type waiter struct {
 	ask   *Ask
 	since fleet.Instant
@@ -57,7 +60,7 @@
 	if v, ok := f.try(now, ask); ok {
 		return v, true
 	}
-	f.waiting = append(f.waiting, &waiter{ask, now, now.Add(max(0, ask.Objective) / waitShare)})
+	f.waiting = append(f.waiting, &waiter{ask, now, now.Add(ask.LongestWait())})
 	return Verdict{}, false
 }
 
@@ -98,7 +101,7 @@
 	f.next++
 	t := o.target
 	g := &Grant{
-		Number: f.next, Target: t.ID, Address: t.Address, Service: ask.Service, Rank: min(ask.Rank, lastRank),
+		Number: f.next, Target: t.ID, Address: t.Address, Service: ask.Service, Rank: min(ask.Rank, LastRank),
 	}
 	fl := &flight{ask: ask, target: t, granted: now, read: o.read, first: o.first, fetch: o.moving}
 	if p := ask.Prompt; p != nil && t.engine() {
@@ -143,8 +146,8 @@
 }
 
 const (
-	// lastRank is the least urgent rank that engines know.
-	lastRank = 9
+	// LastRank is the least urgent rank that engines know.
+	LastRank = 9
 	// readMargin covers the error of the estimate of the engines' clock.
 	readMargin = 300 * time.Millisecond
 )
@@ -211,7 +214,7 @@
 		}
 	}
 	after := max(leastRetry, soonest)
-	return min(after+after*time.Duration(rootHash(ask)%retrySpread)/retrySpread, 2*mostRetry)
+	return min(after+after*time.Duration(ask.RootHash()%retrySpread)/retrySpread, 2*mostRetry)
 }
 
 // retrySpread is how many steps the return of refused callers is spread over.
--- a/fleet/plan/place.go
+++ b/fleet/plan/place.go
@@ -78,7 +78,7 @@
 // best returns the best usable target for a request, and whether there is any
 // that may take it at all.
 func (f *Fleet) best(now fleet.Instant, ask *Ask) (best option, any bool) {
-	root := rootHash(ask)
+	root := ask.RootHash()
 	chains := make(map[uint64]*chain) // by version of the weights
 	for _, t := range f.targets {
 		if t.Service != ask.Service || !t.usable(now) || slices.Contains(ask.Avoid, t.ID) {
@@ -352,11 +352,13 @@
 	return best
 }
 
-func rootHash(ask *Ask) uint64 {
-	if ask.Prompt == nil {
-		return xxhash.Sum64String(string(ask.ID))
+// RootHash is the same for requests that are best brought together: those whose
+// prompts have the same root. Requests without a prompt are spread.
+func (a *Ask) RootHash() uint64 {
+	if a.Prompt == nil {
+		return xxhash.Sum64String(string(a.ID))
 	}
-	return xxhash.Sum64String(string(ask.Prompt.Root()))
+	return xxhash.Sum64String(string(a.Prompt.Root()))
 }
 
 // spread returns a cost between zero and hashSpread that is fixed for a root
--- a/hibiscusfront/internal/chooser/alone.go
+++ b/hibiscusfront/internal/chooser/alone.go
@@ -10,8 +10,6 @@
 	"hibiscuslb/fleet/plan"
 	"hibiscuslb/fleet/roster"
 	"hibiscuslb/hibiscusfront/internal/view"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Alone chooses targets without a planner: by rendezvous hashing over the
@@ -43,9 +41,7 @@
 	if len(usable) == 0 {
 		return plan.Verdict{Ask: ask, Refusal: fleet.RefuseFor(fleet.ReasonNoTarget, noTargetPause)}
 	}
-	root := xxhash.Sum64String(string(ask.ID))
 	if ask.Prompt != nil {
-		root = xxhash.Sum64String(string(ask.Prompt.Root()))
 		// Engines with newer weights go first.
 		slices.SortStableFunc(usable, func(a, b *roster.Target) int {
 			return cmp.Compare(b.Version(ask.Prompt.Model), a.Version(ask.Prompt.Model))
@@ -53,10 +49,10 @@
 		newest := usable[0].Version(ask.Prompt.Model)
 		usable = slices.DeleteFunc(usable, func(t *roster.Target) bool { return t.Version(ask.Prompt.Model) < newest })
 	}
-	ranked := placement.Rank(root, usable, func(t *roster.Target) string { return string(t.ID) },
+	ranked := placement.Rank(ask.RootHash(), usable, func(t *roster.Target) string { return string(t.ID) },
 		func(*roster.Target) float64 { return 1 })
 	t := ranked[0]
-	g := &plan.Grant{Target: t.ID, Address: t.Address, Service: ask.Service, Rank: min(ask.Rank, lastRank)}
+	g := &plan.Grant{Target: t.ID, Address: t.Address, Service: ask.Service, Rank: min(ask.Rank, plan.LastRank)}
 	if ask.Prompt != nil {
 		g.Version = t.Version(ask.Prompt.Model)
 		g.Salt = plan.Salt(ask.Prompt.Model, g.Version, ask.Workspace, ask.Isolated)
@@ -69,6 +65,3 @@
 	version := t.Version(model)
 	return version > 0 && v.Weights[model].Holds(now, version, a.WeightsBound)
 }
-
-// lastRank is the least urgent rank that engines know.
-const lastRank = 9
--- a/hibiscusfront/internal/chooser/chooser.go
+++ b/hibiscusfront/internal/chooser/chooser.go
@@ -23,8 +23,6 @@
 	// answerTime is how long the planner may take to answer beyond the time
 	// for which a request may wait with it.
 	answerTime = 60 * time.Millisecond
-	// waitShare of the objective is the longest wait with the planner.
-	waitShare = 8
 	// shunTime is how long a planner that did not answer is not asked.
 	shunTime = 300 * time.Millisecond
 	// batchTime is how long reports wait for others.
@@ -67,7 +65,7 @@
 	if holder.Holder == "" || c.shuns(holder.Address) {
 		return c.Alone.Choose(c.Clock(), v, ask)
 	}
-	limit := max(0, ask.Objective)/waitShare + answerTime
+	limit := ask.LongestWait() + answerTime
 	asking, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	var verdict plan.Verdict
--- a/hibiscusfront/internal/control/control.go
+++ b/hibiscusfront/internal/control/control.go
@@ -83,7 +83,6 @@
 	// planning without one, and the span in which orders are allowed.
 	until, lame           atomic.Int64
 	orderFrom, orderUntil atomic.Int64
-	epoch                 atomic.Uint64
 
 	follows atomic.Bool // the host watches the store
 	dark    atomic.Bool // the store does not answer
@@ -154,9 +153,6 @@
 // TenureEnd is the end of the own tenure unless it is renewed.
 func (c *Control) TenureEnd() fleet.Instant { return fleet.Instant(c.until.Load()) }
 
-// Epoch is the epoch of the own tenure.
-func (c *Control) Epoch() fleet.Epoch { return fleet.Epoch(c.epoch.Load()) }
-
 // Run keeps the state until the context ends.
 func (c *Control) Run(ctx context.Context) {
 	c.life = ctx
--- a/hibiscusfront/internal/control/duty.go
+++ b/hibiscusfront/internal/control/duty.go
@@ -217,7 +217,6 @@
 	holds := c.duty.Holds(now)
 	if holds {
 		c.until.Store(int64(c.duty.End()))
-		c.epoch.Store(uint64(c.duty.Holder().Epoch))
 		from, until := c.duty.Orders()
 		c.orderFrom.Store(int64(from))
 		c.orderUntil.Store(int64(until))
--- a/hibiscusfront/internal/planner/planner.go
+++ b/hibiscusfront/internal/planner/planner.go
@@ -39,7 +39,6 @@
 	Holds() bool
 	MayOrder() bool
 	TenureEnd() fleet.Instant
-	Epoch() fleet.Epoch
 }
 
 // A Planner plans while its host holds the duty.
