Let a live member end a quarrel with its witness, and tell runs at a cold target apart

A witness that missed heartbeats of a live member wrote Ending and refused its heartbeats of that version. The member wrote itself Active; the witness had still heard no heartbeat since, wrote Ending anew, and so on several times a second without end. A state that the member wrote itself now counts as a sign of life. TestAMemberThatWritesItselfActiveLives replays the quarrel and failed before.

A new keeper took the number of running requests from a report, less its own that had begun before it. A run that had ended at the engine, and whose end the keeper had not heard yet, was subtracted though the number no longer held it, so the new keeper counted too few of its predecessor's and sent a cold engine more than it bears (8 requests beyond the bound in one run, failure_test.go:279). In the same way a cancelled request gave its room back before the engine had noticed. Reports now name their runs, and what was left behind counts until a report shows it gone. The state machine of package target learned both delays and failed before.

Ruled out: answers of the store (no write conflicted), the harness's ports, and waiting for the frozen host's status (its time limit is 5 s).

--- a/fleet/engine/engine.go
+++ b/fleet/engine/engine.go
@@ -66,7 +66,7 @@
 	Version     fleet.WeightVersion
 	Loading     bool
 	Cold        bool
-	Running     int
+	Runs        []Attempt // that it works on
 	Age         time.Duration
 	Events      []Event // since the sequence number asked for
 	Last        uint64  // sequence number of the last event known
--- a/fleet/target/admission.go
+++ b/fleet/target/admission.go
@@ -9,10 +9,12 @@
 //
 // A new keeper does not know what its predecessor left in flight. It admits
 // nothing until a report that was taken after the takeover tells, and counts
-// the remainder until later reports show that it has gone.
+// the remainder until later reports show that it has gone. In the same way it
+// counts a request whose caller has left, or whose connection broke, until a
+// report shows that the target has given it up.
 //
-// Invariant: what the keeper has in flight and what it inherited are together
-// never raised above the limit by an admission.
+// Invariant: what the keeper has in flight, what was left behind and what it
+// inherited are together never raised above the limit by an admission.
 //
 // Waiting requests go by priority, then to the workspace with the least in
 // flight, then by arrival. The queue is bounded, and a request that can not
@@ -28,9 +30,13 @@
 // A TicketID names a request at one admission point.
 type TicketID uint64
 
+// A RunID names a request at its target, over all keepers.
+type RunID string
+
 // A Ticket asks for admission.
 type Ticket struct {
 	ID        TicketID
+	Run       RunID // none at a target that does not report its runs
 	Workspace fleet.WorkspaceID
 	Class     fleet.Class
 	Priority  int           // smaller goes first
@@ -96,10 +102,17 @@
 	Taken       fleet.Instant
 	Incarnation fleet.Incarnation
 	Cold        bool
-	Running     int
+	Runs        []RunID // that the target works on
+}
+
+// leftBehind is a request that ended here and may still run at the target.
+type leftBehind struct {
+	run RunID
+	at  fleet.Instant
 }
 
 type flight struct {
+	run       RunID
 	workspace fleet.WorkspaceID
 	work      time.Duration // that the target has to do before it answers
 	admitted  fleet.Instant
@@ -116,6 +129,7 @@
 	cold        bool
 
 	flights   map[TicketID]*flight
+	left      map[TicketID]leftBehind
 	busy      map[fleet.WorkspaceID]int
 	queue     []Ticket
 	inherited int
@@ -138,8 +152,9 @@
 	a.fall()
 }
 
-// InFlight is how many requests are at the target, inherited ones included.
-func (a *Admission) InFlight() int { return len(a.flights) + a.inherited }
+// InFlight is how many requests are at the target, with those that were left
+// behind or inherited.
+func (a *Admission) InFlight() int { return len(a.flights) + len(a.left) + a.inherited }
 
 // Limit is how many requests the target bears now, as far as is known.
 func (a *Admission) Limit() int { return a.limit }
@@ -151,8 +166,10 @@
 func (a *Admission) Cold() bool { return a.limit <= a.limits.Cold }
 
 // Uncertain reports whether a new report would tell much: the last one said
-// cold, or none has come since a takeover.
-func (a *Admission) Uncertain() bool { return a.cold || a.unproved || a.inherited > 0 }
+// cold, none has come since a takeover, or some requests may still run.
+func (a *Admission) Uncertain() bool {
+	return a.cold || a.unproved || a.inherited > 0 || len(a.left) > 0
+}
 
 func (a *Admission) room() bool {
 	return !a.unproved && a.InFlight() < a.limit &&
@@ -269,7 +286,7 @@
 		a.flights = make(map[TicketID]*flight)
 		a.busy = make(map[fleet.WorkspaceID]int)
 	}
-	a.flights[ticket.ID] = &flight{workspace: ticket.Workspace, work: ticket.Work, admitted: now}
+	a.flights[ticket.ID] = &flight{run: ticket.Run, workspace: ticket.Workspace, work: ticket.Work, admitted: now}
 	a.busy[ticket.Workspace]++
 }
 
@@ -300,11 +317,22 @@
 		a.pace.note(now.Sub(f.admitted))
 		a.prove()
 	case Broken:
+		a.leave(now, id, f)
 		a.fall()
+	case Cancelled:
+		a.leave(now, id, f)
 	}
 	return a.Expire(now)
 }
 
+// leave notes a request whose answer nobody follows any more.
+func (a *Admission) leave(now fleet.Instant, id TicketID, f *flight) {
+	if a.left == nil {
+		a.left = make(map[TicketID]leftBehind)
+	}
+	a.left[id] = leftBehind{run: f.run, at: now}
+}
+
 func (a *Admission) withdraw(id TicketID) {
 	for i, waiting := range a.queue {
 		if waiting.ID == id {
--- a/fleet/target/fuzz_test.go
+++ b/fleet/target/fuzz_test.go
@@ -19,6 +19,7 @@
 	incarnation fleet.Incarnation
 	cold        bool
 	running     map[target.TicketID]bool // at the target, of any keeper
+	unheard     map[target.TicketID]bool // ended well; the present keeper has not heard it
 	ours        map[target.TicketID]bool // admitted by the present keeper
 	waiting     map[target.TicketID]bool
 	started     map[target.TicketID]bool // has begun to be answered
@@ -84,7 +85,7 @@
 func (m *model) offer(t *rapid.T) {
 	m.next++
 	ticket := target.Ticket{
-		ID: m.next, Workspace: fleet.WorkspaceID(fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "workspace"))),
+		ID: m.next, Run: runOf(m.next), Workspace: fleet.WorkspaceID(fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "workspace"))),
 		Priority: rapid.IntRange(0, 2).Draw(t, "priority"),
 	}
 	if rapid.Bool().Draw(t, "deadline") {
@@ -100,6 +101,17 @@
 	m.take(t, m.admission.Expire(m.now))
 }
 
+func runOf(id target.TicketID) target.RunID { return target.RunID(fmt.Sprint(id)) }
+
+// runs is what the target reports to run.
+func (m *model) runs() []target.RunID {
+	var runs []target.RunID
+	for id := range m.running {
+		runs = append(runs, runOf(id))
+	}
+	return runs
+}
+
 func (m *model) draw(t *rapid.T, from map[target.TicketID]bool) (target.TicketID, bool) {
 	var ids []target.TicketID
 	for id := target.TicketID(1); id <= m.next; id++ {
@@ -117,14 +129,27 @@
 	actions := map[string]func(*rapid.T){
 		"": m.check,
 		"end": func(t *rapid.T) {
-			id, ok := m.draw(t, m.running)
-			if !ok {
-				return
+			if id, ok := m.draw(t, m.running); ok {
+				delete(m.running, id)
+				if m.ours[id] {
+					m.unheard[id] = true
+				}
 			}
-			delete(m.running, id)
-			if m.ours[id] {
+		},
+		"hear": func(t *rapid.T) {
+			if id, ok := m.draw(t, m.unheard); ok {
+				delete(m.unheard, id)
+				delete(m.ours, id)
+				result := rapid.SampledFrom([]target.Result{target.Whole, target.Whole, target.Broken}).Draw(t, "result")
+				m.take(t, m.admission.Done(m.now, id, result))
+			}
+		},
+		// The target has not noticed yet that nobody waits for the answer, or
+		// that its connection is broken.
+		"leave": func(t *rapid.T) {
+			if id, ok := m.draw(t, m.ours); ok && !m.unheard[id] {
 				delete(m.ours, id)
-				result := rapid.SampledFrom([]target.Result{target.Whole, target.Whole, target.Broken, target.Cancelled}).Draw(t, "result")
+				result := rapid.SampledFrom([]target.Result{target.Cancelled, target.Broken}).Draw(t, "result")
 				m.take(t, m.admission.Done(m.now, id, result))
 			}
 		},
@@ -142,7 +167,7 @@
 		},
 		"takeReport": func(*rapid.T) {
 			m.reports = append(m.reports, target.Facts{
-				Taken: m.now, Incarnation: m.incarnation, Cold: m.cold, Running: len(m.running),
+				Taken: m.now, Incarnation: m.incarnation, Cold: m.cold, Runs: m.runs(),
 			})
 		},
 		"deliverReport": func(t *rapid.T) {
@@ -160,6 +185,7 @@
 		"newKeeper": func(*rapid.T) {
 			// What the old keeper sent runs on. Nobody waits at the new one.
 			m.ours = make(map[target.TicketID]bool)
+			m.unheard = make(map[target.TicketID]bool)
 			m.waiting = make(map[target.TicketID]bool)
 			m.toldCold = false
 			m.admission = new(target.Admission)
@@ -180,7 +206,8 @@
 		m := &model{
 			now: 1000, limits: target.Limits{Cold: cold, Warm: cold + rapid.IntRange(0, 6).Draw(t, "more"), Queue: 4, Unstarted: 2},
 			incarnation: 1, running: make(map[target.TicketID]bool),
-			ours: make(map[target.TicketID]bool), waiting: make(map[target.TicketID]bool),
+			unheard: make(map[target.TicketID]bool),
+			ours:    make(map[target.TicketID]bool), waiting: make(map[target.TicketID]bool),
 			started:   make(map[target.TicketID]bool),
 			admission: new(target.Admission),
 		}
--- a/fleet/target/ramp.go
+++ b/fleet/target/ramp.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"slices"
 	"time"
 
 	"hibiscuslb/fleet"
@@ -34,6 +35,7 @@
 	}
 	if a.incarnation != 0 {
 		a.fall()
+		clear(a.left)
 	}
 	a.incarnation = incarnation
 }
@@ -45,6 +47,7 @@
 	if facts.Cold {
 		a.fall()
 	}
+	a.settle(facts)
 	if a.unproved && facts.Taken > a.takeover {
 		a.unproved = false
 		a.inherited = a.strangers(facts)
@@ -54,16 +57,33 @@
 	return a.Expire(now)
 }
 
-// strangers is how many of the running requests may be a predecessor's: all
-// but those of our own that were surely running when the report was taken.
+// settle gives back the room of what was left behind and runs no more.
+func (a *Admission) settle(facts Facts) {
+	for id, left := range a.left {
+		if facts.Taken > left.at && !slices.Contains(facts.Runs, left.run) {
+			delete(a.left, id)
+		}
+	}
+}
+
+// strangers is how many of the running requests are a predecessor's. Runs are
+// told apart by their names: their number says nothing, since a run that has
+// ended at the target may still be a flight here.
 func (a *Admission) strangers(facts Facts) int {
-	own := 0
+	own := make(map[RunID]bool, len(a.flights)+len(a.left))
 	for _, f := range a.flights {
-		if f.started != 0 && f.started < facts.Taken {
-			own++
+		own[f.run] = true
+	}
+	for _, left := range a.left {
+		own[left.run] = true
+	}
+	strangers := 0
+	for _, run := range facts.Runs {
+		if !own[run] {
+			strangers++
 		}
 	}
-	return max(0, facts.Running-own)
+	return strangers
 }
 
 // pace is a moving average of how long requests stay at the target.
--- a/hibiscusd/internal/control/ending.go
+++ b/hibiscusd/internal/control/ending.go
@@ -60,10 +60,11 @@
 	case member.Panel.Index(c.Host.ID) < 0:
 		return false
 	}
-	heard, ok := c.witness.Silence(lease.Seat{Host: member.Host, Incarnation: member.Incarnation})
-	if !ok {
-		heard = max(c.started, c.seenAt[member.Host])
-	}
+	heard, _ := c.witness.Silence(lease.Seat{Host: member.Host, Incarnation: member.Incarnation})
+	// A state other than Ending was written by the member itself, which shows
+	// it alive as a heartbeat does. Without that, a witness that has refused a
+	// member's heartbeats would end it again before it could hear the next one.
+	heard = max(heard, c.started, c.seenAt[member.Host])
 	return now.Sub(heard) > c.suspectTime()
 }
 
--- /dev/null
+++ b/hibiscusd/internal/control/ending_test.go
@@ -0,0 +1,47 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/lease"
+)
+
+// TestAMemberThatWritesItselfActiveLives replays the quarrel of a witness that
+// missed some heartbeats with a member that is alive: each write of Ending
+// refused the heartbeats of the version before, so the member's next write of
+// Active found a witness that had still heard nothing, and was met by Ending
+// again, several times a second and without end.
+func TestAMemberThatWritesItselfActiveLives(t *testing.T) {
+	terms := lease.Terms{Length: 2 * time.Second, Margin: 500 * time.Millisecond, Drift: 0.01}
+	var now fleet.Instant
+	c := &Control{Host: Host{ID: "witness"}, Terms: terms, Clock: func() fleet.Instant { return now }}
+	c.init()
+	seat := lease.Seat{Host: "member", Incarnation: 1}
+	write := func(version fleet.Version, state lease.State) *lease.Member {
+		member := &lease.Member{
+			Host: seat.Host, Incarnation: seat.Incarnation, State: state, Panel: lease.Panel{{Host: "witness", Incarnation: 1}},
+		}
+		c.seeMember(version, member)
+		return member
+	}
+	c.witness.Self.Incarnation = 1
+	write(1, lease.Active)
+	require.True(t, c.witness.Grant(now, lease.Beat{Seat: seat, Version: 1}).Granted)
+
+	now = now.Add(c.suspectTime() + c.beatTime())
+	require.True(t, c.silent(now, c.members["member"]), "no heartbeat for longer than the suspect time")
+	ending := write(2, lease.Ending)
+	c.witness.Refuse(now, ending, 2)
+
+	now = now.Add(c.beatTime())
+	active := write(3, lease.Active)
+	require.False(t, c.silent(now, active), "the member has just written its own object")
+	require.False(t, c.silent(now.Add(c.suspectTime()), active), "a renewal counts as long as a heartbeat")
+
+	now = now.Add(c.suspectTime() + c.beatTime())
+	require.True(t, c.silent(now, active), "neither heartbeat nor renewal")
+}
--- a/hibiscusd/internal/keeper/generate.go
+++ b/hibiscusd/internal/keeper/generate.go
@@ -109,7 +109,7 @@
 func (j *job) ticket() target.Ticket {
 	work := j.prompt.Compute(j.prompt.Resident)
 	ticket := target.Ticket{
-		Workspace: j.ask.Workspace, Class: j.ask.Class, Priority: j.ask.Priority,
+		Run: target.RunID(j.ask.Attempt), Workspace: j.ask.Workspace, Class: j.ask.Class, Priority: j.ask.Priority,
 		Deadline: j.deadline, Work: work,
 	}
 	if !j.ask.Last {
--- a/hibiscusd/internal/keeper/keeper.go
+++ b/hibiscusd/internal/keeper/keeper.go
@@ -142,10 +142,11 @@
 		k.version = report.Version
 		k.learn(&report)
 	}
-	k.deliver(k.admission.Report(k.set.Clock(), target.Facts{
-		Taken:       taken,
-		Incarnation: report.Incarnation, Cold: report.Cold, Running: report.Running,
-	}))
+	facts := target.Facts{Taken: taken, Incarnation: report.Incarnation, Cold: report.Cold}
+	for _, attempt := range report.Runs {
+		facts.Runs = append(facts.Runs, target.RunID(attempt))
+	}
+	k.deliver(k.admission.Report(k.set.Clock(), facts))
 }
 
 func (k *Keeper) assume() {
--- a/standin/modelengine/engine.go
+++ b/standin/modelengine/engine.go
@@ -14,6 +14,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -78,11 +80,10 @@
 	version   fleet.WeightVersion
 	loading   bool
 	coldUntil time.Time
-	running   int
 	blocks    map[cache.Key]*entry
 	tick      uint64
 	fence     fleet.Epoch
-	cancels   map[engine.Attempt]context.CancelFunc
+	cancels   map[engine.Attempt]context.CancelFunc // of what runs
 	counts    Counts
 	events    []engine.Event
 	sequence  uint64
@@ -141,13 +142,12 @@
 	}
 	e.counts.Requests++
 	if time.Now().Before(e.coldUntil) {
-		e.counts.PeakCold = max(e.counts.PeakCold, e.running+1)
-		if e.running >= e.config.ColdBound {
+		e.counts.PeakCold = max(e.counts.PeakCold, len(e.cancels)+1)
+		if len(e.cancels) >= e.config.ColdBound {
 			e.counts.Overloads++
 			return false, errOverload
 		}
 	}
-	e.running++
 	e.cancels[request.Attempt] = cancel
 	return false, nil
 }
@@ -155,7 +155,6 @@
 func (e *Engine) end(request *engine.Request, whole bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.running--
 	delete(e.cancels, request.Attempt)
 	if whole {
 		e.counts.Whole++
@@ -281,7 +280,7 @@
 		e.reported = now
 		e.report = engine.Report{
 			Incarnation: e.config.Incarnation, Version: e.version, Loading: e.loading,
-			Cold: now.Before(e.coldUntil), Running: e.running, Last: e.sequence,
+			Cold: now.Before(e.coldUntil), Runs: slices.Collect(maps.Keys(e.cancels)), Last: e.sequence,
 			Events: append([]engine.Event(nil), e.events...),
 		}
 	}
