--- a/fleet/edition/edition.go
+++ b/fleet/edition/edition.go
@@ -24,14 +24,14 @@
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/declaration"
-	"hibiscuslb/fleet/platform"
+	"hibiscuslb/fleet/record"
 )
 
 // Names of objects in the platform.
 const (
-	HeadName   platform.Name = "Control/Declaration/Head"
-	changeName platform.Name = "Declaration/Change/"
-	partName   platform.Name = "Declaration/Part/"
+	HeadName   record.Name = "Control/Declaration/Head"
+	changeName record.Name = "Declaration/Change/"
+	partName   record.Name = "Declaration/Part/"
 )
 
 const (
@@ -109,9 +109,9 @@
 
 // Load reads the declaration in force. From is what the caller has already,
 // or nil; only what is missing is read.
-func Load(ctx context.Context, client platform.Client, from *Edition) (*Edition, error) {
+func Load(ctx context.Context, client record.Client, from *Edition) (*Edition, error) {
 	object, err := client.Read(ctx, HeadName)
-	var absent *platform.NotFoundError
+	var absent *record.NotFoundError
 	if errors.As(err, &absent) {
 		return &Edition{Document: declaration.Document{}}, nil
 	}
@@ -123,7 +123,7 @@
 
 // Advance brings an edition up to the state of a head object. A head that is
 // older than the edition is ignored.
-func Advance(ctx context.Context, client platform.Client, from *Edition, object platform.Object) (*Edition, error) {
+func Advance(ctx context.Context, client record.Client, from *Edition, object record.Object) (*Edition, error) {
 	if from != nil && object.Version <= from.seen {
 		return from, nil
 	}
@@ -155,7 +155,7 @@
 	return next, nil
 }
 
-func loadParts(ctx context.Context, client platform.Client, head Head) (declaration.Document, error) {
+func loadParts(ctx context.Context, client record.Client, head Head) (declaration.Document, error) {
 	document := make(declaration.Document)
 	for part := range head.Parts {
 		object, err := client.Read(ctx, partOf(head.BaseID, part))
@@ -175,13 +175,13 @@
 
 // partOf names a part by the change of its writer, since writers that race may
 // fold the same number into different snapshots.
-func partOf(base declaration.ChangeID, part int) platform.Name {
-	return partName + platform.Name(fmt.Sprintf("%s/%d", base, part))
+func partOf(base declaration.ChangeID, part int) record.Name {
+	return partName + record.Name(fmt.Sprintf("%s/%d", base, part))
 }
 
-func loadChange(ctx context.Context, client platform.Client, id declaration.ChangeID) (declaration.Change, error) {
+func loadChange(ctx context.Context, client record.Client, id declaration.ChangeID) (declaration.Change, error) {
 	var change declaration.Change
-	object, err := client.Read(ctx, changeName+platform.Name(id))
+	object, err := client.Read(ctx, changeName+record.Name(id))
 	if err != nil {
 		return change, err
 	}
@@ -195,7 +195,7 @@
 // returns the edition that it makes. The result is checked first: an error
 // may be a *declaration.CheckError, a *RaceError, a *DoubtError, or one of
 // the platform's before anything took effect.
-func Accept(ctx context.Context, client platform.Client, seen *Edition, change *declaration.Change, now time.Time) (*Edition, error) {
+func Accept(ctx context.Context, client record.Client, seen *Edition, change *declaration.Change, now time.Time) (*Edition, error) {
 	document := seen.Document.Apply(change)
 	if _, err := declaration.Build(document, now); err != nil {
 		return nil, err
@@ -218,7 +218,7 @@
 // store writes the change, and if it is due a snapshot, and returns the head
 // that names them. A change of many sections would not fit into an object and
 // is written as a snapshot only.
-func store(ctx context.Context, client platform.Client, seen *Head, change *declaration.Change, document declaration.Document) (Head, error) {
+func store(ctx context.Context, client record.Client, seen *Head, change *declaration.Change, document declaration.Document) (Head, error) {
 	head := *seen
 	head.Number++
 	large := len(change.Put)+len(change.Drop) > partSections
@@ -230,7 +230,7 @@
 	if err != nil {
 		return head, fmt.Errorf("edition: %w", err)
 	}
-	if err := create(ctx, client, changeName+platform.Name(change.ID), value); err != nil {
+	if err := create(ctx, client, changeName+record.Name(change.ID), value); err != nil {
 		return head, err
 	}
 	head.Changes = append(slices.Clone(head.Changes), change.ID)
@@ -249,9 +249,9 @@
 
 // create writes an object that must not exist. Its name is unique to the
 // writer, so an object that exists is the writer's own, written before.
-func create(ctx context.Context, client platform.Client, name platform.Name, value []byte) error {
+func create(ctx context.Context, client record.Client, name record.Name, value []byte) error {
 	_, err := client.Write(ctx, name, value, 0)
-	var conflict *platform.ConflictError
+	var conflict *record.ConflictError
 	if errors.As(err, &conflict) {
 		return nil
 	}
@@ -259,7 +259,7 @@
 }
 
 // fold writes the document as a snapshot, which the head names from then on.
-func fold(ctx context.Context, client platform.Client, head *Head, id declaration.ChangeID, document declaration.Document) error {
+func fold(ctx context.Context, client record.Client, head *Head, id declaration.ChangeID, document declaration.Document) error {
 	head.Base, head.BaseID, head.Parts = head.Number, id, 0
 	for chunk := range slices.Chunk(document.Sorted(), partSections) {
 		value, err := cbor.Marshal(chunk)
@@ -276,10 +276,10 @@
 
 // settle finds out what became of a change whose head write failed or got no
 // answer.
-func settle(ctx context.Context, client platform.Client, seen *Edition, change *declaration.Change, cause error) (*Edition, error) {
+func settle(ctx context.Context, client record.Client, seen *Edition, change *declaration.Change, cause error) (*Edition, error) {
 	current, err := Load(ctx, client, seen)
 	if err != nil {
-		var conflict *platform.ConflictError
+		var conflict *record.ConflictError
 		if errors.As(cause, &conflict) {
 			return nil, cause
 		}
@@ -298,7 +298,7 @@
 // Race returns the error for a change whose author has read an edition that is
 // no longer in force. It names the first change that came in between, if that
 // is still listed.
-func Race(ctx context.Context, client platform.Client, read Number, current *Edition) *RaceError {
+func Race(ctx context.Context, client record.Client, read Number, current *Edition) *RaceError {
 	race := &RaceError{Read: read, Current: current.Number}
 	if changes, ok := current.head.since(read); ok && len(changes) > 0 {
 		// Without it the error is less helpful and as true.
--- a/fleet/edition/edition_test.go
+++ b/fleet/edition/edition_test.go
@@ -14,7 +14,7 @@
 	"hibiscuslb/fleet/declaration"
 	"hibiscuslb/fleet/edition"
 	"hibiscuslb/fleet/fuzzing"
-	"hibiscuslb/fleet/platform"
+	"hibiscuslb/fleet/record"
 )
 
 func class(name, priority string) declaration.Section {
@@ -78,7 +78,7 @@
 // heal ends all faults and settles a change in doubt.
 func (r *race) heal(t *rapid.T) {
 	r.service.lose, r.service.blind = false, false
-	r.service.SetFault(platform.Healthy)
+	r.service.SetFault(record.Healthy)
 	if r.doubt != nil && r.load(t, nil).Contains(r.doubt.ID) {
 		r.record(r.doubt)
 	}
@@ -128,7 +128,7 @@
 				r.applied[node] = r.load(t, r.applied[node])
 			},
 			"restart": func(t *rapid.T) { r.applied[rapid.IntRange(0, 1).Draw(t, "node")] = nil },
-			"down":    func(*rapid.T) { r.service.SetFault(platform.Down) },
+			"down":    func(*rapid.T) { r.service.SetFault(record.Down) },
 			"lose":    func(*rapid.T) { r.service.lose = true },
 			"blind":   func(*rapid.T) { r.service.lose, r.service.blind = true, true },
 			"heal":    r.heal,
@@ -139,7 +139,7 @@
 
 func TestRaceNamesTheOtherChange(t *testing.T) {
 	ctx := context.Background()
-	var service platform.Memory
+	var service record.Memory
 	seen, err := edition.Load(ctx, &service, nil)
 	require.NoError(t, err)
 	first := declaration.Change{ID: "first", Author: "nimal", Put: []declaration.Section{class("a", "1")}}
@@ -167,29 +167,29 @@
 // losing loses the answers of writes of the head. When it is blind, it serves
 // no read either after such a write.
 type losing struct {
-	platform.Memory
+	record.Memory
 	lose, blind, dark bool
 }
 
-func (l *losing) Read(ctx context.Context, name platform.Name) (platform.Object, error) {
+func (l *losing) Read(ctx context.Context, name record.Name) (record.Object, error) {
 	if l.dark && l.blind {
-		return platform.Object{}, &platform.UnknownError{Name: name, Cause: platform.ErrDown}
+		return record.Object{}, &record.UnknownError{Name: name, Cause: record.ErrDown}
 	}
 	return l.Memory.Read(ctx, name)
 }
 
-func (l *losing) Write(ctx context.Context, name platform.Name, value []byte, seen fleet.Version) (fleet.Version, error) {
+func (l *losing) Write(ctx context.Context, name record.Name, value []byte, seen fleet.Version) (fleet.Version, error) {
 	version, err := l.Memory.Write(ctx, name, value, seen)
 	l.dark = l.lose && name == edition.HeadName
 	if l.dark {
-		return 0, &platform.UnknownError{Name: name, Cause: platform.ErrDown}
+		return 0, &record.UnknownError{Name: name, Cause: record.ErrDown}
 	}
 	return version, err
 }
 
 func TestSnapshotsOfLargeDeclarations(t *testing.T) {
 	ctx := context.Background()
-	var service platform.Memory
+	var service record.Memory
 	current, err := edition.Load(ctx, &service, nil)
 	require.NoError(t, err)
 	large := declaration.Change{ID: "large"}
@@ -207,7 +207,7 @@
 	listing, err := service.List(ctx, "")
 	require.NoError(t, err)
 	for _, object := range listing.Objects {
-		require.Less(t, fleet.Bytes(len(object.Value)), platform.ValueLimit, object.Name)
+		require.Less(t, fleet.Bytes(len(object.Value)), record.ValueLimit, object.Name)
 	}
 	fresh, err := edition.Load(ctx, &service, nil)
 	require.NoError(t, err)
--- a/fleet/order/fuzz_test.go
+++ b/fleet/order/fuzz_test.go
@@ -12,29 +12,29 @@
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/fuzzing"
 	"hibiscuslb/fleet/order"
-	"hibiscuslb/fleet/platform"
+	"hibiscuslb/fleet/record"
 )
 
-// delayed is an object service on which writes may be held back: the writer
+// delayed is an object store on which writes may be held back: the writer
 // gets no answer, and the write takes effect later or never.
 type delayed struct {
-	platform.Memory
+	record.Memory
 	hold  bool
 	held  []func()
 	reads bool // reads fail too
 }
 
-func (d *delayed) Write(ctx context.Context, name platform.Name, value []byte, seen fleet.Version) (fleet.Version, error) {
+func (d *delayed) Write(ctx context.Context, name record.Name, value []byte, seen fleet.Version) (fleet.Version, error) {
 	if !d.hold {
 		return d.Memory.Write(ctx, name, value, seen)
 	}
 	d.held = append(d.held, func() { _, _ = d.Memory.Write(ctx, name, value, seen) })
-	return 0, &platform.UnknownError{Name: name, Cause: platform.ErrDown}
+	return 0, &record.UnknownError{Name: name, Cause: record.ErrDown}
 }
 
-func (d *delayed) Read(ctx context.Context, name platform.Name) (platform.Object, error) {
+func (d *delayed) Read(ctx context.Context, name record.Name) (record.Object, error) {
 	if d.reads {
-		return platform.Object{}, &platform.UnknownError{Name: name, Cause: platform.ErrDown}
+		return record.Object{}, &record.UnknownError{Name: name, Cause: record.ErrDown}
 	}
 	return d.Memory.Read(ctx, name)
 }
@@ -139,9 +139,9 @@
 			"finish":  func(*rapid.T) { f.record(order.Finish) },
 			"release": func(*rapid.T) { f.record(order.Release) },
 			"restart": func(t *rapid.T) { f.restart(rapid.IntRange(0, 2).Draw(t, "process")) },
-			"healthy": func(*rapid.T) { f.service.SetFault(platform.Healthy); f.service.hold, f.service.reads = false, false },
-			"down":    func(*rapid.T) { f.service.SetFault(platform.Down) },
-			"lose":    func(*rapid.T) { f.service.SetFault(platform.LoseAnswers) },
+			"healthy": func(*rapid.T) { f.service.SetFault(record.Healthy); f.service.hold, f.service.reads = false, false },
+			"down":    func(*rapid.T) { f.service.SetFault(record.Down) },
+			"lose":    func(*rapid.T) { f.service.SetFault(record.LoseAnswers) },
 			"hold":    func(*rapid.T) { f.service.hold = true },
 			"blind":   func(*rapid.T) { f.service.reads = true },
 			"land": func(t *rapid.T) {
@@ -158,7 +158,7 @@
 }
 
 func TestLogChainsSegmentsAndTrims(t *testing.T) {
-	var service platform.Memory
+	var service record.Memory
 	log := &order.Log{Client: &service, Retention: time.Hour}
 	claims := func(from, to int) {
 		for n := from; n < to; n++ {
@@ -194,7 +194,7 @@
 // TestOldAnswersAreReadFromTheirSegments repeats a key whose answer is no
 // longer in memory.
 func TestOldAnswersAreReadFromTheirSegments(t *testing.T) {
-	var service platform.Memory
+	var service record.Memory
 	log := &order.Log{Client: &service}
 	ctx := context.Background()
 	entry := func(kind order.Kind, n int) order.Entry {
@@ -215,7 +215,7 @@
 			}
 		}
 	}
-	service.SetFault(platform.Down)
+	service.SetFault(record.Down)
 	repeat := entry(order.Claim, 0)
 	repeat.Attempt = "again"
 	if result := log.Commit(ctx, []order.Entry{repeat})[0]; result.Verdict != order.Failed || !result.Earlier.Finished {
@@ -226,7 +226,7 @@
 // TestManyFinishedKeysAreRemembered fills several runs of the archive, with
 // keys that finish again after they were forgotten elsewhere.
 func TestManyFinishedKeysAreRemembered(t *testing.T) {
-	var service platform.Memory
+	var service record.Memory
 	log := &order.Log{Client: &service}
 	ctx := context.Background()
 	const keys = 20_000
@@ -261,7 +261,7 @@
 func BenchmarkIndex(b *testing.B) {
 	for b.Loop() {
 		const keys = 560_000
-		var service platform.Memory
+		var service record.Memory
 		log := &order.Log{Client: &service}
 		ctx := context.Background()
 		batch := make([]order.Entry, 0, 200)
@@ -276,7 +276,7 @@
 			}
 		}
 		log.Client = nil
-		service = platform.Memory{}
+		service = record.Memory{}
 		runtime.GC()
 		var stats runtime.MemStats
 		runtime.ReadMemStats(&stats)
--- a/fleet/order/log.go
+++ b/fleet/order/log.go
@@ -9,7 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"hibiscuslb/fleet"
-	"hibiscuslb/fleet/platform"
+	"hibiscuslb/fleet/record"
 	"hibiscuslb/fleet/task"
 )
 
@@ -25,7 +25,7 @@
 // The zero value with its first two fields set is ready; it reads the log on
 // first use.
 type Log struct {
-	Client    platform.Client
+	Client    record.Client
 	Shard     Shard
 	Retention time.Duration // how long a key is remembered; zero for ever
 
@@ -235,8 +235,8 @@
 
 // read reads so many segments from the last known one on, and returns those
 // that exist, up to the first that does not.
-func (l *Log) read(ctx context.Context, ahead int) ([]platform.Object, error) {
-	objects := make([]platform.Object, ahead)
+func (l *Log) read(ctx context.Context, ahead int) ([]record.Object, error) {
+	objects := make([]record.Object, ahead)
 	errs := make([]error, ahead)
 	var reads task.Group
 	for i := range ahead {
@@ -246,7 +246,7 @@
 	}
 	reads.Wait()
 	for i, err := range errs {
-		var absent *platform.NotFoundError
+		var absent *record.NotFoundError
 		if errors.As(err, &absent) {
 			return objects[:i], nil
 		}
@@ -258,7 +258,7 @@
 }
 
 // follow takes the next object of the chain.
-func (l *Log) follow(object platform.Object) error {
+func (l *Log) follow(object record.Object) error {
 	if object.Version <= l.version {
 		l.loaded = true // nothing new
 		return nil
@@ -274,7 +274,7 @@
 
 func (l *Log) start(ctx context.Context) error {
 	object, err := l.Client.Read(ctx, firstName(l.Shard))
-	var absent *platform.NotFoundError
+	var absent *record.NotFoundError
 	if err != nil && !errors.As(err, &absent) {
 		return err
 	}
--- a/fleet/order/order.go
+++ b/fleet/order/order.go
@@ -26,7 +26,7 @@
 	"github.com/zeebo/blake3"
 
 	"hibiscuslb/fleet"
-	"hibiscuslb/fleet/platform"
+	"hibiscuslb/fleet/record"
 )
 
 // A Key is the hash of a workspace, a service and an idempotency key.
@@ -96,14 +96,14 @@
 }
 
 // segmentName returns the name of a shard's segment.
-func segmentName(shard Shard, number uint64) platform.Name {
-	return platform.Name(fmt.Sprintf("Orders/%d/Segment/%d", shard, number))
+func segmentName(shard Shard, number uint64) record.Name {
+	return record.Name(fmt.Sprintf("Orders/%d/Segment/%d", shard, number))
 }
 
 // firstName returns the name of the object that holds the number of a shard's
 // first segment.
-func firstName(shard Shard) platform.Name {
-	return platform.Name(fmt.Sprintf("Orders/%d/First", shard))
+func firstName(shard Shard) record.Name {
+	return record.Name(fmt.Sprintf("Orders/%d/First", shard))
 }
 
 // Verdict is what became of an entry that was to be committed.
--- a/fleet/plan/admit.go
+++ b/fleet/plan/admit.go
@@ -51,8 +51,10 @@
 	}
 	if ask.Repeat {
 		if !f.mayRepeat(now, s) {
+			f.count.RepeatsRefused++
 			return refused(ask, fleet.ReasonRetryBudget, leastRetry), true
 		}
+		f.count.Repeats++
 		s.repeats.add(now)
 	} else {
 		s.arrived.add(now)
--- a/fleet/plan/cache.go
+++ b/fleet/plan/cache.go
@@ -133,6 +133,9 @@
 	Fetched fleet.Tokens
 	Kept    fleet.Tokens // found in the engine's own cache
 	Unsaved uint64       // parts for which no store had room
+
+	Repeats        uint64 // requests that were sent to a second target
+	RepeatsRefused uint64 // beyond the retry budget
 }
 
 // String formats the count for logs.
--- a/fleet/platform/memory.go
+++ b/fleet/record/memory.go
@@ -1,4 +1,4 @@
-package platform
+package record
 
 import (
 	"context"
@@ -24,9 +24,9 @@
 )
 
 // ErrDown is the cause of errors that a Memory with a fault reports.
-var ErrDown = errors.New("object service is down")
+var ErrDown = errors.New("object store is down")
 
-// Memory is an object service in memory, for the stand-in and for tests. The
+// Memory is an object store in memory, for tests. The
 // zero value is empty and healthy.
 type Memory struct {
 	mu       sync.Mutex
--- a/fleet/platform/platform.go
+++ b/fleet/record/record.go
@@ -1,6 +1,9 @@
-// Package platform binds hibiscuslb to the platform's object service.
+// Package record is what the project keeps in the platform's object store: named
+// values, written under conditions.
 //
-// The service keeps named objects. Every write gives its object a version
+// Module platform binds a Client to the store; Memory serves tests.
+//
+// The store keeps named objects. Every write gives its object a version
 // that is larger than every version given before, over all objects. A write
 // is conditional on the version that the writer has seen; zero stands for
 // "does not exist". What the system must keep or agree on goes through such
@@ -10,9 +13,7 @@
 // ConflictError says that the write provably had no effect, and an
 // UnknownError says that it may have had one. A caller that meets the second
 // reads back before it concludes anything.
-//
-// This is the only package that knows how the service is spoken to.
-package platform
+package record
 
 import (
 	"context"
@@ -25,8 +26,9 @@
 // Name is the name of an object. Its parts are separated by slashes.
 type Name string
 
-// ValueLimit is the largest value that the service holds.
-const ValueLimit fleet.Bytes = 1 << 20
+// ValueLimit is the largest value of an object: the store holds 1 MB, in which a
+// value takes a third more than its length.
+const ValueLimit fleet.Bytes = 700 << 10
 
 // An Object is a value with the version that its last write gave it.
 type Object struct {
@@ -60,7 +62,7 @@
 // A NotFoundError reports that there is no object of the name.
 type NotFoundError struct{ Name Name }
 
-func (e *NotFoundError) Error() string { return fmt.Sprintf("platform: no object %s", e.Name) }
+func (e *NotFoundError) Error() string { return fmt.Sprintf("record: no object %s", e.Name) }
 
 // A ConflictError reports that a conditional write had no effect because the
 // object has another version than the writer had seen.
@@ -71,7 +73,7 @@
 }
 
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("platform: write of %s at version %d met version %d", e.Name, e.Seen, e.Current)
+	return fmt.Sprintf("record: write of %s at version %d met version %d", e.Name, e.Seen, e.Current)
 }
 
 // An UnknownError reports that a call got no answer. A write may have taken
@@ -82,7 +84,7 @@
 }
 
 func (e *UnknownError) Error() string {
-	return fmt.Sprintf("platform: no answer for %s: %v", e.Name, e.Cause)
+	return fmt.Sprintf("record: no answer for %s: %v", e.Name, e.Cause)
 }
 
 // Unwrap returns the cause.
--- a/fleet/wave/wave.go
+++ b/fleet/wave/wave.go
@@ -63,6 +63,10 @@
 	Refused
 )
 
+func (r Result) String() string {
+	return []string{"no answer", "accepted", "holds", "not sent", "refused"}[r]
+}
+
 type phase uint8
 
 const (
--- a/hibiscusd/internal/control/configuration.go
+++ b/hibiscusd/internal/control/configuration.go
@@ -13,21 +13,21 @@
 	"hibiscuslb/fleet/duty"
 	"hibiscuslb/fleet/edition"
 	"hibiscuslb/fleet/lease"
-	"hibiscuslb/fleet/platform"
+	"hibiscuslb/fleet/record"
 	"hibiscuslb/fleet/task"
 )
 
 // Names of the control objects, which every host watches.
 const (
-	controlPrefix platform.Name = "Control/"
-	memberPrefix  platform.Name = "Control/Member/"
-	bookPrefix    platform.Name = "Control/Duties/"
+	controlPrefix record.Name = "Control/"
+	memberPrefix  record.Name = "Control/Member/"
+	bookPrefix    record.Name = "Control/Duties/"
 )
 
 // MemberName returns the name of a host's member object.
-func MemberName(host fleet.HostID) platform.Name { return memberPrefix + platform.Name(host) }
+func MemberName(host fleet.HostID) record.Name { return memberPrefix + record.Name(host) }
 
-func bookName(centre fleet.DataCentreID) platform.Name { return bookPrefix + platform.Name(centre) }
+func bookName(centre fleet.DataCentreID) record.Name { return bookPrefix + record.Name(centre) }
 
 // watch follows the control objects until the context ends. It runs beside the
 // control goroutine.
@@ -35,7 +35,7 @@
 	var since fleet.Version
 	listed := false
 	for ctx.Err() == nil {
-		var listing platform.Listing
+		var listing record.Listing
 		var err error
 		if listed {
 			listing, err = c.Direct.Watch(ctx, controlPrefix, since, watchWait)
@@ -51,7 +51,7 @@
 	}
 }
 
-func (c *Control) follow(ctx context.Context, listing platform.Listing) {
+func (c *Control) follow(ctx context.Context, listing record.Listing) {
 	for _, object := range listing.Objects {
 		if object.Name == edition.HeadName {
 			c.load(ctx, object)
@@ -61,7 +61,7 @@
 }
 
 // load brings the edition up to a head object and posts it.
-func (c *Control) load(ctx context.Context, head platform.Object) {
+func (c *Control) load(ctx context.Context, head record.Object) {
 	from := make(chan *edition.Edition, 1)
 	c.post(ctx, askEdition{from})
 	select {
@@ -111,7 +111,7 @@
 }
 
 // listed is a set of control objects that were read or watched.
-type listed struct{ listing platform.Listing }
+type listed struct{ listing record.Listing }
 
 func (e listed) handle(_ context.Context, c *Control) {
 	for _, object := range e.listing.Objects {
@@ -121,7 +121,7 @@
 }
 
 // see takes one member or book object, unless it is older than what is known.
-func (c *Control) see(object platform.Object) {
+func (c *Control) see(object record.Object) {
 	name := string(object.Name)
 	switch {
 	case strings.HasPrefix(name, string(memberPrefix)):
--- a/hibiscusd/internal/control/control.go
+++ b/hibiscusd/internal/control/control.go
@@ -15,7 +15,7 @@
 	"hibiscuslb/fleet/edition"
 	"hibiscuslb/fleet/lease"
 	"hibiscuslb/fleet/peer"
-	"hibiscuslb/fleet/platform"
+	"hibiscuslb/fleet/record"
 	"hibiscuslb/fleet/task"
 )
 
@@ -47,8 +47,8 @@
 type Control struct {
 	Host     Host
 	Terms    lease.Terms
-	Platform platform.Client // reaches the platform, through others if need be
-	Direct   platform.Client // reaches the platform directly, for watches
+	Platform record.Client // reaches the platform, through others if need be
+	Direct   record.Client // reaches the platform directly, for watches
 	Pool     *peer.Pool
 	Clock    fleet.Clock
 	Log      zerolog.Logger
--- a/hibiscusd/internal/control/duties.go
+++ b/hibiscusd/internal/control/duties.go
@@ -12,7 +12,7 @@
 	"hibiscuslb/fleet/duty"
 	"hibiscuslb/fleet/edition"
 	"hibiscuslb/fleet/lease"
-	"hibiscuslb/fleet/platform"
+	"hibiscuslb/fleet/record"
 )
 
 // readHead fetches the head of the configuration and loads what it names.
@@ -112,8 +112,8 @@
 	c.start(ctx, callName("book "+centre), func(ctx context.Context) event {
 		version, err := c.Platform.Write(ctx, bookName(centre), value, seen)
 		if err == nil {
-			object := platform.Object{Name: bookName(centre), Version: version, Value: value}
-			return listed{platform.Listing{Objects: []platform.Object{object}}}
+			object := record.Object{Name: bookName(centre), Version: version, Value: value}
+			return listed{record.Listing{Objects: []record.Object{object}}}
 		}
 		// Whoever won the race, or whether the write took effect, shows in the
 		// object.
@@ -121,7 +121,7 @@
 		if err != nil {
 			return nil
 		}
-		return listed{platform.Listing{Objects: []platform.Object{object}}}
+		return listed{record.Listing{Objects: []record.Object{object}}}
 	})
 }
 
--- a/hibiscusd/internal/control/membership.go
+++ b/hibiscusd/internal/control/membership.go
@@ -8,7 +8,7 @@
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/lease"
-	"hibiscuslb/fleet/platform"
+	"hibiscuslb/fleet/record"
 	"hibiscuslb/hibiscusd/internal/wire"
 )
 
@@ -35,7 +35,7 @@
 	}
 	c.start(ctx, callMember, func(ctx context.Context) event {
 		object, err := c.Platform.Read(ctx, MemberName(c.Host.ID))
-		var absent *platform.NotFoundError
+		var absent *record.NotFoundError
 		if err != nil && !errors.As(err, &absent) {
 			return nil
 		}
@@ -44,7 +44,7 @@
 }
 
 // memberRead is the own member object as it is before registration.
-type memberRead struct{ object platform.Object }
+type memberRead struct{ object record.Object }
 
 func (e memberRead) handle(ctx context.Context, c *Control) {
 	var old lease.Member
@@ -124,7 +124,7 @@
 		if err != nil {
 			return nil
 		}
-		return listed{platform.Listing{Objects: []platform.Object{object}}}
+		return listed{record.Listing{Objects: []record.Object{object}}}
 	})
 }
 
--- a/hibiscusd/internal/keeper/ledger.go
+++ b/hibiscusd/internal/keeper/ledger.go
@@ -9,14 +9,14 @@
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/order"
-	"hibiscuslb/fleet/platform"
+	"hibiscuslb/fleet/record"
 	"hibiscuslb/fleet/task"
 )
 
 // A Ledger writes the order logs of this host's shards. Each shard has one
 // goroutine; what arrives while a write is under way goes into the next one.
 type Ledger struct {
-	Client    platform.Client
+	Client    record.Client
 	Retention time.Duration
 
 	mu     sync.Mutex
--- a/hibiscusd/internal/node/node.go
+++ b/hibiscusd/internal/node/node.go
@@ -17,7 +17,7 @@
 	"hibiscuslb/fleet/lease"
 	"hibiscuslb/fleet/meter"
 	"hibiscuslb/fleet/peer"
-	"hibiscuslb/fleet/platform"
+	"hibiscuslb/fleet/record"
 	"hibiscuslb/fleet/task"
 	"hibiscuslb/fleet/traffic"
 	"hibiscuslb/hibiscusd/internal/control"
@@ -26,6 +26,7 @@
 	"hibiscuslb/hibiscusd/internal/operate"
 	"hibiscuslb/hibiscusd/internal/relay"
 	"hibiscuslb/hibiscusd/internal/wire"
+	"hibiscuslb/platform"
 )
 
 // A Node is one host's process. Make one with New.
@@ -33,7 +34,8 @@
 	settings *Settings
 	log      zerolog.Logger
 	clock    fleet.Clock
-	direct   *platform.HTTPClient
+	store    *platform.Store
+	direct   record.Client // the store, without help of other hosts
 	client   *relay.Client
 	pool     *peer.Pool
 	control  *control.Control
@@ -47,7 +49,8 @@
 // New puts a node together. It does nothing until Run.
 func New(s *Settings, log zerolog.Logger) *Node {
 	n := &Node{settings: s, log: log, clock: fleet.MonotonicClock(), metrics: new(meter.Metrics)}
-	n.direct = &platform.HTTPClient{Address: s.Platform, Timeout: s.PlatformTime}
+	n.store = &platform.Store{Address: s.Platform, Timeout: s.PlatformTime}
+	n.direct = &platform.Records{Store: n.store}
 	n.pool = &peer.Pool{Key: s.FleetKey}
 	n.client = &relay.Client{Direct: n.direct, Pool: n.pool, Peers: n.peers}
 	n.control = &control.Control{
@@ -89,13 +92,14 @@
 func (n *Node) show() {
 	n.metrics.Show("Platform", func() any {
 		return struct{ Reads, Writes, Watches uint64 }{
-			n.direct.Reads.Load(), n.direct.Writes.Load(), n.direct.Watches.Load(),
+			n.store.Calls.Total(platform.StoreRead) + n.store.Calls.Total(platform.StoreList),
+			n.store.Calls.Total(platform.StoreWrite), n.store.Calls.Total(platform.StoreWatch),
 		}
 	})
 	n.metrics.Show("Peers", func() any {
 		return bytesOf(&n.pool.Traffic)
 	})
-	n.metrics.Show("PlatformBytes", func() any { return bytesOf(&n.direct.Traffic) })
+	n.metrics.Show("PlatformBytes", func() any { return bytesOf(&n.store.Traffic) })
 	n.metrics.Show("TargetBytes", func() any { return bytesOf(engine.Traffic()) })
 	n.metrics.Show("Goroutines", func() any { return runtime.NumGoroutine() })
 	n.metrics.Show("Targets", func() any { return n.keepers.Statuses() })
--- a/hibiscusd/internal/operate/operate.go
+++ b/hibiscusd/internal/operate/operate.go
@@ -20,7 +20,7 @@
 	"hibiscuslb/fleet/declaration"
 	"hibiscuslb/fleet/edition"
 	"hibiscuslb/fleet/meter"
-	"hibiscuslb/fleet/platform"
+	"hibiscuslb/fleet/record"
 	"hibiscuslb/hibiscusd/internal/control"
 	"hibiscuslb/hibiscusd/internal/keeper"
 )
@@ -29,7 +29,7 @@
 type Server struct {
 	Control  *control.Control
 	Keepers  *keeper.Set
-	Platform platform.Client
+	Platform record.Client
 	Metrics  *meter.Metrics
 	Key      string
 	Log      zerolog.Logger
@@ -113,7 +113,7 @@
 
 func (s *Server) apply(w http.ResponseWriter, r *http.Request) {
 	var ask contract.Apply
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, int64(platform.ValueLimit)*8)).Decode(&ask); err != nil {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, int64(record.ValueLimit)*8)).Decode(&ask); err != nil {
 		reply(w, http.StatusBadRequest, contract.Failure{Detail: err.Error()})
 		return
 	}
--- a/hibiscusd/internal/proof/failure_test.go
+++ b/hibiscusd/internal/proof/failure_test.go
@@ -13,9 +13,9 @@
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/caller"
-	"hibiscuslb/fleet/platform"
 	"hibiscuslb/standin/link"
 	"hibiscuslb/standin/modelengine"
+	"hibiscuslb/standin/prepared"
 	"hibiscuslb/standin/script"
 )
 
@@ -76,7 +76,7 @@
 	b := newBench(t, 3)
 	load := b.startLoad(4, 10)
 	load.awaitMore(10)
-	b.platform.Memory.SetFault(platform.Down)
+	b.platform.SetFault(prepared.Down)
 	outage := time.Now()
 	// Far longer than a lease, so that service can not rest on the platform.
 	b.eventually("three leases have passed", func() bool { return time.Since(outage) > 3*leaseLength })
@@ -89,7 +89,7 @@
 	require.Zero(t, b.service.Counts().Calls, "a refusal that says not run is true")
 	_, err = b.caller.Order(context.Background(), caller.Order{Model: "ledger", Operation: "stock", Body: []byte("x")})
 	require.NoError(t, err, "a repeatable call needs no claim")
-	b.platform.Memory.SetFault(platform.Healthy)
+	b.platform.SetFault(prepared.Healthy)
 	b.eventually("the order runs when the platform is back", func() bool {
 		_, err := b.caller.Order(context.Background(), caller.Order{Model: "ledger", Operation: "book", Key: "outage-1", Body: []byte("x")})
 		return err == nil
@@ -123,10 +123,10 @@
 		}
 	}
 	faults := map[int]func(){
-		10: func() { b.platform.Memory.SetFault(platform.LoseAnswers) },
-		20: func() { b.platform.Memory.SetFault(platform.Down) },
-		25: func() { b.platform.Memory.SetFault(platform.LoseAnswers) },
-		30: func() { b.platform.Memory.SetFault(platform.Healthy) },
+		10: func() { b.platform.SetFault(prepared.LoseAnswers) },
+		20: func() { b.platform.SetFault(prepared.Down) },
+		25: func() { b.platform.SetFault(prepared.LoseAnswers) },
+		30: func() { b.platform.SetFault(prepared.Healthy) },
 		40: func() {
 			victim, _ := b.keeperOf("ledger-1")
 			victim.signal(syscall.SIGKILL)
@@ -185,7 +185,7 @@
 	b.awaitService()
 	load := b.startLoad(8, 200)
 	load.awaitMore(10)
-	b.eventually("answers are on their way", func() bool { return b.engines[3].Report(0).Running > 1 })
+	b.eventually("answers are on their way", func() bool { return len(b.engines[3].Report(0).Runs) > 1 })
 	relay.SetMode(link.Silent)
 	load.awaitEach()
 	relay.SetMode(link.Pass)
@@ -262,7 +262,7 @@
 	b.engine.ColdTime = time.Hour
 	b.startEngine(0, 100)
 	long := b.startLoad(24, 1500)
-	b.eventually("the cold engine is full", func() bool { return b.engines[0].Report(0).Running == coldBound })
+	b.eventually("the cold engine is full", func() bool { return len(b.engines[0].Report(0).Runs) == coldBound })
 	frozen, epoch := b.keeperOf("answer-0")
 	frozen.signal(syscall.SIGSTOP)
 	short := b.startLoad(4, 5)
--- a/hibiscusd/internal/proof/fleet_test.go
+++ b/hibiscusd/internal/proof/fleet_test.go
@@ -25,8 +25,8 @@
 	"hibiscuslb/fleet/operator"
 	"hibiscuslb/standin/link"
 	"hibiscuslb/standin/modelengine"
-	"hibiscuslb/standin/objectservice"
 	"hibiscuslb/standin/plainservice"
+	"hibiscuslb/standin/prepared"
 	"hibiscuslb/standin/storehost"
 )
 
@@ -92,7 +92,7 @@
 type bench struct {
 	t        *testing.T
 	dir      string
-	platform objectservice.Service
+	platform prepared.Store
 	access   server
 	engines  [4]*modelengine.Engine
 	engineAt [4]server
@@ -307,7 +307,9 @@
 // fails.
 func (b *bench) eventually(what string, holds func() bool) {
 	b.t.Helper()
+	began := time.Now()
 	require.Eventually(b.t, holds, waitLimit, 50*time.Millisecond, what)
+	b.t.Logf("%s after %v", what, time.Since(began).Round(time.Millisecond))
 }
 
 func (b *bench) awaitReady(hosts ...*host) {
--- a/hibiscusd/internal/relay/relay.go
+++ b/hibiscusd/internal/relay/relay.go
@@ -14,18 +14,18 @@
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/peer"
-	"hibiscuslb/fleet/platform"
+	"hibiscuslb/fleet/record"
 	"hibiscuslb/hibiscusd/internal/wire"
 )
 
 // A Client is a platform client that falls back to other hosts.
 type Client struct {
-	Direct platform.Client
+	Direct record.Client
 	Pool   *peer.Pool
 	Peers  func() []fleet.Address // hosts to fall back to, best first
 }
 
-var _ platform.Client = (*Client)(nil)
+var _ record.Client = (*Client)(nil)
 
 const (
 	peersTried   = 2
@@ -34,12 +34,12 @@
 
 // noAnswer reports whether the error leaves open what the platform did.
 func noAnswer(err error) bool {
-	var unknown *platform.UnknownError
+	var unknown *record.UnknownError
 	return errors.As(err, &unknown)
 }
 
-// Read implements platform.Client.
-func (c *Client) Read(ctx context.Context, name platform.Name) (platform.Object, error) {
+// Read implements record.Client.
+func (c *Client) Read(ctx context.Context, name record.Name) (record.Object, error) {
 	object, err := c.Direct.Read(ctx, name)
 	if !noAnswer(err) {
 		return object, err
@@ -49,14 +49,14 @@
 	case !ok:
 		return object, err
 	case stored.Absent:
-		return object, &platform.NotFoundError{Name: name}
+		return object, &record.NotFoundError{Name: name}
 	default:
 		return stored.Object, nil
 	}
 }
 
-// Write implements platform.Client.
-func (c *Client) Write(ctx context.Context, name platform.Name, value []byte, seen fleet.Version) (fleet.Version, error) {
+// Write implements record.Client.
+func (c *Client) Write(ctx context.Context, name record.Name, value []byte, seen fleet.Version) (fleet.Version, error) {
 	version, err := c.Direct.Write(ctx, name, value, seen)
 	if !noAnswer(err) {
 		return version, err
@@ -71,19 +71,19 @@
 	}
 }
 
-// Delete implements platform.Client. It has no fallback: nothing waits for it.
-func (c *Client) Delete(ctx context.Context, name platform.Name, seen fleet.Version) error {
+// Delete implements record.Client. It has no fallback: nothing waits for it.
+func (c *Client) Delete(ctx context.Context, name record.Name, seen fleet.Version) error {
 	return c.Direct.Delete(ctx, name, seen)
 }
 
-// List implements platform.Client, without a fallback.
-func (c *Client) List(ctx context.Context, prefix platform.Name) (platform.Listing, error) {
+// List implements record.Client, without a fallback.
+func (c *Client) List(ctx context.Context, prefix record.Name) (record.Listing, error) {
 	return c.Direct.List(ctx, prefix)
 }
 
-// Watch implements platform.Client, without a fallback: hosts hear from their
+// Watch implements record.Client, without a fallback: hosts hear from their
 // witnesses when there is something new.
-func (c *Client) Watch(ctx context.Context, prefix platform.Name, since fleet.Version, wait time.Duration) (platform.Listing, error) {
+func (c *Client) Watch(ctx context.Context, prefix record.Name, since fleet.Version, wait time.Duration) (record.Listing, error) {
 	return c.Direct.Watch(ctx, prefix, since, wait)
 }
 
@@ -103,7 +103,7 @@
 }
 
 // Serve answers another host's call with this host's direct client.
-func Serve(ctx context.Context, direct platform.Client, read *wire.Read, write *wire.Write) (wire.Stored, error) {
+func Serve(ctx context.Context, direct record.Client, read *wire.Read, write *wire.Write) (wire.Stored, error) {
 	var stored wire.Stored
 	var err error
 	if read != nil {
@@ -111,8 +111,8 @@
 	} else {
 		stored.Object.Version, err = direct.Write(ctx, write.Name, write.Value, write.Seen)
 	}
-	var absent *platform.NotFoundError
-	var conflict *platform.ConflictError
+	var absent *record.NotFoundError
+	var conflict *record.ConflictError
 	switch {
 	case errors.As(err, &absent):
 		return wire.Stored{Absent: true}, nil
--- a/hibiscusd/internal/wire/wire.go
+++ b/hibiscusd/internal/wire/wire.go
@@ -11,7 +11,7 @@
 	"hibiscuslb/fleet/engine"
 	"hibiscuslb/fleet/lease"
 	"hibiscuslb/fleet/peer"
-	"hibiscuslb/fleet/platform"
+	"hibiscuslb/fleet/record"
 )
 
 // The kinds of requests between hosts.
@@ -35,18 +35,18 @@
 type RefuseAnswer struct{ Refused bool }
 
 // Read asks a host to read an object of the platform.
-type Read struct{ Name platform.Name }
+type Read struct{ Name record.Name }
 
 // Write asks a host to write an object of the platform.
 type Write struct {
-	Name  platform.Name
+	Name  record.Name
 	Value []byte
 	Seen  fleet.Version
 }
 
 // Stored is the platform's answer to a Read or Write.
 type Stored struct {
-	Object   platform.Object
+	Object   record.Object
 	Absent   bool
 	Conflict bool
 }
--- a/hibiscusfront/internal/gateway/gateway.go
+++ b/hibiscusfront/internal/gateway/gateway.go
@@ -50,8 +50,14 @@
 	Closing func() bool
 }
 
-// A Meter counts ends of requests.
+// A Meter counts what becomes of requests.
 type Meter interface {
+	// Chosen tells how long it took to choose a target, with the time for
+	// which the request had to wait.
+	Chosen(workspace fleet.WorkspaceID, route string, took time.Duration)
+	// Sent tells of a request that goes to a target: for the first time or
+	// again, chosen by the planner or by this host alone.
+	Sent(repeat, planned bool)
 	Ended(workspace fleet.WorkspaceID, route string, status int, reason fleet.Reason, first, total time.Duration)
 }
 
@@ -209,7 +215,9 @@
 		if refusal := c.expired(); refusal != nil {
 			return refusal
 		}
+		asked := time.Now()
 		verdict := c.Chooser.Choose(c.ctx, c.view, c.ask())
+		c.Meter.Chosen(c.workspaceID(), c.route.Name, time.Since(asked))
 		if verdict.Refusal != nil {
 			verdict.Refusal.Outcome = c.outcome
 			return verdict.Refusal
@@ -255,6 +263,7 @@
 	c.tried = append(c.tried, g.Target)
 	request := c.request(g)
 	// Sends is counted before: from here on the target may run the request.
+	c.Meter.Sent(c.sends > 0, g.Number != 0)
 	c.sends++
 	before := c.outcome
 	c.outcome = fleet.Unknown
@@ -337,6 +346,14 @@
 		Uint64("Grant", uint64(g.Number)).Int("Tried", len(c.tried)).Stringer("Outcome", c.outcome).AnErr("Cause", err).Msg(what)
 }
 
+// workspaceID returns the workspace's name, none on a public route.
+func (c *call) workspaceID() fleet.WorkspaceID {
+	if c.workspace == nil {
+		return ""
+	}
+	return c.workspace.ID
+}
+
 // end logs and counts the end of a request.
 func (c *call) end() {
 	total := time.Since(c.began)
@@ -344,10 +361,7 @@
 	if c.route != nil {
 		name = c.route.Name
 	}
-	var workspace fleet.WorkspaceID
-	if c.workspace != nil {
-		workspace = c.workspace.ID
-	}
+	workspace := c.workspaceID()
 	c.Meter.Ended(workspace, name, c.status, c.reason, c.first, total)
 	event := c.Log.Info()
 	if c.reason == "" && c.status < http.StatusBadRequest {
--- a/hibiscusfront/internal/gateway/gateway_test.go
+++ b/hibiscusfront/internal/gateway/gateway_test.go
@@ -56,6 +56,9 @@
 
 type noMeter struct{}
 
+func (noMeter) Chosen(fleet.WorkspaceID, string, time.Duration) {}
+func (noMeter) Sent(bool, bool)                                 {}
+
 func (noMeter) Ended(fleet.WorkspaceID, string, int, fleet.Reason, time.Duration, time.Duration) {}
 
 // bench is a gateway between a caller and scripted targets.
--- a/hibiscusfront/internal/host/host.go
+++ b/hibiscusfront/internal/host/host.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -67,6 +68,8 @@
 	serving  task.Group
 	failed   chan error
 
+	// MetricsPort is where the metrics are served; zero picks a free port.
+	MetricsPort int
 	// DroppedLines tells how many log lines were dropped; nil if none can be.
 	DroppedLines func() int64
 	file         string // of the settings
@@ -75,15 +78,17 @@
 
 // New returns a host that has not started.
 func New(settings platform.Settings, log zerolog.Logger) *Host {
-	h := &Host{settings: settings, log: log, clock: clock.Boot(), failed: make(chan error, listeners), meter: newMeters()}
+	h := &Host{settings: settings, log: log, clock: clock.Boot(), failed: make(chan error, listeners)}
 	h.control = &control.Control{
-		Settings: settings, Store: platform.NewStore(settings.Store), Peers: &h.peers, Clock: h.clock, Log: log,
+		Settings: settings, Store: &platform.Store{Address: settings.Store}, Peers: &h.peers, Clock: h.clock, Log: log,
 		Self: wire.Host{
 			ID: settings.Host, DataCentre: settings.DataCentre, Callers: settings.Callers, Peers: settings.Peers,
 			Incarnation: fleet.Incarnation(time.Now().UnixNano()), Cores: settings.Cores, Link: settings.Link,
 		},
 	}
 	h.planner = planner.New(settings.Host, settings.Bounds, platform.NewTargets(), h.control, h.clock, log)
+	h.meter = newMeters(&h.planner.Ordered)
+	h.meter.refresh = h.count
 	h.chooser = chooser.New(settings.Host, h.planner, &h.peers, h.clock, log)
 	h.chooser.Alone.WeightsBound = settings.Bounds.Weights
 	h.gateway = &gateway.Gateway{
@@ -130,7 +135,7 @@
 	return err
 }
 
-// listeners is how many addresses a host listens at.
+// listeners is how many addresses a host listens at, with that of its metrics.
 const listeners = 5
 
 func (h *Host) listen(ctx context.Context) ([]*http.Server, error) {
@@ -145,7 +150,6 @@
 		{&http.Server{Handler: platform.Directory(h.resolve), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}, h.settings.Directory},
 		{&http.Server{Handler: platform.Readiness(h.ready), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}, h.settings.Readiness},
 		{&http.Server{Handler: &peer.Server{Handler: h}, ReadHeaderTimeout: headerTime}, h.settings.Peers},
-		{&http.Server{Handler: h.meter.handler(), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}, h.settings.Metrics},
 	}
 	var servers []*http.Server
 	for _, l := range list {
@@ -155,15 +159,39 @@
 		}
 		l.server.BaseContext = func(net.Listener) context.Context { return ctx }
 		servers = append(servers, l.server)
-		h.serving.Go(ctx, func(context.Context) {
-			if err := l.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-				h.failed <- err
-			}
-		})
+		h.serve(ctx, l.server, listener)
+	}
+	if metrics := h.listenMetrics(ctx); metrics != nil {
+		servers = append(servers, metrics)
 	}
 	return servers, nil
 }
 
+func (h *Host) serve(ctx context.Context, server *http.Server, listener net.Listener) {
+	h.serving.Go(ctx, func(context.Context) {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			h.failed <- err
+		}
+	})
+}
+
+// listenMetrics serves the metrics. A host whose port is taken serves callers
+// without them.
+func (h *Host) listenMetrics(ctx context.Context) *http.Server {
+	address := net.JoinHostPort(h.settings.IP, strconv.Itoa(h.MetricsPort))
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		h.log.Error().Err(err).Str("Address", address).Msg("metrics are not served")
+		return nil
+	}
+	server := &http.Server{
+		Handler: h.meter.handler(), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime,
+		BaseContext: func(net.Listener) context.Context { return ctx },
+	}
+	h.serve(ctx, server, listener)
+	return server
+}
+
 // resolve answers a caller that asks for addresses.
 func (h *Host) resolve(platform.Lookup) ([]fleet.Address, time.Duration) {
 	var addresses []fleet.Address
--- a/hibiscusfront/internal/host/meters.go
+++ b/hibiscusfront/internal/host/meters.go
@@ -1,70 +1,141 @@
 package host
 
 import (
-	"encoding/json"
-	"fmt"
+	"expvar"
 	"net/http"
-	"sync"
+	"runtime"
+	"strconv"
 	"time"
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/meter"
 	"hibiscuslb/hibiscusfront/internal/gateway"
+	"hibiscuslb/platform"
 )
 
-// meters counts the ends of requests, by workspace and route.
+// meters are a host's counters and histograms. Those of a request are kept
+// here; what other parts count themselves is copied when somebody reads.
 type meters struct {
-	first, total meter.Histograms
+	first, total, planned meter.Histograms // by workspace and route
+	ended, refused, sent  meter.Counter
+	orders                *meter.Counter // of the planner
+	calls, tokens, state  meter.Counter
 
-	mu      sync.Mutex
-	ends    map[int]uint64 // by status; zero for broken connections
-	reasons map[fleet.Reason]uint64
+	// refresh copies what other parts count.
+	refresh func()
+	vars    expvar.Map
 }
 
 var _ gateway.Meter = (*meters)(nil)
 
-func newMeters() *meters {
-	return &meters{ends: make(map[int]uint64), reasons: make(map[fleet.Reason]uint64)}
+func newMeters(orders *meter.Counter) *meters {
+	m := &meters{
+		ended:   meter.Counter{Name: "RequestsEnded", Labels: []string{"Status", "Route"}},
+		refused: meter.Counter{Name: "RequestsRefused", Labels: []string{"Reason", "Route"}},
+		sent:    meter.Counter{Name: "RequestsSent", Labels: []string{"Try", "Chooser"}},
+		orders:  orders,
+		calls:   meter.Counter{Name: "StoreCalls", Labels: []string{"Operation", "Result"}},
+		tokens:  meter.Counter{Name: "Planned", Labels: []string{"What"}},
+		state:   meter.Counter{Name: "State", Labels: []string{"What"}},
+	}
+	for _, c := range m.counters() {
+		m.vars.Set(c.Name, c)
+	}
+	for name, h := range m.histograms() {
+		m.vars.Set(name, expvar.Func(func() any { return h.Summaries() }))
+	}
+	m.vars.Set("memstats", expvar.Get("memstats"))
+	return m
+}
+
+func (m *meters) counters() []*meter.Counter {
+	return []*meter.Counter{&m.ended, &m.refused, &m.sent, m.orders, &m.calls, &m.tokens, &m.state}
+}
+
+func (m *meters) histograms() map[string]*meter.Histograms {
+	return map[string]*meter.Histograms{"FirstPiece": &m.first, "Total": &m.total, "Choice": &m.planned}
 }
 
 // Ended implements gateway.Meter.
 func (m *meters) Ended(workspace fleet.WorkspaceID, route string, status int, reason fleet.Reason, first, total time.Duration) {
-	series := meter.Series{Workspace: workspace, Class: fleet.Class(route)}
-	if reason == "" && status < http.StatusBadRequest {
+	m.ended.Add(1, strconv.Itoa(status), route)
+	if reason != "" {
+		m.refused.Add(1, string(reason), route)
+		return
+	}
+	if status < http.StatusBadRequest {
+		series := meter.Series{Workspace: workspace, Class: fleet.Class(route)}
 		m.first.Record(series, first)
 		m.total.Record(series, total)
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.ends[status]++
-	if reason != "" {
-		m.reasons[reason]++
+}
+
+// Chosen implements gateway.Meter.
+func (m *meters) Chosen(workspace fleet.WorkspaceID, route string, took time.Duration) {
+	m.planned.Record(meter.Series{Workspace: workspace, Class: fleet.Class(route)}, took)
+}
+
+// Sent implements gateway.Meter.
+func (m *meters) Sent(repeat, planned bool) {
+	try, chooser := "first", "host"
+	if repeat {
+		try = "repeat"
+	}
+	if planned {
+		chooser = "planner"
 	}
+	m.sent.Add(1, try, chooser)
 }
 
-// handler serves the counters as text and, at the usual path of expvar, as
-// JSON.
+// handler serves the values as text and, at the usual path of expvar, as JSON.
 func (m *meters) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		for status, n := range m.ends {
-			fmt.Fprintf(w, "requests_ended_total{status=\"%d\"} %d\n", status, n)
-		}
-		for reason, n := range m.reasons {
-			fmt.Fprintf(w, "requests_refused_total{reason=%q} %d\n", reason, n)
+		m.refresh()
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		for _, c := range m.counters() {
+			c.WriteText(w)
 		}
-		for name, s := range m.first.Summaries() {
-			fmt.Fprintf(w, "first_piece_seconds{series=%q,quantile=\"0.5\"} %g\n", name, s.P50.Seconds())
-			fmt.Fprintf(w, "first_piece_seconds{series=%q,quantile=\"0.99\"} %g\n", name, s.P99.Seconds())
+		for name, h := range m.histograms() {
+			h.WriteText(w, name)
 		}
 	})
 	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
-		// A reader that has gone needs no answer.
-		_ = json.NewEncoder(w).Encode(struct{ First, Total map[string]meter.Summary }{
-			m.first.Summaries(), m.total.Summaries(),
-		})
+		m.refresh()
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		_, _ = w.Write([]byte(m.vars.String())) // a reader that has gone needs no answer
 	})
 	return mux
 }
+
+// count copies into the meters what other parts of the host count.
+func (h *Host) count() {
+	h.control.Store.Calls.Each(func(operation platform.StoreOperation, result platform.StoreResult, n uint64) {
+		h.meter.calls.Set(int64(n), operation.String(), result.String())
+	})
+	granted := h.planner.Count()
+	for what, n := range map[string]int64{
+		"Grants": int64(granted.Grants), "Repeats": int64(granted.Repeats), "RepeatsOverBudget": int64(granted.RepeatsRefused),
+		"TokensRead": int64(granted.Read), "TokensReadAgain": int64(granted.Reread), "TokensFetched": int64(granted.Fetched),
+		"TokensKept": int64(granted.Kept), "PartsUnsaved": int64(granted.Unsaved),
+	} {
+		h.meter.tokens.Set(n, what)
+	}
+	v := h.control.View()
+	state := map[string]int64{
+		"Hosts": int64(len(v.Hosts)), "Targets": int64(len(v.Targets)), "Epoch": int64(v.Duty.Epoch),
+		"Plans": 0, "Goroutines": int64(runtime.NumGoroutine()),
+	}
+	if v.Table != nil {
+		state["Configuration"] = int64(v.Table.Number)
+	}
+	if h.control.Planning() {
+		state["Plans"] = 1
+	}
+	if h.DroppedLines != nil {
+		state["LogLinesDropped"] = h.DroppedLines()
+	}
+	for what, n := range state {
+		h.meter.state.Set(n, what)
+	}
+}
--- a/hibiscusfront/internal/planner/planner.go
+++ b/hibiscusfront/internal/planner/planner.go
@@ -8,11 +8,13 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/meter"
 	"hibiscuslb/fleet/plan"
 	"hibiscuslb/fleet/shelf"
 	"hibiscuslb/fleet/task"
@@ -62,6 +64,10 @@
 
 	lastCount fleet.Instant
 	outdated  outdated
+	counted   atomic.Pointer[plan.Count]
+
+	// Ordered counts orders of weights by their result.
+	Ordered meter.Counter
 }
 
 // New returns a planner that does not plan yet.
@@ -71,6 +77,7 @@
 		inbox:    make(chan func(fleet.Instant), inboxSize),
 		answers:  make(map[*plan.Ask]func(plan.Verdict)),
 		watchers: make(map[fleet.Address]context.CancelFunc),
+		Ordered:  meter.Counter{Name: "WeightOrders", Labels: []string{"Result"}},
 	}
 	p.setBounds(bounds)
 	return p
@@ -249,9 +256,20 @@
 	}
 }
 
+// Count is what the plan has granted since this host began to plan, as of the
+// last act.
+func (p *Planner) Count() plan.Count {
+	if count := p.counted.Load(); count != nil {
+		return *count
+	}
+	return plan.Count{}
+}
+
 // act starts what is due: orders, frees and lists.
 func (p *Planner) act(ctx context.Context, now fleet.Instant) {
 	p.lastAct = now
+	count := p.fleet.Count()
+	p.counted.Store(&count)
 	if now.Sub(p.lastCount) >= countTime {
 		p.lastCount = now
 		p.Log.Info().Stringer("Count", p.fleet.Count()).Int("Waiting", p.fleet.Waiting()).Msg("planned")
@@ -287,7 +305,8 @@
 		Model: order.Model, Version: order.Version, Holder: p.Host, Epoch: p.epoch, Accepted: order.Accepted,
 	})
 	p.Log.Info().AnErr("Cause", err).Str("Target", string(order.Target)).Uint64("Version", order.Version).
-		Uint64("Accepted", order.Accepted).Uint64("Epoch", uint64(p.epoch)).Uint8("Result", uint8(result)).Msg("ordered weights")
+		Uint64("Accepted", order.Accepted).Uint64("Epoch", uint64(p.epoch)).Stringer("Result", result).Msg("ordered weights")
+	p.Ordered.Add(1, result.String())
 	p.do(ctx, func(now fleet.Instant) {
 		p.fleet.Ordered(now, order, result)
 		p.act(ctx, now)
--- a/hibiscusfront/internal/soak/site_test.go
+++ b/hibiscusfront/internal/soak/site_test.go
@@ -71,6 +71,7 @@
 type host struct {
 	name                      string
 	binary, settings          string
+	arguments                 []string
 	callers, directory, ready string
 	store                     *path
 	log                       *os.File
@@ -234,7 +235,7 @@
 
 // calm ends all disturbances.
 func (s *site) calm() {
-	s.store.SetDown(false)
+	s.store.SetFault(prepared.Healthy)
 	for _, t := range s.targets {
 		t.path.strike(link.Pass, 0)
 	}
@@ -288,7 +289,7 @@
 func (h *host) keep() {
 	defer close(h.ended)
 	for {
-		command := exec.Command(h.binary)
+		command := exec.Command(h.binary, h.arguments...)
 		command.Env = append(os.Environ(), "HIBISCUSLB_SETTINGS="+h.settings)
 		command.Stdout, command.Stderr = h.log, h.log
 		h.mu.Lock()
--- a/hibiscusfront/internal/soak/soak_test.go
+++ b/hibiscusfront/internal/soak/soak_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"hibiscuslb/standin/prepared"
 )
 
 var (
@@ -106,8 +108,8 @@
 	case 6:
 		target.path.strike("Silent", pause)
 	case 7:
-		s.store.SetDown(true)
-		time.AfterFunc(pause, func() { s.store.SetDown(false) })
+		s.store.SetFault(prepared.Refusing)
+		time.AfterFunc(pause, func() { s.store.SetFault(prepared.Healthy) })
 	case 8:
 		s.nameWeights()
 	case 9:
--- a/hibiscusfront/main.go
+++ b/hibiscusfront/main.go
@@ -7,10 +7,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/integrii/flaggy"
 	"github.com/rotisserie/eris"
@@ -24,6 +26,10 @@
 // logLines is how many log lines wait for a slow reader.
 const logLines = 2048
 
+// lastLinesTime bounds the writing of the last log lines. It is part of what a
+// host leaves of its grace time.
+const lastLinesTime = 200 * time.Millisecond
+
 // Exit statuses.
 const (
 	exitFailed      = 1
@@ -31,12 +37,13 @@
 )
 
 func main() {
-	file, check, level := os.Getenv(platform.SettingsVariable), false, zerolog.LevelInfoValue
+	file, check, level, metrics := os.Getenv(platform.SettingsVariable), false, zerolog.LevelInfoValue, 0
 	flaggy.SetName("hibiscusfront")
 	flaggy.SetDescription("the process of a front host")
 	flaggy.String(&file, "s", "settings", "settings file of the platform")
 	flaggy.Bool(&check, "c", "check", "check the settings and exit")
 	flaggy.String(&level, "l", "log", "least level of log lines: debug, info, warn, error")
+	flaggy.Int(&metrics, "m", "metrics", "port of the metrics, 0 for a free one")
 	flaggy.Parse()
 	settings, err := platform.ReadSettings(file)
 	if err != nil {
@@ -61,11 +68,13 @@
 	var dropped atomic.Int64
 	out := diode.NewWriter(os.Stdout, logLines, 0, func(missed int) { dropped.Add(int64(missed)) })
 	log := zerolog.New(out).Level(least).With().Timestamp().Str("Host", string(settings.Host)).Logger()
-	err = run(file, settings, log, &dropped)
+	h := host.New(settings, log)
+	h.MetricsPort, h.DroppedLines = metrics, dropped.Load
+	err = run(h, file)
 	if err != nil {
 		log.Error().Str("Cause", eris.ToString(err, false)).Msg("failed")
 	}
-	if closing := out.Close(); closing != nil {
+	if closing := closeLog(out); closing != nil {
 		fmt.Fprintln(os.Stderr, "the last log lines may be missing:", closing)
 	}
 	if err != nil {
@@ -73,15 +82,28 @@
 	}
 }
 
+var errUnread = errors.New("nobody reads standard output")
+
+// closeLog writes the lines that wait. It gives up on a reader that stands
+// still: the process has to end in its grace time.
+func closeLog(out io.Closer) error {
+	closed := make(chan error, 1)
+	go func() { closed <- out.Close() }()
+	select {
+	case err := <-closed:
+		return err
+	case <-time.After(lastLinesTime):
+		return errUnread
+	}
+}
+
 // run serves until the process is asked to end. SIGHUP reads the settings again.
-func run(file string, settings platform.Settings, log zerolog.Logger, dropped *atomic.Int64) error {
+func run(h *host.Host, file string) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
-	h := host.New(settings, log)
-	h.DroppedLines = dropped.Load
 	h.Reload(file, reload)
 	return h.Run(ctx)
 }
--- a/hibiscusload/internal/experiment/orders.go
+++ b/hibiscusload/internal/experiment/orders.go
@@ -16,7 +16,7 @@
 	"hibiscuslb/fleet/task"
 	"hibiscuslb/hibiscusload/internal/target"
 	"hibiscuslb/hibiscusload/internal/workload"
-	"hibiscuslb/standin/objectservice"
+	"hibiscuslb/standin/prepared"
 )
 
 // Orders measures what orders that may not repeat cost the platform. Fill in
@@ -84,8 +84,8 @@
 }
 
 // counts reads the platform's counters.
-func (o *Orders) counts(ctx context.Context) (objectservice.Totals, error) {
-	var totals objectservice.Totals
+func (o *Orders) counts(ctx context.Context) (prepared.Counts, error) {
+	var totals prepared.Counts
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+string(o.Platform)+"/admin/counts", nil)
 	if err != nil {
 		return totals, err
--- a/standin/internal/command/command.go
+++ b/standin/internal/command/command.go
@@ -12,8 +12,8 @@
 	"hibiscuslb/standin/internal/web"
 	"hibiscuslb/standin/link"
 	"hibiscuslb/standin/modelengine"
-	"hibiscuslb/standin/objectservice"
 	"hibiscuslb/standin/plainservice"
+	"hibiscuslb/standin/prepared"
 	"hibiscuslb/standin/storehost"
 	"hibiscuslb/standin/weightstore"
 )
@@ -66,7 +66,7 @@
 	address := fleet.Address(o.listen)
 	switch {
 	case platform.Used:
-		return web.Serve(ctx, address, (&objectservice.Service{Latency: o.latency}).Handler())
+		return web.Serve(ctx, address, (&prepared.Store{Latency: o.latency}).Handler())
 	case engine.Used:
 		return web.Serve(ctx, address, modelengine.New(o.engineConfig()).Handler())
 	case store.Used:
@@ -90,7 +90,7 @@
 }
 
 func (o *options) platformCommand() *flaggy.Subcommand {
-	sub := newCommand("platform", "the platform's object service")
+	sub := newCommand("platform", "the object store of the platform")
 	sub.Duration(&o.latency, "", "latency", "latency of reads and writes")
 	return sub
 }
--- a/standin/prepared/store.go
+++ b/standin/prepared/store.go
@@ -4,6 +4,7 @@
 package prepared
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"slices"
@@ -32,22 +33,57 @@
 	removed  bool
 }
 
-// A Store is the platform's object store. The zero value is empty. Down makes
-// it answer 503 without doing anything.
+// Fault is a way in which a Store misbehaves.
+type Fault uint8
+
+const (
+	// Healthy serves every call.
+	Healthy Fault = iota
+	// Refusing answers 503 and does nothing.
+	Refusing
+	// Down does nothing and breaks the connection off.
+	Down
+	// LoseAnswers serves every call and breaks off the connections of writes
+	// instead of answering.
+	LoseAnswers
+)
+
+// A Store is the platform's object store. The zero value is empty and healthy.
 type Store struct {
+	Latency time.Duration // of reads, lists and writes
+
 	mu       sync.Mutex
-	down     bool
+	fault    Fault
 	revision uint64
 	objects  map[string]map[string]Object // by kind and name
 	events   []event
+	dropped  uint64        // events up to this revision are gone
 	changed  chan struct{} // closed at the next change
+	counts   Counts
+}
+
+// Counts is how many calls of each kind a Store has met.
+type Counts struct{ Reads, Writes, Watches int64 }
+
+// SetFault makes the store misbehave, or serve again.
+func (s *Store) SetFault(fault Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = fault
+}
+
+// Counts returns how many calls the store has met.
+func (s *Store) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
 }
 
-// SetDown makes the store refuse all calls, or serve again.
-func (s *Store) SetDown(down bool) {
+// DropHistory makes watches from earlier revisions fail.
+func (s *Store) DropHistory() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.down = down
+	s.events, s.dropped = nil, s.revision
 }
 
 // Put writes an object whatever revision it has, as operators and targets do.
@@ -122,23 +158,50 @@
 		s.watch(w, r, kind, since)
 		return
 	}
+	time.Sleep(s.Latency)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.down {
-		w.WriteHeader(http.StatusServiceUnavailable)
+	if r.Method == http.MethodGet {
+		s.counts.Reads++
+	} else {
+		s.counts.Writes++
+	}
+	s.failing(w)
+	if s.fault == Refusing {
 		return
 	}
 	switch r.Method {
 	case http.MethodGet:
-		s.get(w, kind, name)
+		s.get(w, kind, name, r.URL.Query().Get("after"))
 	case http.MethodDelete:
-		s.remove(kind, name)
+		s.delete(w, r, kind, name)
 	default:
 		s.write(w, r, kind, name)
 	}
 }
 
-func (s *Store) get(w http.ResponseWriter, kind, name string) {
+// failing answers a call that a fault keeps from being served. The lock is held.
+func (s *Store) failing(w http.ResponseWriter) {
+	switch s.fault {
+	case Refusing:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case Down:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// done answers a write that has taken effect, unless its answer is to be lost.
+func (s *Store) done(w http.ResponseWriter, o Object) {
+	if s.fault == LoseAnswers {
+		panic(http.ErrAbortHandler)
+	}
+	reply(w, http.StatusOK, o)
+}
+
+// pageLimit is how many objects a page of a list holds.
+const pageLimit = 500
+
+func (s *Store) get(w http.ResponseWriter, kind, name, after string) {
 	if name != "" {
 		o, ok := s.objects[kind][name]
 		if !ok {
@@ -153,13 +216,32 @@
 		HasMore  bool     `json:"hasMore"`
 		Revision uint64   `json:"storeRevision"`
 	}{Items: []Object{}, Revision: s.revision}
-	for _, o := range s.objects[kind] {
-		list.Items = append(list.Items, o)
+	for name, o := range s.objects[kind] {
+		if name > after {
+			list.Items = append(list.Items, o)
+		}
 	}
 	slices.SortFunc(list.Items, func(a, b Object) int { return strings.Compare(a.Metadata.Name, b.Metadata.Name) })
+	if len(list.Items) > pageLimit {
+		list.Items, list.HasMore = list.Items[:pageLimit], true
+	}
 	reply(w, http.StatusOK, list)
 }
 
+func (s *Store) delete(w http.ResponseWriter, r *http.Request, kind, name string) {
+	current, exists := s.objects[kind][name]
+	seen := r.URL.Query().Get("revision")
+	switch {
+	case !exists:
+		w.WriteHeader(http.StatusNotFound)
+	case seen != "" && seen != strconv.FormatUint(current.Metadata.Revision, 10):
+		reply(w, http.StatusConflict, current)
+	default:
+		s.remove(kind, name)
+		s.done(w, current)
+	}
+}
+
 func (s *Store) write(w http.ResponseWriter, r *http.Request, kind, name string) {
 	var o Object
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
@@ -176,8 +258,10 @@
 		reply(w, http.StatusConflict, current)
 	case r.Method == http.MethodPut && !exists:
 		w.WriteHeader(http.StatusNotFound)
+	case exists && bytes.Equal(current.Spec, o.Spec):
+		s.done(w, current) // no change, no revision
 	default:
-		reply(w, http.StatusOK, s.put(kind, name, o.Spec))
+		s.done(w, s.put(kind, name, o.Spec))
 	}
 }
 
@@ -192,29 +276,24 @@
 		Removed bool   `json:"removed"`
 		Object  Object `json:"object"`
 	}
+	s.mu.Lock()
+	s.counts.Watches++
+	s.mu.Unlock()
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
 	for over := false; ; {
-		s.mu.Lock()
-		if s.down {
-			s.mu.Unlock()
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
 		answer := struct {
 			Events   []change `json:"events"`
 			Revision uint64   `json:"storeRevision"`
-		}{Events: []change{}, Revision: s.revision}
-		for _, e := range s.events {
-			if e.kind == kind && e.revision > from {
+		}{Events: []change{}}
+		changed := s.since(w, from, func(e event) {
+			if e.kind == kind {
 				answer.Events = append(answer.Events, change{e.removed, e.object})
 			}
+		}, &answer.Revision)
+		if changed == nil {
+			return
 		}
-		if s.changed == nil {
-			s.changed = make(chan struct{})
-		}
-		changed := s.changed
-		s.mu.Unlock()
 		if len(answer.Events) > 0 || over {
 			reply(w, http.StatusOK, answer)
 			return
@@ -229,6 +308,31 @@
 	}
 }
 
+// since passes on the events after a revision and returns what is closed at the
+// next change, or answers why it can not and returns nil.
+func (s *Store) since(w http.ResponseWriter, from uint64, take func(event), revision *uint64) <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failing(w)
+	if s.fault == Refusing {
+		return nil
+	}
+	if from < s.dropped {
+		w.WriteHeader(http.StatusGone)
+		return nil
+	}
+	for _, e := range s.events {
+		if e.revision > from {
+			take(e)
+		}
+	}
+	*revision = s.revision
+	if s.changed == nil {
+		s.changed = make(chan struct{})
+	}
+	return s.changed
+}
+
 func reply(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
