Let a deputy plan while the planner cannot be reached

Change: hosts ask a host that all of them pick, which plans without the duty. It gives no orders, frees and fetches nothing, leaves cold targets alone and grants few repeats, so several do no harm. Reports go to the host that granted.

Tried and dropped: hosts that remember where they sent parts. The deputy keeps to the planner's margins for old weights.

--- a/fleet/plan/admit.go
+++ b/fleet/plan/admit.go
@@ -66,10 +66,18 @@
 	return Verdict{}, false
 }
 
+// deputyBurst is a deputy's share of the repeats that do not depend on how much
+// it sees: two deputies at a time stay within what the planner leaves.
+const deputyBurst = 0.15
+
 // mayRepeat reports whether a service may get one more repeat in the window.
 func (f *Fleet) mayRepeat(now fleet.Instant, s *service) bool {
-	const margin = 0.7 // hosts that cannot reach the planner repeat, too
-	allowed := margin * (f.RetryRatio*float64(s.arrived.count(now, f.RetryWindow)) + f.RetryBurst)
+	const margin = 0.7 // deputies, and hosts that reach neither, repeat, too
+	burst := f.RetryBurst
+	if f.Deputy {
+		burst *= deputyBurst
+	}
+	allowed := margin * (f.RetryRatio*float64(s.arrived.count(now, f.RetryWindow)) + burst)
 	return float64(s.repeats.count(now, f.RetryWindow)) < allowed
 }
 
--- /dev/null
+++ b/fleet/plan/deputy_test.go
@@ -0,0 +1,57 @@
+package plan_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/plan"
+	"hibiscuslb/fleet/roster"
+)
+
+// Load pattern: the fleet is cut in three, and a target fails for all. The
+// planner and two deputies each see a third of the requests.
+func TestDeputiesKeepWithinTheBudgetOfAllHosts(t *testing.T) {
+	const requests = 300
+	entries := []roster.Target{{ID: "d", Service: desk, Address: "10.0.0.1:1", Slots: 1000}}
+	planners := []*plan.Fleet{newFleet(t, entries), newFleet(t, entries), newFleet(t, entries)}
+	planners[1].Deputy, planners[2].Deputy = true, true
+	repeats := 0
+	for i := range requests {
+		f, now := planners[i%len(planners)], at(time.Duration(i)*time.Millisecond)
+		for _, repeat := range []bool{false, true} {
+			v, ok := f.Ask(now, &plan.Ask{ID: fleet.RequestID(fmt.Sprint(i)), Service: desk, Objective: second, Repeat: repeat})
+			require.True(t, ok)
+			if v.Grant == nil {
+				continue
+			}
+			if repeat {
+				repeats++
+			}
+			done(f, now, v.Grant)
+		}
+	}
+	require.Positive(t, repeats)
+	require.LessOrEqual(t, repeats, requests/5+50)
+}
+
+// Load pattern: engines have just started when the planner is lost. Nobody knows
+// what it has sent them in the last second.
+func TestADeputyLeavesColdEnginesAlone(t *testing.T) {
+	entries := engines(2)
+	entries[0].ColdFor = 3 * second
+	f := newFleet(t, entries)
+	f.Deputy = true
+	f.SetTargets(at(0), entries, nil)
+	for i := range 200 {
+		now := at(time.Duration(i) * 10 * time.Millisecond)
+		v, _ := f.Ask(now, ask(second, file(fmt.Sprint(i))...))
+		if v.Grant != nil {
+			require.Equal(t, engineID(1), v.Grant.Target)
+			done(f, now, v.Grant)
+		}
+	}
+}
--- a/fleet/plan/place.go
+++ b/fleet/plan/place.go
@@ -88,7 +88,7 @@
 			continue
 		}
 		any = true
-		if !t.coldRoom(now, f.from) || !t.room(ask) {
+		if !f.coldRoom(now, t) || !t.room(ask) {
 			continue
 		}
 		o := option{target: t}
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -55,6 +55,10 @@
 	Save    []fleet.Address // for each part, where to save it; "" for nowhere
 	Until   time.Time       // on the engines' clock, by which fetches must end
 	Rank    int
+
+	// By is the host that granted it, where it is asked for; none if the
+	// caller's host chose alone. It is filled in by whoever gets the grant.
+	By fleet.Address
 }
 
 // A Verdict answers an Ask: a grant or a refusal.
@@ -131,6 +135,11 @@
 	// may begin on older ones; zero for none.
 	WeightsBound time.Duration
 
+	// Deputy tells that hosts ask this one because they cannot reach the
+	// planner, which may plan for others at the same time. A deputy gives cold
+	// targets nothing and grants few repeats.
+	Deputy bool
+
 	// FetchAllowed tells whether parts may be fetched and saved: the engines'
 	// clock is known, and nobody else frees parts.
 	FetchAllowed bool
--- a/fleet/plan/target.go
+++ b/fleet/plan/target.go
@@ -88,13 +88,14 @@
 }
 
 // coldRoom reports whether a cold target bears one more request now.
-func (t *target) coldRoom(now fleet.Instant, from fleet.Instant) bool {
+func (f *Fleet) coldRoom(now fleet.Instant, t *target) bool {
 	rate := t.service.spec.ColdRate
 	if rate <= 0 || now >= t.coldUntil {
 		return true
 	}
-	// A new planner does not know what its predecessor has sent.
-	if now.Sub(from) < coldWindow {
+	// A new planner does not know what its predecessor has sent, and a deputy
+	// not what the planner sends.
+	if f.Deputy || now.Sub(f.from) < coldWindow {
 		return false
 	}
 	return t.sent.count(now, coldWindow) < int(rate*coldShare)
--- a/hibiscusfront/internal/chooser/chooser.go
+++ b/hibiscusfront/internal/chooser/chooser.go
@@ -1,5 +1,5 @@
 // Package chooser finds a target for a request: by asking the host that plans,
-// or alone while there is none that answers.
+// or while that does not answer a deputy, or alone if no host answers.
 package chooser
 
 import (
@@ -36,6 +36,7 @@
 // A Chooser chooses targets. It implements gateway.Chooser.
 type Chooser struct {
 	Host    fleet.HostID
+	Self    fleet.Address    // where other hosts reach this one
 	Planner *planner.Planner // of this host
 	Peers   *peer.Pool
 	Clock   fleet.Clock
@@ -44,54 +45,65 @@
 
 	mu      sync.Mutex
 	shunned map[fleet.Address]fleet.Instant
-	holder  fleet.Address
-	local   bool
-	pending chan plan.Report
+	pending chan report
 	tasks   task.Group
 }
 
 // New returns a chooser.
-func New(host fleet.HostID, local *planner.Planner, peers *peer.Pool, clock fleet.Clock, log zerolog.Logger) *Chooser {
+func New(host fleet.HostID, self fleet.Address, local *planner.Planner, peers *peer.Pool, clock fleet.Clock, log zerolog.Logger) *Chooser {
 	const pendingReports = 4096
 	return &Chooser{
-		Host: host, Planner: local, Peers: peers, Clock: clock, Log: log,
-		shunned: make(map[fleet.Address]fleet.Instant), pending: make(chan plan.Report, pendingReports),
+		Host: host, Self: self, Planner: local, Peers: peers, Clock: clock, Log: log,
+		shunned: make(map[fleet.Address]fleet.Instant), pending: make(chan report, pendingReports),
 	}
 }
 
-// Choose decides on a request.
+// Choose decides on a request: it asks the planner, then a deputy, and chooses
+// alone if neither answers.
 func (c *Chooser) Choose(ctx context.Context, v *view.View, ask *plan.Ask) plan.Verdict {
-	holder := v.Duty
-	if holder.Holder == "" || c.shuns(holder.Address) {
-		return c.Alone.Choose(c.Clock(), v, ask)
+	planner := wire.Host{ID: v.Duty.Holder, Peers: v.Duty.Address}
+	if verdict, ok := c.ask(ctx, planner, ask, false); ok {
+		return verdict
 	}
-	limit := ask.LongestWait() + answerTime
-	asking, cancel := context.WithTimeout(ctx, limit)
+	deputy := v.Deputy(func(h wire.Host) bool { return h.ID != v.Duty.Holder && !c.shuns(h.Peers) })
+	if verdict, ok := c.ask(ctx, deputy, ask, true); ok {
+		return verdict
+	}
+	return c.Alone.Choose(c.Clock(), v, ask)
+}
+
+// ask asks a host that plans, unless it has not answered lately. It reports
+// whether the host has decided.
+func (c *Chooser) ask(ctx context.Context, host wire.Host, ask *plan.Ask, deputy bool) (plan.Verdict, bool) {
+	if host.ID == "" || c.shuns(host.Peers) {
+		return plan.Verdict{}, false
+	}
+	asking, cancel := context.WithTimeout(ctx, ask.LongestWait()+answerTime)
 	defer cancel()
 	var verdict plan.Verdict
 	var err error
-	local := holder.Holder == c.Host
-	if local {
-		verdict, err = c.Planner.Ask(asking, ask)
+	if host.ID == c.Host {
+		verdict, err = c.Planner.Ask(asking, ask, deputy)
 	} else {
-		verdict, err = c.askPeer(asking, holder.Address, ask)
+		verdict, err = c.askPeer(asking, host.Peers, ask, deputy)
 	}
-	c.note(holder.Address, local)
 	switch {
 	case ctx.Err() != nil:
-		return plan.Verdict{Ask: ask, Refusal: &fleet.RefusalError{Reason: fleet.ReasonDeadline}}
+		return plan.Verdict{Ask: ask, Refusal: &fleet.RefusalError{Reason: fleet.ReasonDeadline}}, true
 	case err != nil:
-		c.shun(holder.Address, err)
-		return c.Alone.Choose(c.Clock(), v, ask)
+		c.shun(host.Peers, err)
+		return plan.Verdict{}, false
 	case verdict.Refusal != nil && verdict.Refusal.Reason == fleet.ReasonNotKeeper:
-		return c.Alone.Choose(c.Clock(), v, ask)
+		return plan.Verdict{}, false
+	case verdict.Grant != nil:
+		verdict.Grant.By = host.Peers
 	}
-	return verdict
+	return verdict, true
 }
 
-func (c *Chooser) askPeer(ctx context.Context, address fleet.Address, ask *plan.Ask) (plan.Verdict, error) {
+func (c *Chooser) askPeer(ctx context.Context, address fleet.Address, ask *plan.Ask, deputy bool) (plan.Verdict, error) {
 	var answer wire.Verdict
-	if err := c.Peers.Ask(ctx, address, wire.KindAsk, wire.Ask{Ask: *ask}, &answer); err != nil {
+	if err := c.Peers.Ask(ctx, address, wire.KindAsk, wire.Ask{Ask: *ask, Deputy: deputy}, &answer); err != nil {
 		var refusal *fleet.RefusalError
 		if errors.As(err, &refusal) {
 			return plan.Verdict{Ask: ask, Refusal: refusal}, nil
@@ -105,12 +117,6 @@
 	return verdict, nil
 }
 
-func (c *Chooser) note(holder fleet.Address, local bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.holder, c.local = holder, local
-}
-
 func (c *Chooser) shuns(address fleet.Address) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -121,16 +127,25 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.shunned[address] = c.Clock().Add(shunTime)
-	c.Log.Warn().Err(err).Str("Planner", string(address)).Msg("the planner does not answer; choosing alone")
+	c.Log.Warn().Err(err).Str("Planner", string(address)).Msg("no answer about a target; asking elsewhere")
 }
 
-// Report tells the planner what became of a grant.
-func (c *Chooser) Report(number plan.Number, progress plan.Progress) {
+// A report is what became of a grant, for the host that granted it.
+type report struct {
+	to fleet.Address
+	plan.Report
+}
+
+// Report tells the host that granted it what became of a grant.
+func (c *Chooser) Report(g *plan.Grant, progress plan.Progress) {
+	if g.By == "" {
+		return // chosen alone
+	}
 	select {
-	case c.pending <- plan.Report{Number: number, Progress: progress}:
+	case c.pending <- report{g.By, plan.Report{Number: g.Number, Progress: progress}}:
 	default:
-		// The planner drops a grant that it hears nothing of in time.
-		c.Log.Warn().Uint64("Grant", uint64(number)).Msg("too many reports; one is dropped")
+		// Who granted it drops a grant of which nothing is heard in time.
+		c.Log.Warn().Uint64("Grant", uint64(g.Number)).Msg("too many reports; one is dropped")
 	}
 }
 
@@ -138,19 +153,24 @@
 func (c *Chooser) Run(ctx context.Context) {
 	defer c.tasks.Wait()
 	for {
-		var batch []plan.Report
+		batches := make(map[fleet.Address][]plan.Report)
+		size := 0
+		take := func(r report) {
+			batches[r.to] = append(batches[r.to], r.Report)
+			size++
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case r := <-c.pending:
-			batch = append(batch, r)
+			take(r)
 		}
 		timer := time.NewTimer(batchTime)
 	collect:
-		for len(batch) < batchSize {
+		for size < batchSize {
 			select {
 			case r := <-c.pending:
-				batch = append(batch, r)
+				take(r)
 			case <-timer.C:
 				break collect
 			case <-ctx.Done():
@@ -158,27 +178,23 @@
 			}
 		}
 		timer.Stop()
-		c.send(ctx, batch)
+		for to, batch := range batches {
+			c.send(ctx, to, batch)
+		}
 	}
 }
 
-func (c *Chooser) send(ctx context.Context, batch []plan.Report) {
-	c.mu.Lock()
-	holder, local := c.holder, c.local
-	c.mu.Unlock()
-	if local {
+func (c *Chooser) send(ctx context.Context, to fleet.Address, batch []plan.Report) {
+	if to == c.Self {
 		c.Planner.Report(ctx, batch)
 		return
 	}
-	if holder == "" {
-		return
-	}
 	c.tasks.Go(ctx, func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, reportTime)
 		defer cancel()
 		var taken struct{}
-		if err := c.Peers.Ask(ctx, holder, wire.KindReports, wire.Reports{Reports: batch}, &taken); err != nil {
-			c.Log.Debug().Err(err).Int("Reports", len(batch)).Msg("the planner did not take reports")
+		if err := c.Peers.Ask(ctx, to, wire.KindReports, wire.Reports{Reports: batch}, &taken); err != nil {
+			c.Log.Debug().Err(err).Int("Reports", len(batch)).Msg("reports on grants were not taken")
 		}
 	})
 }
--- a/hibiscusfront/internal/gateway/gateway.go
+++ b/hibiscusfront/internal/gateway/gateway.go
@@ -3,8 +3,8 @@
 // on.
 //
 // The host that a caller has connected to speaks to the target itself. The
-// planner only says which one; if it does not answer in time, the gateway
-// chooses alone (see alone.go).
+// planner only says which one; if it does not answer in time, a deputy does, or
+// this host chooses alone (see package chooser).
 //
 // Invariants: a request that may not be repeated is sent again only after its
 // target said that it has not run it; "not run" is said only of such requests;
@@ -33,7 +33,7 @@
 // A Chooser decides where requests go, and hears what became of them.
 type Chooser interface {
 	Choose(ctx context.Context, v *view.View, ask *plan.Ask) plan.Verdict
-	Report(number plan.Number, progress plan.Progress)
+	Report(grant *plan.Grant, progress plan.Progress)
 }
 
 // A Gateway serves callers.
@@ -94,8 +94,7 @@
 	started bool          // the head of an answer has been passed on
 	status  int
 	reason  fleet.Reason
-	number  plan.Number // of the grant under way
-	target  fleet.TargetID
+	grant   *plan.Grant // under way
 }
 
 var _ http.Handler = (*Gateway)(nil)
@@ -259,11 +258,11 @@
 
 // try sends the request to the granted target. Again tells to try another one.
 func (c *call) try(g *plan.Grant) (again bool, refusal *fleet.RefusalError) {
-	c.number, c.target = g.Number, g.Target
+	c.grant = g
 	c.tried = append(c.tried, g.Target)
 	request := c.request(g)
 	// Sends is counted before: from here on the target may run the request.
-	c.Meter.Sent(c.sends > 0, g.Number != 0)
+	c.Meter.Sent(c.sends > 0, g.By != "")
 	c.sends++
 	before := c.outcome
 	c.outcome = fleet.Unknown
@@ -317,9 +316,7 @@
 }
 
 func (c *call) report(progress plan.Progress) {
-	if c.number != 0 {
-		c.Chooser.Report(c.number, progress)
-	}
+	c.Chooser.Report(c.grant, progress)
 }
 
 // request builds what is sent to the granted target.
@@ -371,8 +368,12 @@
 	if c.view.Table != nil {
 		number = c.view.Table.Number
 	}
+	var grant plan.Grant
+	if c.grant != nil {
+		grant = *c.grant
+	}
 	event.Str("Request", string(c.ID)).Str("Route", name).Str("Workspace", string(workspace)).
-		Str("Target", string(c.target)).Uint64("Grant", uint64(c.number)).Int("Status", c.status).
+		Str("Target", string(grant.Target)).Uint64("Grant", uint64(grant.Number)).Int("Status", c.status).
 		Str("Reason", string(c.reason)).Stringer("Outcome", c.outcome).Int("Tried", len(c.tried)).
 		Uint64("Configuration", uint64(number)).Dur("First", c.first).Dur("Total", total).Msg("request ended")
 }
--- a/hibiscusfront/internal/gateway/gateway_test.go
+++ b/hibiscusfront/internal/gateway/gateway_test.go
@@ -45,13 +45,13 @@
 	return plan.Verdict{Ask: ask, Grant: &g}
 }
 
-func (c *targets) Report(number plan.Number, progress plan.Progress) {
+func (c *targets) Report(grant *plan.Grant, progress plan.Progress) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.reports == nil {
 		c.reports = make(map[plan.Number][]plan.Progress)
 	}
-	c.reports[number] = append(c.reports[number], progress)
+	c.reports[grant.Number] = append(c.reports[grant.Number], progress)
 }
 
 type noMeter struct{}
--- a/hibiscusfront/internal/host/host.go
+++ b/hibiscusfront/internal/host/host.go
@@ -89,7 +89,7 @@
 	h.planner = planner.New(settings.Host, settings.Bounds, platform.NewTargets(), h.control, h.clock, log)
 	h.meter = newMeters(&h.planner.Ordered)
 	h.meter.refresh = h.count
-	h.chooser = chooser.New(settings.Host, h.planner, &h.peers, h.clock, log)
+	h.chooser = chooser.New(settings.Host, settings.Peers, h.planner, &h.peers, h.clock, log)
 	h.chooser.Alone.WeightsBound = settings.Bounds.Weights
 	h.gateway = &gateway.Gateway{
 		Host: settings.Host, Near: settings.DataCentre, View: h.control.View, Chooser: h.chooser, Pool: &h.pool,
@@ -267,7 +267,7 @@
 
 // decide answers another host's question for a target.
 func (h *Host) decide(ctx context.Context, ask *wire.Ask) (wire.Verdict, error) {
-	verdict, err := h.planner.Ask(ctx, &ask.Ask)
+	verdict, err := h.planner.Ask(ctx, &ask.Ask, ask.Deputy)
 	if err != nil {
 		return wire.Verdict{}, err
 	}
--- /dev/null
+++ b/hibiscusfront/internal/planner/deputy_test.go
@@ -0,0 +1,108 @@
+package planner
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/plan"
+	"hibiscuslb/fleet/roster"
+	"hibiscuslb/fleet/route"
+	"hibiscuslb/hibiscusfront/internal/clock"
+	"hibiscuslb/hibiscusfront/internal/view"
+	"hibiscuslb/platform"
+)
+
+// duty is a planner's tenure that a test sets.
+type duty struct{ holds bool }
+
+func (d *duty) Planning() bool           { return d.holds }
+func (d *duty) Holds() bool              { return d.holds }
+func (d *duty) MayOrder() bool           { return d.holds }
+func (d *duty) TenureEnd() fleet.Instant { return 0 }
+
+var _ Tenure = (*duty)(nil)
+
+// fleetOf is a service with one warm and one cold target.
+func fleetOf() *view.View {
+	table := route.Freeze(route.Config{Number: 1, Services: []route.Service{{ID: "s", ColdRate: 100}}})
+	v := &view.View{Table: table, Targets: []roster.Target{
+		{ID: "warm", Service: "s", Address: "127.0.0.1:1", Slots: 100},
+		{ID: "cold", Service: "s", Address: "127.0.0.1:2", Slots: 100, ColdFor: time.Hour},
+	}}
+	return v.Freeze()
+}
+
+func run(t *testing.T, d *duty) (context.Context, *Planner) {
+	t.Helper()
+	p := New("h", platform.Bounds{}, platform.NewTargets(), d, clock.Boot(), zerolog.Nop())
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		p.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	p.SetView(ctx, fleetOf())
+	return ctx, p
+}
+
+func question() *plan.Ask {
+	return &plan.Ask{Service: "s", Objective: time.Second, Deadline: time.Second}
+}
+
+func TestOnlyADeputyPlansWithoutTheDuty(t *testing.T) {
+	ctx, p := run(t, new(duty))
+	verdict, err := p.Ask(ctx, question(), false)
+	require.NoError(t, err)
+	require.Equal(t, fleet.ReasonNotKeeper, verdict.Refusal.Reason)
+	for range 50 {
+		verdict, err = p.Ask(ctx, question(), true)
+		require.NoError(t, err)
+		require.NotNil(t, verdict.Grant)
+		require.Equal(t, fleet.TargetID("warm"), verdict.Grant.Target, "nobody counts over all hosts what a cold target gets")
+	}
+}
+
+// The planner's own grants and those of the host's time as a deputy must not be
+// taken for one another, and what a deputy may not do begins with the duty.
+func TestADeputyBecomesThePlanner(t *testing.T) {
+	d := new(duty)
+	ctx, p := run(t, d)
+	verdict, err := p.Ask(ctx, question(), true)
+	require.NoError(t, err)
+	deputys := verdict.Grant.Number
+
+	d.holds = true
+	p.Elect(ctx, 7, true)
+	verdict, err = p.Ask(ctx, question(), false)
+	require.NoError(t, err)
+	require.NotNil(t, verdict.Grant)
+	require.Less(t, verdict.Grant.Number, deputys)
+	verdict, err = p.Ask(ctx, question(), true)
+	require.NoError(t, err)
+	require.NotNil(t, verdict.Grant, "whoever cannot tell that this host plans gets its grant, too")
+}
+
+func TestADeputyStopsWhenNobodyAsks(t *testing.T) {
+	ctx, p := run(t, new(duty))
+	_, err := p.Ask(ctx, question(), true)
+	require.NoError(t, err)
+	deputy := func() bool {
+		is := make(chan bool, 1)
+		p.do(ctx, func(fleet.Instant) { is <- p.deputy && p.fleet.Deputy })
+		return <-is
+	}
+	require.True(t, deputy())
+	require.Eventually(t, func() bool { return !deputy() }, 2*deputyTime, 50*time.Millisecond)
+	verdict, err := p.Ask(ctx, question(), false)
+	require.NoError(t, err)
+	require.Equal(t, fleet.ReasonNotKeeper, verdict.Refusal.Reason)
+}
--- a/hibiscusfront/internal/planner/planner.go
+++ b/hibiscusfront/internal/planner/planner.go
@@ -55,8 +55,10 @@
 	inbox    chan func(now fleet.Instant)
 	tasks    task.Group
 	fleet    plan.Fleet
-	active   bool
+	active   bool // the host holds the duty
 	epoch    fleet.Epoch
+	deputy   bool          // hosts that cannot reach the planner ask this one
+	asked    fleet.Instant // by the last of them
 	answers  map[*plan.Ask]func(plan.Verdict)
 	watchers map[fleet.Address]context.CancelFunc
 	clock    engineClock
@@ -68,6 +70,8 @@
 
 	// Ordered counts orders of weights by their result.
 	Ordered meter.Counter
+
+	life context.Context // of Run, for what outlives the message that began it
 }
 
 // New returns a planner that does not plan yet.
@@ -96,6 +100,7 @@
 
 // Run plans until the context ends.
 func (p *Planner) Run(ctx context.Context) {
+	p.life = ctx
 	ticker := time.NewTicker(tickTime)
 	defer ticker.Stop()
 	for {
@@ -142,7 +147,7 @@
 }
 
 func (p *Planner) stop() {
-	p.active = false
+	p.active, p.deputy, p.fleet.Deputy = false, false, false
 	for address, cancel := range p.watchers {
 		cancel()
 		delete(p.watchers, address)
@@ -165,8 +170,8 @@
 			p.fleet.SetWeights(model, w)
 		}
 		p.outdated.Store(p.fleet.Outdated())
-		if p.active {
-			p.watch(ctx)
+		if p.active || p.deputy {
+			p.watch(p.life)
 			p.act(ctx, now)
 		}
 	})
@@ -182,10 +187,13 @@
 func (p *Planner) Outdated() bool { return p.outdated.Load() }
 
 // Ask decides on a request. It waits as long as the plan lets the request wait.
-func (p *Planner) Ask(ctx context.Context, ask *plan.Ask) (plan.Verdict, error) {
+// Deputy tells that the asking host cannot reach the planner.
+func (p *Planner) Ask(ctx context.Context, ask *plan.Ask, deputy bool) (plan.Verdict, error) {
 	answer := make(chan plan.Verdict, 1)
 	p.do(ctx, func(now fleet.Instant) {
-		if !p.active || !p.Tenure.Planning() {
+		if deputy && !p.active {
+			p.deputise(now)
+		} else if !p.active || !p.Tenure.Planning() {
 			answer <- plan.Verdict{Ask: ask, Refusal: fleet.Refuse(fleet.ReasonNotKeeper, "does not plan")}
 			return
 		}
@@ -242,7 +250,11 @@
 }
 
 func (p *Planner) tick(ctx context.Context, now fleet.Instant) {
-	if !p.active {
+	if p.deputy && now.Sub(p.asked) > deputyTime {
+		p.Log.Info().Msg("nobody asks for a deputy any more")
+		p.stop()
+	}
+	if !p.active && !p.deputy {
 		return
 	}
 	for _, v := range p.fleet.Tick(now) {
@@ -274,7 +286,10 @@
 		p.lastCount = now
 		p.Log.Info().Stringer("Count", p.fleet.Count()).Int("Waiting", p.fleet.Waiting()).Msg("planned")
 	}
-	p.fleet.FetchAllowed = p.clock.known && p.Tenure.Planning()
+	p.fleet.FetchAllowed = p.active && p.clock.known && p.Tenure.Planning()
+	if p.deputy {
+		return // it only grants
+	}
 	p.outdated.Store(p.fleet.Outdated())
 	for _, order := range p.fleet.Orders(now, p.Tenure.MayOrder()) {
 		p.tasks.Go(ctx, func(ctx context.Context) { p.order(ctx, order) })
--- a/hibiscusfront/internal/view/view.go
+++ b/hibiscusfront/internal/view/view.go
@@ -5,6 +5,10 @@
 package view
 
 import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/roster"
 	"hibiscuslb/fleet/route"
@@ -38,5 +42,23 @@
 // Target returns the target of the id, or nil.
 func (v *View) Target(id fleet.TargetID) *roster.Target { return v.byID[id] }
 
+// Deputy returns the host that decides in the planner's stead, among those that
+// suit: the largest, and of equals the one that the epoch picks, so that all
+// hosts ask the same. Without any, its ID is empty.
+func (v *View) Deputy(suits func(wire.Host) bool) wire.Host {
+	var best wire.Host
+	var bestRank uint64
+	for _, h := range v.Hosts {
+		if !suits(h) {
+			continue
+		}
+		rank := xxhash.Sum64String(fmt.Sprint(v.Duty.Epoch, h.ID))
+		if best.ID == "" || h.Cores > best.Cores || h.Cores == best.Cores && rank > bestRank {
+			best, bestRank = h, rank
+		}
+	}
+	return best
+}
+
 // Usable reports whether the target may be given new work.
 func (v *View) Usable(t *roster.Target) bool { return !t.Leaving && !v.Evacuated[t.DataCentre] }
--- a/hibiscusfront/internal/wire/wire.go
+++ b/hibiscusfront/internal/wire/wire.go
@@ -76,8 +76,11 @@
 	Listing platform.Listing
 }
 
-// An Ask asks the planner for a target.
-type Ask struct{ Ask plan.Ask }
+// An Ask asks the planner, or a host that deputises for it, for a target.
+type Ask struct {
+	Ask    plan.Ask
+	Deputy bool // the asking host cannot reach the planner
+}
 
 // A Verdict answers an Ask: with a grant, or with the reason for none.
 type Verdict struct {
