Keep answers about stores from a tenure that is over

A list of a store that was asked for in an earlier tenure could come in after the next had begun, or while the host is a deputy, which must not read from stores. Found by reading.

--- a/fleet/plan/deputy_test.go
+++ b/fleet/plan/deputy_test.go
@@ -10,6 +10,7 @@
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/plan"
 	"hibiscuslb/fleet/roster"
+	"hibiscuslb/fleet/shelf"
 )
 
 // Load pattern: the fleet is cut in three, and a target fails for all. The
@@ -55,3 +56,34 @@
 		}
 	}
 }
+
+// Load pattern: a conversation returns to a busy engine while nobody owns the
+// stores. What a store says does not count, since its owner may free the part.
+func TestADeputyFetchesFromEnginesAlone(t *testing.T) {
+	entries := engines(2)
+	f := newFleet(t, entries)
+	f.Begin(at(0), 1<<40)
+	f.Deputy = true
+	parts := file("a")
+	salt := plan.Salt(model, 1, "", false)
+	for _, part := range parts[:2] {
+		p := shelf.Part{Salt: salt, ID: part.ID}
+		f.Cached(engineID(0), p, part.Tokens)
+		for _, address := range f.Stores() {
+			f.Shelf(address).Stored(at(0), 1, 1, p, part.Tokens)
+		}
+	}
+	fetched := false
+	for range 200 {
+		v, _ := f.Ask(at(second), ask(second, append(parts[:2:2], file("a")[2])...))
+		if v.Grant == nil {
+			break
+		}
+		for _, source := range v.Grant.Fetch {
+			fetched = fetched || source != ""
+			require.Contains(t, []fleet.Address{"", entries[0].Address, entries[1].Address}, source)
+		}
+		require.Empty(t, v.Grant.Save)
+	}
+	require.True(t, fetched, "the engine that has no room is a source")
+}
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -140,8 +140,8 @@
 	// targets nothing and grants few repeats.
 	Deputy bool
 
-	// FetchAllowed tells whether parts may be fetched and saved: the engines'
-	// clock is known, and nobody else frees parts.
+	// FetchAllowed tells whether parts of stores may be fetched, and saved: the
+	// engines' clock is known, and nobody else frees parts.
 	FetchAllowed bool
 
 	targets  map[fleet.TargetID]*target
--- a/hibiscusfront/internal/planner/deputy.go
+++ b/hibiscusfront/internal/planner/deputy.go
@@ -15,7 +15,8 @@
 
 // deputise makes the host plan for those that cannot reach the planner. It holds
 // nothing, so there may be several deputies, and a planner as well: a deputy
-// gives no orders, frees and fetches nothing, and gives cold targets nothing.
+// gives no orders, frees nothing, takes nothing from stores, and gives cold
+// targets nothing.
 //
 // It answers this load: a planner that dies is succeeded after 1.5 s at the
 // earliest, and not at all while the store is down. Meanwhile each host chose by
--- a/hibiscusfront/internal/planner/planner.go
+++ b/hibiscusfront/internal/planner/planner.go
@@ -305,7 +305,7 @@
 	}
 	for _, address := range p.fleet.Stores() {
 		if s := p.fleet.Shelf(address); s.NeedsList(now) {
-			p.tasks.Go(ctx, func(ctx context.Context) { p.list(ctx, address, now) })
+			p.tasks.Go(ctx, func(ctx context.Context) { p.list(ctx, address, p.epoch, now) })
 		}
 	}
 }
@@ -360,19 +360,19 @@
 		return
 	}
 	p.do(ctx, func(now fleet.Instant) {
-		if s := p.fleet.Shelf(free.Address); s != nil {
+		if s := p.fleet.Shelf(free.Address); s != nil && p.active {
 			s.Freed(now, free.Life, free.Parts)
 		}
 	})
 }
 
-// list reads all that a store holds.
-func (p *Planner) list(ctx context.Context, address fleet.Address, asked fleet.Instant) {
+// list reads all that a store holds, for the tenure of the epoch.
+func (p *Planner) list(ctx context.Context, address fleet.Address, epoch fleet.Epoch, asked fleet.Instant) {
 	list, err := p.Targets.List(ctx, address)
 	p.do(ctx, func(now fleet.Instant) {
 		s := p.fleet.Shelf(address)
-		if s == nil {
-			return
+		if s == nil || !p.active || p.epoch != epoch {
+			return // a deputy must not know what is in stores
 		}
 		if err != nil {
 			p.Log.Warn().Err(err).Str("Store", string(address)).Msg("store does not list its parts")
