--- a/hibiscusfront/internal/control/start_test.go
+++ b/hibiscusfront/internal/control/start_test.go
@@ -7,26 +7,27 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/peer"
 	"hibiscuslb/hibiscusfront/internal/clock"
+	"hibiscuslb/hibiscusfront/internal/testlog"
 	"hibiscuslb/hibiscusfront/internal/wire"
 	"hibiscuslb/platform"
 	"hibiscuslb/standin/prepared"
 )
 
 // startControl runs the control state of a host, which no other host speaks to.
-func startControl(t *testing.T, store *prepared.Store) *Control {
+func startControl(t *testing.T, store *prepared.Store) (*Control, *testlog.Lines) {
 	t.Helper()
+	lines := new(testlog.Lines)
 	server := httptest.NewServer(store)
 	address := fleet.Address(strings.TrimPrefix(server.URL, "http://"))
 	peers := new(peer.Pool)
 	c := &Control{
 		Settings: platform.Settings{Host: "h", Peers: "127.0.0.1:1", Bounds: platform.Bounds{Configuration: 2 * time.Second}},
-		Store:    &platform.Store{Address: address}, Peers: peers, Clock: clock.Boot(), Log: zerolog.Nop(),
+		Store:    &platform.Store{Address: address}, Peers: peers, Clock: clock.Boot(), Log: lines.Logger(),
 		Self: wire.Host{ID: "h", Callers: "127.0.0.1:2", Peers: "127.0.0.1:1", Incarnation: 1},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -44,7 +45,7 @@
 		<-ended
 		server.Close()
 	})
-	return c
+	return c, lines
 }
 
 func configured() *prepared.Store {
@@ -61,7 +62,7 @@
 // none has heard from another, and each would wait for news of one before it
 // watches the store itself. All of them refused for 0.8 s.
 func TestAHostThatStartsReadsTheStoreAtOnce(t *testing.T) {
-	c := startControl(t, configured())
+	c, _ := startControl(t, configured())
 	require.Eventually(t, func() bool { return c.View().Table != nil }, quietTime/2, 5*time.Millisecond)
 	require.Equal(t, fleet.Version(3), c.View().Table.Number)
 }
@@ -70,7 +71,7 @@
 func TestAHostThatStartsInAnOutageReadsTheStoreWhenItIsBack(t *testing.T) {
 	store := configured()
 	store.SetFault(prepared.Down)
-	c := startControl(t, store)
+	c, _ := startControl(t, store)
 	time.Sleep(600 * time.Millisecond)
 	require.Nil(t, c.View().Table)
 	store.SetFault(prepared.Healthy)
@@ -80,7 +81,7 @@
 // Watches that are cut, and a history that is gone, must not hide a change.
 func TestAChangeIsSeenThoughHistoryIsGone(t *testing.T) {
 	store := configured()
-	c := startControl(t, store)
+	c, _ := startControl(t, store)
 	require.Eventually(t, func() bool { return c.View().Table != nil }, time.Second, 5*time.Millisecond)
 	for number := 4; number < 8; number++ {
 		store.DropHistory()
@@ -89,3 +90,29 @@
 		require.Eventually(t, func() bool { return c.View().Table.Number == fleet.Version(number) }, 2*time.Second, 5*time.Millisecond)
 	}
 }
+
+// TestEachBeliefHasItsLine changes what a host believes, and checks that a line
+// tells it with what it rests on.
+func TestEachBeliefHasItsLine(t *testing.T) {
+	store := configured()
+	_, lines := startControl(t, store)
+	lines.Require(t, "configuration in force", testlog.Line{"Number": 3, "Revision": 1, "Routes": 1, "Workspaces": 0})
+
+	store.Put("servers", "i-1", map[string]any{"service": "s", "address": "10.0.0.1:80", "zone": "z", "slots": 4, "state": "ready"})
+	lines.Require(t, "target entered", testlog.Line{"Target": "i-1", "Service": "s", "Address": "10.0.0.1:80", "Leaving": false, "ColdFor": 0})
+	lines.Require(t, "tenure changed", testlog.Line{"Planning": true, "Epoch": 1, "Holder": "h"})
+	store.Put("servers", "i-2", map[string]any{"service": 7})
+	lines.Require(t, "object of another writer can not be read; it names nothing", testlog.Line{"Object": "servers/i-2", "Revision": nil, "error": nil})
+	store.Remove("servers", "i-1")
+	lines.Require(t, "target has left the store", testlog.Line{"Target": "i-1"})
+
+	store.Put("versions", "m", map[string]any{"model": "m", "version": 2})
+	lines.Require(t, "weights named", testlog.Line{"Model": "m", "Version": 2, "Revision": nil})
+	store.Put("evacuations", "z", map[string]any{})
+	require.Eventually(t, func() bool { return len(lines.With("evacuations changed")) == 2 }, 5*time.Second, 5*time.Millisecond)
+
+	store.SetFault(prepared.Down)
+	lines.Require(t, "the store does not answer; going on with what is known", testlog.Line{"Kind": nil, "LastAnswerAgo": nil, "error": nil})
+	store.SetFault(prepared.Healthy)
+	lines.Require(t, "the store answers again", nil)
+}
--- a/hibiscusfront/internal/gateway/gateway_test.go
+++ b/hibiscusfront/internal/gateway/gateway_test.go
@@ -11,7 +11,6 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"hibiscuslb/fleet"
@@ -19,6 +18,7 @@
 	"hibiscuslb/fleet/route"
 	"hibiscuslb/hibiscusfront/internal/backend"
 	"hibiscuslb/hibiscusfront/internal/gateway"
+	"hibiscuslb/hibiscusfront/internal/testlog"
 	"hibiscuslb/hibiscusfront/internal/view"
 )
 
@@ -65,6 +65,7 @@
 type bench struct {
 	*targets
 	url  string
+	log  testlog.Lines
 	seen chan http.Header // headers that targets got
 }
 
@@ -95,7 +96,7 @@
 	})
 	front := httptest.NewServer(&gateway.Gateway{
 		View: func() *view.View { return &view.View{Table: table} }, Chooser: b.targets, Pool: new(backend.Pool),
-		Meter: noMeter{}, Log: zerolog.Nop(), Closing: func() bool { return false },
+		Meter: noMeter{}, Log: b.log.Logger(), Closing: func() bool { return false },
 	})
 	t.Cleanup(front.Close)
 	b.url = front.URL
--- /dev/null
+++ b/hibiscusfront/internal/host/meters_test.go
@@ -0,0 +1,69 @@
+package host
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/meter"
+)
+
+// read returns what the meters show at a path.
+func read(t *testing.T, m *meters, path string) string {
+	t.Helper()
+	w := httptest.NewRecorder()
+	m.handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil))
+	require.Equal(t, http.StatusOK, w.Code)
+	return w.Body.String()
+}
+
+// TestMetersShowWhatBecameOfRequests checks both forms on the same counts.
+func TestMetersShowWhatBecameOfRequests(t *testing.T) {
+	orders := meter.Counter{Name: "WeightOrders", Labels: []string{"Result"}}
+	m := newMeters(&orders)
+	refreshed := 0
+	m.refresh = func() {
+		refreshed++
+		m.calls.Set(12, "watch", "done")
+	}
+	m.Ended("kypseli", "chat", http.StatusOK, "", 80*time.Millisecond, 2*time.Second)
+	m.Ended("kypseli", "chat", http.StatusServiceUnavailable, fleet.ReasonOverloaded, 0, time.Millisecond)
+	m.Ended("", "chat", 0, fleet.ReasonCallerLeft, 0, time.Millisecond)
+	m.Chosen("kypseli", "chat", 3*time.Millisecond)
+	m.Sent(false, true)
+	m.Sent(true, false)
+	orders.Add(1, "accepted")
+
+	text := read(t, m, "/metrics")
+	for _, line := range []string{
+		`RequestsEnded{Status="200",Route="chat"} 1`,
+		`RequestsEnded{Status="503",Route="chat"} 1`,
+		`RequestsEnded{Status="0",Route="chat"} 1`,
+		`RequestsRefused{Reason="overloaded",Route="chat"} 1`,
+		`RequestsSent{Try="first",Chooser="planner"} 1`,
+		`RequestsSent{Try="repeat",Chooser="host"} 1`,
+		`StoreCalls{Operation="watch",Result="done"} 12`,
+		`WeightOrders{Result="accepted"} 1`,
+		`FirstPieceCount{Series="kypseli/chat"} 1`,
+		`TotalCount{Series="kypseli/chat"} 1`,
+		`ChoiceCount{Series="kypseli/chat"} 1`,
+	} {
+		require.Contains(t, strings.Split(text, "\n"), line)
+	}
+
+	var vars struct {
+		RequestsEnded, StoreCalls map[string]int64
+		FirstPiece                map[string]meter.Summary
+	}
+	require.NoError(t, json.Unmarshal([]byte(read(t, m, "/debug/vars")), &vars))
+	require.Equal(t, int64(1), vars.RequestsEnded["200/chat"])
+	require.Equal(t, int64(12), vars.StoreCalls["watch/done"])
+	require.InEpsilon(t, 80*time.Millisecond, vars.FirstPiece["kypseli/chat"].P50, 0.01)
+	require.Equal(t, 2, refreshed)
+}
--- a/hibiscusfront/internal/planner/deputy_test.go
+++ b/hibiscusfront/internal/planner/deputy_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"hibiscuslb/fleet"
@@ -13,6 +12,7 @@
 	"hibiscuslb/fleet/roster"
 	"hibiscuslb/fleet/route"
 	"hibiscuslb/hibiscusfront/internal/clock"
+	"hibiscuslb/hibiscusfront/internal/testlog"
 	"hibiscuslb/hibiscusfront/internal/view"
 	"hibiscuslb/platform"
 )
@@ -37,9 +37,10 @@
 	return v.Freeze()
 }
 
-func run(t *testing.T, d *duty) (context.Context, *Planner) {
+func run(t *testing.T, d *duty) (context.Context, *Planner, *testlog.Lines) {
 	t.Helper()
-	p := New("h", platform.Bounds{}, platform.NewTargets(), d, clock.Boot(), zerolog.Nop())
+	lines := new(testlog.Lines)
+	p := New("h", platform.Bounds{}, platform.NewTargets(), d, clock.Boot(), lines.Logger())
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
@@ -51,7 +52,7 @@
 		<-ended
 	})
 	p.SetView(ctx, fleetOf())
-	return ctx, p
+	return ctx, p, lines
 }
 
 func question() *plan.Ask {
@@ -59,7 +60,7 @@
 }
 
 func TestOnlyADeputyPlansWithoutTheDuty(t *testing.T) {
-	ctx, p := run(t, new(duty))
+	ctx, p, _ := run(t, new(duty))
 	verdict, err := p.Ask(ctx, question(), false)
 	require.NoError(t, err)
 	require.Equal(t, fleet.ReasonNotKeeper, verdict.Refusal.Reason)
@@ -75,7 +76,7 @@
 // taken for one another, and what a deputy may not do begins with the duty.
 func TestADeputyBecomesThePlanner(t *testing.T) {
 	d := new(duty)
-	ctx, p := run(t, d)
+	ctx, p, _ := run(t, d)
 	verdict, err := p.Ask(ctx, question(), true)
 	require.NoError(t, err)
 	deputys := verdict.Grant.Number
@@ -92,7 +93,7 @@
 }
 
 func TestADeputyStopsWhenNobodyAsks(t *testing.T) {
-	ctx, p := run(t, new(duty))
+	ctx, p, _ := run(t, new(duty))
 	_, err := p.Ask(ctx, question(), true)
 	require.NoError(t, err)
 	deputy := func() bool {
@@ -106,3 +107,26 @@
 	require.NoError(t, err)
 	require.Equal(t, fleet.ReasonNotKeeper, verdict.Refusal.Reason)
 }
+
+func TestEachPlannersDecisionHasItsLine(t *testing.T) {
+	d := &duty{holds: true}
+	ctx, p, lines := run(t, d)
+	p.Elect(ctx, 7, true)
+	late := question()
+	late.ID, late.Service = "9c41", "unknown"
+	verdict, err := p.Ask(ctx, late, false)
+	require.NoError(t, err)
+	require.NotNil(t, verdict.Refusal)
+	lines.Require(t, "refused a request", testlog.Line{
+		"Request": "9c41", "Service": "unknown", "Reason": "no target", "RetryAfter": nil, "Waiting": 0, "Usable": 0,
+		"Objective": nil, "Rank": 0, "Epoch": 7,
+	})
+	lines.Require(t, "planned", testlog.Line{"Count": nil, "Waiting": 0})
+
+	d.holds = false
+	p.Elect(ctx, 7, false)
+	_, err = p.Ask(ctx, question(), true)
+	require.NoError(t, err)
+	lines.Require(t, "planning for hosts that cannot reach the planner", testlog.Line{"Epoch": 7})
+	lines.Require(t, "nobody asks for a deputy any more", nil)
+}
