Let a planner that lost the store say so, and pass configurations on at once

Change: the planner's answers say that it lost the store, the others watch at once, watches for the configuration wait 0.4 s, and its change is told to all hosts at once.

--- a/hibiscusfront/internal/control/beats.go
+++ b/hibiscusfront/internal/control/beats.go
@@ -23,7 +23,7 @@
 			c.publish()
 		}
 		pulse = wire.Pulse{
-			Revisions: c.revisions(), Follows: c.follows.Load() && now.Sub(c.contact) < freshTime,
+			Revisions: c.revisions(), Follows: c.follows.Load() && !c.outage && now.Sub(c.contact) < freshTime,
 			Duty: c.duty.Holder(), Revision: c.duty.Revision(), Planning: c.planned,
 		}
 		if pulse.Planning {
@@ -75,8 +75,8 @@
 const gossipShare = 4
 
 // freshTime is how old the store's last answer may be at a host that others
-// rely on.
-const freshTime = 1500 * time.Millisecond
+// rely on: the wait of a watch, and the time of a slow answer.
+const freshTime = time.Second
 
 // beat sends a heartbeat to the host that plans, and one to a host drawn at
 // random, so that news travels also where the planner is out of reach.
@@ -108,7 +108,7 @@
 	}
 }
 
-// announce tells all hosts that this one plans.
+// announce tells all hosts at once what this one knows.
 func (c *Control) announce() {
 	beat := c.ownBeat()
 	for _, h := range c.drawPeers(len(c.members.hosts)) {
@@ -140,8 +140,13 @@
 
 // pulse takes the answer to a heartbeat.
 func (c *Control) pulse(now fleet.Instant, from fleet.Address, pulse wire.Pulse) {
-	if pulse.Follows {
+	switch {
+	case pulse.Follows:
 		c.heard = now
+	case pulse.Planning:
+		// The planner has lost the store. Waiting for others would leave a
+		// change unseen for longer than it may take.
+		c.heard = min(c.heard, now.Add(-quietTime))
 	}
 	if pulse.Revision > 0 {
 		c.duty.Seen(now, pulse.Revision, pulse.Duty)
--- /dev/null
+++ b/hibiscusfront/internal/control/fleet_test.go
@@ -0,0 +1,139 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/peer"
+	"hibiscuslb/hibiscusfront/internal/clock"
+	"hibiscuslb/hibiscusfront/internal/testlog"
+	"hibiscuslb/hibiscusfront/internal/wire"
+	"hibiscuslb/platform"
+	"hibiscuslb/standin/link"
+	"hibiscuslb/standin/prepared"
+)
+
+// peers serves the messages among control states.
+type peers struct{ control *Control }
+
+func (p peers) Handle(ctx context.Context, kind peer.Kind, body cbor.RawMessage, _ func(any) error) (any, error) {
+	switch kind {
+	case wire.KindBeat:
+		return peer.Answer(body, func(beat wire.Beat) (wire.Pulse, error) { return p.control.Beat(ctx, beat) })
+	case wire.KindSnapshot:
+		return peer.Answer(body, func(ask wire.Snapshot) (wire.News, error) { return p.control.Snapshot(ctx, ask) })
+	default:
+		return peer.Answer(body, func(ask wire.Renew) (wire.Renewed, error) { return p.control.RenewFor(ctx, ask) })
+	}
+}
+
+// startFleet runs the control states of so many hosts, each with a path of its own
+// to the store.
+func startFleet(t *testing.T, store *prepared.Store, hosts int) ([]*Control, []*link.Relay) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	server := httptest.NewServer(store)
+	var controls []*Control
+	var paths []*link.Relay
+	ended := make(chan struct{})
+	tasks := 0
+	run := func(f func(context.Context)) {
+		tasks++
+		go func() {
+			f(ctx)
+			ended <- struct{}{}
+		}()
+	}
+	for i := range hosts {
+		c := &Control{Peers: new(peer.Pool), Clock: clock.Boot(), Log: new(testlog.Lines).Logger()}
+		serving := httptest.NewServer(&peer.Server{Handler: peers{c}})
+		t.Cleanup(serving.Close)
+		t.Cleanup(serving.CloseClientConnections)
+		path := &link.Relay{
+			Listen: fleet.Address(freeAddress(t)),
+			Target: fleet.Address(strings.TrimPrefix(server.URL, "http://")),
+		}
+		c.Self = wire.Host{
+			ID: fleet.HostID(fmt.Sprint("h", i)), Callers: "127.0.0.1:1", Incarnation: 1,
+			Peers: fleet.Address(strings.TrimPrefix(serving.URL, "http://")),
+		}
+		c.Settings = platform.Settings{Host: c.Self.ID, Peers: c.Self.Peers, Bounds: platform.Bounds{Configuration: 2 * time.Second}}
+		c.Store = &platform.Store{Address: path.Listen}
+		run(func(ctx context.Context) { _ = path.Run(ctx) }) // a test that has lost its store shows it
+		run(c.Peers.Run)
+		run(c.Run)
+		controls, paths = append(controls, c), append(paths, path)
+	}
+	t.Cleanup(func() {
+		cancel()
+		server.CloseClientConnections()
+		for range tasks {
+			<-ended
+		}
+		server.Close()
+	})
+	return controls, paths
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	free := httptest.NewServer(nil)
+	defer free.Close()
+	return strings.TrimPrefix(free.URL, "http://")
+}
+
+// TestAChangeReachesAllWhenTheStoreTurnsThePlannerAway replays a key that is
+// revoked in the moment in which the store turns away the one host that watches
+// it. The others relied on it for 0.8 s more, and then passed the change on with
+// their next heartbeats: the last host had it after 2.04 s, of 2 s allowed.
+func TestAChangeReachesAllWhenTheStoreTurnsThePlannerAway(t *testing.T) {
+	const hosts = 4
+	store := configured()
+	store.Remove("hosts", "other")
+	store.Put("servers", "i-1", map[string]any{"service": "s", "address": "10.0.0.1:80", "zone": "z", "slots": 4, "state": "ready"})
+	controls, paths := startFleet(t, store, hosts)
+	planner := -1
+	require.Eventually(t, func() bool {
+		planner = -1
+		for i, c := range controls {
+			if c.Planning() {
+				planner = i
+			}
+		}
+		for _, c := range controls {
+			if planner < 0 || c.View().Table == nil || c.View().Duty.Holder != controls[planner].Self.ID {
+				return false
+			}
+		}
+		return true
+	}, 10*time.Second, 10*time.Millisecond)
+	require.Eventually(t, func() bool {
+		for i, c := range controls {
+			if c.follows.Load() != (i == planner) {
+				return false
+			}
+		}
+		return true
+	}, 10*time.Second, 10*time.Millisecond, "the planner alone watches")
+
+	const bound = 2 * time.Second
+	for number := 4; number < 6; number++ {
+		paths[planner].SetMode(link.Cut)
+		store.Put("config", "main", map[string]any{"version": number, "services": []map[string]any{}, "routes": []map[string]any{}})
+		changed := time.Now()
+		for _, c := range controls {
+			require.Eventually(t, func() bool { return c.View().Table.Number == fleet.Version(number) }, 5*time.Second, 2*time.Millisecond)
+		}
+		require.Less(t, time.Since(changed), bound*3/4)
+		paths[planner].SetMode(link.Pass)
+		time.Sleep(time.Second)
+	}
+}
--- a/hibiscusfront/internal/control/objects.go
+++ b/hibiscusfront/internal/control/objects.go
@@ -17,11 +17,15 @@
 	// long a watch waits: its connection may be silent for good, which shows
 	// only by the end of the wait.
 	watchShare = 3
+	// configurationShare is the same for the configuration itself. What follows
+	// the end of the wait, up to the last host that hears of a change by others,
+	// takes three more such shares.
+	configurationShare = 5
 	// hostsWatchTime is how long a watch for hosts waits: heartbeats tell more
 	// than their entries do.
 	hostsWatchTime = 6 * time.Second
 	// leastWatchTime bounds the calls where no bound is set.
-	leastWatchTime = 500 * time.Millisecond
+	leastWatchTime = 400 * time.Millisecond
 	// restTime is the pause between two looks whether to watch.
 	restTime = 50 * time.Millisecond
 	// firstPause and lastPause bound the pause after a failed call.
@@ -80,7 +84,11 @@
 	if kind == platform.KindHosts {
 		return hostsWatchTime
 	}
-	return max(leastWatchTime, c.Settings.Bounds.Configuration/watchShare)
+	share := time.Duration(watchShare)
+	if kind == platform.KindConfiguration {
+		share = configurationShare
+	}
+	return max(leastWatchTime, c.Settings.Bounds.Configuration/share)
 }
 
 func (c *Control) list(ctx context.Context, kind string) error {
@@ -90,11 +98,23 @@
 	}
 	c.ask(ctx, func(now fleet.Instant) {
 		c.reached(now)
+		before := c.kinds[kind].Revision()
 		c.listed(now, kind, listing)
+		if before > 0 && c.kinds[kind].Revision() > before {
+			c.tell(kind)
+		}
 	})
 	return nil
 }
 
+// tell passes on at once what the store says of a kind that has to take effect
+// soon. Other kinds go with the next heartbeat.
+func (c *Control) tell(kind string) {
+	if kind == platform.KindConfiguration || kind == platform.KindEvacuations {
+		c.announce()
+	}
+}
+
 func (c *Control) watch(ctx context.Context, kind string, since fleet.Version) error {
 	changes, err := c.Store.Watch(ctx, kind, since, c.watchTime(kind))
 	if err != nil {
@@ -104,6 +124,7 @@
 		c.reached(now)
 		if c.kinds[kind].Watched(changes) {
 			c.changed(now, kind)
+			c.tell(kind)
 		}
 	})
 	return nil
