Write the logs of all programs through one bounded buffer to standard output

Package logs takes over what hibiscusfront had in its main file. The declarations of the process tests of hibiscusd have a file of their own.

--- a/hibiscusd/internal/proof/fleet_test.go
+++ b/hibiscusd/internal/proof/fleet_test.go
@@ -18,10 +18,8 @@
 	"github.com/stretchr/testify/require"
 
 	"hibiscuslb/fleet"
-	"hibiscuslb/fleet/cache"
 	"hibiscuslb/fleet/caller"
 	"hibiscuslb/fleet/contract"
-	"hibiscuslb/fleet/declaration"
 	"hibiscuslb/fleet/operator"
 	"hibiscuslb/standin/link"
 	"hibiscuslb/standin/modelengine"
@@ -326,70 +324,6 @@
 	}
 }
 
-func (b *bench) declare() string {
-	var text strings.Builder
-	text.WriteString("[DataCentre a]\nRegion = r\n[DataCentre b]\nRegion = r\n[Model answer]\nVersion = v1\n[Model ledger]\n")
-	for i := range b.engines {
-		fmt.Fprintf(&text, "[Target answer-%d]\nModel = answer\nDataCentre = %s\nAddress = %s\nColdLimit = %d\nWarmLimit = 8\nPrefillRate = 400000\n",
-			i, []string{"a", "b"}[i/2], b.engineAt[i].address, coldBound)
-	}
-	fmt.Fprintf(&text, "[Target ledger-1]\nKind = Service\nModel = ledger\nDataCentre = a\nAddress = %s\nColdLimit = 4\nWarmLimit = 8\n", b.serverAt.address)
-	fmt.Fprintf(&text, "[Store store-1]\nDataCentre = a\nAddress = %s\n", b.storeAt.address)
-	fmt.Fprintf(&text, "[Workspace clerks]\nKeyHash = %x\n[Workspace agents]\nKeyHash = %x\nPolicy = Reuse\n",
-		cache.HashKey("clerks-key"), cache.HashKey("agents-key"))
-	text.WriteString("[Operation ledger/book]\nRepeatable = No\n[Operation ledger/stock]\nRepeatable = Yes\n")
-	return text.String()
-}
-
-// apply makes the text the declaration, and returns when it is in force.
-func (b *bench) apply(text string) fleet.Version {
-	b.t.Helper()
-	number := b.accept(text)
-	b.await(number)
-	return number
-}
-
-// accept stores the text as the declaration.
-func (b *bench) accept(text string) fleet.Version {
-	b.t.Helper()
-	wanted, err := declaration.Parse("test", []byte(text))
-	require.NoError(b.t, err)
-	ctx := context.Background()
-	var number fleet.Version
-	b.eventually("the change is accepted", func() bool {
-		current, read, err := b.operator.Declaration(ctx)
-		if err != nil {
-			return false
-		}
-		change := declaration.Diff(current, wanted)
-		change.ID = declaration.ChangeID(fmt.Sprintf("change-%d", time.Now().UnixNano()))
-		number, err = b.operator.Apply(ctx, read, change)
-		return err == nil
-	})
-	return number
-}
-
-func (b *bench) await(number fleet.Version) {
-	b.t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
-	defer cancel()
-	require.NoError(b.t, b.operator.Await(ctx, number))
-}
-
-// awaitService waits until each engine that is up has a keeper which serves.
-func (b *bench) awaitService() {
-	b.t.Helper()
-	n := 0
-	for i := range b.engines {
-		before := b.engines[i].Counts().Whole
-		b.eventually(fmt.Sprintf("engine %d serves", i), func() bool {
-			n++
-			_, _ = b.caller.Complete(context.Background(), caller.Prompt{Model: "answer", Text: fmt.Sprint("hello ", n), MaxTokens: 1})
-			return b.engines[i].Counts().Whole > before
-		})
-	}
-}
-
 // keeperOf returns the host that keeps a target, and the duty's epoch.
 func (b *bench) keeperOf(target fleet.TargetID) (*host, fleet.Epoch) {
 	for _, h := range b.hosts {
--- a/hibiscusd/main.go
+++ b/hibiscusd/main.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"hibiscuslb/fleet/logs"
 	"hibiscuslb/fleet/settings"
 	"hibiscuslb/hibiscusd/internal/node"
 )
@@ -44,11 +45,18 @@
 		fmt.Println("settings are good")
 		return
 	}
-	log := zerolog.New(os.Stderr).Level(loaded.LogLevel).With().Timestamp().Str("Host", string(loaded.Host.ID)).Logger()
+	out := logs.NewOutput(os.Stdout)
+	log := zerolog.New(out).Level(loaded.LogLevel).With().Timestamp().Str("Host", string(loaded.Host.ID)).Logger()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := node.New(loaded, log).Run(ctx); err != nil {
+	err = node.New(loaded, log).Run(ctx)
+	if err != nil {
 		log.Error().Str("Cause", eris.ToString(err, false)).Msg("failed")
+	}
+	if closing := out.Close(); closing != nil {
+		fmt.Fprintln(os.Stderr, "the last log lines may be missing:", closing)
+	}
+	if err != nil {
 		os.Exit(exitFailed)
 	}
 }
--- a/hibiscusfront/main.go
+++ b/hibiscusfront/main.go
@@ -7,29 +7,19 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"os"
 	"os/signal"
-	"sync/atomic"
 	"syscall"
-	"time"
 
 	"github.com/integrii/flaggy"
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
-	"github.com/rs/zerolog/diode"
 
+	"hibiscuslb/fleet/logs"
 	"hibiscuslb/hibiscusfront/internal/host"
 	"hibiscuslb/platform"
 )
 
-// logLines is how many log lines wait for a slow reader.
-const logLines = 2048
-
-// lastLinesTime bounds the writing of the last log lines. It is part of what a
-// host leaves of its grace time.
-const lastLinesTime = 200 * time.Millisecond
-
 // Exit statuses.
 const (
 	exitFailed      = 1
@@ -63,18 +53,15 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitBadSettings)
 	}
-	// A reader of standard output that stands still must not hold requests up:
-	// lines beyond the buffer are dropped and counted.
-	var dropped atomic.Int64
-	out := diode.NewWriter(os.Stdout, logLines, 0, func(missed int) { dropped.Add(int64(missed)) })
+	out := logs.NewOutput(os.Stdout)
 	log := zerolog.New(out).Level(least).With().Timestamp().Str("Host", string(settings.Host)).Logger()
 	h := host.New(settings, log)
-	h.MetricsPort, h.DroppedLines = metrics, dropped.Load
+	h.MetricsPort, h.DroppedLines = metrics, out.Dropped
 	err = run(h, file)
 	if err != nil {
 		log.Error().Str("Cause", eris.ToString(err, false)).Msg("failed")
 	}
-	if closing := closeLog(out); closing != nil {
+	if closing := out.Close(); closing != nil {
 		fmt.Fprintln(os.Stderr, "the last log lines may be missing:", closing)
 	}
 	if err != nil {
@@ -82,21 +69,6 @@
 	}
 }
 
-var errUnread = errors.New("nobody reads standard output")
-
-// closeLog writes the lines that wait. It gives up on a reader that stands
-// still: the process has to end in its grace time.
-func closeLog(out io.Closer) error {
-	closed := make(chan error, 1)
-	go func() { closed <- out.Close() }()
-	select {
-	case err := <-closed:
-		return err
-	case <-time.After(lastLinesTime):
-		return errUnread
-	}
-}
-
 // run serves until the process is asked to end. SIGHUP reads the settings again.
 func run(h *host.Host, file string) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
