Take a planner's epoch where its goroutine owns it

Orders and lists run beside that goroutine and read its epoch there: a data race, and an order could have gone out under the next epoch. Found by reading the diff; the race detector reports nothing for planner, chooser, control and gateway after it.

--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -56,8 +56,8 @@
 	Until   time.Time       // on the engines' clock, by which fetches must end
 	Rank    int
 
-	// By is the host that granted it, where it is asked for; none if the
-	// caller's host chose alone. It is filled in by whoever gets the grant.
+	// By is where the host that granted it is reached; empty if the caller's
+	// host chose alone. The host that gets the grant fills it in.
 	By fleet.Address
 }
 
--- a/hibiscusfront/internal/planner/deputy_test.go
+++ b/hibiscusfront/internal/planner/deputy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,11 +19,11 @@
 )
 
 // duty is a planner's tenure that a test sets.
-type duty struct{ holds bool }
+type duty struct{ holds atomic.Bool }
 
-func (d *duty) Planning() bool           { return d.holds }
-func (d *duty) Holds() bool              { return d.holds }
-func (d *duty) MayOrder() bool           { return d.holds }
+func (d *duty) Planning() bool           { return d.holds.Load() }
+func (d *duty) Holds() bool              { return d.holds.Load() }
+func (d *duty) MayOrder() bool           { return d.holds.Load() }
 func (d *duty) TenureEnd() fleet.Instant { return 0 }
 
 var _ Tenure = (*duty)(nil)
@@ -81,7 +82,7 @@
 	require.NoError(t, err)
 	deputys := verdict.Grant.Number
 
-	d.holds = true
+	d.holds.Store(true)
 	p.Elect(ctx, 7, true)
 	verdict, err = p.Ask(ctx, question(), false)
 	require.NoError(t, err)
@@ -109,7 +110,8 @@
 }
 
 func TestEachPlannersDecisionHasItsLine(t *testing.T) {
-	d := &duty{holds: true}
+	d := new(duty)
+	d.holds.Store(true)
 	ctx, p, lines := run(t, d)
 	p.Elect(ctx, 7, true)
 	late := question()
@@ -123,7 +125,7 @@
 	})
 	lines.Require(t, "planned", testlog.Line{"Count": nil, "Waiting": 0})
 
-	d.holds = false
+	d.holds.Store(false)
 	p.Elect(ctx, 7, false)
 	_, err = p.Ask(ctx, question(), true)
 	require.NoError(t, err)
--- a/hibiscusfront/internal/planner/planner.go
+++ b/hibiscusfront/internal/planner/planner.go
@@ -291,8 +291,9 @@
 		return // it only grants
 	}
 	p.outdated.Store(p.fleet.Outdated())
+	epoch := p.epoch // the tasks run beside the goroutine that owns it
 	for _, order := range p.fleet.Orders(now, p.Tenure.MayOrder()) {
-		p.tasks.Go(ctx, func(ctx context.Context) { p.order(ctx, order) })
+		p.tasks.Go(ctx, func(ctx context.Context) { p.order(ctx, epoch, order) })
 	}
 	for id, address := range p.fleet.Unclear(now) {
 		p.tasks.Go(ctx, func(ctx context.Context) { p.inquire(ctx, id, address) })
@@ -305,22 +306,22 @@
 	}
 	for _, address := range p.fleet.Stores() {
 		if s := p.fleet.Shelf(address); s.NeedsList(now) {
-			p.tasks.Go(ctx, func(ctx context.Context) { p.list(ctx, address, p.epoch, now) })
+			p.tasks.Go(ctx, func(ctx context.Context) { p.list(ctx, address, epoch, now) })
 		}
 	}
 }
 
-// order gives an engine an order.
-func (p *Planner) order(ctx context.Context, order plan.Order) {
+// order gives an engine an order, in the tenure of the epoch.
+func (p *Planner) order(ctx context.Context, epoch fleet.Epoch, order plan.Order) {
 	if !p.Tenure.MayOrder() {
 		p.do(ctx, func(now fleet.Instant) { p.fleet.Ordered(now, order, wave.NotSent) })
 		return
 	}
 	result, err := p.Targets.Give(ctx, order.Address, order.Target, platform.Order{
-		Model: order.Model, Version: order.Version, Holder: p.Host, Epoch: p.epoch, Accepted: order.Accepted,
+		Model: order.Model, Version: order.Version, Holder: p.Host, Epoch: epoch, Accepted: order.Accepted,
 	})
 	p.Log.Info().AnErr("Cause", err).Str("Target", string(order.Target)).Uint64("Version", order.Version).
-		Uint64("Accepted", order.Accepted).Uint64("Epoch", uint64(p.epoch)).Stringer("Result", result).Msg("ordered weights")
+		Uint64("Accepted", order.Accepted).Uint64("Epoch", uint64(epoch)).Stringer("Result", result).Msg("ordered weights")
 	p.Ordered.Add(1, result.String())
 	p.do(ctx, func(now fleet.Instant) {
 		p.fleet.Ordered(now, order, result)
