Do not take own requests that ended for a predecessor's

Cause: a report names runs that have ended since at the new keeper; while its own short requests came and went, each report held some, and what was inherited never fell, so a cold target kept less than its room. Names of own requests are now kept for 5 s.

--- a/fleet/target/admission.go
+++ b/fleet/target/admission.go
@@ -130,6 +130,7 @@
 
 	flights   map[TicketID]*flight
 	left      map[TicketID]leftBehind
+	past      map[RunID]fleet.Instant // when own requests ended well
 	busy      map[fleet.WorkspaceID]int
 	queue     []Ticket
 	inherited int
@@ -314,6 +315,10 @@
 	}
 	switch result {
 	case Whole:
+		if a.past == nil {
+			a.past = make(map[RunID]fleet.Instant)
+		}
+		a.past[f.run] = now
 		a.pace.note(now.Sub(f.admitted))
 		a.prove()
 	case Broken:
--- a/fleet/target/admission_test.go
+++ b/fleet/target/admission_test.go
@@ -87,3 +87,25 @@
 	change := a.Done(start, 5001, target.Whole)
 	require.Equal(t, target.TicketID(5003), change.Admitted[0].ID)
 }
+
+// Load pattern: a keeper is replaced, and its successor's own short requests come
+// and go. Reports are old enough to name some that have ended since; taken for the
+// predecessor's, they kept the target's room from ever being given back.
+func TestOwnRequestsThatEndedAreNotAPredecessors(t *testing.T) {
+	a := new(target.Admission)
+	a.SetLimits(target.Limits{Cold: 2, Warm: 2, Queue: 8})
+	a.TakeOver(start, 0)
+	now := start.Add(time.Millisecond)
+	a.Report(now, target.Facts{Taken: now, Incarnation: 1, Runs: []target.RunID{"predecessor"}})
+	require.Equal(t, 1, a.InFlight())
+	for i := range 5 {
+		id := target.TicketID(i + 1)
+		run := target.RunID(rune('a' + i))
+		require.Equal(t, target.Admitted, a.Offer(now, target.Ticket{ID: id, Run: run}).Verdict)
+		taken := now.Add(time.Millisecond)
+		now = now.Add(100 * time.Millisecond)
+		a.Done(now, id, target.Whole)
+		a.Report(now, target.Facts{Taken: taken, Incarnation: 1, Runs: []target.RunID{run}})
+	}
+	require.Zero(t, a.InFlight(), "the predecessor's request has ended")
+}
--- a/fleet/target/ramp.go
+++ b/fleet/target/ramp.go
@@ -57,8 +57,14 @@
 	return a.Expire(now)
 }
 
-// settle gives back the room of what was left behind and runs no more.
+// settle gives back the room of what was left behind and runs no more, and
+// forgets the names of requests that ended long ago.
 func (a *Admission) settle(facts Facts) {
+	for run, at := range a.past {
+		if facts.Taken > at.Add(pastTime) {
+			delete(a.past, run)
+		}
+	}
 	for id, left := range a.left {
 		if facts.Taken > left.at && !slices.Contains(facts.Runs, left.run) {
 			delete(a.left, id)
@@ -66,6 +72,10 @@
 	}
 }
 
+// pastTime is how long the names of own requests that ended are kept. Reports
+// are younger than that.
+const pastTime = 5 * time.Second
+
 // strangers is how many of the running requests are a predecessor's. Runs are
 // told apart by their names: their number says nothing, since a run that has
 // ended at the target may still be a flight here.
@@ -77,6 +87,9 @@
 	for _, left := range a.left {
 		own[left.run] = true
 	}
+	for run := range a.past {
+		own[run] = true
+	}
 	strangers := 0
 	for _, run := range facts.Runs {
 		if !own[run] {
