Let windows that nobody asks forget, and reply through one function

Found by reading the diff. Adding forgets now, too; counts are the same.

standin/prepared had its own copy of web.Reply, and asked twice for the fault that refuses calls. A comment named another function.

--- a/fleet/plan/admit.go
+++ b/fleet/plan/admit.go
@@ -55,9 +55,9 @@
 			return refused(ask, fleet.ReasonRetryBudget, leastRetry), true
 		}
 		f.count.Repeats++
-		s.repeats.add(now)
+		s.repeats.add(now, f.RetryWindow)
 	} else {
-		s.arrived.add(now)
+		s.arrived.add(now, f.RetryWindow)
 	}
 	if v, ok := f.try(now, ask); ok {
 		return v, true
--- a/fleet/plan/target.go
+++ b/fleet/plan/target.go
@@ -134,7 +134,7 @@
 	t.unread += fl.read
 	t.memory += fl.size
 	t.readyAt = max(now, t.readyAt).Add(readRate.Time(fl.read))
-	t.sent.add(now)
+	t.sent.add(now, coldWindow)
 	t.cache.grant(t, fl.parts...)
 }
 
@@ -221,7 +221,12 @@
 // window counts moments within a time that slides.
 type window struct{ moments []fleet.Instant }
 
-func (w *window) add(now fleet.Instant) { w.moments = append(w.moments, now) }
+// add counts a moment. It forgets those before the span, since a window may be
+// added to for long without being asked.
+func (w *window) add(now fleet.Instant, span time.Duration) {
+	w.count(now, span)
+	w.moments = append(w.moments, now)
+}
 
 // count returns how many moments lie within the span before now, and forgets
 // those before it.
--- a/hibiscusfront/internal/control/control.go
+++ b/hibiscusfront/internal/control/control.go
@@ -255,7 +255,7 @@
 	}
 }
 
-// decode logs an object that can not be read, once for each of its revisions.
+// malformed logs an object that can not be read, once for each of its revisions.
 func (c *Control) malformed(o platform.Object, err error) {
 	name := o.Kind + "/" + o.Name
 	if c.bad[name] == o.Revision {
--- a/standin/prepared/admin.go
+++ b/standin/prepared/admin.go
@@ -1,6 +1,10 @@
 package prepared
 
-import "net/http"
+import (
+	"net/http"
+
+	"hibiscuslb/standin/internal/web"
+)
 
 // Handler serves the store, and at /admin/fault and /admin/counts what an
 // experiment needs to know and to change.
@@ -8,7 +12,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(prefix, s)
 	mux.HandleFunc("POST /admin/fault", s.takeFault)
-	mux.HandleFunc("GET /admin/counts", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, s.Counts()) })
+	mux.HandleFunc("GET /admin/counts", func(w http.ResponseWriter, _ *http.Request) { web.Reply(w, http.StatusOK, s.Counts()) })
 	return mux
 }
 
--- a/standin/prepared/store.go
+++ b/standin/prepared/store.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"hibiscuslb/standin/internal/web"
 )
 
 // Object is an object of the store as it travels.
@@ -166,8 +168,7 @@
 	} else {
 		s.counts.Writes++
 	}
-	s.failing(w)
-	if s.fault == Refusing {
+	if s.failing(w) {
 		return
 	}
 	switch r.Method {
@@ -180,13 +181,17 @@
 	}
 }
 
-// failing answers a call that a fault keeps from being served. The lock is held.
-func (s *Store) failing(w http.ResponseWriter) {
+// failing reports whether a fault keeps a call from being served, and answers it
+// then. The lock is held.
+func (s *Store) failing(w http.ResponseWriter) bool {
 	switch s.fault {
 	case Refusing:
 		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
 	case Down:
 		panic(http.ErrAbortHandler)
+	default:
+		return false
 	}
 }
 
@@ -195,7 +200,7 @@
 	if s.fault == LoseAnswers {
 		panic(http.ErrAbortHandler)
 	}
-	reply(w, http.StatusOK, o)
+	web.Reply(w, http.StatusOK, o)
 }
 
 // pageLimit is how many objects a page of a list holds.
@@ -208,7 +213,7 @@
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
-		reply(w, http.StatusOK, o)
+		web.Reply(w, http.StatusOK, o)
 		return
 	}
 	list := struct {
@@ -225,7 +230,7 @@
 	if len(list.Items) > pageLimit {
 		list.Items, list.HasMore = list.Items[:pageLimit], true
 	}
-	reply(w, http.StatusOK, list)
+	web.Reply(w, http.StatusOK, list)
 }
 
 func (s *Store) delete(w http.ResponseWriter, r *http.Request, kind, name string) {
@@ -235,7 +240,7 @@
 	case !exists:
 		w.WriteHeader(http.StatusNotFound)
 	case seen != "" && seen != strconv.FormatUint(current.Metadata.Revision, 10):
-		reply(w, http.StatusConflict, current)
+		web.Reply(w, http.StatusConflict, current)
 	default:
 		s.remove(kind, name)
 		s.done(w, current)
@@ -255,7 +260,7 @@
 	switch {
 	case r.Method == http.MethodPost && exists,
 		r.Method == http.MethodPut && exists && o.Metadata.Revision != current.Metadata.Revision:
-		reply(w, http.StatusConflict, current)
+		web.Reply(w, http.StatusConflict, current)
 	case r.Method == http.MethodPut && !exists:
 		w.WriteHeader(http.StatusNotFound)
 	case exists && bytes.Equal(current.Spec, o.Spec):
@@ -295,7 +300,7 @@
 			return
 		}
 		if len(answer.Events) > 0 || over {
-			reply(w, http.StatusOK, answer)
+			web.Reply(w, http.StatusOK, answer)
 			return
 		}
 		select {
@@ -313,8 +318,7 @@
 func (s *Store) since(w http.ResponseWriter, from uint64, take func(event), revision *uint64) <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.failing(w)
-	if s.fault == Refusing {
+	if s.failing(w) {
 		return nil
 	}
 	if from < s.dropped {
@@ -332,9 +336,3 @@
 	}
 	return s.changed
 }
-
-func reply(w http.ResponseWriter, status int, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body) // whoever has gone needs no answer
-}
--- a/standin/prepared/target.go
+++ b/standin/prepared/target.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"hibiscuslb/standin/internal/web"
 )
 
 // A Target is a model engine, or a plain service if it has no Model. It keeps
@@ -101,7 +103,7 @@
 	case <-r.Context().Done():
 		return
 	}
-	reply(w, http.StatusOK, struct {
+	web.Reply(w, http.StatusOK, struct {
 		BootEpoch uint64  `json:"bootEpoch"`
 		NextToken uint64  `json:"nextToken"`
 		Events    [][]any `json:"events"`
@@ -117,7 +119,7 @@
 func (t *Target) report(w http.ResponseWriter) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	reply(w, http.StatusOK, struct {
+	web.Reply(w, http.StatusOK, struct {
 		Models []modelState `json:"models"`
 		Busy   bool         `json:"busy"`
 		Seq    uint64       `json:"seq"`
