Start and end the programs of hosts by one piece of code

hibiscusd and hibiscusfront had the same lines for settings that can not be used and for the end of a run, and the soak built a caller's request twice. Exit statuses and messages stay: a bad file still ends with 2.

--- a/hibiscusd/main.go
+++ b/hibiscusd/main.go
@@ -4,27 +4,20 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/integrii/flaggy"
-	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"hibiscuslb/fleet/logs"
+	"hibiscuslb/fleet/process"
 	"hibiscuslb/fleet/settings"
 	"hibiscuslb/hibiscusd/internal/node"
 )
 
-// Exit statuses.
-const (
-	exitFailed      = 1
-	exitBadSettings = 2
-)
-
 func main() {
 	file, check := "hibiscusd.ini", false
 	flaggy.SetName("hibiscusd")
@@ -34,12 +27,7 @@
 	flaggy.Parse()
 	loaded, err := node.ReadSettings(file)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		var bad *settings.Error
-		if errors.As(err, &bad) {
-			os.Exit(exitBadSettings)
-		}
-		os.Exit(exitFailed)
+		process.Refuse[*settings.Error](err)
 	}
 	if check {
 		fmt.Println("settings are good")
@@ -50,13 +38,5 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	err = node.New(loaded, log).Run(ctx)
-	if err != nil {
-		log.Error().Str("Cause", eris.ToString(err, false)).Msg("failed")
-	}
-	if closing := out.Close(); closing != nil {
-		fmt.Fprintln(os.Stderr, "the last log lines may be missing:", closing)
-	}
-	if err != nil {
-		os.Exit(exitFailed)
-	}
+	process.End(log, out, err)
 }
--- a/hibiscusfront/internal/soak/callers_test.go
+++ b/hibiscusfront/internal/soak/callers_test.go
@@ -69,7 +69,7 @@
 		}
 		kind := kinds[random.IntN(len(kinds))]
 		r := result{id: fmt.Sprintf("%d-%d", number, i), kind: kind, marked: c.marked.Load()}
-		c.send(client, address, &r)
+		send(client, address, &r)
 		c.mu.Lock()
 		c.results = append(c.results, r)
 		c.mu.Unlock()
@@ -103,7 +103,8 @@
 	return ""
 }
 
-func (c *callers) send(client *http.Client, address string, r *result) {
+// send sends one request and notes what came of it.
+func send(client *http.Client, address string, r *result) {
 	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/"+r.kind+"/x", io.NopCloser(strings.NewReader("body")))
 	if err != nil {
 		return
--- a/hibiscusfront/internal/soak/log_test.go
+++ b/hibiscusfront/internal/soak/log_test.go
@@ -90,24 +90,10 @@
 }
 
 func readOnce(t *testing.T, h *host, id string) int {
-	request, err := http.NewRequest(http.MethodGet, "http://"+h.callers+"/read/x", nil)
-	if err != nil {
-		t.Error(err)
-		return 0
+	r := result{id: id, kind: "read"}
+	send(http.DefaultClient, h.callers, &r)
+	if !r.whole || !strings.Contains(r.body, id) {
+		t.Errorf("request %s: body %q, whole %v", id, r.body, r.whole)
 	}
-	request.Host = "h.example"
-	request.Header.Set("X-Hibiscuslb-Request-Id", id)
-	request.Header.Set("X-Hibiscuslb-Deadline-Ms", "3000")
-	request.Header.Set("Authorization", "Token key-w")
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		t.Error(err)
-		return 0
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	if err != nil || !strings.Contains(string(body), id) {
-		t.Errorf("request %s: body %q, error %v", id, body, err)
-	}
-	return response.StatusCode
+	return r.status
 }
--- a/hibiscusfront/main.go
+++ b/hibiscusfront/main.go
@@ -5,27 +5,20 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/integrii/flaggy"
-	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"hibiscuslb/fleet/logs"
+	"hibiscuslb/fleet/process"
 	"hibiscuslb/hibiscusfront/internal/host"
 	"hibiscuslb/platform"
 )
 
-// Exit statuses.
-const (
-	exitFailed      = 1
-	exitBadSettings = 2
-)
-
 func main() {
 	file, check, level, metrics := os.Getenv(platform.SettingsVariable), false, zerolog.LevelInfoValue, 0
 	flaggy.SetName("hibiscusfront")
@@ -37,12 +30,7 @@
 	flaggy.Parse()
 	settings, err := platform.ReadSettings(file)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		var bad *platform.SettingsError
-		if errors.As(err, &bad) {
-			os.Exit(exitBadSettings)
-		}
-		os.Exit(exitFailed)
+		process.Refuse[*platform.SettingsError](err)
 	}
 	if check {
 		fmt.Println("settings are good")
@@ -51,22 +39,14 @@
 	least, err := zerolog.ParseLevel(level)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitBadSettings)
+		os.Exit(process.BadSettings)
 	}
 	out := logs.NewOutput(os.Stdout)
 	log := zerolog.New(out).Level(least).With().Timestamp().Str("Host", string(settings.Host)).Logger()
 	h := host.New(settings, log)
 	h.MetricsPort, h.DroppedLines = metrics, out.Dropped
 	err = run(h, file)
-	if err != nil {
-		log.Error().Str("Cause", eris.ToString(err, false)).Msg("failed")
-	}
-	if closing := out.Close(); closing != nil {
-		fmt.Fprintln(os.Stderr, "the last log lines may be missing:", closing)
-	}
-	if err != nil {
-		os.Exit(exitFailed)
-	}
+	process.End(log, out, err)
 }
 
 // run serves until the process is asked to end. SIGHUP reads the settings again.
