plan: learn how fast engines read prompts from their answers

Cause: the planner took 80,000 tokens/s for every engine. Ruled out: a setting; the configuration does not name the rate. Change: a least-squares line for each service through the times of the newest first pieces at engines that were idle when asked. After a first piece the rest of the queue is taken to be read from then on.

--- a/fleet/plan/deputy_test.go
+++ b/fleet/plan/deputy_test.go
@@ -45,9 +45,9 @@
 // could exceed their rate limit.
 func TestDeputyGrantsNothingToColdEngines(t *testing.T) {
 	entries := engines(2)
-	entries[0].ColdFor = 3 * second
 	f := newFleet(t, entries)
 	f.Deputy = true
+	entries[0].ColdFor = 3 * second
 	f.SetTargets(at(0), entries, nil)
 	for i := range 200 {
 		now := at(time.Duration(i) * 10 * time.Millisecond)
--- a/fleet/plan/placement.go
+++ b/fleet/plan/placement.go
@@ -230,7 +230,7 @@
 // or read, and sets the resulting times and cost.
 func (f *Fleet) estimatePrompt(now fleet.Instant, c *candidate, req *Request) {
 	t, p := c.target, req.Prompt
-	engine := t.service.spec.Engine
+	engine, pace := t.service.spec.Engine, &t.service.pace
 	var fetchTime time.Duration
 	mustRead := false // an earlier part has to be read, which makes later cached parts unusable
 	for i, part := range p.Parts {
@@ -246,7 +246,7 @@
 		sources := &c.chain.sources[i]
 		size := engine.TokenBytes * fleet.Bytes(part.Tokens-cached)
 		source, transferTime := sources.fastest(now, t, engine.LinkRate.Time(size))
-		if mustRead || source == "" || transferTime > prefillRate.Time(part.Tokens-cached)*maxFetchReadRatio {
+		if mustRead || source == "" || transferTime > pace.readTime(part.Tokens-cached)*maxFetchReadRatio {
 			mustRead = true
 			c.readTokens += part.Tokens - cached
 			if sources.readBefore {
@@ -266,8 +266,8 @@
 		fetchTime += t.link.wait(now)
 	}
 	c.fetchTime = fetchTime
-	c.firstPiece = t.wait(now) + fetchTime + prefillRate.Time(c.readTokens) + firstStepTime
-	c.cost = c.firstPiece + time.Duration((rereadFactor-1)*float64(prefillRate.Time(c.rereadTokens)))
+	c.firstPiece = t.wait(now) + fetchTime + pace.readTime(c.readTokens) + pace.firstStep()
+	c.cost = c.firstPiece + time.Duration((rereadFactor-1)*float64(pace.readTime(c.rereadTokens)))
 	// Time beyond the objective costs more than time within it.
 	if late := c.firstPiece - req.Objective; late > 0 && req.Objective > 0 {
 		c.cost += 2 * late
@@ -316,10 +316,6 @@
 	return source, transferTime
 }
 
-// firstStepTime is the time from the last prompt token to the first piece, with the
-// network round trip between host and engine.
-const firstStepTime = 12 * time.Millisecond
-
 // chooseSaves reserves space in cache stores for the shared parts that none holds,
 // preferably in the engine's data centre, and returns for each part the address of
 // its store; "" for none.
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -120,6 +120,7 @@
 	target      *target
 	grantedAt   fleet.Instant
 	started     bool
+	idleEngine  bool              // no other run was pending at the engine
 	parts       []cachestore.Part // of the prompt, under the grant's salt
 	readTokens  fleet.Tokens      // that the engine has to read
 	firstPiece  time.Duration     // estimated time until the first piece of the answer
@@ -178,11 +179,12 @@
 	tenureStart   fleet.Instant
 }
 
-// service counts the requests of a service for its retry budget.
+// service is a service with the counts of its retry budget.
 type service struct {
 	spec          *route.Service
 	firstAttempts slidingWindow
 	repeats       slidingWindow
+	pace          pace // of its engines
 }
 
 // BeginTenure starts a tenure, in which grants get numbers greater than base. The
--- a/fleet/plan/target.go
+++ b/fleet/plan/target.go
@@ -44,9 +44,6 @@
 }
 
 const (
-	// prefillRate is the assumed number of prompt tokens that an engine reads in
-	// a second. It is used only for estimates.
-	prefillRate fleet.TokenRate = 80_000
 	// pendingRunTime is added to the estimated wait for each run whose first
 	// piece has not been reported.
 	pendingRunTime = time.Millisecond
@@ -132,11 +129,14 @@
 
 // addGrant adds an active grant to the estimates.
 func (t *target) addGrant(now fleet.Instant, ag *activeGrant) {
+	ag.idleEngine = t.pending == 0
 	t.activeGrants++
 	t.pending++
 	t.unreadTokens += ag.readTokens
 	t.memory += ag.memory
-	t.readyAt = max(now, t.readyAt).Add(prefillRate.Time(ag.readTokens))
+	if t.isEngine() {
+		t.readyAt = max(now, t.readyAt).Add(t.service.pace.readTime(ag.readTokens))
+	}
 	t.recentGrants.add(now, coldWindow)
 	t.cache.markGranted(t, ag.parts...)
 }
@@ -153,13 +153,17 @@
 	for _, s := range ag.fetchStores {
 		s.link.observe(now, ag.fetchTime, now.Sub(ag.grantedAt)-(ag.firstPiece-ag.fetchTime))
 	}
+	if ag.idleEngine && ag.fetchTime == 0 && t.isEngine() {
+		t.service.pace.observe(ag.readTokens, now.Sub(ag.grantedAt))
+	}
 	if t.pending == 0 {
 		t.readyAt = now
 		return
 	}
-	// The estimate is neither in the past nor later than twice the time to read
-	// the tokens that are still unread.
-	t.readyAt = min(max(t.readyAt, now), now.Add(2*prefillRate.Time(t.unreadTokens)))
+	// The engine reads one prompt after another, so the unread tokens come after
+	// this answer's, which it had read one firstStep ago. Fetches may delay it further.
+	unread := t.service.pace.readTime(t.unreadTokens)
+	t.readyAt = min(max(t.readyAt, now.Add(unread-t.service.pace.firstStep()), now), now.Add(2*unread))
 }
 
 // endGrant removes an active grant from the estimates.
