weightupdate: load at most a fifth of the engines at a time, small fleets too

Cause: three engines of twelve loaded at a time where the deployment bears two without slowing down, so each load took longer than the rest of its wave. Ruled out: fewer than a fifth; the sheets of five deployments of 12 to 160 engines all name a fifth as the limit. Change: no minimum of three.

--- a/fleet/weightupdate/update.go
+++ b/fleet/weightupdate/update.go
@@ -26,9 +26,6 @@
 	// parallelDivisor limits parallel loads to one in this many of a model's
 	// engines.
 	parallelDivisor = 5
-	// minParallel is how many engines of a small model may load in parallel,
-	// as long as others serve.
-	minParallel = 3
 	// retryDelay is the pause before an order without an answer is repeated.
 	// The first order may still be carried out seconds later; it has no effect
 	// if the repeated one was accepted (see LoadOrder.Accepted).
@@ -104,11 +101,8 @@
 }
 
 // MaxParallelLoads returns how many of the given number of engines may load in
-// parallel. It is at most a third of them, so that the others serve, but at
-// least one.
-func MaxParallelLoads(engines int) int {
-	return max(1, min(max(minParallel, engines/parallelDivisor), engines/3))
-}
+// parallel.
+func MaxParallelLoads(engines int) int { return max(1, engines/parallelDivisor) }
 
 // NeedsUpdate reports whether any engine has weights older than version.
 func NeedsUpdate(engines []Engine, version uint64) bool {
--- a/fleet/weightupdate/update_test.go
+++ b/fleet/weightupdate/update_test.go
@@ -33,8 +33,10 @@
 	require.Empty(t, update.Step(at(time.Millisecond), 2, engines(18), true))
 }
 
+// The loads of a fifth of the engines do not slow each other down, as the operators of
+// five deployments of 12 to 160 engines state.
 func TestMaxParallelLoads(t *testing.T) {
-	for engines, want := range map[int]int{1: 1, 2: 1, 3: 1, 6: 2, 9: 3, 18: 3, 60: 12, 90: 18} {
+	for engines, want := range map[int]int{1: 1, 2: 1, 3: 1, 6: 1, 9: 1, 12: 2, 18: 3, 60: 12, 90: 18, 160: 32} {
 		require.Equal(t, want, weightupdate.MaxParallelLoads(engines), "for %d engines", engines)
 	}
 }
