Bound what a server that sends bytes without end can take

One target that sends without end took a process to gigabytes, or held the request until its deadline. Ruled out: a time limit alone; a fast sender fills the memory within it, and silence is no reason to give up an answer. All servers limit the header of a request, and a body has a limit without a configured one.

--- a/hibiscusfront/internal/backend/backend.go
+++ b/hibiscusfront/internal/backend/backend.go
@@ -91,6 +91,9 @@
 	// other requests included, to find the one to the current request.
 	maxResponses   = 3
 	readBufferSize = 4 << 10
+	// maxSkippedBody is the longest body in bytes of a response to another
+	// request that is read to get to the one after it.
+	maxSkippedBody = 64 << 10
 	// maxInlineBody is the longest body in bytes that is written before the
 	// response is read. Socket buffers hold it even if the target does not read.
 	maxInlineBody = 2 << 10
@@ -116,7 +119,8 @@
 
 type conn struct {
 	net.Conn
-	reader    *bufio.Reader
+	reader    *bufio.Reader // reads from head
+	head      headLimiter
 	idleSince time.Time
 	idleUntil time.Time // when to stop using the idle connection
 }
@@ -183,11 +187,26 @@
 
 var errNoMatch = fmt.Errorf("none of %d responses received has the request's ID", maxResponses)
 
+// errSkippedTooLong ends a connection on which a response to another request goes on
+// for longer than its request is worth waiting for.
+var errSkippedTooLong = fmt.Errorf("the body of a response to another request has more than %d bytes", maxSkippedBody)
+
+// skipBody reads a body to its end.
+func skipBody(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBody+1))
+	if err == nil && n > maxSkippedBody {
+		return errSkippedTooLong
+	}
+	return err
+}
+
 // readHeader reads responses until one has the request's ID. An error response
 // without an ID also counts as the response to the request.
 func (e *Exchange) readHeader(r *Request) error {
 	for range maxResponses {
+		e.conn.head.start()
 		response, err := http.ReadResponse(e.conn.reader, &http.Request{Method: r.Method})
+		e.conn.head.end()
 		if err != nil {
 			return err
 		}
@@ -200,7 +219,7 @@
 			e.Status, e.Header, e.Length = response.StatusCode, response.Header, response.ContentLength
 			return nil
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		if err := skipBody(response.Body); err != nil {
 			return err
 		}
 	}
@@ -273,7 +292,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize)}, nil
+	c := &conn{Conn: raw, head: headLimiter{conn: raw}}
+	c.reader = bufio.NewReaderSize(&c.head, readBufferSize)
+	return c, nil
 }
 
 // takeIdle removes and returns the most recently used idle connection, or returns
--- /dev/null
+++ b/hibiscusfront/internal/backend/headlimiter.go
@@ -0,0 +1,41 @@
+package backend
+
+import (
+	"fmt"
+	"net"
+)
+
+// maxHeadBytes is the most that is read of a connection to get the status line and the
+// header of one response.
+const maxHeadBytes = 64 << 10
+
+// A HeadTooLongError reports that a target sent more than Limit bytes without
+// completing the header of a response.
+type HeadTooLongError struct{ Limit int }
+
+func (e *HeadTooLongError) Error() string {
+	return fmt.Sprintf("the response header is not complete after %d bytes", e.Limit)
+}
+
+// headLimiter reads from a connection, and limits the bytes that it reads between start
+// and end. A target in trouble may send bytes without an end, which the reader of a
+// header would keep in memory.
+type headLimiter struct {
+	conn    net.Conn
+	inHead  bool
+	headLen int // bytes read since start
+}
+
+func (l *headLimiter) start() { l.inHead, l.headLen = true, 0 }
+
+func (l *headLimiter) end() { l.inHead = false }
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(buffer []byte) (int, error) {
+	if l.inHead && l.headLen >= maxHeadBytes {
+		return 0, &HeadTooLongError{maxHeadBytes}
+	}
+	n, err := l.conn.Read(buffer)
+	l.headLen += n
+	return n, err
+}
--- a/hibiscusfront/internal/gateway/events.go
+++ b/hibiscusfront/internal/gateway/events.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "bytes"
+import (
+	"bytes"
+	"fmt"
+)
 
 // An eventSplitter splits a stream of server-sent events at event boundaries.
 // The zero value is ready for the start of a stream. The format is that of the
@@ -15,15 +18,30 @@
 	idField  = []byte("id:")
 )
 
-// add appends data to the stream and returns the events that it completes.
-func (e *eventSplitter) add(data []byte) []byte {
+// maxEventBytes is the longest event. A token is a few bytes.
+const maxEventBytes = 256 << 10
+
+// An EventTooLongError reports that a target sent more than Limit bytes without
+// completing an event.
+type EventTooLongError struct{ Limit int }
+
+func (e *EventTooLongError) Error() string {
+	return fmt.Sprintf("an event of the stream is not complete after %d bytes", e.Limit)
+}
+
+// add appends data to the stream and returns the events that it completes. The error
+// is an *EventTooLongError.
+func (e *eventSplitter) add(data []byte) ([]byte, error) {
 	if len(data) == 0 {
-		return nil
+		return nil, nil
 	}
 	e.partial = append(e.partial, data...)
 	at := bytes.LastIndex(e.partial, eventEnd)
 	if at < 0 {
-		return nil
+		if len(e.partial) > maxEventBytes {
+			return nil, &EventTooLongError{maxEventBytes}
+		}
+		return nil, nil
 	}
 	complete := e.partial[:at+len(eventEnd)]
 	e.partial = append([]byte(nil), e.partial[at+len(eventEnd):]...)
@@ -32,7 +50,7 @@
 			e.lastID = string(bytes.TrimSpace(id))
 		}
 	}
-	return complete
+	return complete, nil
 }
 
 // rest returns the bytes after the last complete event.
--- a/hibiscusfront/internal/gateway/gateway.go
+++ b/hibiscusfront/internal/gateway/gateway.go
@@ -77,6 +77,9 @@
 	// defaultTimeout applies to a request without a deadline on a route
 	// without a timeout.
 	defaultTimeout = 30 * time.Second
+	// defaultMaxBody is the longest request body in bytes if the configuration
+	// does not limit it.
+	defaultMaxBody = 4 << 20
 	// bodyTimeout limits the time for reading a request body.
 	bodyTimeout = 5 * time.Second
 )
@@ -167,7 +170,10 @@
 // length, and again if it may be repeated.
 func (c *call) readBody() *fleet.RefusalError {
 	limit := int64(c.view.Table.Limits.Body)
-	if limit > 0 && c.r.ContentLength > limit {
+	if limit <= 0 {
+		limit = defaultMaxBody
+	}
+	if c.r.ContentLength > limit {
 		return fleet.Refuse(fleet.ReasonTooLarge, "")
 	}
 	if c.r.ContentLength == 0 {
@@ -176,15 +182,11 @@
 	if err := http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
 		c.Log.Warn().Err(err).Str("Request", string(c.ID)).Msg("cannot set the read deadline for the request body")
 	}
-	reader := io.Reader(c.r.Body)
-	if limit > 0 {
-		reader = io.LimitReader(c.r.Body, limit+1)
-	}
-	body, err := io.ReadAll(reader)
+	body, err := io.ReadAll(io.LimitReader(c.r.Body, limit+1))
 	if err != nil {
 		return fleet.Refuse(fleet.ReasonMalformed, "read request body: "+err.Error())
 	}
-	if limit > 0 && int64(len(body)) > limit {
+	if int64(len(body)) > limit {
 		return fleet.Refuse(fleet.ReasonTooLarge, "")
 	}
 	if err := http.NewResponseController(c.w).SetReadDeadline(time.Time{}); err != nil {
--- a/hibiscusfront/internal/gateway/relay.go
+++ b/hibiscusfront/internal/gateway/relay.go
@@ -131,7 +131,11 @@
 	var splitter eventSplitter
 	for {
 		n, err := exchange.Read(buffer)
-		if complete := splitter.add(buffer[:n]); len(complete) > 0 {
+		complete, splitErr := splitter.add(buffer[:n])
+		if splitErr != nil {
+			return c.targetFailed(g, splitErr)
+		}
+		if len(complete) > 0 {
 			c.recordFirstByte()
 			if _, err := c.w.Write(complete); err != nil {
 				return false, c.abandon()
--- a/hibiscusfront/internal/host/host.go
+++ b/hibiscusfront/internal/host/host.go
@@ -155,9 +155,9 @@
 		address fleet.Address
 	}{
 		{callers, h.settings.Callers},
-		{&http.Server{Handler: platform.DirectoryHandler(h.resolve), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}, h.settings.Directory},
-		{&http.Server{Handler: platform.ReadinessHandler(h.ready), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}, h.settings.Readiness},
-		{&http.Server{Handler: &peer.Server{Handler: h}, ReadHeaderTimeout: readHeaderTimeout}, h.settings.Peers},
+		{&http.Server{Handler: platform.DirectoryHandler(h.resolve), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}, h.settings.Directory},
+		{&http.Server{Handler: platform.ReadinessHandler(h.ready), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}, h.settings.Readiness},
+		{&http.Server{Handler: &peer.Server{Handler: h}, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}, h.settings.Peers},
 	}
 	var servers []*http.Server
 	for _, l := range list {
@@ -193,7 +193,7 @@
 		return nil
 	}
 	server := &http.Server{
-		Handler: h.meter.handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		Handler: h.meter.handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		BaseContext: func(net.Listener) context.Context { return ctx },
 	}
 	h.serve(ctx, server, listener)
