Give back grants of targets that have left; drop them at a planner in an outage

Other hosts read that an engine's entry is gone and pass it on, but the planner kept the entry, since its own calls failed and entries that lapse with the store may return. It granted the engine for 3.5 s more, and hosts that knew better sent requests there. Change: a host that passes changes on says for how long missing targets may still return, zero if it has read the store throughout; the planner keeps them for that long only. A host that gets a grant of a target which its own view shows as gone, leaving or evacuated gives it back and asks again, and chooses itself after two. Ruled out: revoked keys and configurations, which only grow by number; named weights, likewise. Evacuations are covered by the second change. Tests: TestGrantOfExcludedTargetIsGivenBack and TestEntryRemovedForHostThatReadsStoreIsDropped, red without the change; TestUncertaintyOfRemovalsIsPassedOn for entries that lapsed for all.

--- a/hibiscusfront/internal/chooser/chooser.go
+++ b/hibiscusfront/internal/chooser/chooser.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -61,8 +62,31 @@
 	}
 }
 
-// Choose implements gateway.Chooser.
+// maxExcluded is how many grants of a target that this host's view excludes are given
+// back before this host chooses itself.
+const maxExcluded = 2
+
+// Choose implements gateway.Chooser. A planner that cannot reach the object store may not
+// know yet what this host knows, and grant a target that has left or whose data centre is
+// evacuated. Such a grant is given back.
 func (c *Chooser) Choose(ctx context.Context, v *view.View, req *plan.Request) plan.Decision {
+	for range maxExcluded {
+		decision := c.ask(ctx, v, req)
+		if decision.Grant == nil || !v.Excludes(decision.Grant.Target) {
+			return decision
+		}
+		c.Log.Info().Str("Request", string(req.ID)).Str("Target", string(decision.Grant.Target)).Str("Planner", string(decision.Grant.By)).
+			Msg("grant given back: the target has left or its data centre is evacuated, which the planner does not know")
+		c.Report(decision.Grant, plan.Rejected)
+		again := *req
+		again.Avoid = append(slices.Clone(req.Avoid), decision.Grant.Target)
+		req = &again
+	}
+	return c.Local.Choose(c.Clock(), v, req)
+}
+
+// ask asks the planner, then a deputy, and then chooses locally.
+func (c *Chooser) ask(ctx context.Context, v *view.View, req *plan.Request) plan.Decision {
 	planner := wire.Host{ID: v.Duty.Holder, Peers: v.Duty.Address}
 	if decision, ok := c.requestDecision(ctx, planner, req, false); ok {
 		return decision
--- a/hibiscusfront/internal/chooser/chooser_test.go
+++ b/hibiscusfront/internal/chooser/chooser_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -108,3 +109,43 @@
 	require.Len(t, chosen, 3, "different epochs pick different deputies among equals, which spreads the load")
 	require.Empty(t, new(view.View).Deputy(all).ID)
 }
+
+// ownsDuty are the permissions of the planner.
+type ownsDuty struct{ noPermissions }
+
+func (ownsDuty) MayPlan() bool { return true }
+
+// Load pattern: the planner cannot reach the store, and grants a target that has left,
+// or one in an evacuated data centre, as this host knows.
+func TestGrantOfExcludedTargetIsGivenBack(t *testing.T) {
+	for name, exclude := range map[string]func(v *view.View){
+		"left":      func(v *view.View) { v.Targets, v.Removed = v.Targets[:1], map[fleet.TargetID]bool{"gone": true} },
+		"leaving":   func(v *view.View) { v.Targets[1].Leaving = true },
+		"evacuated": func(v *view.View) { v.Evacuated = map[fleet.DataCentreID]bool{"z": true} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx, c, _ := startChooser(t)
+			c.Planner.Permissions = ownsDuty{}
+			targets := func() []roster.Target {
+				return []roster.Target{
+					{ID: "stays", Service: "s", Address: "127.0.0.1:3", Slots: 100},
+					{ID: "gone", Service: "s", Address: "127.0.0.1:4", DataCentre: "z", Slots: 100},
+				}
+			}
+			table := route.NewTable(route.Config{Number: 2, Services: []route.Service{{ID: "s"}}})
+			duty := election.Record{Holder: "self", Address: self, Epoch: 1}
+			c.Planner.SetView(ctx, (&view.View{Table: table, Duty: duty, Targets: targets()}).Freeze())
+			c.Planner.SetPlanning(ctx, 1, true)
+			v := &view.View{Table: table, Duty: duty, Targets: targets()}
+			exclude(v)
+			v.Freeze()
+			for i := range 40 {
+				req := newRequest()
+				req.ID = fleet.RequestID(fmt.Sprint(i))
+				decision := c.Choose(ctx, v, req)
+				require.NotNil(t, decision.Grant)
+				require.Equal(t, fleet.TargetID("stays"), decision.Grant.Target)
+			}
+		})
+	}
+}
--- a/hibiscusfront/internal/control/control.go
+++ b/hibiscusfront/internal/control/control.go
@@ -264,7 +264,7 @@
 		c.liveHosts = hosts
 	}
 	v := &view.View{
-		Table: c.table, Targets: c.targets.list(), Evacuated: c.evacuated(), Weights: maps.Clone(c.announcements),
+		Table: c.table, Targets: c.targets.list(), Removed: c.targets.removedIDs(), Evacuated: c.evacuated(), Weights: maps.Clone(c.announcements),
 		Hosts: hosts, Duty: c.duty.Record(), Leaving: c.leaving,
 	}
 	c.view.Store(v.Freeze())
--- a/hibiscusfront/internal/control/control_test.go
+++ b/hibiscusfront/internal/control/control_test.go
@@ -85,19 +85,56 @@
 
 func TestEntriesLostInOutageAreKeptForGraceTime(t *testing.T) {
 	var known targets
-	known.apply(at(0), entries("a", "b", "c"), zerolog.Nop())
+	known.apply(at(0), entries("a", "b", "c"), 0, zerolog.Nop())
 	known.beginOutage()
 	known.endOutage(at(9 * time.Second))
-	known.apply(at(9*time.Second), entries("a"), zerolog.Nop())
+	known.apply(at(9*time.Second), entries("a"), known.uncertainFor(at(9*time.Second)), zerolog.Nop())
 	require.Equal(t, []fleet.TargetID{"a", "b", "c"}, ids(&known))
-	known.apply(at(10*time.Second), entries("a", "b"), zerolog.Nop())
+	known.apply(at(10*time.Second), entries("a", "b"), known.uncertainFor(at(10*time.Second)), zerolog.Nop())
 	known.expire(at(9*time.Second + vanishedGrace))
 	require.Equal(t, []fleet.TargetID{"a", "b"}, ids(&known), "an entry that is missing after the grace time is dropped")
 }
 
 func TestEntryRemovedWhileStoreAnswersIsDropped(t *testing.T) {
 	var known targets
-	known.apply(at(0), entries("a", "b"), zerolog.Nop())
-	known.apply(at(time.Second), entries("a"), zerolog.Nop())
+	known.apply(at(0), entries("a", "b"), 0, zerolog.Nop())
+	known.apply(at(time.Second), entries("a"), known.uncertainFor(at(time.Second)), zerolog.Nop())
 	require.Equal(t, []fleet.TargetID{"a"}, ids(&known))
 }
+
+// Load pattern: the store is silent for the planner's host alone, and a target leaves.
+// A host that reads the store reports the removal.
+func TestEntryRemovedForHostThatReadsStoreIsDropped(t *testing.T) {
+	var planner, reader targets
+	for _, known := range []*targets{&planner, &reader} {
+		known.apply(at(0), entries("a", "b"), 0, zerolog.Nop())
+	}
+	planner.beginOutage()
+	reader.apply(at(time.Second), entries("a"), reader.uncertainFor(at(time.Second)), zerolog.Nop())
+	planner.apply(at(time.Second), entries("a"), reader.uncertainFor(at(time.Second)), zerolog.Nop())
+	require.Equal(t, []fleet.TargetID{"a"}, ids(&planner))
+	require.True(t, planner.removedIDs()["b"])
+	planner.apply(at(2*time.Second), entries("a", "b"), 0, zerolog.Nop())
+	require.Empty(t, planner.removedIDs(), "the target has returned")
+}
+
+// Load pattern: the store was down for all, and entries have lapsed. A host that did not
+// notice the outage itself hears of the lapsed entries from one that did, and a third
+// host from the second.
+func TestUncertaintyOfRemovalsIsPassedOn(t *testing.T) {
+	hosts := make([]targets, 3)
+	for i := range hosts {
+		hosts[i].apply(at(0), entries("a", "b"), 0, zerolog.Nop())
+	}
+	hosts[0].beginOutage()
+	hosts[0].endOutage(at(9 * time.Second))
+	for i := range hosts {
+		now := at(9*time.Second + time.Duration(i)*300*time.Millisecond)
+		hosts[i].apply(now, entries("a"), hosts[max(0, i-1)].uncertainFor(now), zerolog.Nop())
+		require.Equal(t, []fleet.TargetID{"a", "b"}, ids(&hosts[i]), "host %d", i)
+	}
+	for i := range hosts {
+		require.True(t, hosts[i].expire(at(9*time.Second+vanishedGrace)), "host %d", i)
+		require.Equal(t, []fleet.TargetID{"a"}, ids(&hosts[i]), "host %d", i)
+	}
+}
--- a/hibiscusfront/internal/control/heartbeats.go
+++ b/hibiscusfront/internal/control/heartbeats.go
@@ -48,11 +48,13 @@
 // that another host has.
 func (c *Control) HandleChanges(ctx context.Context, request wire.ChangesRequest) (wire.ChangesReply, error) {
 	var reply wire.ChangesReply
-	if !c.enqueueAndWait(ctx, func(fleet.Instant) {
+	if !c.enqueueAndWait(ctx, func(now fleet.Instant) {
 		replica, ok := c.replicas[request.Kind]
 		if !ok {
+			c.Log.Warn().Str("Kind", request.Kind).Msg("a peer asked for changes of a kind that this host does not know")
 			return
 		}
+		reply.UncertainFor = c.targets.uncertainFor(now)
 		if changes, ok := replica.ChangesSince(request.Since); ok && request.Since > 0 {
 			reply.Changes = changes
 			return
@@ -169,7 +171,7 @@
 // applyChangesReply applies the objects that another host returned.
 func (c *Control) applyChangesReply(now fleet.Instant, request wire.ChangesRequest, reply wire.ChangesReply) {
 	if reply.All {
-		c.applyListing(now, request.Kind, reply.Listing)
+		c.applyListing(now, request.Kind, reply.Listing, reply.UncertainFor)
 		return
 	}
 	replica := c.replicas[request.Kind]
@@ -177,7 +179,7 @@
 		return // the replica has changed meanwhile; the next heartbeat triggers a new request
 	}
 	if replica.ApplyChanges(reply.Changes) {
-		c.objectsChanged(now, request.Kind)
+		c.objectsChanged(now, request.Kind, reply.UncertainFor)
 	}
 }
 
--- a/hibiscusfront/internal/control/objects.go
+++ b/hibiscusfront/internal/control/objects.go
@@ -102,7 +102,7 @@
 	c.enqueueAndWait(ctx, func(now fleet.Instant) {
 		c.recordStoreAnswer(now)
 		before := c.replicas[kind].Revision()
-		c.applyListing(now, kind, listing)
+		c.applyListing(now, kind, listing, c.targets.uncertainFor(now))
 		if before > 0 && c.replicas[kind].Revision() > before {
 			c.broadcastChange(kind)
 		}
@@ -127,17 +127,18 @@
 	c.enqueueAndWait(ctx, func(now fleet.Instant) {
 		c.recordStoreAnswer(now)
 		if c.replicas[kind].ApplyWatch(changes) {
-			c.objectsChanged(now, kind)
+			c.objectsChanged(now, kind, c.targets.uncertainFor(now))
 			c.broadcastChange(kind)
 		}
 	})
 	return nil
 }
 
-// applyListing applies a list from the store or from another host.
-func (c *Control) applyListing(now fleet.Instant, kind string, listing platform.Listing) {
+// applyListing applies a list from the store or from another host. UncertainFor is that
+// of the host that read it, see targets.apply.
+func (c *Control) applyListing(now fleet.Instant, kind string, listing platform.Listing, uncertainFor time.Duration) {
 	if c.replicas[kind].ApplyListing(listing) {
-		c.objectsChanged(now, kind)
+		c.objectsChanged(now, kind, uncertainFor)
 	}
 }
 
@@ -165,12 +166,13 @@
 }
 
 // objectsChanged updates the state derived from the objects of a kind.
-func (c *Control) objectsChanged(now fleet.Instant, kind string) {
+// UncertainFor is that of the host that read them, see targets.apply.
+func (c *Control) objectsChanged(now fleet.Instant, kind string, uncertainFor time.Duration) {
 	switch kind {
 	case platform.KindConfiguration:
 		c.applyConfiguration()
 	case platform.KindTargets:
-		c.applyTargets(now)
+		c.applyTargets(now, uncertainFor)
 	case platform.KindHosts:
 		c.members.applyEntries(now, c)
 	case platform.KindWeights:
@@ -203,7 +205,7 @@
 }
 
 // applyTargets applies the targets' entries.
-func (c *Control) applyTargets(now fleet.Instant) {
+func (c *Control) applyTargets(now fleet.Instant, uncertainFor time.Duration) {
 	entries := make(map[fleet.TargetID]roster.Target)
 	c.replicas[platform.KindTargets].ForEach(func(o platform.Object) {
 		t, err := platform.DecodeTarget(o)
@@ -213,7 +215,7 @@
 		}
 		entries[t.ID] = t
 	})
-	c.targets.apply(now, entries, c.Log)
+	c.targets.apply(now, entries, uncertainFor, c.Log)
 }
 
 func (c *Control) evacuated() map[fleet.DataCentreID]bool {
--- a/hibiscusfront/internal/control/targets.go
+++ b/hibiscusfront/internal/control/targets.go
@@ -24,44 +24,63 @@
 // targets holds the targets' entries. It keeps those that vanished from the store
 // during an outage, because their targets may be alive.
 type targets struct {
-	entries       map[fleet.TargetID]roster.Target
-	vanished      map[fleet.TargetID]fleet.Instant // when a vanished entry is dropped
-	inOutage      bool                             // calls to the store fail
-	outageEndedAt fleet.Instant                    // when the store last answered again
+	entries  map[fleet.TargetID]roster.Target
+	vanished map[fleet.TargetID]fleet.Instant // when a vanished entry is dropped
+	inOutage bool                             // calls to the store fail
+	// uncertainUntil is when entries that are missing in the store are certain to be
+	// those of targets that have left: vanishedGrace after the last outage.
+	uncertainUntil fleet.Instant
+	// removed has the targets whose entries were removed, and when.
+	removed map[fleet.TargetID]fleet.Instant
 }
 
+// removedMemory is how long a removed target is remembered. Grants of a planner that
+// does not know of the removal arrive within less.
+const removedMemory = 30 * time.Second
+
 // beginOutage records that calls of this host to the store fail.
 func (t *targets) beginOutage() { t.inOutage = true }
 
 // endOutage records that the store answers again.
 func (t *targets) endOutage(now fleet.Instant) {
-	t.inOutage, t.outageEndedAt = false, now
+	t.inOutage, t.uncertainUntil = false, max(t.uncertainUntil, now.Add(vanishedGrace))
 	for id := range t.vanished {
 		t.vanished[id] = now.Add(vanishedGrace)
 	}
 }
 
-// apply replaces the entries by those in the store, but keeps entries that
-// vanished in an outage.
-func (t *targets) apply(now fleet.Instant, entries map[fleet.TargetID]roster.Target, log zerolog.Logger) {
+// uncertainFor returns how long an entry that is missing in the store may still be that
+// of a live target, because the store was not reachable until recently.
+func (t *targets) uncertainFor(now fleet.Instant) time.Duration {
+	return max(0, t.uncertainUntil.Sub(now))
+}
+
+// apply replaces the entries by those in the store. It keeps entries that are no longer
+// there for uncertainFor, which is that of the host that read the store: one that has
+// read it throughout knows that the entries were removed, also while this host cannot
+// read it.
+func (t *targets) apply(now fleet.Instant, entries map[fleet.TargetID]roster.Target, uncertainFor time.Duration, log zerolog.Logger) {
+	t.uncertainUntil = max(t.uncertainUntil, now.Add(uncertainFor))
 	if t.vanished == nil {
 		t.vanished = make(map[fleet.TargetID]fleet.Instant)
+		t.removed = make(map[fleet.TargetID]fleet.Instant)
 	}
 	for id := range entries {
 		delete(t.vanished, id) // its target has written it again
+		delete(t.removed, id)
 	}
-	keepVanished := t.inOutage || t.outageEndedAt > 0 && now.Sub(t.outageEndedAt) < vanishedGrace
 	for id, old := range t.entries {
 		if _, ok := entries[id]; ok {
 			continue
 		}
-		if !keepVanished || old.Leaving {
+		if uncertainFor <= 0 || old.Leaving {
 			delete(t.vanished, id)
+			t.removed[id] = now
 			log.Info().Str("Target", string(id)).Str("Service", string(old.Service)).Msg("target removed: its entry is no longer in the object store")
 			continue
 		}
 		if _, ok := t.vanished[id]; !ok {
-			t.vanished[id] = max(now, t.outageEndedAt).Add(vanishedGrace)
+			t.vanished[id] = now.Add(uncertainFor)
 		}
 		entries[id] = old
 	}
@@ -89,9 +108,15 @@
 		if !t.inOutage && now >= end {
 			delete(t.vanished, id)
 			delete(t.entries, id)
+			t.removed[id] = now
 			dropped = true
 		}
 	}
+	for id, at := range t.removed {
+		if now.Sub(at) > removedMemory {
+			delete(t.removed, id)
+		}
+	}
 	return dropped
 }
 
@@ -104,3 +129,12 @@
 	slices.SortFunc(result, func(a, b roster.Target) int { return cmp.Compare(a.ID, b.ID) })
 	return result
 }
+
+// removedIDs returns the targets that were removed in the last removedMemory.
+func (t *targets) removedIDs() map[fleet.TargetID]bool {
+	result := make(map[fleet.TargetID]bool, len(t.removed))
+	for id := range t.removed {
+		result[id] = true
+	}
+	return result
+}
--- a/hibiscusfront/internal/view/view.go
+++ b/hibiscusfront/internal/view/view.go
@@ -22,6 +22,7 @@
 type View struct {
 	Table     *route.Table // nil until a configuration is known
 	Targets   []roster.Target
+	Removed   map[fleet.TargetID]bool // targets that have left recently
 	Evacuated map[fleet.DataCentreID]bool
 	Weights   map[fleet.ModelID]weightupdate.Announcements
 	Hosts     []wire.Host     // that callers may be sent to
@@ -63,6 +64,16 @@
 	return best
 }
 
+// Excludes reports whether the target must not get new work. It does not if the target
+// is not known, since a planner may know it before this host.
+func (v *View) Excludes(id fleet.TargetID) bool {
+	if v.Removed[id] {
+		return true
+	}
+	t := v.Target(id)
+	return t != nil && !v.Usable(t)
+}
+
 // Usable reports whether the target may receive new work: it is not leaving, and
 // its data centre is not evacuated.
 func (v *View) Usable(t *roster.Target) bool { return !t.Leaving && !v.Evacuated[t.DataCentre] }
--- a/hibiscusfront/internal/wire/wire.go
+++ b/hibiscusfront/internal/wire/wire.go
@@ -78,6 +78,9 @@
 	All     bool // Listing is set instead of Changes
 	Changes platform.Changes
 	Listing platform.Listing
+	// UncertainFor is how long targets that are missing may still return, because
+	// the object store was not reachable until recently.
+	UncertainFor time.Duration
 }
 
 // A PlanRequest asks the planner, or a host that acts as its deputy, for a
