control: what planner and hosts exchange no longer grows with the fleet's square

Ruled out: reading the configuration from the store on each host, which costs a call a host and change. Change: the planner sends the differences of the list of live hosts; changes are packed, compressed and kept for the hosts that ask for the same; only planner and standbys tell all hosts of a change; the log holds the newest state of each object.

--- a/hibiscusfront/internal/control/control.go
+++ b/hibiscusfront/internal/control/control.go
@@ -16,7 +16,6 @@
 import (
 	"context"
 	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -131,8 +130,8 @@
 	sent             sentHeartbeats
 	lastWatcherReply fleet.Instant          // last reply of a host that watches the store
 	lastPlannerReply fleet.Instant          // last reply of the planner
-	liveVersion      wire.MembershipVersion // of liveHosts
-	liveHosts        []wire.Host            // that callers may be sent to; sent to other hosts while this one is the planner
+	live             liveList               // hosts that callers may be sent to; kept while this host is the planner
+	packed           map[string]packedReply // last reply to a request for changes, by kind
 }
 
 // View returns the current view. It is empty before the first one is published.
@@ -168,6 +167,7 @@
 	c.initInbox()
 	c.replicas = make(map[string]*replica.Replica)
 	c.malformedRevisions = make(map[string]fleet.Version)
+	c.packed = make(map[string]packedReply)
 	c.announcements = make(map[fleet.ModelID]weightupdate.Announcements)
 	c.bounds = c.Settings.Bounds
 	c.lastWatcherReply, c.lastPlannerReply = c.Clock(), c.Clock()
@@ -259,9 +259,8 @@
 // publish builds and publishes a new view.
 func (c *Control) publish() {
 	hosts := c.callerHosts()
-	if c.planning && !slices.Equal(hosts, c.liveHosts) {
-		c.liveVersion.Number++
-		c.liveHosts = hosts
+	if c.planning {
+		c.live.set(hosts)
 	}
 	v := &view.View{
 		Table: c.table, Targets: c.targets.list(), Removed: c.targets.removedIDs(), Evacuated: c.evacuated(), Weights: maps.Clone(c.announcements),
--- a/hibiscusfront/internal/control/duty.go
+++ b/hibiscusfront/internal/control/duty.go
@@ -244,7 +244,7 @@
 		Str("Holder", string(c.duty.Record().Holder)).Msg("tenure changed")
 	if plans {
 		c.planningSince = now
-		c.liveVersion, c.liveHosts = wire.MembershipVersion{Epoch: c.duty.Record().Epoch}, nil
+		c.live.restart(c.duty.Record().Epoch)
 		c.members.initLiveness(now)
 	}
 	if c.OnPlanningChange != nil {
--- a/hibiscusfront/internal/control/heartbeats.go
+++ b/hibiscusfront/internal/control/heartbeats.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"hibiscuslb/fleet"
+	"hibiscuslb/hibiscusfront/internal/replica"
 	"hibiscuslb/hibiscusfront/internal/wire"
+	"hibiscuslb/platform"
 )
 
 // HandleHeartbeat records a heartbeat of another host and replies with this
@@ -27,11 +29,9 @@
 			Revisions: c.revisions(), Follows: c.watching.Load() && !c.storeOutage && now.Sub(c.lastStoreAnswer) < maxAnswerAge,
 			Duty: c.duty.Record(), Revision: c.duty.Revision(), Planning: c.planning,
 		}
-		if reply.Planning {
-			reply.Roll = c.liveVersion
-			if heartbeat.Roll != c.liveVersion {
-				reply.Live = c.liveHosts
-			}
+		if reply.Planning && heartbeat.Roll != c.live.version {
+			update := c.live.since(heartbeat.Roll)
+			reply.Live = &update
 		}
 		if heartbeat.Revision > 0 {
 			c.duty.Observe(now, heartbeat.Revision, heartbeat.Duty)
@@ -48,6 +48,7 @@
 // that another host has.
 func (c *Control) HandleChanges(ctx context.Context, request wire.ChangesRequest) (wire.ChangesReply, error) {
 	var reply wire.ChangesReply
+	var err error
 	if !c.enqueueAndWait(ctx, func(now fleet.Instant) {
 		replica, ok := c.replicas[request.Kind]
 		if !ok {
@@ -55,15 +56,39 @@
 			return
 		}
 		reply.UncertainFor = c.targets.uncertainFor(now)
-		if changes, ok := replica.ChangesSince(request.Since); ok && request.Since > 0 {
-			reply.Changes = changes
-			return
+		packed := c.packed[request.Kind]
+		if packed.content == nil || packed.since != request.Since || packed.revision != replica.Revision() {
+			packed, err = packChanges(replica, request.Since)
+			c.packed[request.Kind] = packed
 		}
-		reply.All, reply.Listing = true, replica.Listing()
+		reply.All, reply.Content = packed.all, packed.content
 	}) {
 		return reply, ctx.Err()
 	}
-	return reply, nil
+	return reply, err
+}
+
+// packedReply is a packed reply to a request for changes. Most hosts ask for changes
+// since the same revision, so it is encoded once for all of them.
+type packedReply struct {
+	since, revision fleet.Version
+	all             bool
+	content         []byte
+}
+
+// packChanges packs the changes since a revision, or all objects if the changes are not
+// known.
+func packChanges(r *replica.Replica, since fleet.Version) (packedReply, error) {
+	packed := packedReply{since: since, revision: r.Revision()}
+	changes, ok := r.ChangesSince(since)
+	packed.all = !ok || since == 0
+	var content any = changes
+	if packed.all {
+		content = r.Listing()
+	}
+	var err error
+	packed.content, err = wire.Pack(content)
+	return packed, err
 }
 
 func (c *Control) revisions() wire.Revisions {
@@ -112,11 +137,21 @@
 	}
 }
 
+// nonStandbyFanout is how many hosts a host that is no standby tells of a change.
+const nonStandbyFanout = 4
+
 // broadcastHeartbeat sends a heartbeat to all live hosts at once, so that they
-// learn this host's revisions before the next heartbeat is due.
+// learn this host's revisions before the next heartbeat is due. Only the planner and
+// the standbys do so: when others watch the store, all hosts do, and heartbeats from
+// each to each would grow with the square of the hosts. They tell a few that may be
+// cut off from the store.
 func (c *Control) broadcastHeartbeat() {
 	heartbeat := c.heartbeat()
-	for _, h := range c.samplePeers(len(c.members.hosts)) {
+	count := len(c.members.hosts)
+	if !c.planning && c.members.rank(c.Self) >= standbyCount {
+		count = nonStandbyFanout
+	}
+	for _, h := range c.samplePeers(count) {
 		c.tasks.Go(c.runCtx, func(ctx context.Context) { c.sendHeartbeat(ctx, h.Peers, heartbeat) })
 	}
 }
@@ -160,9 +195,11 @@
 	if reply.Planning && reply.Duty.Epoch >= c.duty.Record().Epoch {
 		c.lastPlannerReply = now
 		c.members.plannerLiveAt = now
-		if c.members.plannerVersion != reply.Roll && reply.Live != nil {
-			c.members.plannerVersion, c.members.plannerLive = reply.Roll, reply.Live
-			c.publish()
+		if reply.Live != nil && c.members.plannerVersion != reply.Live.Version {
+			if hosts, ok := applyMembership(c.members.plannerLive, c.members.plannerVersion, *reply.Live); ok {
+				c.members.plannerVersion, c.members.plannerLive = reply.Live.Version, hosts
+				c.publish()
+			}
 		}
 	}
 	c.fetchNewer(from, reply.Revisions)
@@ -171,14 +208,24 @@
 // applyChangesReply applies the objects that another host returned.
 func (c *Control) applyChangesReply(now fleet.Instant, request wire.ChangesRequest, reply wire.ChangesReply) {
 	if reply.All {
-		c.applyListing(now, request.Kind, reply.Listing, reply.UncertainFor)
+		var listing platform.Listing
+		if err := wire.Unpack(reply.Content, &listing); err != nil {
+			c.Log.Warn().Err(err).Str("Kind", request.Kind).Msg("ignored objects that a peer sent")
+			return
+		}
+		c.applyListing(now, request.Kind, listing, reply.UncertainFor)
 		return
 	}
 	replica := c.replicas[request.Kind]
 	if replica.Revision() != request.Since {
 		return // the replica has changed meanwhile; the next heartbeat triggers a new request
 	}
-	if replica.ApplyChanges(reply.Changes) {
+	var changes platform.Changes
+	if err := wire.Unpack(reply.Content, &changes); err != nil {
+		c.Log.Warn().Err(err).Str("Kind", request.Kind).Msg("ignored changes that a peer sent")
+		return
+	}
+	if replica.ApplyChanges(changes) {
 		c.objectsChanged(now, request.Kind, reply.UncertainFor)
 	}
 }
--- a/hibiscusfront/internal/replica/replica.go
+++ b/hibiscusfront/internal/replica/replica.go
@@ -24,7 +24,7 @@
 	revision  fleet.Version
 	lastFetch fleet.Instant // time of the last fetch from a peer
 
-	changeLog []logEntry    // the latest changes, oldest first
+	changeLog []logEntry    // the latest change of each object that changed, oldest first
 	logStart  fleet.Version // changeLog has all changes after this revision
 }
 
@@ -109,8 +109,8 @@
 		} else {
 			r.objects[c.Object.Name] = c.Object
 		}
-		r.changeLog = append(r.changeLog, logEntry{changes.Revision, c})
 	}
+	r.logChanges(changes)
 	r.revision = changes.Revision
 	if extra := len(r.changeLog) - maxLogEntries; extra > 0 {
 		r.logStart = r.changeLog[extra-1].revision
@@ -118,6 +118,23 @@
 	}
 }
 
+// logChanges adds changes to the log in place of earlier changes of the same objects,
+// so that the log neither holds nor sends superseded contents. A configuration may have
+// a megabyte and change several times a second.
+func (r *Replica) logChanges(changes platform.Changes) {
+	changed := make(map[string]bool, len(changes.Changes))
+	for _, c := range changes.Changes {
+		changed[c.Object.Name] = true
+	}
+	r.changeLog = slices.DeleteFunc(r.changeLog, func(e logEntry) bool { return changed[e.change.Object.Name] })
+	for i, c := range changes.Changes {
+		superseded := slices.ContainsFunc(changes.Changes[i+1:], func(later platform.Change) bool { return later.Object.Name == c.Object.Name })
+		if !superseded {
+			r.changeLog = append(r.changeLog, logEntry{changes.Revision, c})
+		}
+	}
+}
+
 // ChangesSince returns the changes after a revision. It reports false if the
 // change log does not reach back that far.
 func (r *Replica) ChangesSince(revision fleet.Version) (platform.Changes, bool) {
--- a/hibiscusfront/internal/replica/replica_test.go
+++ b/hibiscusfront/internal/replica/replica_test.go
@@ -67,3 +67,19 @@
 	_, ok = first.ChangesSince(9)
 	require.False(t, ok, "changes before the first listing are not known")
 }
+
+// Load pattern: the configuration changes several times a second. A peer gets the newest
+// content alone, and the log does not hold the earlier ones.
+func TestSupersededChangesAreNotKept(t *testing.T) {
+	var r replica.Replica
+	r.ApplyListing(listing(10, object("a", 5), object("b", 6)))
+	for revision := fleet.Version(11); revision < 100; revision++ {
+		r.ApplyWatch(platform.Changes{Revision: revision, Changes: []platform.Change{{Object: object("a", revision)}}})
+	}
+	changes, ok := r.ChangesSince(10)
+	require.True(t, ok)
+	require.Equal(t, platform.Changes{Revision: 99, Changes: []platform.Change{{Object: object("a", 99)}}}, changes)
+	changes, ok = r.ChangesSince(99)
+	require.True(t, ok)
+	require.Empty(t, changes.Changes)
+}
--- a/hibiscusfront/internal/wire/wire.go
+++ b/hibiscusfront/internal/wire/wire.go
@@ -58,12 +58,21 @@
 // A HeartbeatReply answers a Heartbeat.
 type HeartbeatReply struct {
 	Revisions Revisions
-	Follows   bool              // the replying host watches the object store and reaches it
-	Duty      election.Record   // last record of the planner's duty that the replying host knows
-	Revision  fleet.Version     // of the object that holds Duty
-	Planning  bool              // the replying host is the planner
-	Roll      MembershipVersion // of the planner's current list of live hosts; only if Planning
-	Live      []Host            // that list; only if Planning and the Heartbeat has another version
+	Follows   bool            // the replying host watches the object store and reaches it
+	Duty      election.Record // last record of the planner's duty that the replying host knows
+	Revision  fleet.Version   // of the object that holds Duty
+	Planning  bool            // the replying host is the planner
+	// Live is set if the replying host is the planner and its list of live hosts is
+	// another than the sender's.
+	Live *MembershipUpdate
+}
+
+// A MembershipUpdate changes the list of live hosts of version From to that of Version.
+// With a zero From, Hosts is the whole list.
+type MembershipUpdate struct {
+	From, Version MembershipVersion
+	Hosts         []Host // added or changed
+	Removed       []fleet.HostID
 }
 
 // A ChangesRequest asks for the objects of a kind that changed since a revision.
@@ -75,9 +84,9 @@
 // A ChangesReply answers a ChangesRequest: with the changes, or with all
 // objects if the replying host no longer has all changes.
 type ChangesReply struct {
-	All     bool // Listing is set instead of Changes
-	Changes platform.Changes
-	Listing platform.Listing
+	// Content is the Changes, or if All is set the Listing, as Pack encodes them.
+	All     bool
+	Content []byte
 	// UncertainFor is how long targets that are missing may still return, because
 	// the object store was not reachable until recently.
 	UncertainFor time.Duration
