plan: measure a link's slowness against the bytes alone; apply changed cache stores

Change: the excess is measured against the time of the bytes at the nominal rates, with 20 ms of noise allowed on both sides; SetServices takes the new declaration.

--- a/fleet/plan/admission.go
+++ b/fleet/plan/admission.go
@@ -124,7 +124,7 @@
 	g := &Grant{
 		Number: f.lastNumber, Target: t.ID, Address: t.Address, Service: req.Service, Rank: min(req.Rank, MaxRank),
 	}
-	ag := &activeGrant{req: req, target: t, grantedAt: now, readTokens: c.readTokens, firstPiece: c.firstPiece, fetchTime: c.fetchTime}
+	ag := &activeGrant{req: req, target: t, grantedAt: now, readTokens: c.readTokens, firstPiece: c.firstPiece, fetchTime: c.fetchTime, transfer: c.transferTime, slowdown: 1}
 	if p := req.Prompt; p != nil && t.isEngine() {
 		g.Version = t.version(p.Model)
 		g.Salt = c.chain.salt
@@ -136,6 +136,7 @@
 				t.link.reserve(now, engine.LinkRate.Time(size))
 			}
 			if s := f.stores[address]; s != nil {
+				ag.slowdown = max(ag.slowdown, s.link.slowdown(now))
 				s.inventory.LeaseRead(now, c.chain.parts[i], now.Add(MaxFetchTime+clockErrorMargin))
 				s.link.reserve(now, s.spec.LinkRate.Time(size))
 				if !slices.Contains(ag.fetchStores, s) {
--- a/fleet/plan/placement.go
+++ b/fleet/plan/placement.go
@@ -67,6 +67,7 @@
 	cachedTokens  fleet.Tokens    // found in the engine's cache
 	fetchedTokens fleet.Tokens    // transferred from cache stores or other engines
 	fetchTime     time.Duration   // of all transfers
+	transferTime  time.Duration   // of their bytes at the nominal rates of the links, part of fetchTime
 	fetch         []fleet.Address // for each part, the source to fetch it from; "" for none
 }
 
@@ -245,8 +246,8 @@
 		}
 		sources := &c.chain.sources[i]
 		size := engine.TokenBytes * fleet.Bytes(part.Tokens-cached)
-		source, transferTime := sources.fastest(now, t, engine.LinkRate.Time(size))
-		if mustRead || source == "" || transferTime > pace.readTime(part.Tokens-cached)*maxFetchReadRatio {
+		source, took, nominal := sources.fastest(now, t, engine.LinkRate.Time(size))
+		if mustRead || source == "" || took > pace.readTime(part.Tokens-cached)*maxFetchReadRatio {
 			mustRead = true
 			c.readTokens += part.Tokens - cached
 			if sources.readBefore {
@@ -260,7 +261,8 @@
 		c.fetch[i] = source
 		c.addEarlierSources(now, t, i)
 		c.fetchedTokens += part.Tokens
-		fetchTime += transferTime
+		fetchTime += took
+		c.transferTime += nominal
 	}
 	if fetchTime > 0 {
 		fetchTime += t.link.wait(now)
@@ -280,24 +282,27 @@
 func (c *candidate) addEarlierSources(now fleet.Instant, t *target, part int) {
 	for i := range part {
 		if c.fetch[i] == "" {
-			c.fetch[i], _ = c.chain.sources[i].fastest(now, t, 0)
+			c.fetch[i], _, _ = c.chain.sources[i].fastest(now, t, 0)
 		}
 	}
 }
 
-// fastest returns the source with the shortest transfer to the target, and the time
-// of that transfer. Nominal is the time of the transfer at the nominal rate of the
-// target's link. Without a source the address is empty.
-func (src *partSources) fastest(now fleet.Instant, t *target, nominal time.Duration) (source fleet.Address, transferTime time.Duration) {
+// fastest returns the source with the shortest transfer to the target, the time that it
+// takes, and the part of that time for the bytes at the nominal rate of the links.
+// LinkTime is the time of the transfer at the nominal rate of the target's link. Without
+// a source the address is empty.
+func (src *partSources) fastest(now fleet.Instant, t *target, linkTime time.Duration) (source fleet.Address, took, nominal time.Duration) {
+	consider := func(address fleet.Address, d, bytesTime time.Duration) {
+		if source == "" || d < took || d == took && address < source {
+			source, took, nominal = address, d, bytesTime
+		}
+	}
 	for _, s := range src.stores {
-		d := nominal
+		bytesTime := linkTime
 		if s.spec.DataCentre != t.DataCentre {
-			d *= crossDataCentreFactor
-		}
-		d = transferSetupTime + s.spec.FirstByteLatency + s.link.wait(now) + time.Duration(float64(d)*s.link.slowdown(now))
-		if source == "" || d < transferTime || d == transferTime && s.spec.Address < source {
-			source, transferTime = s.spec.Address, d
+			bytesTime *= crossDataCentreFactor
 		}
+		consider(s.spec.Address, transferSetupTime+s.spec.FirstByteLatency+s.link.wait(now)+time.Duration(float64(bytesTime)*s.link.slowdown(now)), bytesTime)
 	}
 	for _, e := range src.engines {
 		if e == t {
@@ -305,15 +310,13 @@
 		}
 		// engineSourceCost accounts for an engine that may evict the part
 		// before it is fetched, and whose link carries its own fetches, too.
-		d := transferSetupTime + engineSourceCost + nominal
+		bytesTime := linkTime
 		if e.DataCentre != t.DataCentre {
-			d += (crossDataCentreFactor - 1) * nominal
-		}
-		if source == "" || d < transferTime || d == transferTime && e.Address < source {
-			source, transferTime = e.Address, d
+			bytesTime *= crossDataCentreFactor
 		}
+		consider(e.Address, transferSetupTime+engineSourceCost+bytesTime, bytesTime)
 	}
-	return source, transferTime
+	return source, took, nominal
 }
 
 // chooseSaves reserves space in cache stores for the shared parts that none holds,
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -125,6 +125,8 @@
 	readTokens  fleet.Tokens      // that the engine has to read
 	firstPiece  time.Duration     // estimated time until the first piece of the answer
 	fetchTime   time.Duration     // share of firstPiece that the fetches take
+	transfer    time.Duration     // share of fetchTime that the bytes take at the nominal rates of the links
+	slowdown    float64           // of the bytes, as the estimate of the fetch stores' links expected it
 	fetchStores []*store          // cache stores from which parts are fetched
 	memory      fleet.Tokens      // tokens of cache memory that the run occupies
 }
@@ -234,7 +236,9 @@
 			continue
 		}
 		live[spec.Store.Address] = true
-		if _, ok := f.stores[spec.Store.Address]; !ok {
+		if known, ok := f.stores[spec.Store.Address]; ok {
+			known.service, known.spec, known.inventory.Capacity = spec.ID, *spec.Store, spec.Store.Capacity
+		} else {
 			s := &store{service: spec.ID, spec: *spec.Store}
 			s.inventory = cachestore.Inventory{Capacity: spec.Store.Capacity, ActiveFrom: f.tenureStart.Add(predecessorFetchTime)}
 			f.stores[spec.Store.Address] = s
--- a/fleet/plan/target.go
+++ b/fleet/plan/target.go
@@ -151,7 +151,7 @@
 	t.pending--
 	t.unreadTokens -= ag.readTokens
 	for _, s := range ag.fetchStores {
-		s.link.observe(now, ag.fetchTime, now.Sub(ag.grantedAt)-(ag.firstPiece-ag.fetchTime))
+		s.link.observe(now, ag.transfer+transferNoise, ag.transferTook(now)+transferNoise)
 	}
 	if ag.idleEngine && ag.fetchTime == 0 && t.isEngine() {
 		t.service.pace.observe(ag.readTokens, now.Sub(ag.grantedAt))
@@ -166,6 +166,18 @@
 	t.readyAt = min(max(t.readyAt, now.Add(unread-t.service.pace.firstStep()), now), now.Add(2*unread))
 }
 
+// transferNoise is added to both times of a transfer. A first piece may be some ten
+// milliseconds early or late for other reasons, which must not make a link look slow
+// whose transfers take less than that.
+const transferNoise = 20 * time.Millisecond
+
+// transferTook returns how long the bytes of a grant's fetches took if its first piece
+// arrived now and everything else took as long as expected.
+func (ag *activeGrant) transferTook(now fleet.Instant) time.Duration {
+	expected := time.Duration(float64(ag.transfer) * ag.slowdown)
+	return now.Sub(ag.grantedAt) - (ag.firstPiece - expected)
+}
+
 // endGrant removes an active grant from the estimates.
 func (t *target) endGrant(now fleet.Instant, ag *activeGrant, progress Progress) {
 	t.activeGrants--
