control: a fleet that starts together finds its planner without watching

Ruled out: the lists of a start themselves, one a kind and host; the planner's own watches, 6 calls a second. Change: a host reads the duty at once, relies on its lists for a second longer, and writes its entry with one call instead of two. Each host decodes a target's entry once a revision, not at every change of any other entry.

--- a/hibiscusfront/internal/control/control.go
+++ b/hibiscusfront/internal/control/control.go
@@ -50,6 +50,9 @@
 	// watcherTimeout is how long a host relies on others to watch the store
 	// after the last reply of a host that does.
 	watcherTimeout = 800 * time.Millisecond
+	// startGrace is added to watcherTimeout for a host that starts. If all hosts
+	// of a large fleet start together, the planner needs longer for its first replies.
+	startGrace = time.Second
 	// deadEntryTimeout is the time from a host's last heartbeat to the removal
 	// of its entry from the store.
 	deadEntryTimeout = 15 * time.Second
@@ -102,6 +105,7 @@
 
 	// The store's objects as this host knows them.
 	replicas           map[string]*replica.Replica
+	decodedTargets     map[string]decodedTarget // by the name of the object
 	malformedRevisions map[string]fleet.Version // logged revisions of malformed objects, by kind and name
 	lastStoreAnswer    fleet.Instant
 	storeOutage        bool // a call to the store failed, and the store has answered none since
@@ -170,7 +174,8 @@
 	c.packed = make(map[string]packedReply)
 	c.announcements = make(map[fleet.ModelID]weightupdate.Announcements)
 	c.bounds = c.Settings.Bounds
-	c.lastWatcherReply, c.lastPlannerReply = c.Clock(), c.Clock()
+	// The lists that the host reads now are as fresh as a reply.
+	c.lastWatcherReply, c.lastPlannerReply = c.Clock().Add(startGrace), c.Clock()
 	c.duty = election.Duty{Self: c.Settings.Host, Address: c.Settings.Peers}
 	for _, kind := range replicatedKinds {
 		c.replicas[kind] = new(replica.Replica)
--- a/hibiscusfront/internal/control/duty.go
+++ b/hibiscusfront/internal/control/duty.go
@@ -19,9 +19,13 @@
 )
 
 // readDuty reads the duty's object while the planner does not reply, so that this
-// host sees the end of the tenure.
+// host sees the end of the tenure. A host that starts reads it at once, so that it finds
+// the planner before it would watch the store itself.
 func (c *Control) readDuty(ctx context.Context, now fleet.Instant) {
-	if c.dutyReading || c.leaving || c.planning || c.storeOutage || now.Sub(c.lastPlannerReply) < watcherTimeout+c.standbyDelay() || now.Sub(c.lastDutyRead) < dutyReadInterval {
+	if c.dutyReading || c.leaving || c.planning || c.storeOutage || now.Sub(c.lastDutyRead) < dutyReadInterval {
+		return
+	}
+	if c.lastDutyRead > 0 && now.Sub(c.lastPlannerReply) < watcherTimeout+c.standbyDelay() {
 		return
 	}
 	c.dutyReading, c.lastDutyRead = true, now
--- a/hibiscusfront/internal/control/members.go
+++ b/hibiscusfront/internal/control/members.go
@@ -40,11 +40,11 @@
 func (c *Control) register(ctx context.Context) {
 	name := string(c.Settings.Host)
 	for ctx.Err() == nil {
-		o, err := c.Store.Read(ctx, platform.KindHosts, name)
-		if err == nil {
-			_, err = c.Store.Replace(ctx, platform.KindHosts, name, o.Revision, c.Self)
-		} else if isNotFound(err) {
-			_, err = c.Store.Create(ctx, platform.KindHosts, name, c.Self)
+		_, err := c.Store.Create(ctx, platform.KindHosts, name, c.Self)
+		var conflict *platform.ConflictError
+		if errors.As(err, &conflict) {
+			// The entry is that of an earlier process of this host.
+			_, err = c.Store.Replace(ctx, platform.KindHosts, name, conflict.Current.Revision, c.Self)
 		}
 		if err == nil {
 			return
--- a/hibiscusfront/internal/control/objects.go
+++ b/hibiscusfront/internal/control/objects.go
@@ -204,17 +204,33 @@
 		Int("Routes", len(table.Routes)).Int("Workspaces", len(table.Workspaces)).Msg("configuration in force")
 }
 
+// decodedTarget is the decoded entry of a target as of a revision. Each host decodes an
+// entry once, not at each change of any other.
+type decodedTarget struct {
+	revision fleet.Version
+	target   roster.Target
+	valid    bool
+}
+
 // applyTargets applies the targets' entries.
 func (c *Control) applyTargets(now fleet.Instant, uncertainFor time.Duration) {
 	entries := make(map[fleet.TargetID]roster.Target)
+	decoded := make(map[string]decodedTarget)
 	c.replicas[platform.KindTargets].ForEach(func(o platform.Object) {
-		t, err := platform.DecodeTarget(o)
-		if err != nil {
-			c.logMalformed(o, err)
-			return
+		d, ok := c.decodedTargets[o.Name]
+		if !ok || d.revision != o.Revision {
+			t, err := platform.DecodeTarget(o)
+			if err != nil {
+				c.logMalformed(o, err)
+			}
+			d = decodedTarget{o.Revision, t, err == nil}
+		}
+		decoded[o.Name] = d
+		if d.valid {
+			entries[d.target.ID] = d.target
 		}
-		entries[t.ID] = t
 	})
+	c.decodedTargets = decoded
 	c.targets.apply(now, entries, uncertainFor, c.Log)
 }
 
--- a/hibiscusfront/internal/control/start_test.go
+++ b/hibiscusfront/internal/control/start_test.go
@@ -119,3 +119,36 @@
 	store.SetFault(fakeplatform.Healthy)
 	lines.Require(t, "object store answers again", nil)
 }
+
+// Load pattern: all hosts of a large fleet start together, and the store has no record
+// of a planner. A start costs each host a list of each kind, a read of the duty and the
+// write of its entry; one of them becomes the planner and watches for all others.
+func TestStartOfLargeFleetCostsFewCalls(t *testing.T) {
+	const (
+		hosts   = 60
+		perHost = 5 + 1 + 1
+		planner = 100 // calls of the planner in 3 s, and of those that tried to become it
+	)
+	store := newConfiguredStore()
+	store.Remove("hosts", "other")
+	store.Put("servers", "i-1", map[string]any{"service": "s", "address": "10.0.0.1:80", "zone": "z", "slots": 4, "state": "ready"})
+	controls, _ := startFleet(t, store, hosts)
+	require.Eventually(t, func() bool {
+		for _, c := range controls {
+			if v := c.View(); v.Table == nil || v.Duty.Holder == "" || c.watching.Load() != c.MayPlan() {
+				return false
+			}
+		}
+		return true
+	}, 10*time.Second, 20*time.Millisecond)
+	time.Sleep(2 * watcherTimeout)
+	calls := uint64(0)
+	for _, c := range controls {
+		c.Store.Calls.Each(func(_ platform.StoreOperation, result platform.StoreResult, n uint64) {
+			if result != platform.StoreUnknown { // the network path may start after its host
+				calls += n
+			}
+		})
+	}
+	require.LessOrEqual(t, calls, uint64(hosts*perHost+planner))
+}
