control: only the standbys watch the store for a planner that has lost it

Cause: on the large fleet, each second for which the planner's host is cut off from the store made all hosts but the first six watch it themselves after 2.3 s, each at five calls a wait. A host with few cores could also become the first planner of a fleet and answer 294 others too late. Change: heartbeats say whether their sender follows the store, and the planner's reply says whether such a host reports to it; hosts that are no standby rely on that. At the start a host with few cores reads the duty later. Also: an operator's error says when its change is in doubt; failed resignations and removals are logged as warnings.

--- a/fleet/operator/operator.go
+++ b/fleet/operator/operator.go
@@ -36,7 +36,11 @@
 }
 
 func (e *StatusError) Error() string {
-	return fmt.Sprintf("host %s answered status %d: %s", e.Host, e.Status, e.Detail)
+	text := fmt.Sprintf("host %s answered status %d: %s", e.Host, e.Status, e.Detail)
+	if e.InDoubt {
+		text += "; the change may have been committed nevertheless"
+	}
+	return text
 }
 
 // A PendingError reports that a change is committed, but that some hosts have
--- a/hibiscusfront/internal/control/control.go
+++ b/hibiscusfront/internal/control/control.go
@@ -132,6 +132,7 @@
 
 	// Heartbeats.
 	sent             sentHeartbeats
+	lastFollower     fleet.Instant          // last heartbeat of a host that watches the store and reaches it
 	lastWatcherReply fleet.Instant          // last reply of a host that watches the store
 	lastPlannerReply fleet.Instant          // last reply of the planner
 	live             liveList               // hosts that callers may be sent to; kept while this host is the planner
--- a/hibiscusfront/internal/control/duty.go
+++ b/hibiscusfront/internal/control/duty.go
@@ -16,16 +16,38 @@
 	// while the planner does not reply. It is also the shortest time between two
 	// writes of that object while calls to the store fail.
 	dutyReadInterval = 300 * time.Millisecond
+	// fullCoreDutyRead is when a host with one core reads the duty's object after
+	// its start. The time grows with the square of the inverse of the cores, so that
+	// the largest host reads first although all start within 0.3 s.
+	fullCoreDutyRead = 60 * time.Millisecond
+	// maxFirstDutyRead bounds that time.
+	maxFirstDutyRead = 400 * time.Millisecond
 )
 
+// firstDutyRead returns when a host reads the duty's object after its start. A host with
+// unknown cores reads at once.
+func firstDutyRead(cores float64) time.Duration {
+	if cores <= 0 {
+		return 0
+	}
+	return min(time.Duration(float64(fullCoreDutyRead)/cores/cores), maxFirstDutyRead)
+}
+
 // readDuty reads the duty's object while the planner does not reply, so that this
-// host sees the end of the tenure. A host that starts reads it at once, so that it finds
+// host sees the end of the tenure. A host that starts reads it soon, so that it finds
 // the planner before it would watch the store itself.
+//
+// If a whole fleet starts for the first time, the host that reads first becomes the
+// planner. A host with few cores reads later, since it could not answer all others.
 func (c *Control) readDuty(ctx context.Context, now fleet.Instant) {
 	if c.dutyReading || c.leaving || c.planning || c.storeOutage || now.Sub(c.lastDutyRead) < dutyReadInterval {
 		return
 	}
-	if c.lastDutyRead > 0 && now.Sub(c.lastPlannerReply) < watcherTimeout+c.standbyDelay() {
+	wait := watcherTimeout + c.standbyDelay()
+	if c.lastDutyRead == 0 {
+		wait = firstDutyRead(c.Self.Cores)
+	}
+	if now.Sub(c.lastPlannerReply) < wait {
 		return
 	}
 	c.dutyReading, c.lastDutyRead = true, now
@@ -303,8 +325,11 @@
 	c.tasks.Go(ctx, func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, resignTimeout)
 		defer cancel()
-		_, err := c.Store.Replace(ctx, platform.KindDuties, DutyName, w.Expected, w.Record)
-		c.Log.Info().AnErr("Cause", err).Msg("resigned the planner's duty; attempted to record that in the object store")
+		if _, err := c.Store.Replace(ctx, platform.KindDuties, DutyName, w.Expected, w.Record); err != nil {
+			c.Log.Warn().Err(err).Msg("resigned the planner's duty, but could not record that in the object store; a successor waits for the end of the lease")
+			return
+		}
+		c.Log.Info().Msg("resigned the planner's duty")
 	})
 }
 
--- a/hibiscusfront/internal/control/heartbeats.go
+++ b/hibiscusfront/internal/control/heartbeats.go
@@ -25,8 +25,11 @@
 		if c.members.recordHeartbeat(now, heartbeat.Host.ID, heartbeat.Leaving) {
 			c.publish()
 		}
+		if heartbeat.Follows {
+			c.lastFollower = now
+		}
 		reply = wire.HeartbeatReply{
-			Revisions: c.revisions(), Follows: c.watching.Load() && !c.storeOutage && now.Sub(c.lastStoreAnswer) < maxAnswerAge,
+			Revisions: c.revisions(), Follows: c.follows(now), Followed: now.Sub(c.lastFollower) < watcherTimeout,
 			Duty: c.duty.Record(), Revision: c.duty.Revision(), Planning: c.planning,
 		}
 		if reply.Planning && heartbeat.Roll != c.live.version {
@@ -114,7 +117,7 @@
 		return
 	}
 	c.sent.last = now
-	heartbeat := c.heartbeat()
+	heartbeat := c.heartbeat(now)
 	record := c.duty.Record()
 	if record.Holder != "" && record.Holder != c.Self.ID {
 		c.tasks.Go(ctx, func(ctx context.Context) { c.sendHeartbeat(ctx, record.Address, heartbeat) })
@@ -130,9 +133,14 @@
 	}
 }
 
-func (c *Control) heartbeat() wire.Heartbeat {
+// follows reports whether this host watches the store and reaches it.
+func (c *Control) follows(now fleet.Instant) bool {
+	return c.watching.Load() && !c.storeOutage && now.Sub(c.lastStoreAnswer) < maxAnswerAge
+}
+
+func (c *Control) heartbeat(now fleet.Instant) wire.Heartbeat {
 	return wire.Heartbeat{
-		Host: c.Self, Leaving: c.leaving, Revisions: c.revisions(), Duty: c.duty.Record(), Revision: c.duty.Revision(),
+		Host: c.Self, Leaving: c.leaving, Follows: c.follows(now), Revisions: c.revisions(), Duty: c.duty.Record(), Revision: c.duty.Revision(),
 		Roll: c.members.plannerVersion,
 	}
 }
@@ -146,7 +154,7 @@
 // each to each would grow with the square of the hosts. They tell a few that may be
 // cut off from the store.
 func (c *Control) broadcastHeartbeat() {
-	heartbeat := c.heartbeat()
+	heartbeat := c.heartbeat(c.Clock())
 	count := len(c.members.hosts)
 	if !c.planning && c.members.rank(c.Self) >= standbyCount {
 		count = nonStandbyFanout
@@ -183,6 +191,11 @@
 	switch {
 	case reply.Follows:
 		c.lastWatcherReply = now
+	case reply.Planning && reply.Followed && c.members.rank(c.Self) >= standbyCount:
+		// A standby watches the store for the planner, which does not reach it.
+		// This host gets the changes from either. The standbys themselves do not
+		// rely on this, or they would all stop.
+		c.lastWatcherReply = now
 	case reply.Planning:
 		// The planner does not reach the store. If this host waited for
 		// watcherTimeout first, a change could arrive later than allowed.
--- a/hibiscusfront/internal/control/members.go
+++ b/hibiscusfront/internal/control/members.go
@@ -222,8 +222,11 @@
 		status.at = now // retried after another deadEntryTimeout if this fails
 		c.members.heartbeats[id] = status
 		c.tasks.Go(ctx, func(ctx context.Context) {
-			err := c.Store.Delete(ctx, platform.KindHosts, o.Name, o.Revision)
-			c.Log.Info().AnErr("Cause", err).Str("Peer", o.Name).Msg("attempted to remove the entry of a dead host from the object store")
+			if err := c.Store.Delete(ctx, platform.KindHosts, o.Name, o.Revision); err != nil {
+				c.Log.Warn().Err(err).Str("Peer", o.Name).Msgf("could not remove the entry of a dead host from the object store; retrying in %v", deadEntryTimeout)
+				return
+			}
+			c.Log.Info().Str("Peer", o.Name).Msg("removed the entry of a dead host from the object store")
 		})
 	}
 }
--- a/hibiscusfront/internal/wire/wire.go
+++ b/hibiscusfront/internal/wire/wire.go
@@ -41,6 +41,7 @@
 type Heartbeat struct {
 	Host      Host
 	Leaving   bool
+	Follows   bool // the sender watches the object store and reaches it
 	Revisions Revisions
 	Duty      election.Record   // last record of the planner's duty that the sender knows
 	Revision  fleet.Version     // of the object that holds Duty
@@ -59,6 +60,7 @@
 type HeartbeatReply struct {
 	Revisions Revisions
 	Follows   bool            // the replying host watches the object store and reaches it
+	Followed  bool            // another host that watches the object store and reaches it sends heartbeats to the replying host
 	Duty      election.Record // last record of the planner's duty that the replying host knows
 	Revision  fleet.Version   // of the object that holds Duty
 	Planning  bool            // the replying host is the planner
