--- a/fleet/plan/admission.go
+++ b/fleet/plan/admission.go
@@ -46,8 +46,39 @@
 	req      *Request
 	enqueued fleet.Instant
 	expires  fleet.Instant
+	// nextTry is when the request is considered again. It is in the future only if a
+	// target had capacity, but would have started the request too late.
+	nextTry fleet.Instant
 }
 
+// lateRetryInterval is the time after which a request that would have started too late
+// is considered again. The passing of time does not help it, since its objective comes
+// nearer as fast as the engines read; only reports from hosts do.
+const lateRetryInterval = 40 * time.Millisecond
+
+// demand is what a request needs of a target, apart from the targets that it avoids.
+type demand struct {
+	service route.ServiceID
+	model   fleet.ModelID
+}
+
+// demand returns what the request needs, with the cache memory that its run occupies.
+func (r *Request) demand() (demand, fleet.Tokens) {
+	if r.Prompt == nil {
+		return demand{service: r.Service}, 0
+	}
+	return demand{r.Service, r.Prompt.Model}, r.Prompt.Input + r.Prompt.Output
+}
+
+// verdict is the result of an attempt to grant a request.
+type verdict uint8
+
+const (
+	decided    verdict = iota // granted, or refused since no target will serve it
+	noCapacity                // no target has capacity now
+	tooLate                   // the best target would start the request too late
+)
+
 // Submit decides on a request. If it returns false, the request is queued and a
 // later Tick returns its decision.
 func (f *Fleet) Submit(now fleet.Instant, req *Request) (Decision, bool) {
@@ -65,10 +96,13 @@
 	} else {
 		s.firstAttempts.add(now, f.RetryWindow)
 	}
-	if decision, ok := f.tryGrant(now, req); ok {
+	decision, verdict := f.tryGrant(now, req)
+	if verdict == decided {
 		return decision, true
 	}
-	f.queue = append(f.queue, &queuedRequest{req, now, now.Add(req.MaxQueueTime())})
+	q := &queuedRequest{req: req, enqueued: now, expires: now.Add(req.MaxQueueTime())}
+	q.postpone(now, verdict)
+	f.queue = append(f.queue, q)
 	return Decision{}, false
 }
 
@@ -89,20 +123,27 @@
 	return float64(s.repeats.count(now, f.RetryWindow)) < allowed
 }
 
+// postpone sets when the request is considered again after an attempt.
+func (q *queuedRequest) postpone(now fleet.Instant, v verdict) {
+	if v == tooLate {
+		q.nextTry = min(now.Add(lateRetryInterval), q.expires)
+	}
+}
+
 // tryGrant grants the request if a target can start it in time, and refuses it
-// if no target is expected to. It returns false if the request has to wait.
-func (f *Fleet) tryGrant(now fleet.Instant, req *Request) (Decision, bool) {
+// if no target is expected to. Otherwise the request has to wait.
+func (f *Fleet) tryGrant(now fleet.Instant, req *Request) (Decision, verdict) {
 	c, eligible := f.bestCandidate(now, req)
 	if !eligible && c.target == nil && !f.mayBecomeUsable(req) {
-		return refuse(req, fleet.ReasonNoTarget, maxRetryAfter/2), true
+		return refuse(req, fleet.ReasonNoTarget, maxRetryAfter/2), decided
 	}
 	if c.target == nil {
-		return Decision{}, false
+		return Decision{}, noCapacity
 	}
 	if req.Objective > 0 && c.firstPiece > time.Duration(maxLateFactor*float64(req.Objective)) {
-		return Decision{}, false
+		return Decision{}, tooLate
 	}
-	return Decision{Request: req, Grant: f.grant(now, req, &c)}, true
+	return Decision{Request: req, Grant: f.grant(now, req, &c)}, decided
 }
 
 // mayBecomeUsable reports whether the service has a target that may be given the
@@ -180,6 +221,10 @@
 
 // Tick expires grants and returns the decisions on queued requests: those that a
 // target can start now and those whose time in the queue is over.
+//
+// The queue is long when all targets are busy, and then to consider each request at each
+// target would take all of the planner's time. Grants only take capacity away, so once
+// no target had capacity for a request, none has for others that need as much.
 func (f *Fleet) Tick(now fleet.Instant) []Decision {
 	f.expireGrants(now)
 	slices.SortStableFunc(f.queue, func(a, b *queuedRequest) int {
@@ -187,15 +232,25 @@
 	})
 	var decisions []Decision
 	var remaining []*queuedRequest
+	unmet := make(map[demand]fleet.Tokens) // smallest memory for which no target has capacity
 	for _, q := range f.queue {
-		waited := now.Sub(q.enqueued)
-		req := *q.req
-		req.Objective -= waited
-		req.Deadline -= waited
-		if decision, ok := f.tryGrant(now, &req); ok {
-			decision.Request = q.req
-			decisions = append(decisions, decision)
-			continue
+		kind, memory := q.req.demand()
+		smallest, full := unmet[kind]
+		if now >= q.nextTry && !(full && memory >= smallest) {
+			waited := now.Sub(q.enqueued)
+			req := *q.req
+			req.Objective -= waited
+			req.Deadline -= waited
+			decision, verdict := f.tryGrant(now, &req)
+			if verdict == decided {
+				decision.Request = q.req
+				decisions = append(decisions, decision)
+				continue
+			}
+			q.postpone(now, verdict)
+			if verdict == noCapacity && len(q.req.Avoid) == 0 {
+				unmet[kind] = memory
+			}
 		}
 		if now >= q.expires {
 			decisions = append(decisions, refuse(q.req, fleet.ReasonOverloaded, f.retryAfter(now, q.req)))
--- a/fleet/plan/cache.go
+++ b/fleet/plan/cache.go
@@ -139,12 +139,13 @@
 	CachedTokens  fleet.Tokens // found in the cache of the target engine
 	UnsavedParts  uint64       // parts for which no cache store had capacity
 
+	Considered     uint64 // times that a request was compared with all targets of its service
 	Repeats        uint64 // repeats within the retry budget
 	RepeatsRefused uint64 // repeats beyond the retry budget
 }
 
 // String formats the statistics for logs.
 func (s Stats) String() string {
-	return fmt.Sprintf("grants %d read %d reread %d fetched %d cached %d unsaved %d",
-		s.Grants, s.ReadTokens, s.RereadTokens, s.FetchedTokens, s.CachedTokens, s.UnsavedParts)
+	return fmt.Sprintf("grants %d considered %d read %d reread %d fetched %d cached %d unsaved %d",
+		s.Grants, s.Considered, s.ReadTokens, s.RereadTokens, s.FetchedTokens, s.CachedTokens, s.UnsavedParts)
 }
--- a/fleet/plan/placement.go
+++ b/fleet/plan/placement.go
@@ -90,6 +90,7 @@
 // candidate has no target if none has capacity now; eligible tells whether any
 // target may be given the request once it has capacity.
 func (f *Fleet) bestCandidate(now fleet.Instant, req *Request) (best candidate, eligible bool) {
+	f.stats.Considered++
 	affinity := req.AffinityHash()
 	chains := make(map[uint64]*chain) // by version of the weights
 	for _, t := range f.targets {
