plan: an entry with an unknown service harms no running grant

Found by reading: the pace of an engine is that of its service, and an entry of another writer may name an unknown one while a request runs there. TestEntryWithUnknownServiceHarmsNoGrant panicked without the check.

--- a/fleet/plan/placement.go
+++ b/fleet/plan/placement.go
@@ -232,7 +232,7 @@
 // or read, and sets the resulting times and cost.
 func (f *Fleet) estimatePrompt(now fleet.Instant, c *candidate, req *Request) {
 	t, p := c.target, req.Prompt
-	engine, pace := t.service.spec.Engine, &t.service.pace
+	engine, pace := t.service.spec.Engine, t.pace()
 	var fetchTime time.Duration
 	mustRead := false // an earlier part has to be read, which makes later cached parts unusable
 	for i, part := range p.Parts {
--- a/fleet/plan/plan_test.go
+++ b/fleet/plan/plan_test.go
@@ -438,3 +438,18 @@
 	require.Equal(t, waiting[2], decisions[0].Request)
 	require.NotNil(t, decisions[0].Grant)
 }
+
+// A target's entry may come from another writer and name an unknown service while a
+// request runs there.
+func TestEntryWithUnknownServiceHarmsNoGrant(t *testing.T) {
+	f := newFleet(t, engines(1))
+	first := mustGrant(t, f, at(0), newRequest(second, filePrompt("a")...))
+	mustGrant(t, f, at(0), newRequest(second, filePrompt("b")...))
+	entries := engines(1)
+	entries[0].Service = "unknown"
+	f.SetTargets(at(time.Millisecond), entries, nil)
+	require.NotPanics(t, func() {
+		reportDone(f, at(second), first)
+		f.Tick(at(second))
+	})
+}
--- a/fleet/plan/target.go
+++ b/fleet/plan/target.go
@@ -108,8 +108,17 @@
 	coldRateShare = 0.9
 )
 
-// isEngine reports whether the target is a model engine.
-func (t *target) isEngine() bool { return t.service.spec.Engine != nil }
+// isEngine reports whether the target is a model engine. It is not while its entry names
+// an unknown service.
+func (t *target) isEngine() bool { return t.service != nil && t.service.spec.Engine != nil }
+
+// pace returns the estimate of the engines of the target's service.
+func (t *target) pace() *pace {
+	if t.service == nil {
+		return new(pace) // the entry names an unknown service since the grant
+	}
+	return &t.service.pace
+}
 
 // slots returns how many requests the target processes at once.
 func (t *target) slots() int {
@@ -135,7 +144,7 @@
 	t.unreadTokens += ag.readTokens
 	t.memory += ag.memory
 	if t.isEngine() {
-		t.readyAt = max(now, t.readyAt).Add(t.service.pace.readTime(ag.readTokens))
+		t.readyAt = max(now, t.readyAt).Add(t.pace().readTime(ag.readTokens))
 	}
 	t.recentGrants.add(now, coldWindow)
 	t.cache.markGranted(t, ag.parts...)
@@ -154,7 +163,7 @@
 		s.link.observe(now, ag.transfer+transferNoise, ag.transferTook(now)+transferNoise)
 	}
 	if ag.idleEngine && ag.fetchTime == 0 && t.isEngine() {
-		t.service.pace.observe(ag.readTokens, now.Sub(ag.grantedAt))
+		t.pace().observe(ag.readTokens, now.Sub(ag.grantedAt))
 	}
 	if t.pending == 0 {
 		t.readyAt = now
@@ -162,8 +171,8 @@
 	}
 	// The engine reads one prompt after another, so the unread tokens come after
 	// this answer's, which it had read one firstStep ago. Fetches may delay it further.
-	unread := t.service.pace.readTime(t.unreadTokens)
-	t.readyAt = min(max(t.readyAt, now.Add(unread-t.service.pace.firstStep()), now), now.Add(2*unread))
+	unread := t.pace().readTime(t.unreadTokens)
+	t.readyAt = min(max(t.readyAt, now.Add(unread-t.pace().firstStep()), now), now.Add(2*unread))
 }
 
 // transferNoise is added to both times of a transfer. A first piece may be some ten
