--- a/fleet/plan/pace.go
+++ b/fleet/plan/pace.go
@@ -23,12 +23,12 @@
 const (
 	// assumedReadRate and assumedFirstStep are the pace of the assumed answers.
 	// Each has assumedWeight of a real one.
-	assumedReadRate  fleet.TokenRate = 60_000
-	assumedFirstStep                 = 12 * time.Millisecond
+	assumedReadRate  = fleet.TokenRate(60_000)
+	assumedFirstStep = 12 * time.Millisecond
 	// assumedTokens is the length of the prompt of the second assumed answer;
 	// the first has no tokens to read.
-	assumedTokens fleet.Tokens = 4_000
-	assumedWeight              = 0.1
+	assumedTokens = fleet.Tokens(4_000)
+	assumedWeight = 0.1
 	// paceDecay multiplies the weight of older answers with each new one.
 	paceDecay = 0.98
 	// maxPaceError bounds an answer's time to this multiple of the expected
