gateway: log and count how the end of each response is marked

Failed attempts and the ends of requests now carry Framing, and ResponsesReceived counts responses by it. Behaviour is the same; the unused Exchange.Length is gone.

--- a/hibiscusfront/internal/backend/backend.go
+++ b/hibiscusfront/internal/backend/backend.go
@@ -125,6 +125,47 @@
 	idleUntil time.Time // when to stop using the idle connection
 }
 
+// A Framing is how the end of a response body is marked.
+type Framing uint8
+
+const (
+	// FramingUnknown means that no response was received.
+	FramingUnknown Framing = iota
+	// FramedByLength means that the header gives the length of the body, or that
+	// the response has none.
+	FramedByLength
+	// FramedByChunks means that the body is sent in chunks, of which the last is empty.
+	FramedByChunks
+	// FramedByClose means that the body ends with its connection. An early end
+	// looks the same unless the connection is reset.
+	FramedByClose
+)
+
+// String returns the framing for logs and metrics.
+func (f Framing) String() string {
+	switch f {
+	case FramedByLength:
+		return "length"
+	case FramedByChunks:
+		return "chunks"
+	case FramedByClose:
+		return "close"
+	}
+	return "unknown"
+}
+
+// framingOf returns the framing of a response. Package http removes the chunked encoding
+// from the header and lists it in TransferEncoding.
+func framingOf(response *http.Response) Framing {
+	switch {
+	case len(response.TransferEncoding) > 0:
+		return FramedByChunks
+	case response.ContentLength >= 0:
+		return FramedByLength
+	}
+	return FramedByClose
+}
+
 // An Exchange is a request whose response header was received. Read returns the
 // response body. Close must be called; it closes the connection unless the
 // response was read to its end.
@@ -132,7 +173,7 @@
 	Status          int
 	Header          http.Header
 	Answer          platform.ResponseHeaders
-	Length          int64 // of the body; -1 if the header does not give it
+	Framing         Framing
 	pool            *Pool
 	key             poolKey
 	conn            *conn
@@ -216,7 +257,7 @@
 		answer := platform.DecodeResponseHeaders(response.StatusCode, response.Header)
 		if answer.ID == r.ID || answer.ID == "" && response.StatusCode >= http.StatusBadRequest {
 			e.response, e.Answer = response, answer
-			e.Status, e.Header, e.Length = response.StatusCode, response.Header, response.ContentLength
+			e.Status, e.Header, e.Framing = response.StatusCode, response.Header, framingOf(response)
 			return nil
 		}
 		if err := skipBody(response.Body); err != nil {
--- a/hibiscusfront/internal/gateway/gateway.go
+++ b/hibiscusfront/internal/gateway/gateway.go
@@ -63,6 +63,8 @@
 	// planner or a deputy selected the target; if not, this host chose without
 	// them.
 	RecordSend(repeat, planned bool)
+	// RecordResponse counts a response that a target sent, by its framing.
+	RecordResponse(framing backend.Framing)
 	// RecordEnd records the result of a request, with the time to the first part
 	// of the response and the total time. The first part of a stream is its first
 	// event or bytes, that of another response its body, or the start of a long
@@ -109,7 +111,8 @@
 	headerSent bool // a response header has been sent to the caller
 	status     int
 	reason     fleet.Reason
-	grant      *plan.Grant // current or last one
+	grant      *plan.Grant     // current or last one
+	framing    backend.Framing // of the last response that a target sent
 }
 
 var _ http.Handler = (*Gateway)(nil)
@@ -296,6 +299,8 @@
 		return c.targetFailed(g, err)
 	}
 	defer exchange.Close()
+	c.framing = exchange.Framing
+	c.Meter.RecordResponse(exchange.Framing)
 	if exchange.Answer.NotRun {
 		c.sends--
 		c.outcome = before
@@ -360,7 +365,7 @@
 // logFailedAttempt logs why an attempt at a target did not serve the request.
 func (c *call) logFailedAttempt(g *plan.Grant, message string, err error) {
 	c.Log.Info().Str("Request", string(c.ID)).Str("Target", string(g.Target)).Str("Service", string(g.Service)).
-		Uint64("Grant", uint64(g.Number)).Int("Tried", len(c.tried)).Stringer("Outcome", c.outcome).AnErr("Cause", err).Msg(message)
+		Uint64("Grant", uint64(g.Number)).Int("Tried", len(c.tried)).Stringer("Outcome", c.outcome).Stringer("Framing", c.framing).AnErr("Cause", err).Msg(message)
 }
 
 // workspaceID returns the workspace's ID, or "" on a public route.
@@ -395,5 +400,5 @@
 	event.Str("Request", string(c.ID)).Str("Route", name).Str("Workspace", string(workspace)).
 		Str("Target", string(grant.Target)).Uint64("Grant", uint64(grant.Number)).Int("Status", c.status).
 		Str("Reason", string(c.reason)).Stringer("Outcome", c.outcome).Int("Tried", len(c.tried)).
-		Uint64("Configuration", uint64(number)).Dur("First", c.firstByte).Dur("Total", total).Msg("request ended")
+		Uint64("Configuration", uint64(number)).Stringer("Framing", c.framing).Dur("First", c.firstByte).Dur("Total", total).Msg("request ended")
 }
--- a/hibiscusfront/internal/gateway/gateway_test.go
+++ b/hibiscusfront/internal/gateway/gateway_test.go
@@ -59,6 +59,7 @@
 
 func (discardMeter) RecordChoice(fleet.WorkspaceID, string, time.Duration) {}
 func (discardMeter) RecordSend(bool, bool)                                 {}
+func (discardMeter) RecordResponse(backend.Framing)                        {}
 
 func (discardMeter) RecordEnd(fleet.WorkspaceID, string, int, fleet.Reason, time.Duration, time.Duration) {
 }
--- a/hibiscusfront/internal/host/meters.go
+++ b/hibiscusfront/internal/host/meters.go
@@ -9,6 +9,7 @@
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/meter"
+	"hibiscuslb/hibiscusfront/internal/backend"
 	"hibiscuslb/hibiscusfront/internal/gateway"
 	"hibiscuslb/platform"
 )
@@ -17,7 +18,8 @@
 // those that other parts record are copied by refresh on each read.
 type meters struct {
 	first, total, choice       meter.Histograms // by workspace and route
-	ended, refused, sent       meter.Counter
+	ended, refused             meter.Counter
+	sent, responses            meter.Counter
 	orders                     *meter.Counter // of the planner
 	storeCalls, planned, state meter.Counter
 
@@ -33,6 +35,7 @@
 		ended:      meter.Counter{Name: "RequestsEnded", Labels: []string{"Status", "Route"}},
 		refused:    meter.Counter{Name: "RequestsRefused", Labels: []string{"Reason", "Route"}},
 		sent:       meter.Counter{Name: "RequestsSent", Labels: []string{"Try", "Chooser"}},
+		responses:  meter.Counter{Name: "ResponsesReceived", Labels: []string{"Framing"}},
 		orders:     orders,
 		storeCalls: meter.Counter{Name: "StoreCalls", Labels: []string{"Operation", "Result"}},
 		planned:    meter.Counter{Name: "Planned", Labels: []string{"What"}},
@@ -49,7 +52,7 @@
 }
 
 func (m *meters) counters() []*meter.Counter {
-	return []*meter.Counter{&m.ended, &m.refused, &m.sent, m.orders, &m.storeCalls, &m.planned, &m.state}
+	return []*meter.Counter{&m.ended, &m.refused, &m.sent, &m.responses, m.orders, &m.storeCalls, &m.planned, &m.state}
 }
 
 func (m *meters) histograms() map[string]*meter.Histograms {
@@ -87,6 +90,9 @@
 	m.sent.Add(1, try, chooser)
 }
 
+// RecordResponse implements gateway.Meter.
+func (m *meters) RecordResponse(framing backend.Framing) { m.responses.Add(1, framing.String()) }
+
 // handler serves the metrics as text on /metrics and as JSON on /debug/vars, the
 // path of package expvar.
 func (m *meters) handler() http.Handler {
--- a/hibiscusfront/internal/host/meters_test.go
+++ b/hibiscusfront/internal/host/meters_test.go
@@ -12,6 +12,7 @@
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/meter"
+	"hibiscuslb/hibiscusfront/internal/backend"
 )
 
 // get returns the response body of the metrics handler for a path.
@@ -39,6 +40,7 @@
 	m.RecordChoice("kypseli", "chat", 3*time.Millisecond)
 	m.RecordSend(false, true)
 	m.RecordSend(true, false)
+	m.RecordResponse(backend.FramedByClose)
 	orders.Add(1, "accepted")
 
 	text := get(t, m, "/metrics")
@@ -49,6 +51,7 @@
 		`RequestsRefused{Reason="overloaded",Route="chat"} 1`,
 		`RequestsSent{Try="first",Chooser="planner"} 1`,
 		`RequestsSent{Try="repeat",Chooser="host"} 1`,
+		`ResponsesReceived{Framing="close"} 1`,
 		`StoreCalls{Operation="watch",Result="done"} 12`,
 		`WeightOrders{Result="accepted"} 1`,
 		`FirstPieceCount{Series="kypseli/chat"} 1`,
