--- a/hibiscusfront/internal/gateway/gateway_test.go
+++ b/hibiscusfront/internal/gateway/gateway_test.go
@@ -294,3 +294,65 @@
 	gone := time.Now()
 	require.Less(t, (<-left).Sub(gone), 400*time.Millisecond)
 }
+
+// rawStream answers with a header that has the given line, and with the body, and then
+// closes the connection in an orderly way.
+func rawStream(headerLine, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get("X-Hibiscuslb-Request-Id")
+		_, _ = io.Copy(io.Discard, r.Body) // unread bytes would reset the connection
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer conn.Close()
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Hibiscuslb-Request-Id: %s\r\n%s: p1\r\n%s\r\n%s", id, signatureHeader, headerLine, body)
+	}
+}
+
+// TestStreamEndingInsideEventIsNotComplete guards against inc1: an engine broke off
+// streams that ended with their connection, and callers got them as complete.
+func TestStreamEndingInsideEventIsNotComplete(t *testing.T) {
+	const short = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\nda"
+	chunk := func(body string) string { return fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body) }
+	once := route.Route{Kind: route.Streaming}
+	resumable := route.Route{Kind: route.Streaming, Resumable: true, Attempts: 2}
+	crlf := strings.ReplaceAll(eventsTo(2), "\n", "\r\n")
+	for _, test := range []struct {
+		name     string
+		route    route.Route
+		targets  []http.HandlerFunc
+		body     string // a prefix if the stream is not complete
+		complete bool
+	}{
+		{"inside an event", once, []http.HandlerFunc{rawStream("", short)}, eventsTo(2), false},
+		{"inside an event, resumable, no attempt left", route.Route{Kind: route.Streaming, Resumable: true},
+			[]http.HandlerFunc{rawStream("", short)}, eventsTo(2), false},
+		{"inside an event, resumed at another target", resumable, []http.HandlerFunc{rawStream("", short), stream(3, 6, true)}, eventsTo(6), true},
+		{"inside the first line of an event", once, []http.HandlerFunc{rawStream("", eventsTo(2)+"i")}, eventsTo(2), false},
+		{"before the blank line of an event", once, []http.HandlerFunc{rawStream("", strings.TrimSuffix(eventsTo(3), "\n"))}, eventsTo(2), false},
+		{"before the first event", once, []http.HandlerFunc{rawStream("", "")}, "", false},
+		{"in chunks, inside an event", once, []http.HandlerFunc{rawStream("Transfer-Encoding: chunked\r\n", chunk(short))}, eventsTo(2), false},
+		{"with a length, inside an event", once, []http.HandlerFunc{rawStream(fmt.Sprintf("Content-Length: %d\r\n", len(short)), short)}, eventsTo(2), false},
+		{"after an event", once, []http.HandlerFunc{rawStream("", eventsTo(3))}, eventsTo(3), true},
+		{"after an event, resumable", resumable, []http.HandlerFunc{rawStream("", eventsTo(3))}, eventsTo(3), true},
+		{"after an event, lines end with CR LF", once, []http.HandlerFunc{rawStream("", crlf)}, crlf, true},
+		{"after an event, lines end with CR LF, resumable", resumable, []http.HandlerFunc{rawStream("", crlf)}, crlf, true},
+		{"inside an event, lines end with CR LF", once, []http.HandlerFunc{rawStream("", crlf+"id: 3\r\n")}, crlf, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := startGateway(t, test.route, test.targets...)
+			status, _, body, err := b.call(t, "k")
+			require.Equal(t, http.StatusOK, status)
+			if test.complete {
+				require.NoError(t, err)
+				require.Equal(t, test.body, body)
+				return
+			}
+			require.Error(t, err, "the caller takes the stream for complete")
+			require.True(t, strings.HasPrefix(body, test.body))
+			require.Equal(t, plan.Failed, b.reports[1][len(b.reports[1])-1])
+			b.log.Require(t, "no complete response from the target", testlog.Line{"Request": "9c41", "Target": "t0", "Framing": nil})
+		})
+	}
+}
