gateway: a stream that ends inside an event is not complete

Cause: an answer may have neither a length nor chunks and end with its connection. When such a connection is closed in an orderly way, package http reports the end of the body, the gateway took that for the end of the answer, wrote the incomplete last event and ended its own chunked response. The class: the end of a transport taken for the end of a message whose own format says otherwise.

Evidence: the hosts logged nothing for these streams, and 'connection reset by peer' for the 13 others that broke.

Ruled out: an error lost in the readers; both look at it after the bytes.

Fix: an eventScanner follows the format of the stream, on resumable routes and others. A stream that ends inside an event is broken off, whatever framing its engine chose: it goes on at another engine where the route allows that, else the caller's connection is aborted. So is one that ends with its connection before its first event. Line ends CR LF and CR count as well; a resumable stream with them was held back to its end.

Looked for elsewhere: answers of calls and store watches are JSON and fail to decode; hibiscusd's engines number their pieces and count them in an end mark.

--- a/hibiscusfront/internal/backend/backend.go
+++ b/hibiscusfront/internal/backend/backend.go
@@ -268,7 +268,7 @@
 }
 
 // Read reads the response body. It returns io.EOF only at the end of a complete
-// response.
+// response, or, if Framing is FramedByClose, when the target has closed the connection.
 func (e *Exchange) Read(buffer []byte) (int, error) {
 	n, err := e.response.Body.Read(buffer)
 	if errors.Is(err, io.EOF) {
--- a/hibiscusfront/internal/gateway/events_test.go
+++ b/hibiscusfront/internal/gateway/events_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"hibiscuslb/hibiscusfront/internal/backend"
 )
 
 func TestSplitterReturnsCompleteEvents(t *testing.T) {
@@ -33,3 +35,34 @@
 	}
 	require.Fail(t, "an event of any length is kept in memory")
 }
+
+// TestScannerFindsEndsOfEvents splits each stream at every byte: the result must not
+// depend on how the bytes arrive.
+func TestScannerFindsEndsOfEvents(t *testing.T) {
+	for _, test := range []struct {
+		stream    string
+		end       int // of the last event
+		truncated bool
+	}{
+		{"data: 1\n\n", 9, false},
+		{"data: 1\n\ndata: 2\n", 9, true},
+		{"data: 1\r\n\r\n", 11, false},
+		{"data: 1\r\n\r\nd", 11, true},
+		{"data: 1\r\rdata: 2\r", 9, true},
+		{"data: 1\n\r\n", 10, false},
+		{"data: 1\r\n", 0, true},
+		{"\n\ndata: 1\n\n\n", 12, false},
+		{"\n", 1, true}, // no event
+		{"", 0, true},
+	} {
+		for cut := range len(test.stream) + 1 {
+			var s eventScanner
+			end := s.scan([]byte(test.stream[:cut]))
+			if n := s.scan([]byte(test.stream[cut:])); n > 0 {
+				end = cut + n
+			}
+			require.Equal(t, test.end, end, "%q cut at %d", test.stream, cut)
+			require.Equal(t, test.truncated, s.checkEnd(backend.FramedByClose) != nil, "%q cut at %d", test.stream, cut)
+		}
+	}
+}
--- a/hibiscusfront/internal/gateway/gateway_test.go
+++ b/hibiscusfront/internal/gateway/gateway_test.go
@@ -55,6 +55,13 @@
 	c.reports[grant.Number] = append(c.reports[grant.Number], progress)
 }
 
+// lastReport returns the last report on a grant.
+func (c *scriptedChooser) lastReport(number plan.GrantNumber) plan.Progress {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reports[number][len(c.reports[number])-1]
+}
+
 type discardMeter struct{}
 
 func (discardMeter) RecordChoice(fleet.WorkspaceID, string, time.Duration) {}
@@ -106,7 +113,16 @@
 	return b
 }
 
+// call sends a request and returns the response, which must have a header.
 func (b *fixture) call(t *testing.T, key string) (status int, header http.Header, body string, err error) {
+	t.Helper()
+	status, header, body, err = b.tryCall(t, key)
+	require.NotZero(t, status, "no response: %v", err)
+	return status, header, body, err
+}
+
+// tryCall sends a request. The status is zero if there is no response.
+func (b *fixture) tryCall(t *testing.T, key string) (status int, header http.Header, body string, err error) {
 	t.Helper()
 	request, err := http.NewRequest(http.MethodPost, b.url+"/x", strings.NewReader("body"))
 	require.NoError(t, err)
@@ -114,7 +130,9 @@
 	request.Header.Set("X-Hibiscuslb-Deadline-Ms", "2000")
 	request.Header.Set("Authorization", "Token "+key)
 	response, err := http.DefaultClient.Do(request)
-	require.NoError(t, err)
+	if err != nil {
+		return 0, nil, "", err
+	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(response.Body)
 	return response.StatusCode, response.Header, string(data), err
@@ -342,17 +360,17 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			b := startGateway(t, test.route, test.targets...)
-			status, _, body, err := b.call(t, "k")
-			require.Equal(t, http.StatusOK, status)
+			status, _, body, err := b.tryCall(t, "k")
 			if test.complete {
 				require.NoError(t, err)
+				require.Equal(t, http.StatusOK, status)
 				require.Equal(t, test.body, body)
 				return
 			}
 			require.Error(t, err, "the caller takes the stream for complete")
 			require.True(t, strings.HasPrefix(body, test.body))
-			require.Equal(t, plan.Failed, b.reports[1][len(b.reports[1])-1])
 			b.log.Require(t, "no complete response from the target", testlog.Line{"Request": "9c41", "Target": "t0", "Framing": nil})
+			require.Equal(t, plan.Failed, b.lastReport(1))
 		})
 	}
 }
--- a/hibiscusfront/internal/gateway/relay.go
+++ b/hibiscusfront/internal/gateway/relay.go
@@ -51,7 +51,7 @@
 		return false, c.abandon()
 	}
 	if len(body) > maxBufferedBody {
-		return c.relayRest(g, exchange)
+		return c.relayRest(g, exchange, nil)
 	}
 	if exchange.Status < http.StatusInternalServerError {
 		c.report(plan.Done)
@@ -77,14 +77,17 @@
 const relayBufferSize = 8 << 10
 
 // relayRest relays the rest of a response whose header has been sent to the
-// caller.
-func (c *call) relayRest(g *plan.Grant, exchange *backend.Exchange) (retry bool, refusal *fleet.RefusalError) {
+// caller. Events scans a stream; it is nil for other responses.
+func (c *call) relayRest(g *plan.Grant, exchange *backend.Exchange, events *eventScanner) (retry bool, refusal *fleet.RefusalError) {
 	flusher := http.NewResponseController(c.w)
 	buffer := make([]byte, relayBufferSize)
 	for {
 		n, err := exchange.Read(buffer)
 		if n > 0 {
 			c.recordFirstByte()
+			if events != nil {
+				events.scan(buffer[:n])
+			}
 			if _, err := c.w.Write(buffer[:n]); err != nil {
 				return false, c.abandon()
 			}
@@ -92,6 +95,11 @@
 				return false, c.abandon()
 			}
 		}
+		if errors.Is(err, io.EOF) && events != nil {
+			if truncated := events.checkEnd(exchange.Framing); truncated != nil {
+				err = truncated
+			}
+		}
 		if errors.Is(err, io.EOF) {
 			c.report(plan.Done)
 			c.outcome = fleet.OutcomeRan
@@ -117,14 +125,15 @@
 }
 
 // relayStream relays a stream as it arrives. On a resumable route it relays only
-// complete events, so that another target can resume after the last one.
+// complete events, so that another target can resume after the last one. A stream
+// that ends inside an event was broken off, even if its target ended it properly.
 func (c *call) relayStream(g *plan.Grant, exchange *backend.Exchange) (retry bool, refusal *fleet.RefusalError) {
 	if !c.headerSent {
 		c.copyHeader(exchange)
 		c.w.WriteHeader(exchange.Status)
 	}
 	if !c.route.Resumable {
-		return c.relayRest(g, exchange)
+		return c.relayRest(g, exchange, new(eventScanner))
 	}
 	flusher := http.NewResponseController(c.w)
 	buffer := make([]byte, relayBufferSize)
@@ -148,11 +157,11 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			if err := splitter.checkEnd(exchange.Framing); err != nil {
+				return c.targetFailed(g, err)
+			}
 			c.report(plan.Done)
 			c.outcome = fleet.OutcomeRan
-			if _, err := c.w.Write(splitter.rest()); err != nil {
-				return false, c.abandon()
-			}
 			return false, nil
 		}
 		if err != nil {
