gateway: log the shared parts of a failed request and whether its answer had begun

Failed attempts now carry Parts, the IDs of the shared parts, and First, the time to the first bytes of the answer, zero if none came. Behaviour is the same.

--- a/hibiscusfront/internal/gateway/gateway.go
+++ b/hibiscusfront/internal/gateway/gateway.go
@@ -362,10 +362,24 @@
 	}
 }
 
-// logFailedAttempt logs why an attempt at a target did not serve the request.
+// logFailedAttempt logs why an attempt at a target did not serve the request. The shared
+// parts of its prompt, and whether its answer had begun, tell which request ended an engine.
 func (c *call) logFailedAttempt(g *plan.Grant, message string, err error) {
 	c.Log.Info().Str("Request", string(c.ID)).Str("Target", string(g.Target)).Str("Service", string(g.Service)).
-		Uint64("Grant", uint64(g.Number)).Int("Tried", len(c.tried)).Stringer("Outcome", c.outcome).Stringer("Framing", c.framing).AnErr("Cause", err).Msg(message)
+		Uint64("Grant", uint64(g.Number)).Int("Tried", len(c.tried)).Stringer("Outcome", c.outcome).Stringer("Framing", c.framing).
+		Strs("Parts", c.sharedParts()).Dur("First", c.firstByte).AnErr("Cause", err).Msg(message)
+}
+
+// sharedParts returns the IDs of the prompt's shared parts, for logs.
+func (c *call) sharedParts() []string {
+	if c.Prompt == nil {
+		return nil
+	}
+	var ids []string
+	for _, part := range c.Prompt.Shared() {
+		ids = append(ids, string(part.ID))
+	}
+	return ids
 }
 
 // workspaceID returns the workspace's ID, or "" on a public route.
--- a/hibiscusfront/internal/gateway/log_test.go
+++ b/hibiscusfront/internal/gateway/log_test.go
@@ -51,7 +51,7 @@
 		{"repeated after a server error", twice, "k", []http.HandlerFunc{serverError, respondOK}, 200, "target answered with a server error; trying another target",
 			testlog.Line{"Target": "t0", "Tried": 1}, testlog.Line{"Status": 200, "Target": "t1", "Tried": 2}},
 		{"aborted response", once, "k", []http.HandlerFunc{abort}, 502, "no complete response from the target",
-			testlog.Line{"Target": "t0", "Outcome": "outcome unknown", "Cause": nil},
+			testlog.Line{"Target": "t0", "Outcome": "outcome unknown", "Parts": []any{}, "First": 0.0, "Cause": nil},
 			testlog.Line{"Status": 502, "Reason": "target failed", "Outcome": "outcome unknown"}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
