plan: withhold a part of a prompt on which engine after engine crashed

Cause: nothing connected a crash with what the requests on the engine had in common. The planner excluded the engine and sent the next request with the part to the next one. The class: a failure that follows the request and not the target, met by choosing another target.

Evidence: of 112 failed attempts 109 were first attempts, granted by one planner.

Ruled out: repeats by the system (3 of 112); hosts that choose alone (no line of a deputy).

Fix: package quarantine. A crash is an early end of answers together with a failed poll of the planner. It is charged to the shared parts of the requests whose answers had not begun, or just so; a complete answer clears its parts. After three crashes a part is withheld: requests with it get a true 'not run' at once, with the time of the next trial. Crashes within 250 ms charge a part once, so that a rack that fails withholds nothing (TestCrashesTogetherWithholdNoPart).

Not in this commit: a new planner starts with no knowledge, and hosts that choose alone withhold nothing.

--- a/fleet/outcome.go
+++ b/fleet/outcome.go
@@ -29,12 +29,14 @@
 	ReasonConfigurationStale  Reason = "configuration may be stale"
 	ReasonPlatformUnavailable Reason = "platform unavailable" // a call to the platform failed
 	ReasonTargetFailed        Reason = "target failed"        // no complete answer from the target
-	ReasonRetryBudget         Reason = "retry budget spent"
-	ReasonAnswerNotKept       Reason = "answer of the earlier call was too long to keep"
-	ReasonInProgress          Reason = "in progress" // an earlier request with the idempotency key has not ended
-	ReasonUnknownRoute        Reason = "unknown route"
-	ReasonCallerDisconnected  Reason = "the caller left"
-	ReasonStreamTimeout       Reason = "stream timeout" // the answer was not complete in time
+	// ReasonWithheld means that engines crashed on prompts with a part of this one.
+	ReasonWithheld           Reason = "a part of the prompt has crashed engines"
+	ReasonRetryBudget        Reason = "retry budget spent"
+	ReasonAnswerNotKept      Reason = "answer of the earlier call was too long to keep"
+	ReasonInProgress         Reason = "in progress" // an earlier request with the idempotency key has not ended
+	ReasonUnknownRoute       Reason = "unknown route"
+	ReasonCallerDisconnected Reason = "the caller left"
+	ReasonStreamTimeout      Reason = "stream timeout" // the answer was not complete in time
 )
 
 // A RefusalError reports that a request ended without a complete answer. Outcome
--- a/fleet/plan/admission.go
+++ b/fleet/plan/admission.go
@@ -130,9 +130,14 @@
 	}
 }
 
-// tryGrant grants the request if a target can start it in time, and refuses it
-// if no target is expected to. Otherwise the request has to wait.
+// tryGrant grants the request if a target can start it in time, and refuses it if a
+// part of its prompt is withheld or no target is expected to serve it. Otherwise the
+// request has to wait.
 func (f *Fleet) tryGrant(now fleet.Instant, req *Request) (Decision, verdict) {
+	refusal, trial := f.checkQuarantine(now, req)
+	if refusal != nil {
+		return Decision{Request: req, Refusal: refusal}, decided
+	}
 	c, eligible := f.bestCandidate(now, req)
 	if !eligible && c.target == nil && !f.mayBecomeUsable(req) {
 		return refuse(req, fleet.ReasonNoTarget, maxRetryAfter/2), decided
@@ -143,6 +148,9 @@
 	if req.Objective > 0 && c.firstPiece > time.Duration(maxLateFactor*float64(req.Objective)) {
 		return Decision{}, tooLate
 	}
+	if trial {
+		f.quarantine.StartTrial(now, req.Prompt)
+	}
 	return Decision{Request: req, Grant: f.grant(now, req, &c)}, decided
 }
 
@@ -219,7 +227,7 @@
 	return Decision{Request: req, Refusal: fleet.RefuseWithRetryAfter(reason, after)}
 }
 
-// Tick expires grants and returns the decisions on queued requests: those that a
+// Tick expires grants, records crashes of engines and returns the decisions on queued requests: those that a
 // target can start now and those whose time in the queue is over.
 //
 // The queue is long when all targets are busy, and then to consider each request at each
@@ -227,6 +235,7 @@
 // no target had capacity for a request, none has for others that need as much.
 func (f *Fleet) Tick(now fleet.Instant) []Decision {
 	f.expireGrants(now)
+	f.settleCrashes(now)
 	slices.SortStableFunc(f.queue, func(a, b *queuedRequest) int {
 		return cmp.Or(cmp.Compare(a.req.Rank, b.req.Rank), cmp.Compare(a.expires, b.expires))
 	})
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -17,7 +17,8 @@
 // after its start, in which it serves requests only at a limited rate.
 //
 // Placement is described in placement.go, admission (queueing and refusal) in
-// admission.go, each with the load pattern that it handles.
+// admission.go, and prompts that crash engines in crash.go, each with the load pattern
+// that it handles.
 //
 // A Fleet is a state machine without I/O and without a clock: each method takes the
 // current time and returns what has to be done. It is not safe for concurrent use.
@@ -31,6 +32,7 @@
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/cachestore"
 	"hibiscuslb/fleet/prompt"
+	"hibiscuslb/fleet/quarantine"
 	"hibiscuslb/fleet/roster"
 	"hibiscuslb/fleet/route"
 	"hibiscuslb/fleet/weightupdate"
@@ -120,6 +122,7 @@
 	target      *target
 	grantedAt   fleet.Instant
 	started     bool
+	startedAt   fleet.Instant
 	idleEngine  bool              // no other run was pending at the engine
 	parts       []cachestore.Part // of the prompt, under the grant's salt
 	readTokens  fleet.Tokens      // that the engine has to read
@@ -179,6 +182,8 @@
 	lastNumber    GrantNumber
 	queue         []*queuedRequest
 	tenureStart   fleet.Instant
+	quarantine    quarantine.Ledger
+	crashes       []crash // not settled yet
 }
 
 // service is a service with the counts of its retry budget.
@@ -195,7 +200,7 @@
 func (f *Fleet) BeginTenure(now fleet.Instant, base GrantNumber) {
 	f.tenureStart, f.lastNumber = now, base
 	f.stats = Stats{}
-	f.queue = nil
+	f.queue, f.crashes = nil, nil
 	f.active = make(map[GrantNumber]*activeGrant)
 	for _, t := range f.targets {
 		t.resetGrants(now)
@@ -322,6 +327,12 @@
 	}
 	delete(f.active, report.Number)
 	ag.target.endGrant(now, ag, report.Progress)
+	switch {
+	case report.Progress == Failed:
+		f.recordEarlyEnd(now, ag)
+	case report.Progress == Done && ag.req.Prompt != nil:
+		f.quarantine.RecordSuccess(ag.req.Prompt)
+	}
 }
 
 // ReleaseHost ends the active grants of a host that will report no more. Engines
--- a/fleet/plan/target.go
+++ b/fleet/plan/target.go
@@ -28,11 +28,14 @@
 	cache        *cache
 	link         linkEstimate // for its own transfers
 
-	failureShare   float64                  // moving average of the share of answers that failed
-	pausedUntil    fleet.Instant            // gets no requests before
-	pauseTime      time.Duration            // the last pause; the next is twice as long
-	unresponsive   bool                     // does not answer long polls for events
-	loadedVersions map[fleet.ModelID]uint64 // weights that it is known to have before its roster entry shows them
+	failureShare      float64                  // moving average of the share of answers that failed
+	pausedUntil       fleet.Instant            // gets no requests before
+	pauseTime         time.Duration            // the last pause; the next is twice as long
+	unresponsive      bool                     // does not answer long polls for events
+	unresponsiveSince fleet.Instant            // first failed poll since the last answer
+	crashed           bool                     // has crashed since it last answered
+	earlyEnds         []earlyEnd               // of requests, within crashWindow
+	loadedVersions    map[fleet.ModelID]uint64 // weights that it is known to have before its roster entry shows them
 
 	acceptedOrders  uint64        // number of load orders that the engine has accepted since its start
 	ordersKnown     bool          // acceptedOrders is up to date
@@ -155,7 +158,7 @@
 	if ag.started {
 		return
 	}
-	ag.started = true
+	ag.started, ag.startedAt = true, now
 	t.markReachable(now)
 	t.pending--
 	t.unreadTokens -= ag.readTokens
@@ -234,16 +237,21 @@
 // MarkResponsive records that a target has answered a long poll for events.
 func (f *Fleet) MarkResponsive(now fleet.Instant, id fleet.TargetID) {
 	if t, ok := f.targets[id]; ok {
-		t.unresponsive = false
+		t.unresponsive, t.crashed = false, false
 		t.markReachable(now)
 	}
 }
 
 // MarkUnresponsive records that a target has not answered a long poll for events.
 // It gets no new requests until it answers.
-func (f *Fleet) MarkUnresponsive(id fleet.TargetID) {
-	if t, ok := f.targets[id]; ok {
-		t.unresponsive = true
+func (f *Fleet) MarkUnresponsive(now fleet.Instant, id fleet.TargetID) {
+	t, ok := f.targets[id]
+	if !ok || t.unresponsive {
+		return
+	}
+	t.unresponsive, t.unresponsiveSince = true, now
+	if len(t.earlyEnds) > 0 && now.Sub(t.earlyEnds[len(t.earlyEnds)-1].at) <= crashWindow {
+		f.noteCrash(now, t)
 	}
 }
 
--- /dev/null
+++ b/fleet/quarantine/quarantine.go
@@ -0,0 +1,265 @@
+// Package quarantine decides which parts of prompts are withheld from engines, because
+// engine after engine crashed while it answered a prompt with that part.
+//
+// When an engine crashes, only the requests whose answers had not begun, or had just
+// begun, are suspects: an engine that has written an answer for a while has survived
+// its prompt. Each shared part of a suspect is then charged with the crash. A complete
+// answer clears all parts of its prompt. A sound part is cleared soon after it was
+// charged, since most requests with it succeed. A part that crashes every engine is never
+// cleared, and is withheld after crashLimit crashes.
+//
+// Load patterns:
+//   - Requests that are all different but for one part crash engine after engine, while
+//     sound requests share all of their other parts. Only the one part is withheld.
+//   - Many engines fail at once, because they share a rack or a data centre. Crashes
+//     within minCrashGap charge a part once, so that its sound requests can clear it.
+//   - Two parts always occur together, and one of them crashes engines. Both are
+//     withheld; the first request with only one of them is let through and shows which.
+//   - A part is withheld by mistake, or the engines have been repaired. After a time
+//     that doubles with each crash, one request is let through as a trial.
+//
+// A Ledger has no clock and does no I/O. It is not safe for concurrent use.
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/prompt"
+)
+
+const (
+	// crashLimit is the number of crashes after which a part is withheld.
+	crashLimit = 3
+	// minCrashGap is the time between two crashes that charge the same part.
+	minCrashGap = 250 * time.Millisecond
+	// FirstTrial is the time from the crash for which a part is withheld to the first
+	// trial. It doubles with each further crash, up to maxTrialInterval.
+	FirstTrial       = 30 * time.Second
+	maxTrialInterval = 10 * time.Minute
+	// retention is how long a part is kept after its last crash or trial.
+	retention = 2 * maxTrialInterval
+	// maxParts bounds the parts in a ledger, and maxListed those in a list. A ledger that
+	// is full drops half of its parts: those with the fewest crashes, and of these the
+	// oldest.
+	maxParts  = 4096
+	maxListed = 32
+	// minListed is the smallest number of crashes of a listed part. Most parts with
+	// one crash are sound.
+	minListed = 2
+)
+
+// An Entry is a part that is suspected or withheld.
+type Entry struct {
+	Part    prompt.PartID
+	Crashes int // of different engines, since the last complete answer to a prompt with the part
+}
+
+// Withheld reports whether the part is withheld.
+func (e Entry) Withheld() bool { return e.Crashes >= crashLimit }
+
+// A List is the content of a ledger as it is passed to other hosts.
+type List []Entry
+
+// Withholds reports whether a part of the prompt is withheld. The prompt may be nil.
+func (l List) Withholds(p *prompt.Prompt) bool {
+	return p != nil && slices.ContainsFunc(l, func(e Entry) bool {
+		return e.Withheld() && slices.ContainsFunc(p.Shared(), func(part prompt.Part) bool { return part.ID == e.Part })
+	})
+}
+
+// A Ledger counts the crashes of parts. The zero value is empty.
+type Ledger struct{ parts map[prompt.PartID]*account }
+
+// account is what is known of a part.
+type account struct {
+	Entry
+	lastCrash fleet.Instant
+	trialAt   fleet.Instant // when the next request with the part may be let through
+	// tied lists the parts that were withheld for the same crash, this one included, until
+	// a trial of this part. Not all of them need be to blame.
+	tied []prompt.PartID
+}
+
+// RecordCrash records that an engine crashed. Suspects are the prompts of its requests
+// whose answers had not begun, or had just begun.
+func (l *Ledger) RecordCrash(now fleet.Instant, suspects []*prompt.Prompt) {
+	l.expire(now)
+	parts := make(map[prompt.PartID]bool)
+	explained := false // by a part that is withheld already
+	for _, p := range suspects {
+		for _, part := range p.Shared() {
+			parts[part.ID] = true
+			explained = explained || l.withheld(part.ID)
+		}
+	}
+	var newlyWithheld []prompt.PartID
+	for id := range parts {
+		if explained && !l.withheld(id) {
+			continue
+		}
+		a := l.account(id)
+		if a.Crashes > 0 && now.Sub(a.lastCrash) < minCrashGap {
+			continue
+		}
+		a.Crashes, a.lastCrash = a.Crashes+1, now
+		if a.Withheld() {
+			a.trialAt = now.Add(a.trialInterval())
+		}
+		if a.Crashes == crashLimit {
+			newlyWithheld = append(newlyWithheld, id)
+		}
+	}
+	for _, id := range newlyWithheld {
+		l.parts[id].tied = newlyWithheld
+	}
+}
+
+// ambiguous reports whether another part that is still withheld may be to blame in place
+// of this one.
+func (l *Ledger) ambiguous(a *account) bool {
+	return slices.ContainsFunc(a.tied, func(id prompt.PartID) bool { return id != a.Part && l.withheld(id) })
+}
+
+func (l *Ledger) withheld(id prompt.PartID) bool {
+	a, ok := l.parts[id]
+	return ok && a.Withheld()
+}
+
+// account returns the account of a part, which it creates if necessary.
+func (l *Ledger) account(id prompt.PartID) *account {
+	if l.parts == nil {
+		l.parts = make(map[prompt.PartID]*account)
+	}
+	a, ok := l.parts[id]
+	if !ok {
+		a = &account{Entry: Entry{Part: id}}
+		l.parts[id] = a
+	}
+	return a
+}
+
+// trialInterval returns the time from a crash of a withheld part to its next trial.
+func (a *account) trialInterval() time.Duration {
+	interval := FirstTrial
+	for n := a.Crashes; n > crashLimit && interval < maxTrialInterval; n-- {
+		interval *= 2
+	}
+	return min(interval, maxTrialInterval)
+}
+
+// expire drops parts whose last crash is long ago, and the least suspect ones if there are
+// too many.
+func (l *Ledger) expire(now fleet.Instant) {
+	for id, a := range l.parts {
+		if now.Sub(max(a.lastCrash, a.trialAt)) > retention {
+			delete(l.parts, id)
+		}
+	}
+	if len(l.parts) <= maxParts {
+		return
+	}
+	for _, a := range l.sorted(0)[maxParts/2:] {
+		delete(l.parts, a.Part)
+	}
+}
+
+// sorted returns the accounts with at least the given number of crashes, those with the
+// most crashes first, then the newest.
+func (l *Ledger) sorted(least int) []*account {
+	var accounts []*account
+	for _, a := range l.parts {
+		if a.Crashes >= least {
+			accounts = append(accounts, a)
+		}
+	}
+	slices.SortFunc(accounts, func(a, b *account) int {
+		return cmp.Or(cmp.Compare(b.Crashes, a.Crashes), cmp.Compare(b.lastCrash, a.lastCrash), cmp.Compare(a.Part, b.Part))
+	})
+	return accounts
+}
+
+// RecordSuccess records a complete answer to a prompt, which clears its parts.
+func (l *Ledger) RecordSuccess(p *prompt.Prompt) {
+	if len(l.parts) == 0 {
+		return
+	}
+	for _, part := range p.Shared() {
+		delete(l.parts, part.ID)
+	}
+}
+
+// A Verdict tells what to do with a request.
+type Verdict uint8
+
+const (
+	// Allowed means that no part of the prompt is withheld.
+	Allowed Verdict = iota
+	// Trial means that the request may be sent, after a call of StartTrial, to learn
+	// whether its withheld parts still crash engines.
+	Trial
+	// Refused means that the request must not be sent.
+	Refused
+)
+
+// Check returns the verdict on a request with the prompt and, if it is refused, the time
+// until a trial is due. The prompt may be nil.
+func (l *Ledger) Check(now fleet.Instant, p *prompt.Prompt) (v Verdict, retryAfter time.Duration) {
+	if p == nil || len(l.parts) == 0 {
+		return Allowed, 0
+	}
+	ambiguous, count := false, 0
+	for _, part := range p.Shared() {
+		if a, ok := l.parts[part.ID]; ok && a.Withheld() {
+			count++
+			ambiguous = l.ambiguous(a)
+			retryAfter = max(retryAfter, a.trialAt.Sub(now))
+		}
+	}
+	switch {
+	case count == 0:
+		return Allowed, 0
+	case retryAfter <= 0 || count == 1 && ambiguous:
+		return Trial, 0
+	}
+	return Refused, retryAfter
+}
+
+// StartTrial records that a request with the prompt was sent as a trial. The next one is
+// due after as long a time again, unless this one succeeds.
+func (l *Ledger) StartTrial(now fleet.Instant, p *prompt.Prompt) {
+	for _, part := range p.Shared() {
+		if a, ok := l.parts[part.ID]; ok && a.Withheld() {
+			a.trialAt, a.tied = now.Add(a.trialInterval()), nil
+		}
+	}
+}
+
+// List returns the parts to pass to other hosts, in the order of their IDs.
+func (l *Ledger) List() List {
+	accounts := l.sorted(minListed)
+	var list List
+	for _, a := range accounts[:min(maxListed, len(accounts))] {
+		list = append(list, a.Entry)
+	}
+	slices.SortFunc(list, func(a, b Entry) int { return cmp.Compare(a.Part, b.Part) })
+	return list
+}
+
+// Restore replaces the content of the ledger by the list of another host. The instants of
+// crashes and trials are not passed on: they are kept where this host knows them, and
+// otherwise count from now.
+func (l *Ledger) Restore(now fleet.Instant, list List) {
+	old := l.parts
+	l.parts = make(map[prompt.PartID]*account, len(list))
+	for _, entry := range list {
+		a, ok := old[entry.Part]
+		if !ok || a.Crashes != entry.Crashes {
+			a = &account{Entry: entry, lastCrash: now}
+			a.trialAt = now.Add(a.trialInterval())
+		}
+		l.parts[entry.Part] = a
+	}
+}
--- a/hibiscusfront/internal/planner/calls.go
+++ b/hibiscusfront/internal/planner/calls.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/cachestore"
 	"hibiscuslb/fleet/plan"
+	"hibiscuslb/fleet/quarantine"
 	"hibiscuslb/fleet/weightupdate"
 	"hibiscuslb/platform"
 )
@@ -20,6 +22,7 @@
 		p.lastStatsLog = now
 		p.Log.Info().Stringer("Count", p.fleet.Stats()).Int("Waiting", p.fleet.QueueLen()).Msg("planned")
 	}
+	p.noteQuarantine()
 	p.fleet.StoresAllowed = p.active && p.engineClock.known && p.Permissions.MayPlan()
 	if p.deputy {
 		return // a deputy only grants
@@ -45,6 +48,28 @@
 	}
 }
 
+// noteQuarantine logs which parts of prompts have been withheld or released since the last
+// call.
+func (p *Planner) noteQuarantine() {
+	list := p.fleet.Quarantine()
+	if slices.Equal(list, p.quarantine) {
+		return
+	}
+	for _, e := range list {
+		if e.Withheld() && !slices.Contains(p.quarantine, e) {
+			p.Log.Warn().Str("Part", string(e.Part)).Int("Crashes", e.Crashes).Uint64("Epoch", uint64(p.epoch)).
+				Msg("requests with a part of a prompt are refused: engines crashed on it")
+		}
+	}
+	for _, e := range p.quarantine {
+		if e.Withheld() && !slices.ContainsFunc(list, func(now quarantine.Entry) bool { return now.Part == e.Part }) {
+			p.Log.Info().Str("Part", string(e.Part)).Int("Crashes", e.Crashes).Uint64("Epoch", uint64(p.epoch)).
+				Msg("requests with a part of a prompt are served again")
+		}
+	}
+	p.quarantine = list
+}
+
 // sendOrder sends an engine an order to load weights, in the tenure of the epoch.
 func (p *Planner) sendOrder(ctx context.Context, epoch fleet.Epoch, order plan.AddressedOrder) {
 	if !p.Permissions.MayOrder() {
--- a/hibiscusfront/internal/planner/planner.go
+++ b/hibiscusfront/internal/planner/planner.go
@@ -19,6 +19,7 @@
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/meter"
 	"hibiscuslb/fleet/plan"
+	"hibiscuslb/fleet/quarantine"
 	"hibiscuslb/fleet/task"
 	"hibiscuslb/hibiscusfront/internal/view"
 	"hibiscuslb/platform"
@@ -73,6 +74,8 @@
 	engineClock       engineClock
 	lastDispatch      fleet.Instant
 
+	quarantine quarantine.List // as of the last dispatch
+
 	lastStatsLog    fleet.Instant
 	weightsOutdated outdatedFlag
 	stats           atomic.Pointer[plan.Stats]
--- a/hibiscusfront/internal/planner/watch.go
+++ b/hibiscusfront/internal/planner/watch.go
@@ -141,7 +141,7 @@
 			unresponsive = true
 			p.Log.Warn().Err(err).Str("Target", string(id)).Msg("engine does not answer; it gets no new work")
 		}
-		p.fleet.MarkUnresponsive(id)
+		p.fleet.MarkUnresponsive(now, id)
 	})
 }
 
