planner: watch the engine that uses an address now, not the one that had it

The watcher of an address kept the ID of the first engine for ever: the cache events of the second were dropped, and its silence was noted for an engine that was gone, so it stayed in use until hosts could not reach it. The answers of the second also revived the first.

Ruled out: an effect of the quarantine; the code is as old as the watchers.

Fix: a watcher is of an address and an engine; of two entries at an address the one that started last is watched and the other gets no new work.

--- a/hibiscusfront/internal/planner/deputy.go
+++ b/hibiscusfront/internal/planner/deputy.go
@@ -33,7 +33,7 @@
 	p.Log.Info().Uint64("Epoch", uint64(p.epoch)).Msg("acting as deputy planner: a host cannot reach the planner")
 	p.deputy, p.fleet.Deputy = true, true
 	p.fleet.BeginTenure(now, firstDeputyNumber(p.Host))
-	p.syncWatchers(p.runCtx)
+	p.syncWatchers(p.runCtx, now)
 }
 
 // firstDeputyNumber returns the number below all grants that the host makes as a
--- a/hibiscusfront/internal/planner/planner.go
+++ b/hibiscusfront/internal/planner/planner.go
@@ -70,7 +70,7 @@
 	deputy            bool                                  // the host plans for hosts that cannot reach the planner
 	lastDeputyRequest fleet.Instant                         // last request for a deputy
 	pending           map[*plan.Request]func(plan.Decision) // waiting requests, with the function that replies
-	watchers          map[fleet.Address]context.CancelFunc
+	watchers          map[fleet.Address]watcher
 	engineClock       engineClock
 	lastDispatch      fleet.Instant
 
@@ -95,7 +95,7 @@
 		Host: host, Bounds: bounds, Targets: targets, Permissions: permissions, Clock: clock, Log: log,
 		inbox:        make(chan func(fleet.Instant), inboxSize),
 		pending:      make(map[*plan.Request]func(plan.Decision)),
-		watchers:     make(map[fleet.Address]context.CancelFunc),
+		watchers:     make(map[fleet.Address]watcher),
 		WeightOrders: meter.Counter{Name: "WeightOrders", Labels: []string{"Result"}},
 	}
 	p.setBounds(bounds)
@@ -161,7 +161,7 @@
 		p.active, p.epoch = planning, epoch
 		if planning {
 			p.fleet.BeginTenure(now, firstGrantNumber(epoch))
-			p.syncWatchers(ctx)
+			p.syncWatchers(ctx, now)
 		}
 	})
 }
@@ -177,8 +177,8 @@
 // refuses all waiting requests.
 func (p *Planner) stop() {
 	p.active, p.deputy, p.fleet.Deputy = false, false, false
-	for address, cancel := range p.watchers {
-		cancel()
+	for address, w := range p.watchers {
+		w.cancel()
 		delete(p.watchers, address)
 	}
 	for request, answer := range p.pending {
@@ -200,7 +200,7 @@
 		}
 		p.weightsOutdated.Store(p.fleet.HasOutdatedEngines())
 		if p.active || p.deputy {
-			p.syncWatchers(p.runCtx)
+			p.syncWatchers(p.runCtx, now)
 			p.dispatch(ctx, now)
 		}
 	})
--- a/hibiscusfront/internal/planner/watch.go
+++ b/hibiscusfront/internal/planner/watch.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/cachestore"
+	"hibiscuslb/fleet/roster"
 	"hibiscuslb/fleet/task"
 	"hibiscuslb/platform"
 )
@@ -56,33 +58,51 @@
 	return time.Unix(0, int64(time.Duration(now)+c.offset))
 }
 
+// A watcher polls the events of an engine or a cache store.
+type watcher struct {
+	engine fleet.TargetID // empty for a cache store
+	cancel context.CancelFunc
+}
+
 // syncWatchers starts and cancels watchers so that each engine and each cache store
-// of the plan has one.
-func (p *Planner) syncWatchers(ctx context.Context) {
-	live := make(map[fleet.Address]bool)
+// of the plan has one. An address that an engine has left may be used by another one
+// before the entry of the first is gone. Only the engine that started last is watched
+// there; the other gets no new work.
+func (p *Planner) syncWatchers(ctx context.Context, now fleet.Instant) {
+	engines := make(map[fleet.Address]roster.Target)
 	for _, e := range p.fleet.Engines() {
-		live[e.Address] = true
-		if _, ok := p.watchers[e.Address]; !ok {
-			p.startWatcher(ctx, e.Address, func(ctx context.Context) { p.watchEngine(ctx, e.ID, e.Address) })
+		last, ok := engines[e.Address]
+		if ok && (last.StartTime.After(e.StartTime) || last.StartTime.Equal(e.StartTime) && last.ID > e.ID) {
+			last, e = e, last
 		}
-	}
-	for _, address := range p.fleet.Stores() {
-		live[address] = true
-		if _, ok := p.watchers[address]; !ok {
-			p.startWatcher(ctx, address, func(ctx context.Context) { p.watchCacheStore(ctx, address) })
+		engines[e.Address] = e
+		if ok {
+			p.fleet.MarkUnresponsive(now, last.ID)
 		}
 	}
-	for address, cancel := range p.watchers {
-		if !live[address] {
-			cancel()
-			delete(p.watchers, address)
+	stores := p.fleet.Stores()
+	for address, w := range p.watchers {
+		if e, ok := engines[address]; ok && e.ID == w.engine || w.engine == "" && slices.Contains(stores, address) {
+			continue
 		}
+		w.cancel()
+		delete(p.watchers, address)
+	}
+	for address, e := range engines {
+		p.startWatcher(ctx, address, e.ID, func(ctx context.Context) { p.watchEngine(ctx, e.ID, address) })
+	}
+	for _, address := range stores {
+		p.startWatcher(ctx, address, "", func(ctx context.Context) { p.watchCacheStore(ctx, address) })
 	}
 }
 
-func (p *Planner) startWatcher(ctx context.Context, address fleet.Address, f func(context.Context)) {
+// startWatcher starts a watcher unless the address has one.
+func (p *Planner) startWatcher(ctx context.Context, address fleet.Address, engine fleet.TargetID, f func(context.Context)) {
+	if _, ok := p.watchers[address]; ok {
+		return
+	}
 	ctx, cancel := context.WithCancel(ctx)
-	p.watchers[address] = cancel
+	p.watchers[address] = watcher{engine, cancel}
 	p.tasks.Go(ctx, f)
 }
 
