control: what the planner withholds reaches all hosts and outlives it

A planner that takes over would have let a withheld part crash three engines more, a fleet that starts again likewise, and deputies and hosts that choose alone would have sent it on.

Cause: the list of withheld parts was known to the planner alone.

Fix: the list travels in the record of the planner's duty, which is in the store and on every heartbeat: no further call. Hosts restore it, a successor before it plans; deputies start no trials; a host that chooses alone refuses.

--- a/fleet/election/election.go
+++ b/fleet/election/election.go
@@ -30,9 +30,11 @@
 package election
 
 import (
+	"slices"
 	"time"
 
 	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/quarantine"
 )
 
 const (
@@ -60,6 +62,15 @@
 	Epoch    fleet.Epoch
 	Renewal  uint64 // grows with each attempted write, so that no two records are equal
 	Ordering bool   // the holder may have given orders to targets
+	// Quarantine is what the holder passes on to all hosts and to its successor. A
+	// holder that has nothing of its own to pass on keeps what it found.
+	Quarantine quarantine.List `json:",omitempty"`
+}
+
+// Equal reports whether two records are equal.
+func (r Record) Equal(other Record) bool {
+	return r.Holder == other.Holder && r.Address == other.Address && r.Epoch == other.Epoch && r.Renewal == other.Renewal &&
+		r.Ordering == other.Ordering && slices.Equal(r.Quarantine, other.Quarantine)
 }
 
 // A Duty is one host's view of the duty. The zero value has not read the object store.
@@ -138,7 +149,7 @@
 	}
 	record := Record{
 		Holder: d.Self, Address: d.Address, Epoch: d.record.Epoch, Ordering: ordering,
-		Renewal: max(d.record.Renewal, d.lastRenewal) + 1,
+		Renewal: max(d.record.Renewal, d.lastRenewal) + 1, Quarantine: d.record.Quarantine,
 	}
 	switch {
 	case d.record.Holder == d.Self && d.leaseEnd > 0:
@@ -177,7 +188,7 @@
 		return Write{}, false
 	}
 	return Write{
-		Record:   Record{Epoch: d.record.Epoch, Renewal: d.record.Renewal + 1, Ordering: d.record.Ordering},
+		Record:   Record{Epoch: d.record.Epoch, Renewal: d.record.Renewal + 1, Ordering: d.record.Ordering, Quarantine: d.record.Quarantine},
 		Expected: d.revision, Sent: now,
 	}, true
 }
--- a/hibiscusfront/internal/chooser/chooser_test.go
+++ b/hibiscusfront/internal/chooser/chooser_test.go
@@ -13,6 +13,8 @@
 	"hibiscuslb/fleet/election"
 	"hibiscuslb/fleet/peer"
 	"hibiscuslb/fleet/plan"
+	"hibiscuslb/fleet/prompt"
+	"hibiscuslb/fleet/quarantine"
 	"hibiscuslb/fleet/roster"
 	"hibiscuslb/fleet/route"
 	"hibiscuslb/hibiscusfront/internal/chooser"
@@ -149,3 +151,25 @@
 		})
 	}
 }
+
+// TestLocalChoiceKeepsToQuarantine guards against hosts that, cut off from the planner, send
+// on what it withholds.
+func TestLocalChoiceKeepsToQuarantine(t *testing.T) {
+	_, c, _ := startChooser(t)
+	v := &view.View{
+		Duty:    election.Record{Quarantine: quarantine.List{{Part: "bad", Crashes: 3}}},
+		Targets: []roster.Target{{ID: "t", Service: "s", Address: "127.0.0.1:3", Slots: 4, Models: []roster.Model{{ID: "m", Version: 1}}}},
+	}
+	v.Freeze()
+	choose := func(id prompt.PartID) plan.Decision {
+		req := newRequest()
+		req.Prompt = &prompt.Prompt{Model: "m", Parts: []prompt.Part{{ID: "system"}, {ID: id}, {ID: "own"}}}
+		return c.Local.Choose(c.Clock(), v, req)
+	}
+	require.NotNil(t, choose("sound").Grant)
+	decision := choose("bad")
+	require.NotNil(t, decision.Refusal, "the request was sent to an engine")
+	require.Equal(t, fleet.ReasonWithheld, decision.Refusal.Reason)
+	require.Positive(t, decision.Refusal.RetryAfter)
+	require.NotNil(t, c.Local.Choose(c.Clock(), v, newRequest()).Grant)
+}
--- a/hibiscusfront/internal/chooser/local.go
+++ b/hibiscusfront/internal/chooser/local.go
@@ -8,6 +8,7 @@
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/placement"
 	"hibiscuslb/fleet/plan"
+	"hibiscuslb/fleet/quarantine"
 	"hibiscuslb/fleet/roster"
 	"hibiscuslb/hibiscusfront/internal/view"
 )
@@ -26,8 +27,12 @@
 // noTargetRetryAfter is the Retry-After sent when no usable target is known.
 const noTargetRetryAfter = 500 * time.Millisecond
 
-// Choose selects a target for the request, or refuses it if no target is usable.
+// Choose selects a target for the request, or refuses it if no target is usable or the
+// planner withholds a part of its prompt.
 func (l Local) Choose(now fleet.Instant, v *view.View, req *plan.Request) plan.Decision {
+	if v.Duty.Quarantine.Withholds(req.Prompt) {
+		return plan.Decision{Request: req, Refusal: fleet.RefuseWithRetryAfter(fleet.ReasonWithheld, quarantine.FirstTrial)}
+	}
 	var usable []*roster.Target
 	for i := range v.Targets {
 		t := &v.Targets[i]
--- a/hibiscusfront/internal/control/control.go
+++ b/hibiscusfront/internal/control/control.go
@@ -25,6 +25,7 @@
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/election"
 	"hibiscuslb/fleet/peer"
+	"hibiscuslb/fleet/quarantine"
 	"hibiscuslb/fleet/route"
 	"hibiscuslb/fleet/task"
 	"hibiscuslb/fleet/weightupdate"
@@ -68,7 +69,7 @@
 }
 
 // A Control owns the control state of a host. Set the exported fields before calling
-// Run; OnPlanningChange, OnPublish, OnHostLost and WantsOrders may be nil.
+// Run; OnPlanningChange, OnPublish, OnHostLost, WantsOrders and Quarantine may be nil.
 type Control struct {
 	Settings platform.Settings
 	Store    *platform.Store
@@ -87,6 +88,9 @@
 	OnHostLost func(fleet.HostID)
 	// WantsOrders reports whether the host has orders to send to targets.
 	WantsOrders func() bool
+	// Quarantine returns the suspected and withheld parts of prompts that the host knows
+	// as the planner. They travel in the record of the duty.
+	Quarantine func() quarantine.List
 
 	view atomic.Pointer[view.View]
 	// Instants that other goroutines read: the end of this host's tenure, the
--- a/hibiscusfront/internal/control/duty.go
+++ b/hibiscusfront/internal/control/duty.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"hibiscuslb/fleet"
@@ -99,6 +100,9 @@
 		c.resign(ctx, now)
 		return
 	}
+	if c.planning && c.Quarantine != nil {
+		w.Record.Quarantine = c.Quarantine()
+	}
 	c.dutyWriting, c.lastDutyWrite = true, now
 	peers := c.samplePeers(maxHedges)
 	c.tasks.Go(ctx, func(ctx context.Context) {
@@ -237,7 +241,7 @@
 		c.duty.WriteSucceeded(now, w, o.Revision, c.bounds.Lease)
 	case errors.As(err, &conflict):
 		var record election.Record
-		if platform.DecodeSpec(conflict.Current, &record) == nil && record == w.Record {
+		if platform.DecodeSpec(conflict.Current, &record) == nil && record.Equal(w.Record) {
 			// The conflicting object is the result of this write: it took
 			// effect, but its answer was lost.
 			c.duty.WriteSucceeded(now, w, conflict.Current.Revision, c.bounds.Lease)
@@ -251,8 +255,12 @@
 }
 
 // updateTenure publishes the state of the tenure to other goroutines, and calls
-// OnPlanningChange when this host begins or stops planning or its epoch changes.
+// OnPlanningChange when this host begins or stops planning or its epoch changes. A host
+// that begins to plan has published what its predecessor passed on before.
 func (c *Control) updateTenure(now fleet.Instant) {
+	if !slices.Equal(c.duty.Record().Quarantine, c.View().Duty.Quarantine) {
+		c.publish()
+	}
 	holds := c.duty.Holds(now)
 	if holds {
 		c.tenureEnd.Store(int64(c.duty.LeaseEnd()))
--- a/hibiscusfront/internal/control/propagation_test.go
+++ b/hibiscusfront/internal/control/propagation_test.go
@@ -41,8 +41,8 @@
 }
 
 // startFleet runs the control states of the given number of hosts, each with a
-// network path of its own to the store.
-func startFleet(t *testing.T, store *fakeplatform.Store, hosts int) ([]*Control, []*link.Proxy) {
+// network path of its own to the store. Configure is called for each before it runs.
+func startFleet(t *testing.T, store *fakeplatform.Store, hosts int, configure ...func(*Control)) ([]*Control, []*link.Proxy) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	storeServer := httptest.NewServer(store)
@@ -67,6 +67,9 @@
 			Peers: fleet.Address(strings.TrimPrefix(peerServer.URL, "http://")),
 		}
 		c.Settings = platform.Settings{Host: c.Self.ID, Peers: c.Self.Peers, Bounds: platform.Bounds{Configuration: 2 * time.Second}}
+		for _, f := range configure {
+			f(c)
+		}
 		controls = append(controls, c)
 	}
 	// The paths listen before any host makes a connection, which could take one of
--- a/hibiscusfront/internal/host/host.go
+++ b/hibiscusfront/internal/host/host.go
@@ -114,6 +114,7 @@
 	h.control.OnPublish = func(v *view.View) { h.planner.SetView(runCtx, v) }
 	h.control.OnHostLost = func(id fleet.HostID) { h.planner.ReleaseHost(runCtx, id) }
 	h.control.WantsOrders = h.planner.WeightsOutdated
+	h.control.Quarantine = h.planner.Quarantine
 	var parts task.Group
 	parts.Go(runCtx, h.peers.Run)
 	parts.Go(runCtx, h.planner.Run)
--- a/hibiscusfront/internal/planner/calls.go
+++ b/hibiscusfront/internal/planner/calls.go
@@ -48,26 +48,26 @@
 	}
 }
 
-// noteQuarantine logs which parts of prompts have been withheld or released since the last
-// call.
+// noteQuarantine publishes the suspected and withheld parts of prompts, and logs which have
+// been withheld or released since the last call.
 func (p *Planner) noteQuarantine() {
-	list := p.fleet.Quarantine()
-	if slices.Equal(list, p.quarantine) {
+	list, before := p.fleet.Quarantine(), p.Quarantine()
+	if slices.Equal(list, before) {
 		return
 	}
 	for _, e := range list {
-		if e.Withheld() && !slices.Contains(p.quarantine, e) {
+		if e.Withheld() && !slices.Contains(before, e) {
 			p.Log.Warn().Str("Part", string(e.Part)).Int("Crashes", e.Crashes).Uint64("Epoch", uint64(p.epoch)).
 				Msg("requests with a part of a prompt are refused: engines crashed on it")
 		}
 	}
-	for _, e := range p.quarantine {
+	for _, e := range before {
 		if e.Withheld() && !slices.ContainsFunc(list, func(now quarantine.Entry) bool { return now.Part == e.Part }) {
 			p.Log.Info().Str("Part", string(e.Part)).Int("Crashes", e.Crashes).Uint64("Epoch", uint64(p.epoch)).
 				Msg("requests with a part of a prompt are served again")
 		}
 	}
-	p.quarantine = list
+	p.quarantine.Store(&list)
 }
 
 // sendOrder sends an engine an order to load weights, in the tenure of the epoch.
--- a/hibiscusfront/internal/planner/deputy_test.go
+++ b/hibiscusfront/internal/planner/deputy_test.go
@@ -10,6 +10,8 @@
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/plan"
+	"hibiscuslb/fleet/prompt"
+	"hibiscuslb/fleet/quarantine"
 	"hibiscuslb/fleet/roster"
 	"hibiscuslb/fleet/route"
 	"hibiscuslb/hibiscusfront/internal/clock"
@@ -133,3 +135,47 @@
 	lines.Require(t, "acting as deputy planner: a host cannot reach the planner", testlog.Line{"Epoch": 7})
 	lines.Require(t, "stopped acting as deputy planner: no host asked for a deputy within 2s", nil)
 }
+
+// TestPlannerAndDeputyTakeOverQuarantine guards against engines that crash again on a part
+// which the planner before had withheld.
+func TestPlannerAndDeputyTakeOverQuarantine(t *testing.T) {
+	d := new(testPermissions)
+	ctx, p, _ := startPlanner(t, d)
+	v := testView()
+	v.Duty.Quarantine = quarantine.List{{Part: "bad", Crashes: 3}, {Part: "suspect", Crashes: 2}}
+	p.SetView(ctx, v)
+	requireRefused := func(id prompt.PartID, deputy, refused bool) {
+		t.Helper()
+		ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+		defer cancel()
+		request := newRequest()
+		request.Prompt = &prompt.Prompt{Parts: []prompt.Part{{ID: id}, {ID: "own"}}}
+		decision, err := p.Plan(ctx, request, deputy)
+		require.NoError(t, err)
+		if !refused {
+			require.True(t, decision.Refusal == nil || decision.Refusal.Reason != fleet.ReasonWithheld)
+			return
+		}
+		require.NotNil(t, decision.Refusal)
+		require.Equal(t, fleet.ReasonWithheld, decision.Refusal.Reason)
+		require.Equal(t, fleet.OutcomeNotRun, decision.Refusal.Outcome)
+		require.Positive(t, decision.Refusal.RetryAfter)
+	}
+	requireRefused("bad", true, true)
+	requireRefused("suspect", true, false)
+
+	d.holds.Store(true)
+	p.SetPlanning(ctx, 7, true)
+	requireRefused("bad", false, true)
+	require.Equal(t, v.Duty.Quarantine, p.Quarantine())
+
+	// A planner knows better than the record that it has written.
+	p.SetView(ctx, testView())
+	requireRefused("bad", false, true)
+
+	// A host that no longer plans follows its successor.
+	d.holds.Store(false)
+	p.SetPlanning(ctx, 7, false)
+	p.SetView(ctx, testView())
+	requireRefused("bad", true, false)
+}
--- a/hibiscusfront/internal/planner/planner.go
+++ b/hibiscusfront/internal/planner/planner.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -74,7 +75,9 @@
 	engineClock       engineClock
 	lastDispatch      fleet.Instant
 
-	quarantine quarantine.List // as of the last dispatch
+	quarantine    atomic.Pointer[quarantine.List] // as of the last dispatch or view
+	restored      quarantine.List                 // the last list of another planner
+	followsRecord bool                            // restored is what this host knew last, not what it found out itself
 
 	lastStatsLog    fleet.Instant
 	weightsOutdated outdatedFlag
@@ -176,7 +179,7 @@
 // stop ends planning, as the planner or as a deputy: it cancels all watchers and
 // refuses all waiting requests.
 func (p *Planner) stop() {
-	p.active, p.deputy, p.fleet.Deputy = false, false, false
+	p.active, p.deputy, p.fleet.Deputy, p.followsRecord = false, false, false, false
 	for address, w := range p.watchers {
 		w.cancel()
 		delete(p.watchers, address)
@@ -198,6 +201,7 @@
 		for model, w := range v.Weights {
 			p.fleet.SetWeights(model, w)
 		}
+		p.followQuarantine(now, v.Duty.Quarantine)
 		p.weightsOutdated.Store(p.fleet.HasOutdatedEngines())
 		if p.active || p.deputy {
 			p.syncWatchers(p.runCtx, now)
@@ -206,6 +210,17 @@
 	})
 }
 
+// followQuarantine takes over the planner's list, unless this host is the planner. A
+// deputy keeps what it has found out itself until the planner's list changes.
+func (p *Planner) followQuarantine(now fleet.Instant, list quarantine.List) {
+	if p.active || p.followsRecord && slices.Equal(list, p.restored) {
+		return
+	}
+	p.followsRecord, p.restored = true, list
+	p.fleet.RestoreQuarantine(now, list)
+	p.noteQuarantine()
+}
+
 // ReleaseHost records that a host is lost and will send no further reports.
 func (p *Planner) ReleaseHost(ctx context.Context, host fleet.HostID) {
 	p.enqueue(ctx, func(now fleet.Instant) { p.fleet.ReleaseHost(now, host) })
@@ -301,6 +316,15 @@
 	}
 }
 
+// Quarantine returns the suspected and withheld parts of prompts, as of the last dispatch
+// or view.
+func (p *Planner) Quarantine() quarantine.List {
+	if list := p.quarantine.Load(); list != nil {
+		return *list
+	}
+	return nil
+}
+
 // Stats returns what the plan has granted since this host began to plan, as of
 // the last dispatch.
 func (p *Planner) Stats() plan.Stats {
