quarantine: charge a part only if prompts without it succeed

Found by reading, before it was seen: when the engines of a service fail one after the other and no answer is complete meanwhile, the part that all prompts share would be charged three times and all requests refused for 30 s.

Cause: no complete answer with a part was taken for evidence, also when there were no complete answers at all.

Fix: between two charges of a part five answers to prompts without it must be complete.

--- a/fleet/plan/withhold_test.go
+++ b/fleet/plan/withhold_test.go
@@ -287,3 +287,27 @@
 		require.Greater(t, c.share(17*second, end-2*second), 0.98, "seed %d", seed)
 	}
 }
+
+// Load pattern: all engines of a service crash within seconds, at the start of answers, so
+// that no answer is complete until they are back. All prompts share their first part.
+func TestCrashOfAllEnginesWithholdsNoPart(t *testing.T) {
+	for seed := range uint64(10) {
+		c := newCrashingFleet(t, seed)
+		c.play(12*second, func(now time.Duration) {
+			c.submit(now, prompt.Part{ID: "system", Tokens: 150}, c.file())
+			if now < 2*second || now >= 2*second+5400*time.Millisecond || now%(300*time.Millisecond) != 0 {
+				return
+			}
+			crashed := fleet.TargetID(fmt.Sprint("i", 1+int((now-2*second)/(300*time.Millisecond))))
+			for id, runs := range c.running {
+				for r := range runs {
+					if id != crashed {
+						c.end(now, r, plan.Abandoned) // its caller leaves
+					}
+				}
+			}
+			c.endEngine(now, crashed)
+		})
+		require.Zero(t, c.plan.Stats().Withheld, "seed %d", seed)
+	}
+}
--- a/fleet/quarantine/quarantine.go
+++ b/fleet/quarantine/quarantine.go
@@ -13,6 +13,8 @@
 //     sound requests share all of their other parts. Only the one part is withheld.
 //   - Many engines fail at once, because they share a rack or a data centre. Crashes
 //     within minCrashGap charge a part once, so that its sound requests can clear it.
+//   - The engines of a service crash one after the other, and hardly any answer is
+//     complete meanwhile. Parts are charged only if prompts without them succeed.
 //   - Two parts always occur together, and one of them crashes engines. Both are
 //     withheld; the first request with only one of them is let through and shows which.
 //   - A part is withheld by mistake, or the engines have been repaired. After a time
@@ -35,6 +37,10 @@
 	crashLimit = 3
 	// minCrashGap is the time between two crashes that charge the same part.
 	minCrashGap = 250 * time.Millisecond
+	// minOtherSuccesses is the number of complete answers to other prompts between two
+	// crashes that charge the same part. With fewer, the service fails as a whole, or
+	// the part is in so many prompts that nothing can be told yet.
+	minOtherSuccesses = 5
 	// FirstTrial is the time from the crash for which a part is withheld to the first
 	// trial. It doubles with each further crash, up to maxTrialInterval.
 	FirstTrial       = 30 * time.Second
@@ -71,12 +77,16 @@
 }
 
 // A Ledger counts the crashes of parts. The zero value is empty.
-type Ledger struct{ parts map[prompt.PartID]*account }
+type Ledger struct {
+	parts     map[prompt.PartID]*account
+	successes uint64 // number of recorded complete answers
+}
 
 // account is what is known of a part.
 type account struct {
 	Entry
 	lastCrash fleet.Instant
+	successes uint64        // of the ledger at lastCrash
 	trialAt   fleet.Instant // when the next request with the part may be let through
 	// tied lists the parts that were withheld for the same crash, this one included, until
 	// a trial of this part. Not all of them need be to blame.
@@ -101,10 +111,10 @@
 			continue
 		}
 		a := l.account(id)
-		if a.Crashes > 0 && now.Sub(a.lastCrash) < minCrashGap {
+		if a.Crashes > 0 && (now.Sub(a.lastCrash) < minCrashGap || !a.Withheld() && l.successes-a.successes < minOtherSuccesses) {
 			continue
 		}
-		a.Crashes, a.lastCrash = a.Crashes+1, now
+		a.Crashes, a.lastCrash, a.successes = a.Crashes+1, now, l.successes
 		if a.Withheld() {
 			a.trialAt = now.Add(a.trialInterval())
 		}
@@ -183,6 +193,7 @@
 
 // RecordSuccess records a complete answer to a prompt, which clears its parts.
 func (l *Ledger) RecordSuccess(p *prompt.Prompt) {
+	l.successes++
 	if len(l.parts) == 0 {
 		return
 	}
@@ -257,7 +268,7 @@
 	for _, entry := range list {
 		a, ok := old[entry.Part]
 		if !ok || a.Crashes != entry.Crashes {
-			a = &account{Entry: entry, lastCrash: now}
+			a = &account{Entry: entry, lastCrash: now, successes: l.successes}
 			a.trialAt = now.Add(a.trialInterval())
 		}
 		l.parts[entry.Part] = a
--- a/fleet/quarantine/quarantine_test.go
+++ b/fleet/quarantine/quarantine_test.go
@@ -24,9 +24,13 @@
 	return p
 }
 
-// crash records crashes one second apart, and returns the instant after the last one.
+// crash records crashes one second apart, with complete answers to other prompts before
+// each, and returns the instant after the last one.
 func crash(l *quarantine.Ledger, from time.Duration, n int, suspects ...*prompt.Prompt) time.Duration {
 	for i := range n {
+		for range 10 {
+			l.RecordSuccess(newPrompt("elsewhere"))
+		}
 		l.RecordCrash(at(from+time.Duration(i)*time.Second), suspects)
 	}
 	return from + time.Duration(n)*time.Second
@@ -44,7 +48,9 @@
 	bad := newPrompt("system", "bad")
 	for i := range 3 {
 		l.RecordCrash(at(time.Duration(i)*time.Second), []*prompt.Prompt{bad})
-		l.RecordSuccess(newPrompt("system", "sound")) // clears the part "system"
+		for range 10 {
+			l.RecordSuccess(newPrompt("system", "sound")) // clears the part "system"
+		}
 	}
 	verdict, after := l.Check(at(10*time.Second), bad)
 	fmt.Println(verdict == quarantine.Refused, after)
@@ -92,6 +98,19 @@
 	requireVerdict(t, &l, time.Second, quarantine.Allowed, newPrompt("x"))
 }
 
+// Load pattern: the engines of a service fail one after the other, and no answer is
+// complete meanwhile. That says nothing about prompts, and least of all about a part that
+// is in all of them.
+func TestCrashesWithoutSuccessesWithholdNothing(t *testing.T) {
+	var l quarantine.Ledger
+	for i := range 10 {
+		l.RecordCrash(at(time.Duration(i)*time.Second), []*prompt.Prompt{newPrompt("system", "x"), newPrompt("system", "y")})
+	}
+	for _, part := range []prompt.PartID{"system", "x", "y"} {
+		requireVerdict(t, &l, 10*time.Second, quarantine.Allowed, newPrompt(part))
+	}
+}
+
 // A crash of an engine with a withheld part says nothing about the requests beside it.
 func TestWithheldPartExplainsCrash(t *testing.T) {
 	var l quarantine.Ledger
