soak: processes keep to a withheld part, also after all of them were killed

A stand-in engine crashes on a part of prompts. Requests with it go to all hosts in turn, all hosts are killed at once in the middle, and at most three may reach engines later than 3 s after the fifth crash.

--- a/hibiscusfront/internal/soak/callers_test.go
+++ b/hibiscusfront/internal/soak/callers_test.go
@@ -19,7 +19,8 @@
 // result is the outcome of one request as its caller observed it.
 type result struct {
 	id, kind  string
-	status    int // zero if there was no answer
+	prefix    string // the parts of the prompt, if the request has one
+	status    int    // zero if there was no answer
 	body      string
 	complete  bool // the body was read to its end
 	recovered bool // sent after the faults had been cleared
@@ -69,7 +70,8 @@
 			continue
 		}
 		kind := kinds[random.IntN(len(kinds))]
-		r := result{id: fmt.Sprintf("%d-%d", number, i), kind: kind, recovered: c.recovered.Load()}
+		prefix := fmt.Sprintf("aa:10,b%d:10,cc:10", number)
+		r := result{id: fmt.Sprintf("%d-%d", number, i), kind: kind, prefix: prefix, recovered: c.recovered.Load()}
 		send(client, address, &r)
 		c.mu.Lock()
 		c.results = append(c.results, r)
@@ -120,7 +122,7 @@
 	if r.kind == "talk" || r.kind == "resume" {
 		request.Header.Set("X-Hibiscuslb-Model", model)
 		request.Header.Set("X-Hibiscuslb-Token-Usage", "30,10")
-		request.Header.Set("X-Hibiscuslb-Prefix-Hash", "aa:10,bb:10,cc:10")
+		request.Header.Set("X-Hibiscuslb-Prefix-Hash", r.prefix)
 	}
 	response, err := client.Do(request)
 	if err != nil {
--- a/hibiscusfront/internal/soak/site_test.go
+++ b/hibiscusfront/internal/soak/site_test.go
@@ -29,6 +29,9 @@
 	model       = "m"
 )
 
+// crashPart is the part of prompts that crashes engines.
+const crashPart = "dead"
+
 // site is a small deployment: a store, front hosts and targets.
 type site struct {
 	store   *fakeplatform.Store
@@ -165,7 +168,9 @@
 		if i < engineCount {
 			standIn.Model, standIn.Events = model, 12
 		}
-		s.targets = append(s.targets, &target{standIn, newPath(t, serve(t, standIn))})
+		path := newPath(t, serve(t, standIn))
+		standIn.CrashPart, standIn.Crash = crashPart, func() { path.injectFault(link.Cut, 1500*time.Millisecond) }
+		s.targets = append(s.targets, &target{standIn, path})
 		s.register(s.targets[i])
 	}
 	s.putConfiguration()
--- a/hibiscusfront/internal/soak/soak_test.go
+++ b/hibiscusfront/internal/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -67,6 +68,60 @@
 	require.Equal(t, pid, h.process.Pid, "SIGHUP must not end the process")
 }
 
+// TestCrashingPartStaysWithheld sends requests with a part that crashes engines to all
+// hosts, and kills all hosts at once in the middle. Of the requests that are sent later than
+// stableWindow after the fifth crash, three at most may reach engines, also after the
+// restart.
+func TestCrashingPartStaysWithheld(t *testing.T) {
+	const (
+		stableWindow = 3 * time.Second // stableWindowMs of the settings
+		interval     = 300 * time.Millisecond
+		killAfter    = 8 * time.Second
+		end          = 18 * time.Second
+	)
+	s := newSite(t, build(t), 0)
+	s.awaitReady(t, 10*time.Second)
+	callers := s.startCallers(0)
+	client := &http.Client{Timeout: 5 * time.Second}
+	var sent []time.Duration
+	began, killedAt := time.Now(), time.Duration(0)
+	for now := time.Duration(0); now < end; now = time.Since(began) {
+		if killedAt == 0 && now >= killAfter {
+			killedAt = now
+			for _, h := range s.hosts {
+				h.kill(syscall.SIGKILL)
+			}
+		}
+		if killedAt > 0 && now > killedAt+2*stableWindow {
+			callers.markRecovered()
+		}
+		r := &result{id: fmt.Sprint("dead-", len(sent)), kind: "talk", prefix: fmt.Sprintf("aa:10,%s:10,own%d:10", crashPart, len(sent))}
+		go send(client, s.hosts[len(sent)%len(s.hosts)].callers, r)
+		sent = append(sent, now)
+		time.Sleep(interval)
+	}
+	callers.stop()
+	s.checkResults(t, callers)
+	var ran []time.Duration
+	for i, at := range sent {
+		for _, target := range s.targets {
+			if runs, _, _ := target.Runs(); runs[fmt.Sprint("dead-", i)] > 0 {
+				ran = append(ran, at)
+				break
+			}
+		}
+	}
+	late := 0
+	for _, at := range ran {
+		if len(ran) >= 5 && at > ran[4]+stableWindow && (at < killedAt || at > killedAt+stableWindow) {
+			late++
+		}
+	}
+	t.Logf("requests with the part that reached engines were sent at %v; hosts killed at %v", ran, killedAt)
+	require.NotEmpty(t, ran)
+	require.LessOrEqual(t, late, 3)
+}
+
 // run injects faults for one seed while callers send requests, clears them, and
 // checks the results and the service after recovery.
 func run(t *testing.T, binary string, seed uint64) {
--- a/standin/fakeplatform/target.go
+++ b/standin/fakeplatform/target.go
@@ -20,6 +20,10 @@
 	Model    string
 	Events   int           // number of events of a stream
 	WorkTime time.Duration // time per event of a stream, or per answer of a plain service
+	// CrashPart is the ID of a part of prompts on which the engine crashes when it begins
+	// to write an answer. Crash is then called to make the target unreachable.
+	CrashPart string
+	Crash     func()
 
 	mu      sync.Mutex
 	version uint64 // of the weights, minus one, so that the zero value is version 1
@@ -210,6 +214,10 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	for i := from + 1; i <= t.Events; i++ {
 		time.Sleep(t.WorkTime)
+		if t.CrashPart != "" && strings.Contains(","+r.Header.Get("X-Hibiscuslb-Prefix-Hash"), ","+t.CrashPart+":") {
+			t.Crash()
+			panic(http.ErrAbortHandler)
+		}
 		if _, err := io.WriteString(w, streamEvent(id, i)); err != nil {
 			return
 		}
