control: a host that is no standby waits for them in each vacancy of the duty

Cause: hosts start together and one that is no standby takes the duty first. It hands it over a second later. The other hosts took that vacancy for the one at the start, which they had waited out, so any of them could take the duty before the standbys, and had to hand it over again. The test cut the store in the middle of such a change; hosts had no planner for 2.4 s and watched the store themselves.

TestHostWaitsForStandbysInEachVacancy failed before.

Ruled out: heartbeats that had not told all hosts of all others (all 24 were known).

Fix: a vacancy belongs to a revision of the duty's object, since each holder writes it.

--- a/hibiscusfront/internal/control/control.go
+++ b/hibiscusfront/internal/control/control.go
@@ -133,6 +133,8 @@
 	dutyReading   bool          // a read of the duty's object is under way
 	lastDutyRead  fleet.Instant // start of the last read
 	vacantSince   fleet.Instant // when this host found the duty vacant; zero if it has not, or cannot plan
+	// vacantRevision is the revision of the duty's object at vacantSince.
+	vacantRevision fleet.Version
 
 	// Heartbeats.
 	sent             sentHeartbeats
--- a/hibiscusfront/internal/control/control_test.go
+++ b/hibiscusfront/internal/control/control_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,7 +9,9 @@
 	"github.com/stretchr/testify/require"
 
 	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/election"
 	"hibiscuslb/fleet/roster"
+	"hibiscuslb/fleet/route"
 	"hibiscuslb/hibiscusfront/internal/wire"
 )
 
@@ -138,3 +141,33 @@
 		require.Equal(t, []fleet.TargetID{"a"}, ids(&hosts[i]), "host %d", i)
 	}
 }
+
+// newObserver returns the control state of a host that is no standby and knows the record.
+func newObserver(now fleet.Instant, revision fleet.Version, record election.Record) *Control {
+	c := &Control{Self: host("z", 0), members: *newMembers(host("z", 0)), table: route.NewTable(route.Config{Number: 1})}
+	for i := range standbyCount {
+		h := host(fleet.HostID(fmt.Sprint("standby", i)), 1)
+		c.members.hosts[h.ID] = h
+		c.members.recordHeartbeat(now, h.ID, false)
+	}
+	c.targets.entries = entries("t")
+	c.duty = election.Duty{Self: "z"}
+	c.duty.Observe(now, revision, record)
+	return c
+}
+
+// Load pattern: a fleet starts, a host takes the duty that none has held, and gives it up
+// to a standby a second later. A host that is no standby has waited during the first vacancy,
+// and must wait again in the second one, or it takes the duty before a standby can.
+func TestHostWaitsForStandbysInEachVacancy(t *testing.T) {
+	c := newObserver(at(0), 1, election.Record{})
+	require.False(t, c.isCandidate(at(0)))
+	require.False(t, c.isCandidate(at(nonStandbyDelay-time.Millisecond)))
+	require.True(t, c.isCandidate(at(nonStandbyDelay)))
+	c.duty.Observe(at(nonStandbyDelay), 2, election.Record{Holder: "first", Epoch: 1})
+	resigned := nonStandbyDelay + handOverDelay
+	c.duty.Observe(at(resigned), 3, election.Record{Epoch: 1})
+	require.False(t, c.isCandidate(at(resigned)), "the standbys have had no time to act")
+	require.False(t, c.isCandidate(at(resigned+nonStandbyDelay-time.Millisecond)))
+	require.True(t, c.isCandidate(at(resigned+nonStandbyDelay)))
+}
--- a/hibiscusfront/internal/control/duty.go
+++ b/hibiscusfront/internal/control/duty.go
@@ -147,10 +147,9 @@
 		c.vacantSince = 0
 		return false
 	}
-	// Nothing resets vacantSince when a host takes the duty, so an instant this old is
-	// taken to be that of an earlier vacancy.
-	if c.vacantSince == 0 || now.Sub(c.vacantSince) > 2*nonStandbyDelay {
-		c.vacantSince = now
+	// Each holder writes the record, so a vacancy belongs to one revision of it.
+	if revision := c.duty.Revision(); c.vacantSince == 0 || c.vacantRevision != revision {
+		c.vacantSince, c.vacantRevision = now, revision
 	}
 	return now.Sub(c.vacantSince) >= c.standbyDelay()
 }
