plan: learn the time for a token from busy engines too

Cause: with prompts of one length the line through the first pieces of idle engines can not tell the fixed time from the time for a token, and takes the assumed 12 ms. The error grows with the prompts that wait.

Fix: the time between two first pieces of a busy engine has no part of the fixed time. It counts a tenth, since the engine writes answers meanwhile.

--- a/fleet/plan/pace.go
+++ b/fleet/plan/pace.go
@@ -29,6 +29,10 @@
 	// the first has no tokens to read.
 	assumedTokens = fleet.Tokens(4_000)
 	assumedWeight = 0.1
+	// busyWeight is the weight of a time between two first pieces of a busy engine,
+	// compared with one of an idle engine. It is small because the engine also writes
+	// answers meanwhile.
+	busyWeight = 0.1
 	// paceDecay multiplies the weight of older answers with each new one.
 	paceDecay = 0.98
 	// maxPaceError bounds an answer's time to this multiple of the expected
@@ -65,6 +69,16 @@
 	return time.Duration(fixed * float64(time.Millisecond))
 }
 
+// observeNext records the time between two first pieces of a busy engine, in which it
+// read the given tokens of the second prompt. It has no part of the fixed time, so it
+// tells the time for a token even if all prompts have the same length.
+func (p *pace) observeNext(tokens fleet.Tokens, took time.Duration) {
+	took = min(took, time.Duration(maxPaceError*float64(p.readTime(tokens))))
+	x, y := float64(tokens)/1e3, milliseconds(took)
+	p.xx += busyWeight * x * x
+	p.xy += busyWeight * x * y
+}
+
 // observe records the time to the first piece of an answer for which an idle engine
 // had to read the given tokens.
 func (p *pace) observe(tokens fleet.Tokens, took time.Duration) {
--- a/fleet/plan/target.go
+++ b/fleet/plan/target.go
@@ -34,6 +34,7 @@
 	unresponsive      bool                     // does not answer long polls for events
 	unresponsiveSince fleet.Instant            // first failed poll since the last answer
 	crashed           bool                     // has crashed since it last answered
+	lastFirstPiece    fleet.Instant            // when the last first piece was reported
 	earlyEnds         []earlyEnd               // of requests, within crashWindow
 	loadedVersions    map[fleet.ModelID]uint64 // weights that it is known to have before its roster entry shows them
 
@@ -165,9 +166,15 @@
 	for _, s := range ag.fetchStores {
 		s.link.observe(now, ag.transfer+transferNoise, ag.transferTook(now)+transferNoise)
 	}
-	if ag.idleEngine && ag.fetchTime == 0 && t.isEngine() {
-		t.pace().observe(ag.readTokens, now.Sub(ag.grantedAt))
+	if ag.fetchTime == 0 && t.isEngine() {
+		switch {
+		case ag.idleEngine:
+			t.pace().observe(ag.readTokens, now.Sub(ag.grantedAt))
+		case t.lastFirstPiece > ag.grantedAt:
+			t.pace().observeNext(ag.readTokens, now.Sub(t.lastFirstPiece))
+		}
 	}
+	t.lastFirstPiece = now
 	if t.pending == 0 {
 		t.readyAt = now
 		return
