--- a/hibiscusfront/internal/planner/deputy_test.go
+++ b/hibiscusfront/internal/planner/deputy_test.go
@@ -140,7 +140,7 @@
 // which the planner before had withheld.
 func TestPlannerAndDeputyTakeOverQuarantine(t *testing.T) {
 	d := new(testPermissions)
-	ctx, p, _ := startPlanner(t, d)
+	ctx, p, lines := startPlanner(t, d)
 	v := testView()
 	v.Duty.Quarantine = quarantine.List{{Part: "bad", Crashes: 3}, {Part: "suspect", Crashes: 2}}
 	p.SetView(ctx, v)
@@ -163,6 +163,7 @@
 	}
 	requireRefused("bad", true, true)
 	requireRefused("suspect", true, false)
+	lines.Require(t, "requests with a part of a prompt are refused: engines crashed on it", testlog.Line{"Part": "bad", "Crashes": 3, "Epoch": nil})
 
 	d.holds.Store(true)
 	p.SetPlanning(ctx, 7, true)
@@ -178,4 +179,5 @@
 	p.SetPlanning(ctx, 7, false)
 	p.SetView(ctx, testView())
 	requireRefused("bad", true, false)
+	lines.Require(t, "requests with a part of a prompt are served again", testlog.Line{"Part": "bad"})
 }
