control: a host that starts again knows the planner before it chooses

What was seen: TestCrashingPartStaysWithheld, a request with a withheld part reached an engine 0.3 s after all hosts were killed.

Cause: a host with 0.4 cores read the duty's record 375 ms after its start, so that the largest host of a new fleet reads it first, and chose targets alone until then. What it read was published with the next change only, more than a second later if the planner was lost, too.

Evidence: TestRestartedHostFindsPlannerBeforeItChooses failed before: 373 ms with a list, not within a second without; now within 100 ms of configuration and targets.

Fix: only the first start of the fleet, which the settings tell, staggers the reads. A change of the holder, the epoch or the list is published at once.

--- a/hibiscusfront/internal/control/duty.go
+++ b/hibiscusfront/internal/control/duty.go
@@ -18,17 +18,18 @@
 	// writes of that object while calls to the store fail.
 	dutyReadInterval = 300 * time.Millisecond
 	// fullCoreDutyRead is when a host with one core reads the duty's object after
-	// its start. The time grows with the square of the inverse of the cores, so that
-	// the largest host reads first although all start within 0.3 s.
+	// its first start. The time grows with the square of the inverse of the cores, so
+	// that the largest host reads first although all start within 0.3 s.
 	fullCoreDutyRead = 60 * time.Millisecond
 	// maxFirstDutyRead bounds that time.
 	maxFirstDutyRead = 400 * time.Millisecond
 )
 
 // firstDutyRead returns when a host reads the duty's object after its start. A host with
-// unknown cores reads at once.
-func firstDutyRead(cores float64) time.Duration {
-	if cores <= 0 {
+// unknown cores reads at once. So does one of a fleet that has run before: it needs what
+// the object holds to serve its first request.
+func firstDutyRead(cores float64, firstStart bool) time.Duration {
+	if cores <= 0 || !firstStart {
 		return 0
 	}
 	return min(time.Duration(float64(fullCoreDutyRead)/cores/cores), maxFirstDutyRead)
@@ -44,7 +45,7 @@
 	if c.dutyReading || c.leaving || c.planning || c.storeOutage || now.Sub(c.lastDutyRead) < dutyReadInterval {
 		return
 	}
-	if c.lastDutyRead == 0 && now.Sub(c.lastPlannerReply) < firstDutyRead(c.Self.Cores) || c.lastDutyRead > 0 && !c.silent(now, c.lastPlannerReply) {
+	if c.lastDutyRead == 0 && now.Sub(c.lastPlannerReply) < firstDutyRead(c.Self.Cores, c.Settings.FirstStart) || c.lastDutyRead > 0 && !c.silent(now, c.lastPlannerReply) {
 		return
 	}
 	c.dutyReading, c.lastDutyRead = true, now
@@ -254,10 +255,12 @@
 }
 
 // updateTenure publishes the state of the tenure to other goroutines, and calls
-// OnPlanningChange when this host begins or stops planning or its epoch changes. A host
-// that begins to plan has published what its predecessor passed on before.
+// OnPlanningChange when this host begins or stops planning or its epoch changes. Before, it
+// publishes a change of the record that concerns requests: who plans, and what a planner
+// passes on.
 func (c *Control) updateTenure(now fleet.Instant) {
-	if !slices.Equal(c.duty.Record().Quarantine, c.View().Duty.Quarantine) {
+	record, published := c.duty.Record(), c.View().Duty
+	if record.Epoch != published.Epoch || record.Holder != published.Holder || !slices.Equal(record.Quarantine, published.Quarantine) {
 		c.publish()
 	}
 	holds := c.duty.Holds(now)
--- a/hibiscusfront/internal/control/start_test.go
+++ b/hibiscusfront/internal/control/start_test.go
@@ -19,8 +19,8 @@
 )
 
 // startControl runs the control state of a host that has no contact with other
-// hosts.
-func startControl(t *testing.T, store *fakeplatform.Store) (*Control, *testlog.Lines) {
+// hosts. Configure is called before it runs.
+func startControl(t *testing.T, store *fakeplatform.Store, configure ...func(*Control)) (*Control, *testlog.Lines) {
 	t.Helper()
 	lines := new(testlog.Lines)
 	server := httptest.NewServer(store)
@@ -31,6 +31,9 @@
 		Store:    &platform.Store{Address: address}, Peers: peers, Clock: clock.BootTime(), Log: lines.Logger(),
 		Self: wire.Host{ID: "h", Callers: "127.0.0.1:2", Peers: "127.0.0.1:1", Incarnation: 1},
 	}
+	for _, f := range configure {
+		f(c)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{}, 2)
 	for _, run := range []func(context.Context){peers.Run, c.Run} {
@@ -69,6 +72,30 @@
 	require.Equal(t, fleet.Version(3), c.View().Table.Number)
 }
 
+// TestRestartedHostFindsPlannerBeforeItChooses guards against a host that starts again and
+// chooses targets alone, without what the planner knows and withholds, although the duty's
+// record is in the store. It must have the record about as soon as a configuration and
+// targets, without which it refuses requests.
+func TestRestartedHostFindsPlannerBeforeItChooses(t *testing.T) {
+	const latest = 100 * time.Millisecond // a few calls to the store
+	for name, quarantined := range map[string][]map[string]any{
+		"nothing is withheld": nil,
+		"a part is withheld":  {{"Part": "bad", "Crashes": 3}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := newConfiguredStore()
+			store.Put("servers", "i-1", map[string]any{"service": "s", "address": "10.0.0.1:80", "zone": "z", "slots": 4, "state": "ready"})
+			store.Put("duties", DutyName, map[string]any{"Holder": "other", "Address": "127.0.0.1:4", "Epoch": 5, "Renewal": 9, "Quarantine": quarantined})
+			c, _ := startControl(t, store, func(c *Control) { c.Self.Cores = 0.4 })
+			require.Eventually(t, func() bool { return c.View().Table != nil && len(c.View().Targets) > 0 }, time.Second, time.Millisecond)
+			ready := time.Now()
+			require.Eventually(t, func() bool { return c.View().Duty.Holder == "other" }, time.Second, time.Millisecond)
+			require.Less(t, time.Since(ready), latest)
+			require.Len(t, c.View().Duty.Quarantine, len(quarantined))
+		})
+	}
+}
+
 // A host that starts while the store does not answer reads it as soon as it answers.
 func TestHostStartedInOutageReadsStoreWhenItAnswers(t *testing.T) {
 	store := newConfiguredStore()
