control: a planner that has just started tells nobody of hosts it only has entries of

Cause: the planner was killed at 14.2 s, started again at 14.7 s and took its own duty at once. It took all hosts with an entry for alive, also one that had died at 2.0 s and whose entry stays for 15 s, and sent that list to all others, which knew better, for 1.1 s. A planner that lost its lease and got it back did the same.

Ruled out: the earlier read of the duty at a restart (broken before it, too).

Fix: a planner that knows nothing but entries sends no list until it has waited for the heartbeats of all, except at the first start of the fleet; hosts keep theirs. One that has planned before keeps what it found out. TestRestartedPlannerRevivesNoDeadHost and TestPlannerThatReturnsRevivesNoDeadHost failed before.

--- a/hibiscusfront/internal/control/control_test.go
+++ b/hibiscusfront/internal/control/control_test.go
@@ -12,6 +12,7 @@
 	"hibiscuslb/fleet/election"
 	"hibiscuslb/fleet/roster"
 	"hibiscuslb/fleet/route"
+	"hibiscuslb/hibiscusfront/internal/replica"
 	"hibiscuslb/hibiscusfront/internal/wire"
 )
 
@@ -151,6 +152,10 @@
 		c.members.recordHeartbeat(now, h.ID, false)
 	}
 	c.targets.entries = entries("t")
+	c.replicas = make(map[string]*replica.Replica)
+	for _, kind := range replicatedKinds {
+		c.replicas[kind] = new(replica.Replica)
+	}
 	c.duty = election.Duty{Self: "z"}
 	c.duty.Observe(now, revision, record)
 	return c
@@ -171,3 +176,69 @@
 	require.False(t, c.isCandidate(at(resigned+nonStandbyDelay-time.Millisecond)))
 	require.True(t, c.isCandidate(at(resigned+nonStandbyDelay)))
 }
+
+// TestRestartedPlannerRevivesNoDeadHost guards against a host that is killed and takes the
+// duty again as it starts: the entry of a host that died before is still in the store, and
+// other hosts must not be told to send callers there.
+func TestRestartedPlannerRevivesNoDeadHost(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		firstStart bool
+		list       []wire.Host // of the planner before; nil if this host has received none
+		told       bool        // other hosts are told at once
+	}{
+		{"restarted", false, nil, false},
+		{"first start of the fleet", true, nil, true},
+		{"has a list", false, []wire.Host{host("z", 0), host("standby0", 1)}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := newObserver(at(0), 1, election.Record{})
+			c.Settings.FirstStart = test.firstStart
+			if test.list != nil {
+				c.members.plannerLive, c.members.plannerLiveAt = test.list, at(0)
+			}
+			c.startPlanning(at(0), 7)
+			c.live.set(c.callerHosts())
+			require.Equal(t, test.told, c.membershipUpdate(at(heartbeatInterval), wire.MembershipVersion{}) != nil)
+			for id := range c.members.hosts {
+				if id != "standby1" {
+					c.members.recordHeartbeat(at(heartbeatTimeout), id, false)
+				}
+			}
+			now := at(heartbeatTimeout + tickInterval)
+			c.members.expire(now, c)
+			c.live.set(c.callerHosts())
+			update := c.membershipUpdate(now, wire.MembershipVersion{})
+			require.NotNil(t, update)
+			for _, h := range update.Hosts {
+				require.NotEqual(t, fleet.HostID("standby1"), h.ID, "it has sent no heartbeat")
+			}
+		})
+	}
+}
+
+// A planner that loses its lease and gets it back knows which hosts are dead.
+func TestPlannerThatReturnsRevivesNoDeadHost(t *testing.T) {
+	c := newObserver(at(0), 1, election.Record{})
+	c.startPlanning(at(0), 7)
+	now := at(heartbeatTimeout + tickInterval)
+	for id := range c.members.hosts {
+		if id != "standby1" {
+			c.members.recordHeartbeat(now, id, false)
+		}
+	}
+	c.members.expire(now, c)
+	c.startPlanning(now.Add(time.Second/2), 8)
+	for _, h := range c.callerHosts() {
+		require.NotEqual(t, fleet.HostID("standby1"), h.ID)
+	}
+}
+
+// A host that has received no list yet goes by the entries in the store, also if the planner
+// has replied without one.
+func TestHostWithoutListNamesAllEntries(t *testing.T) {
+	c := newObserver(at(0), 1, election.Record{Holder: "standby0", Epoch: 7})
+	c.initInbox()
+	c.handleReply(at(0), "10.0.0.1:2", wire.HeartbeatReply{Planning: true, Follows: true, Revision: 1, Duty: c.duty.Record()})
+	require.Len(t, c.callerHosts(), standbyCount+1)
+}
--- a/hibiscusfront/internal/control/duty.go
+++ b/hibiscusfront/internal/control/duty.go
@@ -282,9 +282,7 @@
 	c.Log.Info().Bool("Planning", plans).Uint64("Epoch", uint64(c.duty.Record().Epoch)).
 		Str("Holder", string(c.duty.Record().Holder)).Msg("tenure changed")
 	if plans {
-		c.planningSince = now
-		c.live.restart(c.duty.Record().Epoch)
-		c.members.initLiveness(now)
+		c.startPlanning(now, c.duty.Record().Epoch)
 	}
 	if c.OnPlanningChange != nil {
 		c.OnPlanningChange(c.duty.Record().Epoch, plans)
@@ -295,6 +293,13 @@
 	}
 }
 
+// startPlanning prepares the list of live hosts of a planner.
+func (c *Control) startPlanning(now fleet.Instant, epoch fleet.Epoch) {
+	c.planning, c.planningSince = true, now
+	c.live.restart(epoch)
+	c.members.initLiveness(now)
+}
+
 const (
 	// maxPlanWithoutLease is how long a planner may continue to plan after its
 	// lease ended without a known successor.
--- a/hibiscusfront/internal/control/heartbeats.go
+++ b/hibiscusfront/internal/control/heartbeats.go
@@ -32,10 +32,7 @@
 			Revisions: c.revisions(), Follows: c.follows(now), Followed: now.Sub(c.lastFollower) < watcherTimeout,
 			Duty: c.duty.Record(), Revision: c.duty.Revision(), Planning: c.planning,
 		}
-		if reply.Planning && heartbeat.Roll != c.live.version {
-			update := c.live.since(heartbeat.Roll)
-			reply.Live = &update
-		}
+		reply.Live = c.membershipUpdate(now, heartbeat.Roll)
 		if heartbeat.Revision > 0 {
 			c.duty.Observe(now, heartbeat.Revision, heartbeat.Duty)
 			c.updateTenure(now)
@@ -47,6 +44,22 @@
 	return reply, nil
 }
 
+// membershipUpdate returns what a host with the given list has to be sent, or nil. A
+// planner that knows nothing of the other hosts but their entries sends no list until it
+// has waited for their heartbeats: the entry of a dead host stays in the store for a
+// while, and the others may know better.
+func (c *Control) membershipUpdate(now fleet.Instant, known wire.MembershipVersion) *wire.MembershipUpdate {
+	if !c.planning || known == c.live.version {
+		return nil
+	}
+	knowsHosts := c.Settings.FirstStart || c.members.settled || c.members.plannerLiveAt > 0
+	if !knowsHosts && now.Sub(c.planningSince) < heartbeatTimeout {
+		return nil
+	}
+	update := c.live.since(known)
+	return &update
+}
+
 // HandleChanges returns the objects of a kind that changed since the revision
 // that another host has.
 func (c *Control) HandleChanges(ctx context.Context, request wire.ChangesRequest) (wire.ChangesReply, error) {
@@ -207,13 +220,15 @@
 	}
 	if reply.Planning && reply.Duty.Epoch >= c.duty.Record().Epoch {
 		c.lastPlannerReply = now
-		c.members.plannerLiveAt = now
 		if reply.Live != nil && c.members.plannerVersion != reply.Live.Version {
 			if hosts, ok := applyMembership(c.members.plannerLive, c.members.plannerVersion, *reply.Live); ok {
 				c.members.plannerVersion, c.members.plannerLive = reply.Live.Version, hosts
 				c.publish()
 			}
 		}
+		if c.members.plannerVersion != (wire.MembershipVersion{}) {
+			c.members.plannerLiveAt = now
+		}
 	}
 	c.fetchNewer(from, reply.Revisions)
 }
--- a/hibiscusfront/internal/control/members.go
+++ b/hibiscusfront/internal/control/members.go
@@ -20,7 +20,10 @@
 	heartbeats     map[fleet.HostID]heartbeatStatus
 	plannerLive    []wire.Host            // live hosts that callers may be sent to, as last received from the planner
 	plannerVersion wire.MembershipVersion // of plannerLive
-	plannerLiveAt  fleet.Instant          // last reply of a planner; zero if there was none
+	plannerLiveAt  fleet.Instant          // last reply of a planner; zero if it has sent no list yet
+	// settled is set once this host knows which hosts are alive: as the planner it has
+	// waited for the heartbeats of all.
+	settled bool
 }
 
 // heartbeatStatus is the state of a host according to its heartbeats.
@@ -115,6 +118,7 @@
 	if !c.planning || now.Sub(c.planningSince) < heartbeatTimeout {
 		return false
 	}
+	m.settled = true
 	changed := false
 	for id, status := range m.heartbeats {
 		if id != c.Self.ID && status.alive && now.Sub(status.at) > heartbeatTimeout {
@@ -133,10 +137,10 @@
 
 // initLiveness sets which hosts are alive when this host becomes the planner: those
 // that the last planner reported as alive and those with a recent heartbeat, or all
-// hosts if no planner has replied yet.
+// hosts if this one knows nothing of them but their entries.
 func (m *members) initLiveness(now fleet.Instant) {
 	for id := range m.hosts {
-		known := m.plannerLiveAt == 0 || slices.ContainsFunc(m.plannerLive, func(h wire.Host) bool { return h.ID == id })
+		known := m.plannerLiveAt == 0 && !m.settled || slices.ContainsFunc(m.plannerLive, func(h wire.Host) bool { return h.ID == id })
 		switch status := m.heartbeats[id]; {
 		case known:
 			m.recordHeartbeat(now, id, status.leaving)
