control: a planner hands its duty over to larger hosts only

Hosts ask deputies and choose alone meanwhile.

Cause: the order of the standbys ends with the ID, and a planner resigned when six hosts came before it. In a fleet of equal hosts that gains nothing.

Fix: only hosts with more cores or a faster link count. TestPlannerHandsOverOnlyToLargerHosts failed before for equal hosts.

--- a/hibiscusfront/internal/control/control_test.go
+++ b/hibiscusfront/internal/control/control_test.go
@@ -242,3 +242,31 @@
 	c.handleReply(at(0), "10.0.0.1:2", wire.HeartbeatReply{Planning: true, Follows: true, Revision: 1, Duty: c.duty.Record()})
 	require.Len(t, c.callerHosts(), standbyCount+1)
 }
+
+// Each change of the planner leaves hosts without one for a while, so it must gain
+// something.
+func TestPlannerHandsOverOnlyToLargerHosts(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		others wire.Host // all of them
+		want   bool
+	}{
+		{"more cores", wire.Host{Cores: 0.8, Link: 100}, true},
+		{"a faster link", wire.Host{Cores: 0.4, Link: 200}, true},
+		{"equal, but of lower ID", wire.Host{Cores: 0.4, Link: 100}, false},
+		{"fewer cores", wire.Host{Cores: 0.2, Link: 200}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := newObserver(at(0), 1, election.Record{})
+			c.Self.Cores, c.Self.Link = 0.4, 100
+			for i := range standbyCount {
+				h := test.others
+				h.ID = fleet.HostID(fmt.Sprint("standby", i))
+				c.members.hosts[h.ID] = h
+			}
+			c.startPlanning(at(0), 7)
+			require.False(t, c.mustHandOver(at(handOverDelay)))
+			require.Equal(t, test.want, c.mustHandOver(at(handOverDelay+time.Millisecond)))
+		})
+	}
+}
--- a/hibiscusfront/internal/control/duty.go
+++ b/hibiscusfront/internal/control/duty.go
@@ -96,8 +96,8 @@
 	if !due || !holds && !c.isCandidate(now) {
 		return
 	}
-	if holds && c.members.rank(c.Self) >= standbyCount && now.Sub(c.planningSince) > handOverDelay {
-		c.Log.Info().Msgf("resigning the planner's duty: %d or more live hosts precede this one in the order by cores, link and ID", standbyCount)
+	if holds && c.mustHandOver(now) {
+		c.Log.Info().Msgf("resigning the planner's duty: %d or more live hosts have more cores or a faster link", standbyCount)
 		c.resign(ctx, now)
 		return
 	}
@@ -119,11 +119,17 @@
 	standbyCount = 6
 	// nonStandbyDelay is how long other hosts wait for a standby to act.
 	nonStandbyDelay = 1500 * time.Millisecond
-	// handOverDelay is how long a planner that is not among the standbys plans
+	// handOverDelay is how long a planner that is smaller than the standbys plans
 	// before it resigns so that one of them can take over.
 	handOverDelay = time.Second
 )
 
+// mustHandOver reports whether this host, the planner, has to resign so that a larger one
+// can take over.
+func (c *Control) mustHandOver(now fleet.Instant) bool {
+	return c.members.larger(c.Self) >= standbyCount && now.Sub(c.planningSince) > handOverDelay
+}
+
 // silent reports whether the last reply is so old that this host has to act itself.
 func (c *Control) silent(now, lastReply fleet.Instant) bool {
 	silence := now.Sub(lastReply)
--- a/hibiscusfront/internal/control/members.go
+++ b/hibiscusfront/internal/control/members.go
@@ -169,20 +169,34 @@
 
 // rank returns the number of live hosts that precede this one. All hosts compute
 // the same order.
-func (m *members) rank(self wire.Host) int {
-	rank := 0
+func (m *members) rank(self wire.Host) int { return m.count(self, precedes) }
+
+// larger returns the number of live hosts that are larger than this one.
+func (m *members) larger(self wire.Host) int {
+	return m.count(self, func(a, b wire.Host) bool { return compareSize(a, b) > 0 })
+}
+
+// count returns the number of other live hosts for which is, called with the host and this
+// one, is true.
+func (m *members) count(self wire.Host, is func(a, b wire.Host) bool) int {
+	n := 0
 	for id, h := range m.hosts {
-		if id != self.ID && m.heartbeats[id].alive && precedes(h, self) {
-			rank++
+		if id != self.ID && m.heartbeats[id].alive && is(h, self) {
+			n++
 		}
 	}
-	return rank
+	return n
+}
+
+// compareSize compares two hosts by Cores, then Link.
+func compareSize(a, b wire.Host) int {
+	return cmp.Or(cmp.Compare(a.Cores, b.Cores), cmp.Compare(a.Link, b.Link))
 }
 
-// precedes reports whether a comes before b in the order by Cores, then Link, the
-// largest first, then ID, the smallest first.
+// precedes reports whether a comes before b in the order by size, the largest first, then
+// ID, the smallest first.
 func precedes(a, b wire.Host) bool {
-	return cmp.Or(cmp.Compare(a.Cores, b.Cores), cmp.Compare(a.Link, b.Link), cmp.Compare(b.ID, a.ID)) > 0
+	return cmp.Or(compareSize(a, b), cmp.Compare(b.ID, a.ID)) > 0
 }
 
 // callerHosts returns the hosts that callers may be sent to, sorted by ID.
