--- a/fleet/plan/admission.go
+++ b/fleet/plan/admission.go
@@ -227,8 +227,8 @@
 	return Decision{Request: req, Refusal: fleet.RefuseWithRetryAfter(reason, after)}
 }
 
-// Tick expires grants, records crashes of engines and returns the decisions on queued requests: those that a
-// target can start now and those whose time in the queue is over.
+// Tick expires grants, records crashes of engines and returns the decisions on queued
+// requests: those that a target can start now and those whose time in the queue is over.
 //
 // The queue is long when all targets are busy, and then to consider each request at each
 // target would take all of the planner's time. Grants only take capacity away, so once
--- /dev/null
+++ b/hibiscusfront/internal/gateway/record.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/plan"
+)
+
+// logFailedAttempt logs why an attempt at a target did not serve the request. The shared
+// parts of its prompt, and whether its answer had begun, tell which request ended an engine.
+func (c *call) logFailedAttempt(g *plan.Grant, message string, err error) {
+	c.Log.Info().Str("Request", string(c.ID)).Str("Target", string(g.Target)).Str("Service", string(g.Service)).
+		Uint64("Grant", uint64(g.Number)).Int("Tried", len(c.tried)).Stringer("Outcome", c.outcome).Stringer("Framing", c.framing).
+		Strs("Parts", c.sharedParts()).Dur("First", c.firstByte).AnErr("Cause", err).Msg(message)
+}
+
+// sharedParts returns the IDs of the prompt's shared parts, for logs.
+func (c *call) sharedParts() []string {
+	if c.Prompt == nil {
+		return nil
+	}
+	var ids []string
+	for _, part := range c.Prompt.Shared() {
+		ids = append(ids, string(part.ID))
+	}
+	return ids
+}
+
+// workspaceID returns the workspace's ID, or "" on a public route.
+func (c *call) workspaceID() fleet.WorkspaceID {
+	if c.workspace == nil {
+		return ""
+	}
+	return c.workspace.ID
+}
+
+// recordEnd logs the result of the request and records its metrics.
+func (c *call) recordEnd() {
+	total := time.Since(c.start)
+	name := ""
+	if c.route != nil {
+		name = c.route.Name
+	}
+	workspace := c.workspaceID()
+	c.Meter.RecordEnd(workspace, name, c.status, c.reason, c.firstByte, total)
+	event := c.Log.Info()
+	if c.reason == "" && c.status < http.StatusBadRequest {
+		event = c.Log.Debug()
+	}
+	number := fleet.Version(0)
+	if c.view.Table != nil {
+		number = c.view.Table.Number
+	}
+	var grant plan.Grant
+	if c.grant != nil {
+		grant = *c.grant
+	}
+	event.Str("Request", string(c.ID)).Str("Route", name).Str("Workspace", string(workspace)).
+		Str("Target", string(grant.Target)).Uint64("Grant", uint64(grant.Number)).Int("Status", c.status).
+		Str("Reason", string(c.reason)).Stringer("Outcome", c.outcome).Int("Tried", len(c.tried)).
+		Uint64("Configuration", uint64(number)).Stringer("Framing", c.framing).Dur("First", c.firstByte).Dur("Total", total).Msg("request ended")
+}
