control: a host's first list of live hosts is in the view that it publishes

It set the instant of the first list after the view was published, and the view goes by that instant; the view stayed until the list changed.

Fix: the instant is set first. TestHostWithoutListNamesAllEntries failed with the published view checked.

--- a/hibiscusfront/internal/control/control_test.go
+++ b/hibiscusfront/internal/control/control_test.go
@@ -235,12 +235,19 @@
 }
 
 // A host that has received no list yet goes by the entries in the store, also if the planner
-// has replied without one.
+// has replied without one, and then by the first list.
 func TestHostWithoutListNamesAllEntries(t *testing.T) {
 	c := newObserver(at(0), 1, election.Record{Holder: "standby0", Epoch: 7})
 	c.initInbox()
 	c.handleReply(at(0), "10.0.0.1:2", wire.HeartbeatReply{Planning: true, Follows: true, Revision: 1, Duty: c.duty.Record()})
 	require.Len(t, c.callerHosts(), standbyCount+1)
+
+	list := []wire.Host{c.Self, c.members.hosts["standby0"]}
+	c.handleReply(at(time.Second), "10.0.0.1:2", wire.HeartbeatReply{
+		Planning: true, Follows: true, Revision: 1, Duty: c.duty.Record(),
+		Live: &wire.MembershipUpdate{Version: wire.MembershipVersion{Epoch: 7, Number: 1}, Hosts: list},
+	})
+	require.Len(t, c.View().Hosts, len(list), "the first list is not in the published view")
 }
 
 // Each change of the planner leaves hosts without one for a while, so it must gain
--- a/hibiscusfront/internal/control/heartbeats.go
+++ b/hibiscusfront/internal/control/heartbeats.go
@@ -220,15 +220,13 @@
 	}
 	if reply.Planning && reply.Duty.Epoch >= c.duty.Record().Epoch {
 		c.lastPlannerReply = now
-		if reply.Live != nil && c.members.plannerVersion != reply.Live.Version {
-			if hosts, ok := applyMembership(c.members.plannerLive, c.members.plannerVersion, *reply.Live); ok {
-				c.members.plannerVersion, c.members.plannerLive = reply.Live.Version, hosts
-				c.publish()
-			}
-		}
+		listChanged := c.members.applyUpdate(reply.Live)
 		if c.members.plannerVersion != (wire.MembershipVersion{}) {
 			c.members.plannerLiveAt = now
 		}
+		if listChanged {
+			c.publish()
+		}
 	}
 	c.fetchNewer(from, reply.Revisions)
 }
--- a/hibiscusfront/internal/control/members.go
+++ b/hibiscusfront/internal/control/members.go
@@ -151,6 +151,19 @@
 	}
 }
 
+// applyUpdate applies what the planner has sent of its list of live hosts, which may be
+// nil, and reports whether that changed the list.
+func (m *members) applyUpdate(update *wire.MembershipUpdate) bool {
+	if update == nil || m.plannerVersion == update.Version {
+		return false
+	}
+	hosts, ok := applyMembership(m.plannerLive, m.plannerVersion, *update)
+	if ok {
+		m.plannerVersion, m.plannerLive = update.Version, hosts
+	}
+	return ok
+}
+
 // hasMajority reports whether more than half of the hosts that are marked as
 // alive, counting this one, have sent a heartbeat within recentHeartbeat.
 func (m *members) hasMajority(now fleet.Instant, self fleet.HostID) bool {
