--- a/hibiscusfront/internal/planner/watch_test.go
+++ b/hibiscusfront/internal/planner/watch_test.go
@@ -27,16 +27,22 @@
 	return v.Freeze()
 }
 
-// TestEngineAtReusedAddressIsWatched has an engine that crashes and is replaced at its
-// address by one with another ID. The entries of both overlap for a while. The crash of
-// the second one must be noticed as its own.
-func TestEngineAtReusedAddressIsWatched(t *testing.T) {
+// startEngine starts an engine without cache events and returns its address.
+func startEngine(t *testing.T) (*httptest.Server, fleet.Address) {
+	t.Helper()
 	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		time.Sleep(10 * time.Millisecond)
 		_, _ = w.Write([]byte(`{"bootEpoch":7,"nextToken":1,"lost":false,"events":[]}`))
 	}))
-	defer engine.Close()
-	address := fleet.Address(strings.TrimPrefix(engine.URL, "http://"))
+	t.Cleanup(engine.Close)
+	return engine, fleet.Address(strings.TrimPrefix(engine.URL, "http://"))
+}
+
+// TestEngineAtReusedAddressIsWatched has an engine that crashes and is replaced at its
+// address by one with another ID. The entries of both overlap for a while. The crash of
+// the second one must be noticed as its own.
+func TestEngineAtReusedAddressIsWatched(t *testing.T) {
+	engine, address := startEngine(t)
 	began := time.Now()
 	old := roster.Target{ID: "old", Address: address, StartTime: began}
 	replacement := roster.Target{ID: "replacement", Address: address, StartTime: began.Add(time.Second)}
@@ -61,12 +67,7 @@
 // TestReplacedEngineGetsNoWork checks that an engine whose address another one has taken
 // is not revived by the answers of the other.
 func TestReplacedEngineGetsNoWork(t *testing.T) {
-	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		time.Sleep(10 * time.Millisecond)
-		_, _ = w.Write([]byte(`{"bootEpoch":7,"nextToken":1,"lost":false,"events":[]}`))
-	}))
-	defer engine.Close()
-	address := fleet.Address(strings.TrimPrefix(engine.URL, "http://"))
+	_, address := startEngine(t)
 	began := time.Now()
 	d := new(testPermissions)
 	d.holds.Store(true)
