chooser: log when a target changes the limit that it names

Nothing told that a target had named a limit, so the logs could not tell whether a planner, a deputy or a host alone went beyond it. No decision uses any of it yet.

--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -31,6 +31,7 @@
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/cachestore"
+	"hibiscuslb/fleet/intake"
 	"hibiscuslb/fleet/prompt"
 	"hibiscuslb/fleet/quarantine"
 	"hibiscuslb/fleet/roster"
@@ -59,6 +60,7 @@
 	Deadline  time.Duration    // time left until the caller abandons the request
 	Avoid     []fleet.TargetID // targets that must not be chosen
 	Repeat    bool             // the request was sent to a target before
+	Limits    []intake.Known   // that targets of the service have named to the host
 }
 
 // A Grant allows a host to send a request to a target.
@@ -73,6 +75,7 @@
 	Save    []fleet.Address // for each part, the address of the cache store to save it to; "" for none
 	Until   time.Time       // end of the time for fetches, on the engines' clock
 	Rank    int
+	Limited bool // the target has named a limit; its answer tells whether the limit still holds
 
 	// By is the address of the host that made the grant; empty if the host of
 	// the request chose the target without a planner. It is set by the host
@@ -108,12 +111,16 @@
 	// Abandoned means that the caller disconnected, or that its deadline
 	// passed.
 	Abandoned
+	// Answered means that the header of an answer was received that names a limit, or
+	// none after an earlier one did. It is not the end of the grant.
+	Answered
 )
 
 // A Report tells the planner the progress of a grant.
 type Report struct {
 	Number   GrantNumber
 	Progress Progress
+	Limit    intake.Limit // if Progress is Answered
 }
 
 // activeGrant is a grant whose end has not been reported.
@@ -321,9 +328,12 @@
 	if !ok {
 		return // granted by another planner, or already ended
 	}
-	if report.Progress == Started {
+	switch report.Progress {
+	case Started:
 		ag.target.startGrant(now, ag)
 		return
+	case Answered:
+		return
 	}
 	delete(f.active, report.Number)
 	ag.target.endGrant(now, ag, report.Progress)
--- a/hibiscusfront/internal/chooser/chooser.go
+++ b/hibiscusfront/internal/chooser/chooser.go
@@ -13,8 +13,10 @@
 	"github.com/rs/zerolog"
 
 	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/intake"
 	"hibiscuslb/fleet/peer"
 	"hibiscuslb/fleet/plan"
+	"hibiscuslb/fleet/route"
 	"hibiscuslb/fleet/task"
 	"hibiscuslb/hibiscusfront/internal/planner"
 	"hibiscuslb/hibiscusfront/internal/view"
@@ -49,6 +51,7 @@
 
 	mu         sync.Mutex
 	backoffEnd map[fleet.Address]fleet.Instant // of hosts that gave no decision
+	limits     intake.Ledger                   // that targets have named to this host
 	pending    chan report                     // reports that Run has to send
 	tasks      task.Group
 }
@@ -70,6 +73,7 @@
 // know yet what this host knows, and grant a target that has left or whose data centre is
 // evacuated. Such a grant is given back.
 func (c *Chooser) Choose(ctx context.Context, v *view.View, req *plan.Request) plan.Decision {
+	req.Limits = c.knownLimits(v, req.Service)
 	for range maxExcluded {
 		decision := c.ask(ctx, v, req)
 		if decision.Grant == nil || !v.Excludes(decision.Grant.Target) {
@@ -165,11 +169,49 @@
 // Report implements gateway.Chooser. It queues a report for the host that made
 // the grant.
 func (c *Chooser) Report(g *plan.Grant, progress plan.Progress) {
+	c.enqueue(g, plan.Report{Number: g.Number, Progress: progress})
+}
+
+// ObserveLimit implements gateway.Chooser. It queues a report if the answer names a limit,
+// or if it names none and this host or the one that made the grant believes in one.
+func (c *Chooser) ObserveLimit(v *view.View, g *plan.Grant, limit intake.Limit) {
+	life := intake.Life{Target: g.Target, Service: g.Service}
+	if t := v.Target(g.Target); t != nil {
+		life.StartTime = t.StartTime
+	}
+	c.mu.Lock()
+	before := c.limits.Observe(c.Clock(), life, limit)
+	c.mu.Unlock()
+	if limit != before {
+		c.Log.Info().Str("Target", string(g.Target)).Str("Service", string(g.Service)).Uint64("Grant", uint64(g.Number)).
+			Bool("Limited", limit.Named).Float64("RequestsPerSecond", float64(limit.Rate)).Float64("Before", float64(before.Rate)).
+			Msg("target changed the limit of the requests that it takes")
+	}
+	if limit.Named || before.Named || g.Limited {
+		c.enqueue(g, plan.Report{Number: g.Number, Progress: plan.Answered, Limit: limit})
+	}
+}
+
+// knownLimits returns the limits that targets of the service have named to this host.
+func (c *Chooser) knownLimits(v *view.View, service route.ServiceID) []intake.Known {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.limits.Known(c.Clock(), service, func(id fleet.TargetID) (time.Time, bool) {
+		t := v.Target(id)
+		if t == nil {
+			return time.Time{}, false
+		}
+		return t.StartTime, true
+	})
+}
+
+// enqueue queues a report for the host that made the grant.
+func (c *Chooser) enqueue(g *plan.Grant, r plan.Report) {
 	if g.By == "" {
 		return // chosen locally
 	}
 	select {
-	case c.pending <- report{g.By, plan.Report{Number: g.Number, Progress: progress}}:
+	case c.pending <- report{g.By, r}:
 	default:
 		// The host that made the grant discards it if it gets no report in
 		// time.
--- a/hibiscusfront/internal/gateway/fuzz_test.go
+++ b/hibiscusfront/internal/gateway/fuzz_test.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/intake"
 	"hibiscuslb/fleet/plan"
 	"hibiscuslb/fleet/route"
 	"hibiscuslb/hibiscusfront/internal/backend"
@@ -34,6 +35,8 @@
 
 func (fixedChooser) Report(*plan.Grant, plan.Progress) {}
 
+func (fixedChooser) ObserveLimit(*view.View, *plan.Grant, intake.Limit) {}
+
 // A closeTracker records which connections a server has closed, that is, has
 // finished serving.
 type closeTracker struct{ conns sync.Map }
--- a/hibiscusfront/internal/gateway/gateway.go
+++ b/hibiscusfront/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/rs/zerolog"
 
 	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/intake"
 	"hibiscuslb/fleet/plan"
 	"hibiscuslb/fleet/route"
 	"hibiscuslb/hibiscusfront/internal/backend"
@@ -37,6 +38,9 @@
 type Chooser interface {
 	Choose(ctx context.Context, v *view.View, req *plan.Request) plan.Decision
 	Report(grant *plan.Grant, progress plan.Progress)
+	// ObserveLimit records what the answer to a granted request says of the requests
+	// that its target takes. The view is the one with which the target was chosen.
+	ObserveLimit(v *view.View, grant *plan.Grant, limit intake.Limit)
 }
 
 // A Gateway is the HTTP handler for callers. Set all fields before use.
@@ -301,6 +305,7 @@
 	defer exchange.Close()
 	c.framing = exchange.Framing
 	c.Meter.RecordResponse(exchange.Framing)
+	c.Chooser.ObserveLimit(c.view, g, exchange.Answer.Limit)
 	if exchange.Answer.NotRun {
 		c.sends--
 		c.outcome = before
--- a/hibiscusfront/internal/gateway/gateway_test.go
+++ b/hibiscusfront/internal/gateway/gateway_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/intake"
 	"hibiscuslb/fleet/plan"
 	"hibiscuslb/fleet/route"
 	"hibiscuslb/hibiscusfront/internal/backend"
@@ -32,6 +33,7 @@
 	refusal  *fleet.RefusalError
 	reports  map[plan.GrantNumber][]plan.Progress
 	requests []plan.Request
+	limits   []intake.Limit // that answers named
 }
 
 func (c *scriptedChooser) Choose(_ context.Context, _ *view.View, req *plan.Request) plan.Decision {
@@ -55,6 +57,12 @@
 	c.reports[grant.Number] = append(c.reports[grant.Number], progress)
 }
 
+func (c *scriptedChooser) ObserveLimit(_ *view.View, grant *plan.Grant, limit intake.Limit) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limits = append(c.limits, limit)
+}
+
 // lastReport returns the last report on a grant.
 func (c *scriptedChooser) lastReport(number plan.GrantNumber) plan.Progress {
 	c.mu.Lock()
