plan: grant a target no more than the limit that it has named

Engines in need got 16 requests in 4 s where their limits allowed 14, and their callers waited behind what other engines could have served.

Cause: nothing read the limit, and the planner's only count of what a target gets from all hosts was the one of cold targets. Ruled out: a deputy or hosts that choose alone (none acted in the play), and repeats (the two engines failed nothing).

It learns the limit from the host that got the answer and, with each request, from all hosts that were told: a successor or a deputy knows it before it grants. A host that chooses alone leaves limited targets out, as it does cold ones. If the limits of all targets leave no room, requests are refused at once with the time of the next one.

TestHostThatChoosesAloneSparesLimitedTarget failed without the change of local.go.

--- a/fleet/plan/admission.go
+++ b/fleet/plan/admission.go
@@ -82,6 +82,7 @@
 // Submit decides on a request. If it returns false, the request is queued and a
 // later Tick returns its decision.
 func (f *Fleet) Submit(now fleet.Instant, req *Request) (Decision, bool) {
+	f.learnLimits(now, req)
 	s, ok := f.services[req.Service]
 	if !ok {
 		return refuse(req, fleet.ReasonNoTarget, minRetryAfter), true
@@ -100,6 +101,9 @@
 	if verdict == decided {
 		return decision, true
 	}
+	if f.soonestWithinLimit(now, req) > req.MaxQueueTime() {
+		return refuse(req, fleet.ReasonOverloaded, f.retryAfter(now, req)), true
+	}
 	q := &queuedRequest{req: req, enqueued: now, expires: now.Add(req.MaxQueueTime())}
 	q.postpone(now, verdict)
 	f.queue = append(f.queue, q)
@@ -172,6 +176,7 @@
 	t := c.target
 	g := &Grant{
 		Number: f.lastNumber, Target: t.ID, Address: t.Address, Service: req.Service, Rank: min(req.Rank, MaxRank),
+		Limited: t.limit.Named,
 	}
 	ag := &activeGrant{req: req, target: t, grantedAt: now, readTokens: c.readTokens, firstPiece: c.firstPiece, fetchTime: c.fetchTime, transfer: c.transferTime, slowdown: 1}
 	if p := req.Prompt; p != nil && t.isEngine() {
@@ -292,7 +297,8 @@
 func (f *Fleet) QueueLen() int { return len(f.queue) }
 
 // retryAfter returns the time until a refused request should find capacity: until
-// the least loaded target of the service has read the prompts granted to it.
+// the least loaded target of the service has read the prompts granted to it, or
+// until the limit of one allows a request if all have named limits.
 // Requests with different affinity hashes are spread over as much time again, so
 // that they are not repeated all at once. Prompts with the same last shared part
 // get the same time.
@@ -303,8 +309,8 @@
 			soonest = min(soonest, t.wait(now))
 		}
 	}
-	after := max(minRetryAfter, soonest)
-	return min(after+after*time.Duration(req.AffinityHash()%retrySpreadSteps)/retrySpreadSteps, 2*maxRetryAfter)
+	after := max(minRetryAfter, soonest, f.soonestWithinLimit(now, req))
+	return after + after*time.Duration(req.AffinityHash()%retrySpreadSteps)/retrySpreadSteps
 }
 
 // retrySpreadSteps is the number of steps over which retry times are spread.
--- a/fleet/plan/placement.go
+++ b/fleet/plan/placement.go
@@ -101,7 +101,7 @@
 			continue
 		}
 		eligible = true
-		if !f.withinColdRate(now, t) || !t.hasCapacity(req) {
+		if !f.withinColdRate(now, t) || f.limitWait(now, t) > 0 || !t.hasCapacity(req) {
 			continue
 		}
 		c := candidate{target: t}
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -333,6 +333,7 @@
 		ag.target.startGrant(now, ag)
 		return
 	case Answered:
+		ag.target.limit.learn(now, report.Limit)
 		return
 	}
 	delete(f.active, report.Number)
--- a/fleet/plan/target.go
+++ b/fleet/plan/target.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/intake"
 	"hibiscuslb/fleet/roster"
 )
 
@@ -17,8 +18,9 @@
 
 	coldUntil    fleet.Instant
 	recentGrants slidingWindow // grants, counted while the target may be cold
-	evacuated    bool          // its data centre is evacuated
-	removed      bool          // no longer on the roster
+	limit        targetLimit
+	evacuated    bool // its data centre is evacuated
+	removed      bool // no longer on the roster
 
 	activeGrants int
 	unreadTokens fleet.Tokens  // prompt tokens that pending runs have to read
@@ -79,6 +81,7 @@
 // resetGrants resets the estimates that depend on active grants.
 func (t *target) resetGrants(now fleet.Instant) {
 	t.activeGrants, t.pending, t.unreadTokens, t.memory, t.readyAt = 0, 0, 0, 0, now
+	t.limit.bucket = intake.Bucket{}
 }
 
 // version returns the version of the model's weights at the target, or zero.
@@ -151,6 +154,7 @@
 		t.readyAt = max(now, t.readyAt).Add(t.pace().readTime(ag.readTokens))
 	}
 	t.recentGrants.add(now, coldWindow)
+	t.limit.recordGrant()
 	t.cache.markGranted(t, ag.parts...)
 }
 
--- a/hibiscusfront/internal/chooser/chooser_test.go
+++ b/hibiscusfront/internal/chooser/chooser_test.go
@@ -11,6 +11,7 @@
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/election"
+	"hibiscuslb/fleet/intake"
 	"hibiscuslb/fleet/peer"
 	"hibiscuslb/fleet/plan"
 	"hibiscuslb/fleet/prompt"
@@ -173,3 +174,34 @@
 	require.Positive(t, decision.Refusal.RetryAfter)
 	require.NotNil(t, c.Local.Choose(c.Clock(), v, newRequest()).Grant)
 }
+
+// Load pattern: neither the planner nor a deputy answers while a target is in need. All
+// hosts that choose alone would send it what its hash brings.
+func TestHostThatChoosesAloneSparesLimitedTarget(t *testing.T) {
+	ctx, c, v := startChooser(t)
+	v.Targets = append(v.Targets, roster.Target{ID: "limited", Service: "s", Address: "127.0.0.1:4", Slots: 4})
+	v.Freeze()
+	grant := &plan.Grant{Target: "limited", Service: "s"}
+	chosen := func() map[fleet.TargetID]int {
+		counts := make(map[fleet.TargetID]int)
+		for i := range 40 {
+			req := newRequest()
+			req.ID = fleet.RequestID(fmt.Sprint(i))
+			decision := c.Choose(ctx, v, req)
+			require.NotNil(t, decision.Grant)
+			require.Empty(t, decision.Grant.By)
+			counts[decision.Grant.Target]++
+		}
+		return counts
+	}
+	require.NotZero(t, chosen()["limited"])
+	c.ObserveLimit(v, grant, intake.Limit{Named: true, Rate: 2})
+	require.Equal(t, map[fleet.TargetID]int{"t": 40}, chosen())
+	c.ObserveLimit(v, &plan.Grant{Target: "t", Service: "s"}, intake.Limit{Named: true, Rate: 2})
+	decision := c.Choose(ctx, v, newRequest())
+	require.NotNil(t, decision.Refusal, "all targets have named limits")
+	require.Equal(t, fleet.OutcomeNotRun, decision.Refusal.Outcome)
+	require.Positive(t, decision.Refusal.RetryAfter)
+	c.ObserveLimit(v, grant, intake.Limit{})
+	require.Equal(t, map[fleet.TargetID]int{"limited": 40}, chosen(), "its answers name no limit any more")
+}
--- a/hibiscusfront/internal/chooser/local.go
+++ b/hibiscusfront/internal/chooser/local.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/intake"
 	"hibiscuslb/fleet/placement"
 	"hibiscuslb/fleet/plan"
 	"hibiscuslb/fleet/quarantine"
@@ -17,8 +18,8 @@
 // targets that the host knows. Hosts that choose locally therefore agree on the
 // target that has a prompt's parts in its cache. Local requests no fetch or save
 // of cache parts, since it does not know what the cache stores hold, and skips cold
-// targets, since the load that all hosts together send them is not limited
-// without a planner. The zero value is ready for use.
+// targets and those that have named a limit to this host, since the load that all hosts
+// together send them is not limited without a planner. The zero value is ready for use.
 type Local struct {
 	// WeightsBound has the meaning of plan.Fleet.WeightsBound.
 	WeightsBound time.Duration
@@ -39,6 +40,9 @@
 		if t.Service != req.Service || !v.Usable(t) || t.ColdFor > 0 || slices.Contains(req.Avoid, t.ID) {
 			continue
 		}
+		if slices.ContainsFunc(req.Limits, func(k intake.Known) bool { return k.Target == t.ID }) {
+			continue
+		}
 		if req.Prompt != nil && !l.mayStart(now, v, t, req.Prompt.Model) {
 			continue
 		}
