--- a/hibiscusfront/internal/control/control.go
+++ b/hibiscusfront/internal/control/control.go
@@ -112,7 +112,8 @@
 	decodedTargets     map[string]decodedTarget // by the name of the object
 	malformedRevisions map[string]fleet.Version // logged revisions of malformed objects, by kind and name
 	lastStoreAnswer    fleet.Instant
-	storeOutage        bool // a call to the store failed, and the store has answered none since
+	storeOutage        bool   // a call to the store failed, and the store has answered none since
+	era                uint64 // of the store, as last logged
 
 	// State derived from them.
 	table         *route.Table
@@ -241,6 +242,7 @@
 // targets, hosts and their entries.
 func (c *Control) tick(ctx context.Context, now fleet.Instant) {
 	c.watching.Store(c.planning || c.silent(now, c.lastWatcherReply))
+	c.logRestore()
 	c.readDuty(ctx, now)
 	c.writeDutyIfDue(ctx, now)
 	c.sendHeartbeats(ctx, now)
@@ -253,6 +255,19 @@
 	c.removeDeadEntries(ctx, now)
 }
 
+// logRestore logs that the store has come back from a copy.
+func (c *Control) logRestore() {
+	era := c.Store.Era()
+	if era == c.era {
+		return
+	}
+	if c.era > 0 {
+		c.Log.Warn().Uint64("Era", era).Uint64("Before", c.era).
+			Msg("the object store was restored from a copy: it has lost changes, and gives out their revisions again")
+	}
+	c.era = era
+}
+
 // Leave removes the host from those that callers are sent to, and resigns the
 // duty.
 func (c *Control) Leave(ctx context.Context) {
--- a/hibiscusfront/internal/control/duty.go
+++ b/hibiscusfront/internal/control/duty.go
@@ -253,6 +253,9 @@
 			c.duty.WriteSucceeded(now, w, conflict.Current.Revision, c.bounds.Lease)
 			break
 		}
+		c.Log.Info().Uint64("Epoch", uint64(w.Record.Epoch)).Uint64("Expected", uint64(w.Expected)).
+			Uint64("Revision", uint64(conflict.Current.Revision)).Uint64("Found", uint64(record.Epoch)).Str("Holder", string(record.Holder)).
+			Msg("the record of the planner's duty was not written: the object store holds another one")
 		c.applyDuty(now, conflict.Current)
 	default:
 		c.Log.Warn().Err(err).Uint64("Epoch", uint64(w.Record.Epoch)).Msg("could not write the record of the planner's duty")
--- a/hibiscusfront/internal/control/objects.go
+++ b/hibiscusfront/internal/control/objects.go
@@ -137,6 +137,10 @@
 // applyListing applies a list from the store or from another host. UncertainFor is that
 // of the host that read it, see targets.apply.
 func (c *Control) applyListing(now fleet.Instant, kind string, listing platform.Listing, uncertainFor time.Duration) {
+	if known := c.replicas[kind].Revision(); listing.Revision < known {
+		c.Log.Warn().Str("Kind", kind).Uint64("Revision", uint64(listing.Revision)).Uint64("Known", uint64(known)).
+			Msg("ignored a list of objects that is older than what this host knows")
+	}
 	if c.replicas[kind].ApplyListing(listing) {
 		c.objectsChanged(now, kind, uncertainFor)
 	}
--- a/standin/fakeplatform/store.go
+++ b/standin/fakeplatform/store.go
@@ -9,6 +9,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -67,6 +68,50 @@
 	compacted uint64        // events up to this revision are deleted
 	changed   chan struct{} // closed at the next change
 	counts    Counts
+	era       uint64 // how often the store was restored
+}
+
+// A Copy is the content of a Store at an instant.
+type Copy struct {
+	revision uint64
+	objects  map[string]map[string]Object
+}
+
+// Copy returns a copy of the content.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{s.revision, cloneObjects(s.objects)}
+}
+
+// Restore replaces the content by a copy and begins a new era: revisions go back and are
+// given out again. It keeps no history and cuts waiting watches off.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.objects = c.revision, cloneObjects(c.objects)
+	s.events, s.compacted = nil, c.revision
+	if s.changed != nil {
+		close(s.changed)
+		s.changed = nil
+	}
+}
+
+func cloneObjects(objects map[string]map[string]Object) map[string]map[string]Object {
+	result := make(map[string]map[string]Object, len(objects))
+	for kind, named := range objects {
+		result[kind] = maps.Clone(named)
+	}
+	return result
+}
+
+// firstEra is the era of a store that was never restored.
+const firstEra = 1
+
+// setEra sets the header of all answers that tells the era. s.mu is held.
+func (s *Store) setEra(w http.ResponseWriter) {
+	w.Header().Set("Store-Era", strconv.FormatUint(firstEra+s.era, 10))
 }
 
 // Counts holds the number of calls that a Store received, by kind.
@@ -181,6 +226,7 @@
 	if s.injectFault(w) {
 		return
 	}
+	s.setEra(w)
 	switch r.Method {
 	case http.MethodGet:
 		s.get(w, kind, name, r.URL.Query().Get("after"))
@@ -295,6 +341,7 @@
 	}
 	s.mu.Lock()
 	s.counts.Watches++
+	era := s.era
 	s.mu.Unlock()
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
@@ -303,7 +350,7 @@
 			Events   []change `json:"events"`
 			Revision uint64   `json:"storeRevision"`
 		}{Events: []change{}}
-		changed := s.eventsSince(w, from, func(e event) {
+		changed := s.eventsSince(w, era, from, func(e event) {
 			if e.kind == kind {
 				answer.Events = append(answer.Events, change{e.removed, e.object})
 			}
@@ -327,15 +374,20 @@
 
 // eventsSince calls visit for every event after the revision from, sets revision to
 // the current one, and returns a channel that is closed at the next change. If the
-// current fault prevents this or events after from are compacted, it answers the call
-// with the status of the failure and returns nil.
-func (s *Store) eventsSince(w http.ResponseWriter, from uint64, visit func(event), revision *uint64) <-chan struct{} {
+// current fault prevents this or events after from are compacted or lost, it answers the
+// call with the status of the failure and returns nil. A watch that began in an earlier
+// era is cut off.
+func (s *Store) eventsSince(w http.ResponseWriter, era, from uint64, visit func(event), revision *uint64) <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.injectFault(w) {
 		return nil
 	}
-	if from < s.compacted {
+	if era != s.era {
+		panic(http.ErrAbortHandler)
+	}
+	s.setEra(w)
+	if from < s.compacted || from > s.revision {
 		w.WriteHeader(http.StatusGone)
 		return nil
 	}
