platform, replica: order revisions by the era of the store first

Cause: replicas, fetches between hosts, watches and the record of the duty took a revision for a single growing number. Ruled out: hosts that take the older configuration of the copy into force; the one with the highest number stays.

Only a list leads from one era to the next.

TestDutyIsHeldAfterStoreIsRestored still fails if the copy has no record of the duty.

--- a/fleet/election/election.go
+++ b/fleet/election/election.go
@@ -79,25 +79,25 @@
 	Address fleet.Address
 
 	record      Record
-	revision    fleet.Version // of the last observed object; zero if there is none
-	known       bool          // whether the object store has been read at all
-	observedAt  fleet.Instant // when the revision was first observed
-	leaseEnd    fleet.Instant // of this host's lease; zero if it has none
-	ordersFrom  fleet.Instant // earliest instant at which this host may give orders
-	lastRenewal uint64        // Renewal of the last attempted write
+	revision    fleet.Revision // of the last observed object; zero if there is none
+	known       bool           // whether the object store has been read at all
+	observedAt  fleet.Instant  // when the revision was first observed
+	leaseEnd    fleet.Instant  // of this host's lease; zero if it has none
+	ordersFrom  fleet.Instant  // earliest instant at which this host may give orders
+	lastRenewal uint64         // Renewal of the last attempted write
 }
 
 // A Write is a compare-and-swap of the duty's object.
 type Write struct {
 	Record   Record
-	Expected fleet.Version // revision that the write replaces; zero if there must be none
+	Expected fleet.Revision // revision that the write replaces; zero if there must be none
 	Sent     fleet.Instant
 }
 
 // Observe records the object as read from the object store. Revisions that are not
 // newer than the last observed one are ignored.
-func (d *Duty) Observe(now fleet.Instant, revision fleet.Version, record Record) {
-	if d.known && revision <= d.revision {
+func (d *Duty) Observe(now fleet.Instant, revision fleet.Revision, record Record) {
+	if d.known && !revision.After(d.revision) {
 		return
 	}
 	d.known, d.revision, d.record, d.observedAt = true, revision, record, now
@@ -136,7 +136,7 @@
 }
 
 // Revision returns the revision of the last observed object.
-func (d *Duty) Revision() fleet.Version { return d.revision }
+func (d *Duty) Revision() fleet.Revision { return d.revision }
 
 // Record returns the last observed record.
 func (d *Duty) Record() Record { return d.record }
@@ -157,7 +157,7 @@
 		// Ordering is kept until ordersFrom, because the predecessor's orders
 		// restrict a successor of this host, too.
 		record.Ordering = ordering || d.record.Ordering && now < d.ordersFrom
-	case d.revision == 0 || d.record.Holder == "" || d.record.Holder == d.Self || now.Sub(d.observedAt) >= LeaseDuration+ClockMargin:
+	case d.revision.IsZero() || d.record.Holder == "" || d.record.Holder == d.Self || now.Sub(d.observedAt) >= LeaseDuration+ClockMargin:
 		record.Epoch++
 	default:
 		return Write{}, false
@@ -168,7 +168,7 @@
 
 // WriteSucceeded records that the object store accepted w as the given revision. Bound
 // is the minimum time between orders of two holders.
-func (d *Duty) WriteSucceeded(now fleet.Instant, w Write, revision fleet.Version, bound time.Duration) {
+func (d *Duty) WriteSucceeded(now fleet.Instant, w Write, revision fleet.Revision, bound time.Duration) {
 	if w.Record.Epoch != d.record.Epoch {
 		d.ordersFrom = w.Sent
 		if d.record.Ordering && d.record.Holder != d.Self {
--- a/fleet/election/election_test.go
+++ b/fleet/election/election_test.go
@@ -20,13 +20,16 @@
 	duty.ObserveAbsent(0) // the store has no object yet
 	write, due := duty.NextWrite(0, false)
 	fmt.Println(due, write.Record.Epoch)
-	duty.WriteSucceeded(fleet.Instant(4*time.Millisecond), write, 17, bound)
+	duty.WriteSucceeded(fleet.Instant(4*time.Millisecond), write, fleet.Revision{Era: 1, Number: 17}, bound)
 	fmt.Println(duty.Holds(fleet.Instant(time.Second)), duty.Holds(fleet.Instant(2*time.Second)))
 	// Output:
 	// true 1
 	// true false
 }
 
+// revision returns a revision of the store's first era.
+func revision(number fleet.Version) fleet.Revision { return fleet.Revision{Era: 1, Number: number} }
+
 func at(d time.Duration) fleet.Instant { return fleet.Instant(d) }
 
 func TestSuccessorWaitsForBoundOfLastOrder(t *testing.T) {
@@ -41,14 +44,14 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			next := election.Duty{Self: "b"}
-			next.Observe(at(0), 5, election.Record{Holder: "a", Epoch: 3, Ordering: test.ordering})
+			next.Observe(at(0), revision(5), election.Record{Holder: "a", Epoch: 3, Ordering: test.ordering})
 			_, due := next.NextWrite(at(election.LeaseDuration+election.ClockMargin-1), true)
 			require.False(t, due, "the old lease may not have ended")
 			now := at(election.LeaseDuration + election.ClockMargin)
 			write, due := next.NextWrite(now, true)
 			require.True(t, due)
 			require.Equal(t, fleet.Epoch(4), write.Record.Epoch)
-			next.WriteSucceeded(now, write, 6, bound)
+			next.WriteSucceeded(now, write, revision(6), bound)
 			from, until := next.OrderWindow()
 			require.Equal(t, max(now, at(test.wait)), from)
 			require.Equal(t, now.Add(election.OrderDuration), until)
@@ -62,11 +65,11 @@
 	duty := election.Duty{Self: "a"}
 	duty.ObserveAbsent(at(0))
 	first, _ := duty.NextWrite(at(0), false)
-	duty.WriteSucceeded(at(0), first, 1, bound)
+	duty.WriteSucceeded(at(0), first, revision(1), bound)
 	lost, _ := duty.NextWrite(at(400*time.Millisecond), false)
 	again, _ := duty.NextWrite(at(time.Second), false)
 	require.NotEqual(t, lost.Record, again.Record, "two attempts must write different records")
-	duty.Observe(at(time.Second), 2, lost.Record)
+	duty.Observe(at(time.Second), revision(2), lost.Record)
 	require.Equal(t, at(election.LeaseDuration), duty.LeaseEnd())
 }
 
@@ -76,7 +79,7 @@
 	duty := election.Duty{Self: "a"}
 	duty.ObserveAbsent(at(0))
 	write, _ := duty.NextWrite(at(0), false)
-	duty.WriteSucceeded(at(time.Second), write, 1, bound)
+	duty.WriteSucceeded(at(time.Second), write, revision(1), bound)
 	require.True(t, duty.Holds(at(election.LeaseDuration-1)))
 	require.False(t, duty.Holds(at(election.LeaseDuration)))
 }
@@ -95,7 +98,7 @@
 type simulation struct {
 	trueTime time.Duration // actual time, without the offset of any clock
 	record   election.Record
-	revision fleet.Version
+	revision fleet.Revision
 	hosts    []*host
 	delayed  []election.Write // writes that the store will carry out later
 
@@ -108,7 +111,7 @@
 	if write.Expected != s.revision {
 		return false
 	}
-	s.revision++
+	s.revision.Number++
 	s.record = write.Record
 	return true
 }
@@ -132,7 +135,7 @@
 			},
 			"read": func(t *rapid.T) {
 				n := drawHost(t)
-				if sim.revision == 0 {
+				if sim.revision.IsZero() {
 					n.duty.ObserveAbsent(n.now(sim.trueTime))
 					return
 				}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -61,8 +61,8 @@
 // holder and is the fencing token of requests and commands to engines.
 type Epoch uint64
 
-// Version is a revision of the object store, the version of an object in it, or
-// the number of a configuration. Zero means that there is none.
+// Version is the number of a configuration, of a revision of the object store, or of a
+// value in it. Zero means that there is none.
 type Version uint64
 
 // Tokens counts tokens of a prompt or an answer.
--- a/hibiscusfront/internal/control/control.go
+++ b/hibiscusfront/internal/control/control.go
@@ -109,8 +109,8 @@
 
 	// The store's objects as this host knows them.
 	replicas           map[string]*replica.Replica
-	decodedTargets     map[string]decodedTarget // by the name of the object
-	malformedRevisions map[string]fleet.Version // logged revisions of malformed objects, by kind and name
+	decodedTargets     map[string]decodedTarget  // by the name of the object
+	malformedRevisions map[string]fleet.Revision // logged revisions of malformed objects, by kind and name
 	lastStoreAnswer    fleet.Instant
 	storeOutage        bool   // a call to the store failed, and the store has answered none since
 	era                uint64 // of the store, as last logged
@@ -135,7 +135,7 @@
 	lastDutyRead  fleet.Instant // start of the last read
 	vacantSince   fleet.Instant // when this host found the duty vacant; zero if it has not, or cannot plan
 	// vacantRevision is the revision of the duty's object at vacantSince.
-	vacantRevision fleet.Version
+	vacantRevision fleet.Revision
 
 	// Heartbeats.
 	sent             sentHeartbeats
@@ -178,7 +178,7 @@
 	c.runCtx = ctx
 	c.initInbox()
 	c.replicas = make(map[string]*replica.Replica)
-	c.malformedRevisions = make(map[string]fleet.Version)
+	c.malformedRevisions = make(map[string]fleet.Revision)
 	c.packed = make(map[string]packedReply)
 	c.announcements = make(map[fleet.ModelID]weightupdate.Announcements)
 	c.bounds = c.Settings.Bounds
@@ -306,6 +306,6 @@
 		return
 	}
 	c.malformedRevisions[name] = o.Revision
-	c.Log.Warn().Err(err).Str("Object", name).Uint64("Revision", uint64(o.Revision)).
+	c.Log.Warn().Err(err).Str("Object", name).Uint64("Revision", uint64(o.Revision.Number)).
 		Msg("ignored malformed object in the object store")
 }
--- a/hibiscusfront/internal/control/control_test.go
+++ b/hibiscusfront/internal/control/control_test.go
@@ -143,8 +143,11 @@
 	}
 }
 
+// revision returns a revision of the store's first era.
+func revision(number fleet.Version) fleet.Revision { return fleet.Revision{Era: 1, Number: number} }
+
 // newObserver returns the control state of a host that is no standby and knows the record.
-func newObserver(now fleet.Instant, revision fleet.Version, record election.Record) *Control {
+func newObserver(now fleet.Instant, number fleet.Version, record election.Record) *Control {
 	c := &Control{Self: host("z", 0), members: *newMembers(host("z", 0)), table: route.NewTable(route.Config{Number: 1})}
 	for i := range standbyCount {
 		h := host(fleet.HostID(fmt.Sprint("standby", i)), 1)
@@ -157,7 +160,7 @@
 		c.replicas[kind] = new(replica.Replica)
 	}
 	c.duty = election.Duty{Self: "z"}
-	c.duty.Observe(now, revision, record)
+	c.duty.Observe(now, revision(number), record)
 	return c
 }
 
@@ -169,9 +172,9 @@
 	require.False(t, c.isCandidate(at(0)))
 	require.False(t, c.isCandidate(at(nonStandbyDelay-time.Millisecond)))
 	require.True(t, c.isCandidate(at(nonStandbyDelay)))
-	c.duty.Observe(at(nonStandbyDelay), 2, election.Record{Holder: "first", Epoch: 1})
+	c.duty.Observe(at(nonStandbyDelay), revision(2), election.Record{Holder: "first", Epoch: 1})
 	resigned := nonStandbyDelay + handOverDelay
-	c.duty.Observe(at(resigned), 3, election.Record{Epoch: 1})
+	c.duty.Observe(at(resigned), revision(3), election.Record{Epoch: 1})
 	require.False(t, c.isCandidate(at(resigned)), "the standbys have had no time to act")
 	require.False(t, c.isCandidate(at(resigned+nonStandbyDelay-time.Millisecond)))
 	require.True(t, c.isCandidate(at(resigned+nonStandbyDelay)))
@@ -239,12 +242,12 @@
 func TestHostWithoutListNamesAllEntries(t *testing.T) {
 	c := newObserver(at(0), 1, election.Record{Holder: "standby0", Epoch: 7})
 	c.initInbox()
-	c.handleReply(at(0), "10.0.0.1:2", wire.HeartbeatReply{Planning: true, Follows: true, Revision: 1, Duty: c.duty.Record()})
+	c.handleReply(at(0), "10.0.0.1:2", wire.HeartbeatReply{Planning: true, Follows: true, Revision: revision(1), Duty: c.duty.Record()})
 	require.Len(t, c.callerHosts(), standbyCount+1)
 
 	list := []wire.Host{c.Self, c.members.hosts["standby0"]}
 	c.handleReply(at(time.Second), "10.0.0.1:2", wire.HeartbeatReply{
-		Planning: true, Follows: true, Revision: 1, Duty: c.duty.Record(),
+		Planning: true, Follows: true, Revision: revision(1), Duty: c.duty.Record(),
 		Live: &wire.MembershipUpdate{Version: wire.MembershipVersion{Epoch: 7, Number: 1}, Hosts: list},
 	})
 	require.Len(t, c.View().Hosts, len(list), "the first list is not in the published view")
--- a/hibiscusfront/internal/control/duty.go
+++ b/hibiscusfront/internal/control/duty.go
@@ -180,7 +180,7 @@
 // takes effect, because each replaces the same revision; the others return a
 // conflict with its result. A write that creates the object is not hedged.
 func (c *Control) writeDuty(ctx context.Context, w election.Write, peers []wire.Host) (platform.Object, error) {
-	if w.Expected == 0 {
+	if w.Expected.IsZero() {
 		return c.Store.Create(ctx, platform.KindDuties, DutyName, w.Record)
 	}
 	results := make(chan writeResult, 1+len(peers))
@@ -253,8 +253,8 @@
 			c.duty.WriteSucceeded(now, w, conflict.Current.Revision, c.bounds.Lease)
 			break
 		}
-		c.Log.Info().Uint64("Epoch", uint64(w.Record.Epoch)).Uint64("Expected", uint64(w.Expected)).
-			Uint64("Revision", uint64(conflict.Current.Revision)).Uint64("Found", uint64(record.Epoch)).Str("Holder", string(record.Holder)).
+		c.Log.Info().Uint64("Epoch", uint64(w.Record.Epoch)).Uint64("Expected", uint64(w.Expected.Number)).
+			Uint64("Revision", uint64(conflict.Current.Revision.Number)).Uint64("Found", uint64(record.Epoch)).Str("Holder", string(record.Holder)).
 			Msg("the record of the planner's duty was not written: the object store holds another one")
 		c.applyDuty(now, conflict.Current)
 	default:
--- a/hibiscusfront/internal/control/heartbeats.go
+++ b/hibiscusfront/internal/control/heartbeats.go
@@ -33,7 +33,7 @@
 			Duty: c.duty.Record(), Revision: c.duty.Revision(), Planning: c.planning,
 		}
 		reply.Live = c.membershipUpdate(now, heartbeat.Roll)
-		if heartbeat.Revision > 0 {
+		if !heartbeat.Revision.IsZero() {
 			c.duty.Observe(now, heartbeat.Revision, heartbeat.Duty)
 			c.updateTenure(now)
 		}
@@ -87,17 +87,17 @@
 // packedReply is a packed reply to a request for changes. Most hosts ask for changes
 // since the same revision, so it is encoded once for all of them.
 type packedReply struct {
-	since, revision fleet.Version
+	since, revision fleet.Revision
 	all             bool
 	content         []byte
 }
 
 // packChanges packs the changes since a revision, or all objects if the changes are not
 // known.
-func packChanges(r *replica.Replica, since fleet.Version) (packedReply, error) {
+func packChanges(r *replica.Replica, since fleet.Revision) (packedReply, error) {
 	packed := packedReply{since: since, revision: r.Revision()}
 	changes, ok := r.ChangesSince(since)
-	packed.all = !ok || since == 0
+	packed.all = !ok || since.IsZero()
 	var content any = changes
 	if packed.all {
 		content = r.Listing()
@@ -214,7 +214,7 @@
 		// watcherTimeout first, a change could arrive later than allowed.
 		c.lastWatcherReply = min(c.lastWatcherReply, now.Add(-watcherTimeout))
 	}
-	if reply.Revision > 0 {
+	if !reply.Revision.IsZero() {
 		c.duty.Observe(now, reply.Revision, reply.Duty)
 		c.updateTenure(now)
 	}
@@ -260,7 +260,7 @@
 // revision.
 func (c *Control) fetchNewer(from fleet.Address, theirs wire.Revisions) {
 	for name, replica := range c.replicas {
-		if theirs[name] <= replica.Revision() || replica.ThrottleFetch(c.Clock()) {
+		if !theirs[name].After(replica.Revision()) || replica.ThrottleFetch(c.Clock()) {
 			continue
 		}
 		request := wire.ChangesRequest{Kind: name, Since: replica.Revision()}
--- a/hibiscusfront/internal/control/objects.go
+++ b/hibiscusfront/internal/control/objects.go
@@ -37,7 +37,7 @@
 
 // follow keeps the replica of a kind up to date from the store.
 func (c *Control) follow(ctx context.Context, kind string) {
-	since := func() (revision fleet.Version) {
+	since := func() (revision fleet.Revision) {
 		c.enqueueAndWait(ctx, func(fleet.Instant) { revision = c.replicas[kind].Revision() })
 		return revision
 	}
@@ -47,7 +47,7 @@
 		from := since()
 		// A host that starts reads the store at once: it can serve no request
 		// before it has a configuration.
-		needed := from == 0 || c.watching.Load()
+		needed := from.IsZero() || c.watching.Load()
 		if !needed || c.storeOutageShared.Load() && kind != platform.KindConfiguration {
 			// Other hosts send the changes; or calls to the store fail, and
 			// watching one kind is enough to detect when it answers again.
@@ -55,7 +55,7 @@
 			continue
 		}
 		var err error
-		if list || from == 0 {
+		if list || from.IsZero() {
 			err = c.list(ctx, kind)
 		} else {
 			err = c.watch(ctx, kind, from)
@@ -103,7 +103,7 @@
 		c.recordStoreAnswer(now)
 		before := c.replicas[kind].Revision()
 		c.applyListing(now, kind, listing, c.targets.uncertainFor(now))
-		if before > 0 && c.replicas[kind].Revision() > before {
+		if !before.IsZero() && c.replicas[kind].Revision().After(before) {
 			c.broadcastChange(kind)
 		}
 	})
@@ -119,7 +119,7 @@
 }
 
 // watch waits for changes of a kind after the revision.
-func (c *Control) watch(ctx context.Context, kind string, since fleet.Version) error {
+func (c *Control) watch(ctx context.Context, kind string, since fleet.Revision) error {
 	changes, err := c.Store.Watch(ctx, kind, since, c.watchTime(kind))
 	if err != nil {
 		return err
@@ -137,8 +137,9 @@
 // applyListing applies a list from the store or from another host. UncertainFor is that
 // of the host that read it, see targets.apply.
 func (c *Control) applyListing(now fleet.Instant, kind string, listing platform.Listing, uncertainFor time.Duration) {
-	if known := c.replicas[kind].Revision(); listing.Revision < known {
-		c.Log.Warn().Str("Kind", kind).Uint64("Revision", uint64(listing.Revision)).Uint64("Known", uint64(known)).
+	if known := c.replicas[kind].Revision(); known.After(listing.Revision) {
+		c.Log.Warn().Str("Kind", kind).Uint64("Revision", uint64(listing.Revision.Number)).Uint64("Era", listing.Revision.Era).
+			Uint64("Known", uint64(known.Number)).Uint64("KnownEra", known.Era).
 			Msg("ignored a list of objects that is older than what this host knows")
 	}
 	if c.replicas[kind].ApplyListing(listing) {
@@ -204,14 +205,14 @@
 		return
 	}
 	c.table = table
-	c.Log.Info().Uint64("Number", uint64(table.Number)).Uint64("Revision", uint64(o.Revision)).
+	c.Log.Info().Uint64("Number", uint64(table.Number)).Uint64("Revision", uint64(o.Revision.Number)).
 		Int("Routes", len(table.Routes)).Int("Workspaces", len(table.Workspaces)).Msg("configuration in force")
 }
 
 // decodedTarget is the decoded entry of a target as of a revision. Each host decodes an
 // entry once, not at each change of any other.
 type decodedTarget struct {
-	revision fleet.Version
+	revision fleet.Revision
 	target   roster.Target
 	valid    bool
 }
@@ -263,7 +264,7 @@
 		if w.Version > c.announcements[w.Model].Newest() {
 			c.announcements[w.Model] = c.announcements[w.Model].Add(w.Version, now)
 			c.Log.Info().Str("Model", string(w.Model)).Uint64("Version", w.Version).
-				Uint64("Revision", uint64(o.Revision)).Msg("weights announced")
+				Uint64("Revision", uint64(o.Revision.Number)).Msg("weights announced")
 		}
 	})
 }
--- a/hibiscusfront/internal/replica/replica.go
+++ b/hibiscusfront/internal/replica/replica.go
@@ -3,7 +3,9 @@
 //
 // Updates come from the store, by lists and watches, and from other hosts that
 // have read the store. They are ordered by revision alone: an update that is not
-// newer than the replica changes nothing, whatever its source.
+// newer than the replica changes nothing, whatever its source. Revisions are ordered by
+// the store's era first, so that the content of a store that came back from a copy
+// replaces what its earlier revisions said.
 //
 // An empty result of a watch does not show that nothing has changed, since the
 // store may have failed to report a change. Only a list or an event advances the
@@ -21,16 +23,16 @@
 // A Replica holds the objects of one kind. The zero value is empty.
 type Replica struct {
 	objects   map[string]platform.Object
-	revision  fleet.Version
+	revision  fleet.Revision
 	lastFetch fleet.Instant // time of the last fetch from a peer
 
-	changeLog []logEntry    // the latest change of each object that changed, oldest first
-	logStart  fleet.Version // changeLog has all changes after this revision
+	changeLog []logEntry     // the latest change of each object that changed, oldest first
+	logStart  fleet.Revision // changeLog has all changes after this revision
 }
 
 // logEntry is a change and the revision that the replica reached with it.
 type logEntry struct {
-	revision fleet.Version
+	revision fleet.Revision
 	change   platform.Change
 }
 
@@ -55,13 +57,13 @@
 
 // Revision returns the revision up to which the objects are known, or zero if
 // none are.
-func (r *Replica) Revision() fleet.Version { return r.revision }
+func (r *Replica) Revision() fleet.Revision { return r.revision }
 
 // ApplyListing replaces the content by all objects of the kind at a revision. It
 // reports whether an object has changed; the first listing always counts as a
 // change.
 func (r *Replica) ApplyListing(listing platform.Listing) bool {
-	if listing.Revision < r.revision || listing.Revision == r.revision && r.objects != nil {
+	if order := listing.Revision.Compare(r.revision); order < 0 || order == 0 && r.objects != nil {
 		return false
 	}
 	first := r.objects == nil
@@ -80,7 +82,9 @@
 	}
 	if first {
 		r.objects = make(map[string]platform.Object, len(listing.Objects))
-		r.logStart = listing.Revision
+	}
+	if first || listing.Revision.Era != r.revision.Era {
+		r.changeLog, r.logStart = nil, listing.Revision
 	}
 	r.apply(changes)
 	return first || len(changes.Changes) > 0
@@ -93,9 +97,9 @@
 }
 
 // ApplyChanges applies changes of another replica since this replica's revision,
-// and reports whether there were any.
+// and reports whether there were any. Only a listing leads from one era to the next.
 func (r *Replica) ApplyChanges(changes platform.Changes) bool {
-	if changes.Revision <= r.revision || r.objects == nil {
+	if !changes.Revision.After(r.revision) || changes.Revision.Era != r.revision.Era || r.objects == nil {
 		return false
 	}
 	r.apply(changes)
@@ -137,13 +141,13 @@
 
 // ChangesSince returns the changes after a revision. It reports false if the
 // change log does not reach back that far.
-func (r *Replica) ChangesSince(revision fleet.Version) (platform.Changes, bool) {
-	if r.objects == nil || revision < r.logStart {
+func (r *Replica) ChangesSince(revision fleet.Revision) (platform.Changes, bool) {
+	if r.objects == nil || r.logStart.After(revision) {
 		return platform.Changes{}, false
 	}
 	changes := platform.Changes{Revision: r.revision}
 	for _, e := range r.changeLog {
-		if e.revision > revision {
+		if e.revision.After(revision) {
 			changes.Changes = append(changes.Changes, e.change)
 		}
 	}
--- a/hibiscusfront/internal/wire/pack_test.go
+++ b/hibiscusfront/internal/wire/pack_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"hibiscuslb/fleet"
 	"hibiscuslb/hibiscusfront/internal/wire"
 	"hibiscuslb/platform"
 )
@@ -24,14 +25,14 @@
 	}
 	spec, err := json.Marshal(map[string]any{"version": 12, "routes": list})
 	require.NoError(t, err)
-	return platform.Object{Kind: "config", Name: "main", Revision: 40, Spec: spec}
+	return platform.Object{Kind: "config", Name: "main", Revision: fleet.Revision{Era: 2, Number: 40}, Spec: spec}
 }
 
 // Load pattern: a configuration grows to 1,400 routes in a fleet of 300 hosts. The
 // planner sends it to all of them within a second over a link of 200 Mbit/s.
 func TestLargeConfigurationReachesLargeFleetInTime(t *testing.T) {
 	const hosts, linkRate = 300, 200_000_000 / 8
-	changes := platform.Changes{Revision: 40, Changes: []platform.Change{{Object: largeConfiguration(t, 1400)}}}
+	changes := platform.Changes{Revision: fleet.Revision{Era: 2, Number: 40}, Changes: []platform.Change{{Object: largeConfiguration(t, 1400)}}}
 	packed, err := wire.Pack(changes)
 	require.NoError(t, err)
 	require.Less(t, hosts*len(packed), linkRate)
@@ -41,7 +42,7 @@
 }
 
 func TestUnpackRejectsDamagedContent(t *testing.T) {
-	packed, err := wire.Pack(platform.Listing{Revision: 3})
+	packed, err := wire.Pack(platform.Listing{Revision: fleet.Revision{Era: 2, Number: 3}})
 	require.NoError(t, err)
 	var listing platform.Listing
 	require.Error(t, wire.Unpack(packed[:len(packed)/2], &listing))
--- a/hibiscusfront/internal/wire/wire.go
+++ b/hibiscusfront/internal/wire/wire.go
@@ -35,7 +35,7 @@
 
 // Revisions maps each kind of object to the object store's revision up to which a
 // host has its changes.
-type Revisions map[string]fleet.Version
+type Revisions map[string]fleet.Revision
 
 // A Heartbeat carries the state of the sending host.
 type Heartbeat struct {
@@ -44,7 +44,7 @@
 	Follows   bool // the sender watches the object store and reaches it
 	Revisions Revisions
 	Duty      election.Record   // last record of the planner's duty that the sender knows
-	Revision  fleet.Version     // of the object that holds Duty
+	Revision  fleet.Revision    // of the object that holds Duty
 	Roll      MembershipVersion // of the last list of live hosts that the sender received
 }
 
@@ -62,7 +62,7 @@
 	Follows   bool            // the replying host watches the object store and reaches it
 	Followed  bool            // another host that watches the object store and reaches it sends heartbeats to the replying host
 	Duty      election.Record // last record of the planner's duty that the replying host knows
-	Revision  fleet.Version   // of the object that holds Duty
+	Revision  fleet.Revision  // of the object that holds Duty
 	Planning  bool            // the replying host is the planner
 	// Live is set if the replying host is the planner and its list of live hosts is
 	// another than the sender's.
@@ -80,7 +80,7 @@
 // A ChangesRequest asks for the objects of a kind that changed since a revision.
 type ChangesRequest struct {
 	Kind  string
-	Since fleet.Version
+	Since fleet.Revision
 }
 
 // A ChangesReply answers a ChangesRequest: with the changes, or with all
@@ -116,7 +116,7 @@
 // of a host that renews or takes over the duty and whose own call to the object store
 // failed or got no answer in time.
 type RenewRequest struct {
-	Seen   fleet.Version // revision that the write must replace
+	Seen   fleet.Revision // revision that the write must replace
 	Record election.Record
 }
 
