election: keep what a record says of orders through takeovers and restarts

Four ways, one cause: the mark that a holder may have given orders was dropped before the bound had passed. A successor that restarted while it waited took the duty again and ordered at once; a successor that had nothing to order wrote a record without the mark; a holder that no longer wanted to order dropped it with its next renewal, although it might have ordered just before; and a holder that saw its own write in the store before its answer forgot whom it had succeeded.

The mark now stays until the bound has passed since the last possible order, and the write that begins a tenure carries when the last write of its predecessor was observed.

TestRestartedSuccessorWaitsForBoundOfLastOrder failed before.

--- a/fleet/election/election.go
+++ b/fleet/election/election.go
@@ -84,6 +84,8 @@
 	observedAt  fleet.Instant  // when the revision was first observed
 	leaseEnd    fleet.Instant  // of this host's lease; zero if it has none
 	ordersFrom  fleet.Instant  // earliest instant at which this host may give orders
+	ordersUntil fleet.Instant  // when this host's right to give orders ends
+	orderBound  time.Duration  // minimum time between orders of two holders
 	lastRenewal uint64         // Renewal of the last attempted write
 }
 
@@ -92,6 +94,10 @@
 	Record   Record
 	Expected fleet.Revision // revision that the write replaces; zero if there must be none
 	Sent     fleet.Instant
+	orders   bool          // the writer wants to give orders
+	takeover bool          // the write begins a tenure
+	ordered  bool          // an earlier holder may have given orders
+	observed fleet.Instant // when its last write was observed
 }
 
 // Observe records the object as read from the object store. Revisions that are not
@@ -132,7 +138,7 @@
 	if !d.record.Ordering || d.leaseEnd == 0 {
 		return 0, 0
 	}
-	return d.ordersFrom, d.leaseEnd.Add(OrderDuration - LeaseDuration)
+	return d.ordersFrom, d.ordersUntil
 }
 
 // Revision returns the revision of the last observed object.
@@ -151,34 +157,44 @@
 		Holder: d.Self, Address: d.Address, Epoch: d.record.Epoch, Ordering: ordering,
 		Renewal: max(d.record.Renewal, d.lastRenewal) + 1, Quarantine: d.record.Quarantine,
 	}
+	w := Write{Expected: d.revision, Sent: now, orders: ordering}
 	switch {
 	case d.record.Holder == d.Self && d.leaseEnd > 0:
 		// Renew, even if the lease has ended, since no host has taken over.
-		// Ordering is kept until ordersFrom, because the predecessor's orders
-		// restrict a successor of this host, too.
-		record.Ordering = ordering || d.record.Ordering && now < d.ordersFrom
+		// Ordering is kept until the bound has passed since the last possible order of
+		// this host, and until ordersFrom, because the predecessor's orders restrict
+		// a successor of this host, too.
+		record.Ordering = ordering || d.record.Ordering && now < max(d.ordersFrom, d.ordersUntil.Add(d.orderBound+ClockMargin))
 	case d.revision.IsZero() || d.record.Holder == "" || d.record.Holder == d.Self || now.Sub(d.observedAt) >= LeaseDuration+ClockMargin:
 		record.Epoch++
+		w.takeover = true
+		if d.record.Ordering {
+			record.Ordering, w.ordered, w.observed = true, true, d.observedAt
+		}
 	default:
 		return Write{}, false
 	}
 	d.lastRenewal = record.Renewal
-	return Write{Record: record, Expected: d.revision, Sent: now}, true
+	w.Record = record
+	return w, true
 }
 
 // WriteSucceeded records that the object store accepted w as the given revision. Bound
 // is the minimum time between orders of two holders.
 func (d *Duty) WriteSucceeded(now fleet.Instant, w Write, revision fleet.Revision, bound time.Duration) {
-	if w.Record.Epoch != d.record.Epoch {
-		d.ordersFrom = w.Sent
-		if d.record.Ordering && d.record.Holder != d.Self {
+	if w.takeover {
+		d.ordersFrom, d.ordersUntil = w.Sent, 0
+		if w.ordered {
 			// The old holder sent its last order no later than OrderDuration
-			// after its last write, which was sent before observedAt.
-			d.ordersFrom = d.observedAt.Add(OrderDuration + bound + ClockMargin)
+			// after its last write, which was sent before it was observed.
+			d.ordersFrom = w.observed.Add(OrderDuration + bound + ClockMargin)
 		}
 	}
 	d.known, d.revision, d.record, d.observedAt = true, revision, w.Record, now
-	d.leaseEnd = w.Sent.Add(LeaseDuration)
+	d.leaseEnd, d.orderBound = w.Sent.Add(LeaseDuration), bound
+	if w.orders {
+		d.ordersUntil = w.Sent.Add(OrderDuration)
+	}
 }
 
 // ResignWrite returns the write that gives up the duty, and whether this host
--- a/fleet/election/election_test.go
+++ b/fleet/election/election_test.go
@@ -59,6 +59,18 @@
 	}
 }
 
+// A successor that restarts while it waits for the bound of its predecessor's orders must
+// wait for it after the restart, too.
+func TestRestartedSuccessorWaitsForBoundOfLastOrder(t *testing.T) {
+	restarted := election.Duty{Self: "b"}
+	restarted.Observe(at(0), revision(6), election.Record{Holder: "b", Epoch: 4, Ordering: true})
+	write, due := restarted.NextWrite(at(0), true)
+	require.True(t, due, "no other host holds the duty")
+	restarted.WriteSucceeded(at(0), write, revision(7), bound)
+	from, _ := restarted.OrderWindow()
+	require.Equal(t, at(election.OrderDuration+bound+election.ClockMargin), from)
+}
+
 // If the answer to a renewal was lost and its record is observed later, the
 // lease must not be extended beyond that of the last confirmed write.
 func TestObservedRenewalDoesNotExtendLease(t *testing.T) {
@@ -116,6 +128,17 @@
 	return true
 }
 
+// order lets a host send an order, if it may.
+func (s *simulation) order(t *rapid.T, n *host) {
+	if n.suspended || !n.duty.MayOrder(n.now(s.trueTime)) {
+		return
+	}
+	if s.orderedBy != n.duty.Self && s.trueTime-s.lastOrder < bound {
+		t.Fatalf("%s orders %v after %s", n.duty.Self, s.trueTime-s.lastOrder, s.orderedBy)
+	}
+	s.lastOrder, s.orderedBy = s.trueTime, n.duty.Self
+}
+
 // TestOneHolderAtATime generates suspensions, restarts, lost answers and delayed
 // writes, and checks after every step that no two hosts hold the duty and that
 // orders of two holders are at least the bound apart.
@@ -180,15 +203,22 @@
 				n := drawHost(t)
 				*n = host{duty: election.Duty{Self: n.duty.Self}, offset: n.offset}
 			},
-			"order": func(t *rapid.T) {
-				n := drawHost(t)
-				if n.suspended || !n.duty.MayOrder(n.now(sim.trueTime)) {
-					return
-				}
-				if sim.orderedBy != n.duty.Self && sim.trueTime-sim.lastOrder < bound {
-					t.Fatalf("%s orders %v after %s", n.duty.Self, sim.trueTime-sim.lastOrder, sim.orderedBy)
+			"order": func(t *rapid.T) { sim.order(t, drawHost(t)) },
+			// Without failures, the duty is taken and orders are sent.
+			"round": func(t *rapid.T) {
+				sim.trueTime += time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond
+				for range rapid.IntRange(1, 3).Draw(t, "hosts") {
+					n := drawHost(t)
+					if n.suspended {
+						continue
+					}
+					n.duty.Observe(n.now(sim.trueTime), sim.revision, sim.record)
+					write, due := n.duty.NextWrite(n.now(sim.trueTime), true)
+					if due && sim.put(write) {
+						n.duty.WriteSucceeded(n.now(sim.trueTime), write, sim.revision, bound)
+					}
+					sim.order(t, n)
 				}
-				sim.lastOrder, sim.orderedBy = sim.trueTime, n.duty.Self
 			},
 			"": func(t *rapid.T) {
 				holders := 0
