election: a record from a copy neither names the holder nor shows a vacancy

After the store came back from a copy, no host could hold the planner's duty if the copy had no record of it (each renewal got 404), and with an earlier record a host could take the duty beside a holder that the copy does not know: the record of the copy may say vacant, or name a host that resigned since. Epochs of lost records were given out again, and engines see an epoch as that of one holder.

The record has the era for which it was written. If that is not the store's, only a host whose lease has not ended writes at once. All others wait until a lease of which they do not know would have ended, and then until the bound of its orders; their epoch is above all epochs of earlier eras (era x 10^9 + n). A record of the copy does not replace a newer one, so hosts still know the planner meanwhile. A 404 counts as absence in its era. A write that succeeds in another era than its condition was read in has an unknown outcome. Numbers of grants come from a hash of the epoch now, as epochs no longer fit.

TestDutyIsHeldAfterStoreIsRestored failed before in its case without a record. The epoch in TestStateChangesAreLogged and ExampleDuty follows.

--- a/fleet/election/election.go
+++ b/fleet/election/election.go
@@ -23,6 +23,13 @@
 // before its first order. The successor of a holder that was ordering waits
 // for the bound to pass; the successor of one that was not may order at once.
 //
+// The object store may come back from a copy, in a new era. The record that it then holds
+// was written in an earlier era, and later ones may be lost: it says neither who held the
+// duty last nor that it is vacant. A host whose own lease has not ended renews it; all
+// others wait until a lease of which they do not know would have ended, counted from when
+// they observed the era. Epochs of a later era are higher than those of all earlier ones,
+// as engines must not see an epoch of two holders.
+//
 // The package is used by hibiscusfront; hibiscusd uses packages duty and lease.
 //
 // The technique is that of Gray and Cheriton, "Leases: an efficient
@@ -30,6 +37,7 @@
 package election
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -53,6 +61,11 @@
 	// ClockMargin covers the drift between two clocks, and the time from the
 	// holder's last reading of its clock to the sending of its message.
 	ClockMargin = 300 * time.Millisecond
+	// epochsPerEra is the number of epochs of an era of the object store. The epochs of
+	// era 2 begin after 2,000,000,000.
+	epochsPerEra fleet.Epoch = 1_000_000_000
+	// firstEra is that of an object store that has never come back from a copy.
+	firstEra = 1
 )
 
 // A Record is the content of the duty's object.
@@ -62,6 +75,7 @@
 	Epoch    fleet.Epoch
 	Renewal  uint64 // grows with each attempted write, so that no two records are equal
 	Ordering bool   // the holder may have given orders to targets
+	Era      uint64 // of the object store for which the record was written
 	// Quarantine is what the holder passes on to all hosts and to its successor. A
 	// holder that has nothing of its own to pass on keeps what it found.
 	Quarantine quarantine.List `json:",omitempty"`
@@ -70,7 +84,12 @@
 // Equal reports whether two records are equal.
 func (r Record) Equal(other Record) bool {
 	return r.Holder == other.Holder && r.Address == other.Address && r.Epoch == other.Epoch && r.Renewal == other.Renewal &&
-		r.Ordering == other.Ordering && slices.Equal(r.Quarantine, other.Quarantine)
+		r.Ordering == other.Ordering && r.Era == other.Era && slices.Equal(r.Quarantine, other.Quarantine)
+}
+
+// newer reports whether the record is of a later tenure or renewal than other.
+func (r Record) newer(other Record) bool {
+	return cmp.Or(cmp.Compare(r.Epoch, other.Epoch), cmp.Compare(r.Renewal, other.Renewal)) > 0
 }
 
 // A Duty is one host's view of the duty. The zero value has not read the object store.
@@ -79,7 +98,8 @@
 	Address fleet.Address
 
 	record      Record
-	revision    fleet.Revision // of the last observed object; zero if there is none
+	revision    fleet.Revision // of the last observed object; its Number is zero if there is none
+	restored    bool           // the object is from a copy, and the duty may be held by a host that it does not name
 	known       bool           // whether the object store has been read at all
 	observedAt  fleet.Instant  // when the revision was first observed
 	leaseEnd    fleet.Instant  // of this host's lease; zero if it has none
@@ -92,7 +112,7 @@
 // A Write is a compare-and-swap of the duty's object.
 type Write struct {
 	Record   Record
-	Expected fleet.Revision // revision that the write replaces; zero if there must be none
+	Expected fleet.Revision // revision that the write replaces; its Number is zero if there must be none
 	Sent     fleet.Instant
 	orders   bool          // the writer wants to give orders
 	takeover bool          // the write begins a tenure
@@ -101,22 +121,30 @@
 }
 
 // Observe records the object as read from the object store. Revisions that are not
-// newer than the last observed one are ignored.
+// newer than the last observed one are ignored. A record from a copy does not replace a
+// newer one that this host knows.
 func (d *Duty) Observe(now fleet.Instant, revision fleet.Revision, record Record) {
 	if d.known && !revision.After(d.revision) {
 		return
 	}
-	d.known, d.revision, d.record, d.observedAt = true, revision, record, now
-	if record.Holder != d.Self {
-		d.leaseEnd = 0
+	d.restored = record.Era != revision.Era
+	if !d.restored || record.newer(d.record) {
+		d.record = record
+		if record.Holder != d.Self {
+			d.leaseEnd = 0
+		}
 	}
+	d.known, d.revision, d.observedAt = true, revision, now
 }
 
-// ObserveAbsent records that the object store has no object for the duty.
-func (d *Duty) ObserveAbsent(now fleet.Instant) {
-	if !d.known {
-		d.known, d.observedAt = true, now
+// ObserveAbsent records that the object store has no object for the duty in the era.
+func (d *Duty) ObserveAbsent(now fleet.Instant, era uint64) {
+	if d.known && era <= d.revision.Era {
+		return
 	}
+	// In a later era than the first, the object may be missing in the copy.
+	d.restored = d.known || era > firstEra
+	d.known, d.revision, d.observedAt = true, fleet.Revision{Era: era}, now
 }
 
 // Holds reports whether this host holds the duty at the given instant. Callers
@@ -155,33 +183,45 @@
 	}
 	record := Record{
 		Holder: d.Self, Address: d.Address, Epoch: d.record.Epoch, Ordering: ordering,
-		Renewal: max(d.record.Renewal, d.lastRenewal) + 1, Quarantine: d.record.Quarantine,
+		Renewal: max(d.record.Renewal, d.lastRenewal) + 1, Era: d.revision.Era, Quarantine: d.record.Quarantine,
 	}
 	w := Write{Expected: d.revision, Sent: now, orders: ordering}
+	waited := now.Sub(d.observedAt) >= LeaseDuration+ClockMargin
 	switch {
+	case d.restored && !d.Holds(now) && !waited:
+		return Write{}, false
+	case d.restored && !d.Holds(now):
+		w.takeover, w.ordered = true, true
 	case d.record.Holder == d.Self && d.leaseEnd > 0:
 		// Renew, even if the lease has ended, since no host has taken over.
 		// Ordering is kept until the bound has passed since the last possible order of
 		// this host, and until ordersFrom, because the predecessor's orders restrict
 		// a successor of this host, too.
 		record.Ordering = ordering || d.record.Ordering && now < max(d.ordersFrom, d.ordersUntil.Add(d.orderBound+ClockMargin))
-	case d.revision.IsZero() || d.record.Holder == "" || d.record.Holder == d.Self || now.Sub(d.observedAt) >= LeaseDuration+ClockMargin:
-		record.Epoch++
-		w.takeover = true
-		if d.record.Ordering {
-			record.Ordering, w.ordered, w.observed = true, true, d.observedAt
-		}
+	case d.revision.Number == 0 || d.record.Holder == "" || d.record.Holder == d.Self || waited:
+		w.takeover, w.ordered = true, d.record.Ordering
 	default:
 		return Write{}, false
 	}
+	if w.takeover {
+		record.Epoch, record.Ordering, w.observed = d.nextEpoch(), ordering || w.ordered, d.observedAt
+	}
 	d.lastRenewal = record.Renewal
 	w.Record = record
 	return w, true
 }
 
+// nextEpoch returns the epoch of the next tenure.
+func (d *Duty) nextEpoch() fleet.Epoch {
+	return max(d.record.Epoch, fleet.Epoch(d.revision.Era)*epochsPerEra) + 1
+}
+
 // WriteSucceeded records that the object store accepted w as the given revision. Bound
 // is the minimum time between orders of two holders.
 func (d *Duty) WriteSucceeded(now fleet.Instant, w Write, revision fleet.Revision, bound time.Duration) {
+	if d.revision.After(revision) {
+		return // superseded, or the object store has come back from a copy since
+	}
 	if w.takeover {
 		d.ordersFrom, d.ordersUntil = w.Sent, 0
 		if w.ordered {
@@ -190,7 +230,7 @@
 			d.ordersFrom = w.observed.Add(OrderDuration + bound + ClockMargin)
 		}
 	}
-	d.known, d.revision, d.record, d.observedAt = true, revision, w.Record, now
+	d.known, d.revision, d.restored, d.record, d.observedAt = true, revision, false, w.Record, now
 	d.leaseEnd, d.orderBound = w.Sent.Add(LeaseDuration), bound
 	if w.orders {
 		d.ordersUntil = w.Sent.Add(OrderDuration)
@@ -204,7 +244,7 @@
 		return Write{}, false
 	}
 	return Write{
-		Record:   Record{Epoch: d.record.Epoch, Renewal: d.record.Renewal + 1, Ordering: d.record.Ordering, Quarantine: d.record.Quarantine},
+		Record:   Record{Epoch: d.record.Epoch, Renewal: d.record.Renewal + 1, Ordering: d.record.Ordering, Era: d.revision.Era, Quarantine: d.record.Quarantine},
 		Expected: d.revision, Sent: now,
 	}, true
 }
--- a/fleet/election/election_test.go
+++ b/fleet/election/election_test.go
@@ -17,18 +17,18 @@
 
 func ExampleDuty() {
 	duty := election.Duty{Self: "host-1", Address: "10.0.0.1:7260"}
-	duty.ObserveAbsent(0) // the store has no object yet
+	duty.ObserveAbsent(0, 1) // the store has no object yet
 	write, due := duty.NextWrite(0, false)
 	fmt.Println(due, write.Record.Epoch)
 	duty.WriteSucceeded(fleet.Instant(4*time.Millisecond), write, fleet.Revision{Era: 1, Number: 17}, bound)
 	fmt.Println(duty.Holds(fleet.Instant(time.Second)), duty.Holds(fleet.Instant(2*time.Second)))
 	// Output:
-	// true 1
+	// true 1000000001
 	// true false
 }
 
-// revision returns a revision of the store's first era.
-func revision(number fleet.Version) fleet.Revision { return fleet.Revision{Era: 1, Number: number} }
+// revision returns a revision of a store that has never come back from a copy.
+func revision(number fleet.Version) fleet.Revision { return fleet.Revision{Number: number} }
 
 func at(d time.Duration) fleet.Instant { return fleet.Instant(d) }
 
@@ -75,7 +75,7 @@
 // lease must not be extended beyond that of the last confirmed write.
 func TestObservedRenewalDoesNotExtendLease(t *testing.T) {
 	duty := election.Duty{Self: "a"}
-	duty.ObserveAbsent(at(0))
+	duty.ObserveAbsent(at(0), 0)
 	first, _ := duty.NextWrite(at(0), false)
 	duty.WriteSucceeded(at(0), first, revision(1), bound)
 	lost, _ := duty.NextWrite(at(400*time.Millisecond), false)
@@ -89,7 +89,7 @@
 // holder must not measure it from the later arrival of the store's answer.
 func TestLeaseStartsWhenItsWriteIsSent(t *testing.T) {
 	duty := election.Duty{Self: "a"}
-	duty.ObserveAbsent(at(0))
+	duty.ObserveAbsent(at(0), 0)
 	write, _ := duty.NextWrite(at(0), false)
 	duty.WriteSucceeded(at(time.Second), write, revision(1), bound)
 	require.True(t, duty.Holds(at(election.LeaseDuration-1)))
@@ -114,20 +114,51 @@
 	hosts    []*host
 	delayed  []election.Write // writes that the store will carry out later
 
-	lastOrder time.Duration
-	orderedBy fleet.HostID
+	history  []object // earlier contents
+	restores int      // since the start
+
+	lastOrder   time.Duration
+	orderedBy   fleet.HostID
+	ordersEpoch fleet.Epoch
+}
+
+// object is the content of the object store; its revision's Number is zero if it is empty.
+type object struct {
+	record   election.Record
+	revision fleet.Revision
 }
 
-// put applies a write if it expects the current revision.
+// put applies a write if it expects the number of the current revision, of whichever era.
 func (s *simulation) put(write election.Write) bool {
-	if write.Expected != s.revision {
+	if write.Expected.Number != s.revision.Number {
 		return false
 	}
+	s.history = append(s.history, object{s.record, s.revision})
 	s.revision.Number++
 	s.record = write.Record
 	return true
 }
 
+// restore brings back one of the last contents, in a new era. With each of the lost writes
+// the number of the revision is given out again.
+func (s *simulation) restore(lost int) {
+	if lost == 0 || lost > len(s.history) {
+		return
+	}
+	copied := s.history[len(s.history)-lost]
+	s.history = s.history[:len(s.history)-lost]
+	s.record, s.revision = copied.record, fleet.Revision{Era: s.revision.Era + 1, Number: copied.revision.Number}
+}
+
+// read lets a host read the object.
+func (s *simulation) read(n *host) {
+	if s.revision.Number == 0 {
+		n.duty.ObserveAbsent(n.now(s.trueTime), s.revision.Era)
+		return
+	}
+	n.duty.Observe(n.now(s.trueTime), s.revision, s.record)
+}
+
 // order lets a host send an order, if it may.
 func (s *simulation) order(t *rapid.T, n *host) {
 	if n.suspended || !n.duty.MayOrder(n.now(s.trueTime)) {
@@ -136,15 +167,20 @@
 	if s.orderedBy != n.duty.Self && s.trueTime-s.lastOrder < bound {
 		t.Fatalf("%s orders %v after %s", n.duty.Self, s.trueTime-s.lastOrder, s.orderedBy)
 	}
-	s.lastOrder, s.orderedBy = s.trueTime, n.duty.Self
+	epoch := n.duty.Record().Epoch
+	if epoch < s.ordersEpoch || epoch == s.ordersEpoch && s.orderedBy != n.duty.Self {
+		t.Fatalf("%s orders with epoch %d after %s with epoch %d", n.duty.Self, epoch, s.orderedBy, s.ordersEpoch)
+	}
+	s.lastOrder, s.orderedBy, s.ordersEpoch = s.trueTime, n.duty.Self, epoch
 }
 
-// TestOneHolderAtATime generates suspensions, restarts, lost answers and delayed
-// writes, and checks after every step that no two hosts hold the duty and that
-// orders of two holders are at least the bound apart.
+// TestOneHolderAtATime generates suspensions, restarts, lost answers, delayed writes and
+// restores of the object store from a copy, and checks after every step that no two hosts
+// hold the duty, that orders of two holders are at least the bound apart, and that their
+// epochs differ and grow.
 func TestOneHolderAtATime(t *testing.T) {
 	proptest.Check(t, 300, 200, func(t *rapid.T) {
-		sim := &simulation{lastOrder: -time.Hour}
+		sim := &simulation{lastOrder: -time.Hour, revision: fleet.Revision{Era: 1}}
 		for i := range 3 {
 			sim.hosts = append(sim.hosts, &host{
 				duty:   election.Duty{Self: fleet.HostID(fmt.Sprint(i))},
@@ -157,13 +193,9 @@
 				sim.trueTime += time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond
 			},
 			"read": func(t *rapid.T) {
-				n := drawHost(t)
-				if sim.revision.IsZero() {
-					n.duty.ObserveAbsent(n.now(sim.trueTime))
-					return
-				}
-				n.duty.Observe(n.now(sim.trueTime), sim.revision, sim.record)
+				sim.read(drawHost(t))
 			},
+			"restore": func(t *rapid.T) { sim.restore(rapid.IntRange(0, 6).Draw(t, "lost")) },
 			"write": func(t *rapid.T) {
 				n := drawHost(t)
 				write, due := n.duty.NextWrite(n.now(sim.trueTime), rapid.Bool().Draw(t, "ordering"))
@@ -177,11 +209,13 @@
 				case 2: // applied, but the answer is lost
 					sim.put(write)
 				default:
-					if sim.put(write) {
+					if applied := sim.put(write); applied && write.Expected.Era != sim.revision.Era {
+						return // the outcome is unknown to the host
+					} else if applied {
 						revision := sim.revision
 						n.answers = append(n.answers, func() { n.duty.WriteSucceeded(n.now(sim.trueTime), write, revision, bound) })
 					} else {
-						n.duty.Observe(n.now(sim.trueTime), sim.revision, sim.record)
+						sim.read(n)
 					}
 				}
 			},
@@ -212,9 +246,9 @@
 					if n.suspended {
 						continue
 					}
-					n.duty.Observe(n.now(sim.trueTime), sim.revision, sim.record)
+					sim.read(n)
 					write, due := n.duty.NextWrite(n.now(sim.trueTime), true)
-					if due && sim.put(write) {
+					if due && write.Expected.Era == sim.revision.Era && sim.put(write) {
 						n.duty.WriteSucceeded(n.now(sim.trueTime), write, sim.revision, bound)
 					}
 					sim.order(t, n)
--- a/hibiscusfront/internal/control/control_test.go
+++ b/hibiscusfront/internal/control/control_test.go
@@ -143,8 +143,8 @@
 	}
 }
 
-// revision returns a revision of the store's first era.
-func revision(number fleet.Version) fleet.Revision { return fleet.Revision{Era: 1, Number: number} }
+// revision returns a revision of a store that has never come back from a copy.
+func revision(number fleet.Version) fleet.Revision { return fleet.Revision{Number: number} }
 
 // newObserver returns the control state of a host that is no standby and knows the record.
 func newObserver(now fleet.Instant, number fleet.Version, record election.Record) *Control {
--- a/hibiscusfront/internal/control/duty.go
+++ b/hibiscusfront/internal/control/duty.go
@@ -56,8 +56,7 @@
 			switch {
 			case err == nil:
 				c.applyDuty(now, o)
-			case isNotFound(err):
-				c.duty.ObserveAbsent(now)
+			case c.recordAbsent(now, err):
 			default:
 				c.recordStoreFailure(now, platform.KindDuties, err)
 			}
@@ -180,8 +179,8 @@
 // takes effect, because each replaces the same revision; the others return a
 // conflict with its result. A write that creates the object is not hedged.
 func (c *Control) writeDuty(ctx context.Context, w election.Write, peers []wire.Host) (platform.Object, error) {
-	if w.Expected.IsZero() {
-		return c.Store.Create(ctx, platform.KindDuties, DutyName, w.Record)
+	if w.Expected.Number == 0 {
+		return c.Store.CreateInEra(ctx, platform.KindDuties, DutyName, w.Expected.Era, w.Record)
 	}
 	results := make(chan writeResult, 1+len(peers))
 	c.tasks.Go(ctx, func(ctx context.Context) {
@@ -247,7 +246,7 @@
 		c.duty.WriteSucceeded(now, w, o.Revision, c.bounds.Lease)
 	case errors.As(err, &conflict):
 		var record election.Record
-		if platform.DecodeSpec(conflict.Current, &record) == nil && record.Equal(w.Record) {
+		if platform.DecodeSpec(conflict.Current, &record) == nil && record.Equal(w.Record) && conflict.Current.Revision.Era == w.Expected.Era {
 			// The conflicting object is the result of this write: it took
 			// effect, but its answer was lost.
 			c.duty.WriteSucceeded(now, w, conflict.Current.Revision, c.bounds.Lease)
@@ -257,6 +256,7 @@
 			Uint64("Revision", uint64(conflict.Current.Revision.Number)).Uint64("Found", uint64(record.Epoch)).Str("Holder", string(record.Holder)).
 			Msg("the record of the planner's duty was not written: the object store holds another one")
 		c.applyDuty(now, conflict.Current)
+	case c.recordAbsent(now, err):
 	default:
 		c.Log.Warn().Err(err).Uint64("Epoch", uint64(w.Record.Epoch)).Msg("could not write the record of the planner's duty")
 	}
@@ -360,7 +360,13 @@
 	})
 }
 
-func isNotFound(err error) bool {
+// recordAbsent records that the store has no record of the duty, if that is what the error
+// of a call says, and reports whether it is.
+func (c *Control) recordAbsent(now fleet.Instant, err error) bool {
 	var missing *platform.NotFoundError
-	return errors.As(err, &missing)
+	if !errors.As(err, &missing) {
+		return false
+	}
+	c.duty.ObserveAbsent(now, missing.Era)
+	return true
 }
--- a/hibiscusfront/internal/control/start_test.go
+++ b/hibiscusfront/internal/control/start_test.go
@@ -130,7 +130,7 @@
 
 	store.Put("servers", "i-1", map[string]any{"service": "s", "address": "10.0.0.1:80", "zone": "z", "slots": 4, "state": "ready"})
 	lines.Require(t, "target added or changed", testlog.Line{"Target": "i-1", "Service": "s", "Address": "10.0.0.1:80", "Leaving": false, "ColdFor": 0})
-	lines.Require(t, "tenure changed", testlog.Line{"Planning": true, "Epoch": 1, "Holder": "h"})
+	lines.Require(t, "tenure changed", testlog.Line{"Planning": true, "Epoch": 1_000_000_001, "Holder": "h"})
 	store.Put("servers", "i-2", map[string]any{"service": 7})
 	lines.Require(t, "ignored malformed object in the object store", testlog.Line{"Object": "servers/i-2", "Revision": nil, "error": nil})
 	store.Remove("servers", "i-1")
--- a/hibiscusfront/internal/planner/deputy.go
+++ b/hibiscusfront/internal/planner/deputy.go
@@ -36,11 +36,18 @@
 	p.syncWatchers(p.runCtx, now)
 }
 
+// deputyBit is the top bit of the numbers of grants that a host makes as a deputy, so
+// that they differ from those of planners.
+const deputyBit = 1 << 63
+
 // firstDeputyNumber returns the number below all grants that the host makes as a
-// deputy. Its top bit is set, so these numbers differ from those of planners,
-// which derive from an epoch. Hosts get different ranges of numbers unless their
-// hashes collide.
+// deputy. Hosts get different ranges of numbers unless their hashes collide.
 func firstDeputyNumber(host fleet.HostID) plan.GrantNumber {
-	const deputyBit, grantsPerDeputy = 1 << 63, 1 << 40
-	return plan.GrantNumber(deputyBit | xxhash.Sum64String(string(host))%(deputyBit/grantsPerDeputy)*grantsPerDeputy)
+	return deputyBit | firstNumber(xxhash.Sum64String(string(host)))
+}
+
+// firstNumber returns the number below a range of grants' numbers, for a hash.
+func firstNumber(hash uint64) plan.GrantNumber {
+	const rangeSize = 1 << 40
+	return plan.GrantNumber(hash % (deputyBit / rangeSize) * rangeSize)
 }
--- a/hibiscusfront/internal/planner/planner.go
+++ b/hibiscusfront/internal/planner/planner.go
@@ -11,10 +11,12 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"slices"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"hibiscuslb/fleet"
@@ -169,11 +171,13 @@
 	})
 }
 
-// firstGrantNumber returns the number below all grants of an epoch. The grants of
-// two planners have different numbers because their epochs differ.
+// firstGrantNumber returns the number below all grants of an epoch. The grants of two
+// planners have different numbers unless the hashes of their epochs collide; hosts report
+// on a grant to the host that made it.
 func firstGrantNumber(epoch fleet.Epoch) plan.GrantNumber {
-	const grantsPerEpoch = 1 << 40
-	return plan.GrantNumber(epoch) * grantsPerEpoch
+	var key [8]byte
+	binary.BigEndian.PutUint64(key[:], uint64(epoch))
+	return firstNumber(xxhash.Sum64(key[:]))
 }
 
 // stop ends planning, as the planner or as a deputy: it cancels all watchers and
