control: pause between watches that fail at once

The first 410 after a watch that succeeded is followed by a list at once, as before; further ones by the pause of failed calls.

TestWatchesThatAlwaysFailArePaced failed before (2,938 watches, 100 allowed).

--- a/hibiscusfront/internal/control/objects.go
+++ b/hibiscusfront/internal/control/objects.go
@@ -41,7 +41,7 @@
 		c.enqueueAndWait(ctx, func(fleet.Instant) { revision = c.replicas[kind].Revision() })
 		return revision
 	}
-	list := true
+	list, watched := true, true // watched: a watch has succeeded since the last one that did not
 	pause := minRetryPause
 	for ctx.Err() == nil {
 		from := since()
@@ -55,25 +55,31 @@
 			continue
 		}
 		var err error
-		if list || from.IsZero() {
+		listed := list || from.IsZero()
+		if listed {
 			err = c.list(ctx, kind)
 		} else {
 			err = c.watch(ctx, kind, from)
 		}
 		// A watch that failed may have missed changes, so list next.
 		list = err != nil
-		if err == nil {
-			pause = minRetryPause
-			continue
-		}
 		var gone *platform.CompactedError
-		if errors.As(err, &gone) {
+		switch {
+		case err == nil && listed:
+			continue
+		case err == nil:
+			pause, watched = minRetryPause, true
+			continue
+		case errors.As(err, &gone) && watched:
+			watched = false
 			continue
 		}
 		if ctx.Err() != nil {
 			return
 		}
-		c.enqueue(ctx, func(now fleet.Instant) { c.recordStoreFailure(now, kind, err) })
+		if gone == nil {
+			c.enqueue(ctx, func(now fleet.Instant) { c.recordStoreFailure(now, kind, err) })
+		}
 		if !task.Sleep(ctx, pause) {
 			return
 		}
--- a/hibiscusfront/internal/control/restore_test.go
+++ b/hibiscusfront/internal/control/restore_test.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -81,6 +83,24 @@
 	require.Less(t, calls, int64(2*3*2*len(replicatedKinds)))
 }
 
+// Load pattern: a store that has dropped its history up to the revision of its own lists, so
+// that each watch is answered at once.
+func TestWatchesThatAlwaysFailArePaced(t *testing.T) {
+	var calls atomic.Int64
+	lists := newConfiguredStore()
+	store := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Has("watch") {
+			calls.Add(1)
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		lists.ServeHTTP(w, r)
+	})
+	startControl(t, store)
+	time.Sleep(2 * time.Second)
+	require.Less(t, calls.Load(), int64(2*int(time.Second/minRetryPause)*len(replicatedKinds)))
+}
+
 // A restored store holds an earlier record of the planner's duty, or none. The duty must
 // not stay vacant because of that, nor have two holders.
 func TestDutyIsHeldAfterStoreIsRestored(t *testing.T) {
--- a/hibiscusfront/internal/control/start_test.go
+++ b/hibiscusfront/internal/control/start_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -20,7 +21,7 @@
 
 // startControl runs the control state of a host that has no contact with other
 // hosts. Configure is called before it runs.
-func startControl(t *testing.T, store *fakeplatform.Store, configure ...func(*Control)) (*Control, *testlog.Lines) {
+func startControl(t *testing.T, store http.Handler, configure ...func(*Control)) (*Control, *testlog.Lines) {
 	t.Helper()
 	lines := new(testlog.Lines)
 	server := httptest.NewServer(store)
