control: a copy of the store does not undo what is known of leaving targets

A target that left after the copy was made has an entry again in the restored store, and one that was leaving counts as ready there: requests would reach engines that hosts know to be leaving or gone (DRAIN), until their entries lapse. The other way round, entries that the copy lacks were dropped at once unless a call to the store had failed before, although live engines write them again within two seconds.

When the era rises, each host notes the targets that leave or have left, with the life and the number of the last revision of their entries. An entry of the same life whose number is no higher is that of the copy and is corrected, for 30 s, in which the store removes it; one that was written since counts. Entries that are missing are kept for 1.9 s, as after an outage. What remains: a target that wrote its entry again under a number up to the last known one, after it was taken for gone, is left out until it changes or 30 s have passed.

TestCopyOfStoreDoesNotUndoWhatIsKnownOfTargets fails with either half taken out, as does TestEntryThatIsNotWrittenAgainAfterRestoreIsDropped without the grace.

--- a/hibiscusfront/internal/control/objects.go
+++ b/hibiscusfront/internal/control/objects.go
@@ -226,6 +226,7 @@
 // applyTargets applies the targets' entries.
 func (c *Control) applyTargets(now fleet.Instant, uncertainFor time.Duration) {
 	entries := make(map[fleet.TargetID]roster.Target)
+	revisions := make(map[fleet.TargetID]fleet.Revision)
 	decoded := make(map[string]decodedTarget)
 	c.replicas[platform.KindTargets].ForEach(func(o platform.Object) {
 		d, ok := c.decodedTargets[o.Name]
@@ -238,10 +239,12 @@
 		}
 		decoded[o.Name] = d
 		if d.valid {
-			entries[d.target.ID] = d.target
+			entries[d.target.ID], revisions[d.target.ID] = d.target, d.revision
 		}
 	})
 	c.decodedTargets = decoded
+	c.targets.enterEra(now, c.replicas[platform.KindTargets].Revision().Era)
+	c.targets.correct(entries, revisions)
 	c.targets.apply(now, entries, uncertainFor, c.Log)
 }
 
--- a/hibiscusfront/internal/control/restore_test.go
+++ b/hibiscusfront/internal/control/restore_test.go
@@ -6,9 +6,11 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/roster"
 	"hibiscuslb/standin/fakeplatform"
 )
 
@@ -132,3 +134,72 @@
 		})
 	}
 }
+
+// copied is the entry of a target in a store, with the number of its revision.
+type copied struct {
+	target roster.Target
+	number fleet.Version
+}
+
+// applyCopied applies entries as read in an era.
+func applyCopied(t *targets, now fleet.Instant, era uint64, entries ...copied) {
+	listed := make(map[fleet.TargetID]roster.Target)
+	revisions := make(map[fleet.TargetID]fleet.Revision)
+	for _, e := range entries {
+		listed[e.target.ID], revisions[e.target.ID] = e.target, fleet.Revision{Era: era, Number: e.number}
+	}
+	t.enterEra(now, era)
+	t.correct(listed, revisions)
+	t.apply(now, listed, t.uncertainFor(now), zerolog.Nop())
+}
+
+// Load pattern: targets leave, start and start again, and then the store comes back from a
+// copy that knows nothing of it.
+func TestCopyOfStoreDoesNotUndoWhatIsKnownOfTargets(t *testing.T) {
+	born := time.UnixMilli(1_700_000_000_000)
+	entry := func(id fleet.TargetID, state string, start time.Time, number fleet.Version) copied {
+		return copied{roster.Target{ID: id, StartTime: start, Leaving: state == "draining"}, number}
+	}
+	var known targets
+	applyCopied(&known, at(0), 1, entry("stays", "ready", born, 10), entry("leaving", "ready", born, 11), entry("left", "ready", born, 12), entry("again", "ready", born, 13))
+	applyCopied(&known, at(time.Second), 1, entry("stays", "ready", born, 10), entry("leaving", "draining", born, 20), entry("new", "ready", born, 21), entry("again", "ready", born, 13))
+	applyCopied(&known, at(2*time.Second), 1, entry("stays", "ready", born, 10), entry("leaving", "draining", born, 20), entry("new", "ready", born, 21))
+
+	states := func() map[fleet.TargetID]bool {
+		result := make(map[fleet.TargetID]bool)
+		for _, target := range known.list() {
+			result[target.ID] = target.Leaving
+		}
+		return result
+	}
+	// The copy is of the first instant.
+	copies := []copied{entry("stays", "ready", born, 10), entry("leaving", "ready", born, 11), entry("left", "ready", born, 12), entry("again", "ready", born, 13)}
+	applyCopied(&known, at(3*time.Second), 2, copies...)
+	require.Equal(t, map[fleet.TargetID]bool{"stays": false, "leaving": true, "new": false}, states(),
+		"a target that left does not come back, one that leaves still does, and one that the copy lacks may be written again")
+	require.True(t, known.removedIDs()["left"])
+
+	// Targets write their entries again; one has started again under its ID.
+	copies[3] = entry("again", "ready", born.Add(time.Minute), 15)
+	applyCopied(&known, at(4*time.Second), 2, append(copies, entry("new", "ready", born, 14))...)
+	require.Equal(t, map[fleet.TargetID]bool{"stays": false, "leaving": true, "new": false, "again": false}, states())
+	known.expire(at(3*time.Second + vanishedGrace))
+	require.Equal(t, map[fleet.TargetID]bool{"stays": false, "leaving": true, "new": false, "again": false}, states())
+
+	// A later change in the new era is what the target says now.
+	copies[2] = entry("left", "ready", born, 22)
+	applyCopied(&known, at(5*time.Second), 2, append(copies, entry("new", "ready", born, 14))...)
+	require.Contains(t, states(), fleet.TargetID("left"))
+}
+
+// An entry that the copy lacks, and that its target does not write again, is that of a target
+// that is gone.
+func TestEntryThatIsNotWrittenAgainAfterRestoreIsDropped(t *testing.T) {
+	var known targets
+	target := roster.Target{ID: "lost", StartTime: time.UnixMilli(1)}
+	applyCopied(&known, at(0), 1, copied{target, 10})
+	applyCopied(&known, at(time.Second), 2)
+	require.Equal(t, []fleet.TargetID{"lost"}, ids(&known))
+	known.expire(at(time.Second + vanishedGrace))
+	require.Empty(t, ids(&known))
+}
--- a/hibiscusfront/internal/control/targets.go
+++ b/hibiscusfront/internal/control/targets.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -30,8 +31,30 @@
 	// uncertainUntil is when entries that are missing in the store are certain to be
 	// those of targets that have left: vanishedGrace after the last outage.
 	uncertainUntil fleet.Instant
-	// removed has the targets whose entries were removed, and when.
-	removed map[fleet.TargetID]fleet.Instant
+	// removed has the targets whose entries were removed.
+	removed map[fleet.TargetID]removedTarget
+
+	era       uint64                            // of the store from which the entries were read; zero before the first
+	revisions map[fleet.TargetID]fleet.Revision // of the entries when they were last read
+	// restoredUntil is when entries that a copy of the store lacked count as those of targets
+	// that have left, on this host.
+	restoredUntil fleet.Instant
+	// superseded has what was known, when the store came back from a copy, of targets that
+	// were leaving or had left. The copy may hold earlier entries of them.
+	superseded map[fleet.TargetID]supersededEntry
+}
+
+// removedTarget is a target whose entry was removed.
+type removedTarget struct {
+	at        fleet.Instant
+	startTime time.Time
+	number    fleet.Version // of the last revision of the entry
+}
+
+// supersededEntry is what was known of a target that was leaving or had left.
+type supersededEntry struct {
+	removedTarget
+	leaving bool // the target had not left yet
 }
 
 // removedMemory is how long a removed target is remembered. Grants of a planner that
@@ -55,15 +78,66 @@
 	return max(0, t.uncertainUntil.Sub(now))
 }
 
+// enterEra records the era of the store from which entries are read. In a new one, entries
+// that the copy lacks may be written again, and those in the copy may be outdated.
+func (t *targets) enterEra(now fleet.Instant, era uint64) {
+	if era <= t.era {
+		return
+	}
+	restored := t.era > 0
+	t.era = era
+	if !restored {
+		return
+	}
+	t.restoredUntil = now.Add(vanishedGrace)
+	t.uncertainUntil = max(t.uncertainUntil, t.restoredUntil)
+	if t.superseded == nil {
+		t.superseded = make(map[fleet.TargetID]supersededEntry)
+	}
+	for id, r := range t.removed {
+		t.superseded[id] = supersededEntry{removedTarget: r}
+	}
+	for id, e := range t.entries {
+		if e.Leaving {
+			t.superseded[id] = supersededEntry{removedTarget{now, e.StartTime, t.revisions[id].Number}, true}
+		}
+	}
+}
+
+// correct replaces or removes entries as read from the store that are outdated. An entry is
+// if it is of the same life of a target that is known to be leaving or to have left, and
+// was not written since: the copy gives its revision no higher number than the last one
+// that is known.
+func (t *targets) correct(entries map[fleet.TargetID]roster.Target, revisions map[fleet.TargetID]fleet.Revision) {
+	for id, known := range t.superseded {
+		entry, ok := entries[id]
+		switch {
+		case !ok:
+		case !entry.StartTime.Equal(known.startTime) || revisions[id].Number > known.number:
+			delete(t.superseded, id)
+		case known.leaving:
+			entry.Leaving = true
+			entries[id] = entry
+		default:
+			delete(entries, id)
+		}
+	}
+	if t.revisions == nil {
+		t.revisions = make(map[fleet.TargetID]fleet.Revision)
+	}
+	maps.Copy(t.revisions, revisions)
+}
+
 // apply replaces the entries by those in the store. It keeps entries that are no longer
 // there for uncertainFor, which is that of the host that read the store: one that has
 // read it throughout knows that the entries were removed, also while this host cannot
 // read it.
 func (t *targets) apply(now fleet.Instant, entries map[fleet.TargetID]roster.Target, uncertainFor time.Duration, log zerolog.Logger) {
+	uncertainFor = max(uncertainFor, t.restoredUntil.Sub(now))
 	t.uncertainUntil = max(t.uncertainUntil, now.Add(uncertainFor))
 	if t.vanished == nil {
 		t.vanished = make(map[fleet.TargetID]fleet.Instant)
-		t.removed = make(map[fleet.TargetID]fleet.Instant)
+		t.removed = make(map[fleet.TargetID]removedTarget)
 	}
 	for id := range entries {
 		delete(t.vanished, id) // its target has written it again
@@ -75,7 +149,7 @@
 		}
 		if uncertainFor <= 0 || old.Leaving {
 			delete(t.vanished, id)
-			t.removed[id] = now
+			t.markRemoved(now, old)
 			log.Info().Str("Target", string(id)).Str("Service", string(old.Service)).Msg("target removed: its entry is no longer in the object store")
 			continue
 		}
@@ -100,6 +174,12 @@
 	}
 }
 
+// markRemoved records that a target's entry was removed.
+func (t *targets) markRemoved(now fleet.Instant, old roster.Target) {
+	t.removed[old.ID] = removedTarget{now, old.StartTime, t.revisions[old.ID].Number}
+	delete(t.revisions, old.ID)
+}
+
 // expire drops vanished entries whose grace time is over and reports whether it
 // dropped any.
 func (t *targets) expire(now fleet.Instant) bool {
@@ -107,16 +187,21 @@
 	for id, end := range t.vanished {
 		if !t.inOutage && now >= end {
 			delete(t.vanished, id)
+			t.markRemoved(now, t.entries[id])
 			delete(t.entries, id)
-			t.removed[id] = now
 			dropped = true
 		}
 	}
-	for id, at := range t.removed {
-		if now.Sub(at) > removedMemory {
+	for id, r := range t.removed {
+		if now.Sub(r.at) > removedMemory {
 			delete(t.removed, id)
 		}
 	}
+	for id, known := range t.superseded {
+		if now.Sub(known.at) > removedMemory {
+			delete(t.superseded, id)
+		}
+	}
 	return dropped
 }
 
