control: a copy of the store does not undo what is known of hosts

The entry of a host that was removed after the copy was made is back in the restored store, and a new entry counted as a live host until it missed heartbeats: callers would be sent to a dead host. The entries of hosts that had started since are missing there, and nothing wrote them again: if the whole fleet stopped later, the hosts would not find each other. The list of live hosts lost them for up to a heartbeat.

With the first list of a new era, an entry of a host that was not known counts as alive only once the host sends a heartbeat; a host whose entry is missing is kept for 15 s, the time after which dead hosts are removed; an entry of an earlier process does not replace a later one. A host whose own entry is missing or of an earlier process writes it again, also if that write was under way when the store came back.

TestCopyOfStoreDoesNotUndoWhatIsKnownOfHosts and TestHostsWriteTheirEntriesAgainAfterStoreIsRestored failed before.

--- a/hibiscusfront/internal/control/control.go
+++ b/hibiscusfront/internal/control/control.go
@@ -123,6 +123,7 @@
 	members       members
 	bounds        platform.Bounds
 	leaving       bool
+	registeredIn  uint64 // era of the store in which this host's entry was written; zero while it is not
 
 	// The planner's duty.
 	duty          election.Duty
@@ -252,6 +253,7 @@
 	if c.members.expire(now, c) {
 		c.publish()
 	}
+	c.members.dropMissing(now)
 	c.removeDeadEntries(ctx, now)
 }
 
--- a/hibiscusfront/internal/control/members.go
+++ b/hibiscusfront/internal/control/members.go
@@ -24,6 +24,9 @@
 	// settled is set once this host knows which hosts are alive: as the planner it has
 	// waited for the heartbeats of all.
 	settled bool
+
+	era     uint64                         // of the store from which the entries were read; zero before the first
+	missing map[fleet.HostID]fleet.Instant // hosts whose entries a copy of the store lacked, and when that was seen
 }
 
 // heartbeatStatus is the state of a host according to its heartbeats.
@@ -39,17 +42,24 @@
 	count uint64
 }
 
-// register writes this host's entry and retries until it succeeds.
+// register writes this host's entry and retries until it succeeds. It runs at the start of
+// the host, and again if the store has come back from a copy without the entry.
 func (c *Control) register(ctx context.Context) {
 	name := string(c.Settings.Host)
 	for ctx.Err() == nil {
-		_, err := c.Store.Create(ctx, platform.KindHosts, name, c.Self)
+		o, err := c.Store.Create(ctx, platform.KindHosts, name, c.Self)
 		var conflict *platform.ConflictError
 		if errors.As(err, &conflict) {
 			// The entry is that of an earlier process of this host.
-			_, err = c.Store.Replace(ctx, platform.KindHosts, name, conflict.Current.Revision, c.Self)
+			o, err = c.Store.Replace(ctx, platform.KindHosts, name, conflict.Current.Revision, c.Self)
 		}
 		if err == nil {
+			c.enqueue(ctx, func(fleet.Instant) {
+				c.registeredIn = o.Revision.Era
+				if c.registeredIn < c.members.era {
+					c.registerAgain()
+				}
+			})
 			return
 		}
 		c.Log.Warn().Err(err).Msgf("could not write this host's entry to the object store; retrying in %v", maxRetryPause)
@@ -59,6 +69,16 @@
 	}
 }
 
+// registerAgain writes this host's entry again, unless that is under way.
+func (c *Control) registerAgain() {
+	if c.registeredIn == 0 || c.leaving {
+		return
+	}
+	c.registeredIn = 0
+	c.Log.Info().Uint64("Era", c.members.era).Msg("writing this host's entry again: the restored object store lacks it")
+	c.tasks.Go(c.runCtx, c.register)
+}
+
 // Unregister removes this host's entry.
 func (c *Control) Unregister(ctx context.Context) error {
 	o, err := c.Store.Read(ctx, platform.KindHosts, string(c.Settings.Host))
@@ -73,8 +93,17 @@
 
 // applyEntries applies the hosts' entries. A new or restarted host counts as
 // alive until it misses its heartbeats.
+//
+// If the store has come back from a copy, entries may be those of hosts that were removed
+// since, or of earlier processes, and others are missing until their hosts have written
+// them again. A host whose entry appears with the copy counts as alive once it sends a
+// heartbeat, and one whose entry is missing is kept for a while.
 func (m *members) applyEntries(now fleet.Instant, c *Control) {
+	era := c.replicas[platform.KindHosts].Revision().Era
+	restored := m.era > 0 && era > m.era
+	m.era = era
 	hosts := make(map[fleet.HostID]wire.Host)
+	ownListed := false
 	c.replicas[platform.KindHosts].ForEach(func(o platform.Object) {
 		var h wire.Host
 		err := platform.DecodeSpec(o, &h)
@@ -85,19 +114,59 @@
 			c.logMalformed(o, err)
 			return
 		}
+		if h.ID == c.Self.ID {
+			ownListed = h.Incarnation == c.Self.Incarnation
+		}
+		if old, ok := m.hosts[h.ID]; ok && old.Incarnation > h.Incarnation {
+			h = old
+		}
 		hosts[h.ID] = h
 	})
 	for id, h := range hosts {
-		if old, ok := m.hosts[id]; !ok || old.Incarnation != h.Incarnation || old.Peers != h.Peers {
+		delete(m.missing, id)
+		switch old, ok := m.hosts[id]; {
+		case ok && old.Incarnation == h.Incarnation && old.Peers == h.Peers:
+		case restored && !ok:
+			m.heartbeats[id] = heartbeatStatus{at: now}
+		default:
 			m.recordHeartbeat(now, id, false)
 		}
 	}
+	for id, h := range m.hosts {
+		if _, ok := hosts[id]; ok {
+			continue
+		}
+		if restored {
+			if m.missing == nil {
+				m.missing = make(map[fleet.HostID]fleet.Instant)
+			}
+			m.missing[id] = now
+		}
+		if _, ok := m.missing[id]; ok {
+			hosts[id] = h
+		}
+	}
 	for id := range m.heartbeats {
 		if _, ok := hosts[id]; !ok {
 			delete(m.heartbeats, id)
 		}
 	}
 	m.hosts = hosts
+	if restored && !ownListed {
+		c.registerAgain()
+	}
+}
+
+// dropMissing forgets hosts that have not written the entries again that a copy of the
+// store lacked.
+func (m *members) dropMissing(now fleet.Instant) {
+	for id, since := range m.missing {
+		if now.Sub(since) >= deadEntryTimeout {
+			delete(m.missing, id)
+			delete(m.hosts, id)
+			delete(m.heartbeats, id)
+		}
+	}
 }
 
 // recordHeartbeat marks a host as alive and reports whether its alive or leaving
--- a/hibiscusfront/internal/control/restore_test.go
+++ b/hibiscusfront/internal/control/restore_test.go
@@ -1,7 +1,10 @@
 package control
 
 import (
+	"context"
+	"encoding/json"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -10,7 +13,10 @@
 	"github.com/stretchr/testify/require"
 
 	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/election"
 	"hibiscuslb/fleet/roster"
+	"hibiscuslb/hibiscusfront/internal/wire"
+	"hibiscuslb/platform"
 	"hibiscuslb/standin/fakeplatform"
 )
 
@@ -203,3 +209,82 @@
 	known.expire(at(time.Second + vanishedGrace))
 	require.Empty(t, ids(&known))
 }
+
+// hostEntries returns entries of hosts as a replica holds them.
+func hostEntries(t *testing.T, era uint64, hosts ...wire.Host) platform.Listing {
+	t.Helper()
+	listing := platform.Listing{Revision: fleet.Revision{Era: era, Number: 50}}
+	for i, h := range hosts {
+		spec, err := json.Marshal(h)
+		require.NoError(t, err)
+		listing.Objects = append(listing.Objects, platform.Object{
+			Kind: platform.KindHosts, Name: string(h.ID), Revision: fleet.Revision{Era: era, Number: fleet.Version(10 + i)}, Spec: spec,
+		})
+	}
+	return listing
+}
+
+// Load pattern: hosts start, start again and are removed, and then the store comes back from
+// a copy that knows nothing of it. Callers must be sent to the live hosts alone.
+func TestCopyOfStoreDoesNotUndoWhatIsKnownOfHosts(t *testing.T) {
+	c := newObserver(at(0), 1, election.Record{})
+	c.members = members{}
+	again := host("again", 1)
+	again.Incarnation = 2
+	c.applyListing(at(0), platform.KindHosts, hostEntries(t, 1, c.Self, host("stays", 1), host("new", 1), again), 0)
+	c.startPlanning(at(0), 7)
+	require.Len(t, c.callerHosts(), 4)
+
+	earlier := again
+	earlier.Incarnation = 1
+	c.applyListing(at(time.Second), platform.KindHosts, hostEntries(t, 2, c.Self, host("stays", 1), host("dead", 1), earlier), 0)
+	require.Equal(t, []wire.Host{again, host("new", 1), host("stays", 1), c.Self}, c.callerHosts(),
+		"a removed host does not come back, one that the copy lacks stays, and one that has started again keeps its newer entry")
+
+	c.members.recordHeartbeat(at(2*time.Second), "dead", false)
+	require.Contains(t, c.callerHosts(), host("dead", 1), "it sends heartbeats")
+
+	for _, id := range []fleet.HostID{"stays", "again", "dead"} {
+		c.members.recordHeartbeat(at(deadEntryTimeout+time.Second), id, false)
+	}
+
+	c.members.dropMissing(at(deadEntryTimeout + time.Second))
+	require.NotContains(t, c.members.hosts, fleet.HostID("new"), "it has not written its entry again")
+}
+
+// Load pattern: the store comes back from a copy that lacks the entries of hosts. If the
+// whole fleet restarts later, hosts find each other by their entries.
+func TestHostsWriteTheirEntriesAgainAfterStoreIsRestored(t *testing.T) {
+	store := newConfiguredStore()
+	putTarget(store, "i-1", "ready")
+	store.Put("hosts", "h1", map[string]any{"ID": "h1", "Callers": "127.0.0.1:5", "Peers": "127.0.0.1:6"}) // of an earlier process
+	saved := store.Copy()
+	controls, _ := startFleet(t, store, 3)
+	awaitPlanner(t, controls)
+	registered := func() (n int) {
+		for _, c := range controls {
+			var entry wire.Host
+			o, err := c.Store.Read(context.Background(), platform.KindHosts, string(c.Self.ID))
+			if err == nil && platform.DecodeSpec(o, &entry) == nil && entry == c.Self {
+				n++
+			}
+		}
+		return n
+	}
+	allKnown := func() bool {
+		for _, c := range controls {
+			for _, other := range controls {
+				if !slices.Contains(c.View().Hosts, other.Self) {
+					return false
+				}
+			}
+		}
+		return true
+	}
+	require.Eventually(t, func() bool { return registered() == 3 && allKnown() }, 5*time.Second, 10*time.Millisecond)
+	store.Restore(saved)
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		require.True(t, allKnown(), "callers are not sent to a live host because the copy lacks its entry")
+	}
+	require.Equal(t, 3, registered())
+}
