control: obey an evacuation that a copy of the store lacks

An evacuation that was set after the copy was made is missing in the restored store until the operator writes it again, and hosts took it for ended (EVAC). It is now obeyed for 5 s more, or until it is written again; one that is taken back in the new era ends at once.

A list from an era before is logged, one that is older in the same era is not: it lost a race against another host's.

--- a/hibiscusfront/internal/control/control.go
+++ b/hibiscusfront/internal/control/control.go
@@ -121,6 +121,7 @@
 	announcements map[fleet.ModelID]weightupdate.Announcements
 	targets       targets
 	members       members
+	evacuations   evacuations
 	bounds        platform.Bounds
 	leaving       bool
 	registeredIn  uint64 // era of the store in which this host's entry was written; zero while it is not
@@ -250,6 +251,10 @@
 	if c.targets.expire(now) {
 		c.publish()
 	}
+	if c.evacuations.expire(now) {
+		c.Log.Info().Interface("DataCentres", c.evacuations.list()).Msg("evacuations changed: one that the restored object store lacks was not written again")
+		c.publish()
+	}
 	if c.members.expire(now, c) {
 		c.publish()
 	}
@@ -292,7 +297,7 @@
 		c.live.set(hosts)
 	}
 	v := &view.View{
-		Table: c.table, Targets: c.targets.list(), Removed: c.targets.removedIDs(), Evacuated: c.evacuated(), Weights: maps.Clone(c.announcements),
+		Table: c.table, Targets: c.targets.list(), Removed: c.targets.removedIDs(), Evacuated: c.evacuations.list(), Weights: maps.Clone(c.announcements),
 		Hosts: hosts, Duty: c.duty.Record(), Leaving: c.leaving,
 	}
 	c.view.Store(v.Freeze())
--- a/hibiscusfront/internal/control/objects.go
+++ b/hibiscusfront/internal/control/objects.go
@@ -143,10 +143,10 @@
 // applyListing applies a list from the store or from another host. UncertainFor is that
 // of the host that read it, see targets.apply.
 func (c *Control) applyListing(now fleet.Instant, kind string, listing platform.Listing, uncertainFor time.Duration) {
-	if known := c.replicas[kind].Revision(); known.After(listing.Revision) {
-		c.Log.Warn().Str("Kind", kind).Uint64("Revision", uint64(listing.Revision.Number)).Uint64("Era", listing.Revision.Era).
+	if known := c.replicas[kind].Revision(); known.Era > listing.Revision.Era {
+		c.Log.Info().Str("Kind", kind).Uint64("Revision", uint64(listing.Revision.Number)).Uint64("Era", listing.Revision.Era).
 			Uint64("Known", uint64(known.Number)).Uint64("KnownEra", known.Era).
-			Msg("ignored a list of objects that is older than what this host knows")
+			Msg("ignored a list of objects from before the object store was restored")
 	}
 	if c.replicas[kind].ApplyListing(listing) {
 		c.objectsChanged(now, kind, uncertainFor)
@@ -189,7 +189,7 @@
 	case platform.KindWeights:
 		c.applyWeights(now)
 	case platform.KindEvacuations:
-		c.Log.Info().Interface("DataCentres", c.evacuated()).Msg("evacuations changed")
+		c.applyEvacuations(now)
 	}
 	c.publish()
 }
@@ -248,10 +248,13 @@
 	c.targets.apply(now, entries, uncertainFor, c.Log)
 }
 
-func (c *Control) evacuated() map[fleet.DataCentreID]bool {
-	result := make(map[fleet.DataCentreID]bool)
-	c.replicas[platform.KindEvacuations].ForEach(func(o platform.Object) { result[fleet.DataCentreID(o.Name)] = true })
-	return result
+// applyEvacuations applies the operator's evacuations.
+func (c *Control) applyEvacuations(now fleet.Instant) {
+	replica := c.replicas[platform.KindEvacuations]
+	listed := make(map[fleet.DataCentreID]bool)
+	replica.ForEach(func(o platform.Object) { listed[fleet.DataCentreID(o.Name)] = true })
+	c.evacuations.apply(now, replica.Revision().Era, listed)
+	c.Log.Info().Interface("DataCentres", c.evacuations.list()).Msg("evacuations changed")
 }
 
 // applyWeights applies the weights that the operator has announced. The time of
