--- a/hibiscusfront/internal/control/heartbeats.go
+++ b/hibiscusfront/internal/control/heartbeats.go
@@ -33,7 +33,7 @@
 			Duty: c.duty.Record(), Revision: c.duty.Revision(), Planning: c.planning,
 		}
 		reply.Live = c.membershipUpdate(now, heartbeat.Roll)
-		if !heartbeat.Revision.IsZero() {
+		if heartbeat.Revision.Number > 0 {
 			c.duty.Observe(now, heartbeat.Revision, heartbeat.Duty)
 			c.updateTenure(now)
 		}
@@ -214,7 +214,7 @@
 		// watcherTimeout first, a change could arrive later than allowed.
 		c.lastWatcherReply = min(c.lastWatcherReply, now.Add(-watcherTimeout))
 	}
-	if !reply.Revision.IsZero() {
+	if reply.Revision.Number > 0 {
 		c.duty.Observe(now, reply.Revision, reply.Duty)
 		c.updateTenure(now)
 	}
--- a/hibiscusfront/internal/control/restore_test.go
+++ b/hibiscusfront/internal/control/restore_test.go
@@ -288,3 +288,19 @@
 	}
 	require.Equal(t, 3, registered())
 }
+
+// Load pattern: a fleet starts for the first time, and hosts hear from each other before they
+// have read the store. That nobody has found a record of the duty is not a record of a copy,
+// for which they would have to wait.
+func TestAbsenceOfDutyIsNotPassedOn(t *testing.T) {
+	first := newObserver(at(0), 1, election.Record{})
+	first.duty = election.Duty{Self: "first"}
+	first.duty.ObserveAbsent(at(0), 1)
+	second := newObserver(at(0), 1, election.Record{})
+	second.duty = election.Duty{Self: "second"}
+	second.initInbox()
+	second.handleReply(at(0), "10.0.0.1:2", wire.HeartbeatReply{Duty: first.duty.Record(), Revision: first.duty.Revision()})
+	second.duty.ObserveAbsent(at(0), 1)
+	_, due := second.duty.NextWrite(at(0), false)
+	require.True(t, due)
+}
