plan: tests for two checks of withheld parts that no test held

With settleCrashes charging answers that had been under way for half a second, or a deputy starting trials, all tests passed. TestAnswerUnderWayForLongIsNotChargedWithCrash and TestDeputyStartsNoTrialOfWithheldPart each fail with their line disabled, and only then.

--- a/fleet/plan/withhold_test.go
+++ b/fleet/plan/withhold_test.go
@@ -11,6 +11,7 @@
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/plan"
 	"hibiscuslb/fleet/prompt"
+	"hibiscuslb/fleet/quarantine"
 	"hibiscuslb/fleet/roster"
 )
 
@@ -311,3 +312,47 @@
 		require.Zero(t, c.plan.Stats().Withheld, "seed %d", seed)
 	}
 }
+
+// Load pattern: an engine crashes again and again while it writes long answers. What a request
+// asks for shows when its answer begins, so one that was under way for long is no suspect.
+func TestAnswerUnderWayForLongIsNotChargedWithCrash(t *testing.T) {
+	f := newFleet(t, []roster.Target{{ID: "i", Service: engineService, Address: "10.0.0.1:1", DataCentre: "a", Models: []roster.Model{{ID: model, Version: 1}}}})
+	serve := func(now time.Duration, part string) {
+		g := mustGrant(t, f, at(now), newRequest(second, filePrompt(part)...))
+		f.Report(at(now), plan.Report{Number: g.Number, Progress: plan.Done})
+	}
+	for i := range 5 {
+		now := time.Duration(i) * 10 * second
+		for n := range 10 {
+			serve(now, fmt.Sprint("other", n))
+		}
+		g := mustGrant(t, f, at(now), newRequest(second, filePrompt("long")...))
+		f.Report(at(now+50*time.Millisecond), plan.Report{Number: g.Number, Progress: plan.Started})
+		now += second
+		f.Report(at(now), plan.Report{Number: g.Number, Progress: plan.Failed})
+		f.MarkUnresponsive(at(now), "i")
+		f.Tick(at(now + second))
+		f.MarkResponsive(at(now+second), "i")
+	}
+	require.Equal(t, uint64(5), uint64(f.Stats().Crashes))
+	require.Empty(t, f.Quarantine())
+}
+
+// Load pattern: the time of a part's next trial comes while hosts can't reach the planner.
+// Each of several deputies would end an engine with a trial of its own.
+func TestDeputyStartsNoTrialOfWithheldPart(t *testing.T) {
+	list := quarantine.List{{Part: "bad", Crashes: 3}}
+	for _, deputy := range []bool{true, false} {
+		f := newFleet(t, []roster.Target{{ID: "i", Service: engineService, Address: "10.0.0.1:1", DataCentre: "a", Models: []roster.Model{{ID: model, Version: 1}}}})
+		f.Deputy = deputy
+		f.RestoreQuarantine(at(0), list)
+		decision, ok := f.Submit(at(quarantine.FirstTrial+second), newRequest(second, filePrompt("bad")...))
+		require.True(t, ok)
+		if !deputy {
+			require.NotNil(t, decision.Grant, "the planner's trial is due")
+			continue
+		}
+		require.NotNil(t, decision.Refusal)
+		require.Equal(t, fleet.ReasonWithheld, decision.Refusal.Reason)
+	}
+}
