soak: restore the store from a copy, and engines that name limits

The faults of the soak now include a store that comes back from a copy up to 9 s old, after which the operator and the targets write their entries again, and targets that name a limit for a while. The stand-ins of the store and of targets play both.

TestLimitedEngineGetsNoMoreThanItsLimit counts at engines while hosts, the planner among them, are killed one after the other.

--- a/hibiscusfront/internal/soak/site_test.go
+++ b/hibiscusfront/internal/soak/site_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -41,8 +42,16 @@
 	mu             sync.Mutex
 	configVersion  int
 	weightsVersion int
+	copies         []fakeplatform.Copy // of the store, one each registrationInterval, the newest last
 }
 
+const (
+	// registrationInterval is the time between two updates of the targets' entries.
+	registrationInterval = 100 * time.Millisecond
+	// maxCopies limits the age of a copy of the store to 9 s.
+	maxCopies = 90
+)
+
 // path is a proxy into which faults can be injected.
 type path struct {
 	*link.Proxy
@@ -158,7 +167,7 @@
 }
 
 // newSite starts the store, the targets and the hosts. Targets update their
-// entries in the store every 100 ms.
+// entries in the store every registrationInterval.
 func newSite(t *testing.T, binary string, seed uint64) *site {
 	t.Helper()
 	s := &site{store: new(fakeplatform.Store), weightsVersion: 1}
@@ -179,7 +188,8 @@
 	go func() {
 		defer close(registrations)
 		for ctx.Err() == nil {
-			time.Sleep(100 * time.Millisecond)
+			time.Sleep(registrationInterval)
+			s.copyStore()
 			for _, target := range s.targets {
 				s.register(target)
 			}
@@ -214,11 +224,38 @@
 	})
 }
 
+// copyStore keeps a copy of the store.
+func (s *site) copyStore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copies = append(s.copies, s.store.Copy())
+	s.copies = s.copies[max(0, len(s.copies)-maxCopies):]
+}
+
+// restoreStore brings the store back from an earlier copy. The operator then writes its
+// entries again.
+func (s *site) restoreStore(random *rand.Rand) {
+	s.mu.Lock()
+	if len(s.copies) > 0 {
+		s.store.Restore(s.copies[random.IntN(len(s.copies))])
+	}
+	s.mu.Unlock()
+	s.writeConfiguration()
+	s.writeWeights()
+}
+
 // putConfiguration writes a new configuration version to the store.
 func (s *site) putConfiguration() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.configVersion += 3
+	s.mu.Unlock()
+	s.writeConfiguration()
+}
+
+// writeConfiguration writes the newest configuration version to the store.
+func (s *site) writeConfiguration() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	routes := []map[string]any{
 		{"name": "order", "host": "h.example", "pathPrefix": "/order/", "kind": "non_idempotent", "service": "plain", "attempts": 1, "timeoutMs": 1500, "targetLatencyMs": 200},
 		{"name": "read", "host": "h.example", "pathPrefix": "/read/", "kind": "idempotent", "service": "plain", "attempts": 2, "timeoutMs": 1500, "targetLatencyMs": 200},
@@ -240,8 +277,15 @@
 // putWeights announces the next version of the weights in the store.
 func (s *site) putWeights() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.weightsVersion++
+	s.mu.Unlock()
+	s.writeWeights()
+}
+
+// writeWeights announces the newest version of the weights in the store.
+func (s *site) writeWeights() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.store.Put("versions", model, map[string]any{"model": model, "version": s.weightsVersion})
 }
 
@@ -250,6 +294,7 @@
 	s.store.SetFault(fakeplatform.Healthy)
 	for _, t := range s.targets {
 		t.path.injectFault(link.Pass, 0)
+		t.SetLimit(0)
 	}
 	for _, h := range s.hosts {
 		h.store.injectFault(link.Pass, 0)
--- a/hibiscusfront/internal/soak/soak_test.go
+++ b/hibiscusfront/internal/soak/soak_test.go
@@ -68,6 +68,51 @@
 	require.Equal(t, pid, h.process.Pid, "SIGHUP must not end the process")
 }
 
+// TestLimitedEngineGetsNoMoreThanItsLimit lets engines name limits while callers send more,
+// and kills hosts one after the other, the planner among them. In no 4 s later than
+// stableWindow may an engine get more than one and a half times its limit and 5 requests. A
+// host that starts again has been told nothing; requests that it sends before it is count
+// here all the same.
+func TestLimitedEngineGetsNoMoreThanItsLimit(t *testing.T) {
+	const (
+		stableWindow = 3 * time.Second // stableWindowMs of the settings
+		span         = 4 * time.Second
+		limit        = 2.5
+	)
+	s := newSite(t, build(t), 0)
+	s.awaitReady(t, 10*time.Second)
+	callers := s.startCallers(0)
+	time.Sleep(2 * time.Second)
+	limited := s.targets[:engineCount-1]
+	for _, target := range limited {
+		target.SetLimit(limit)
+	}
+	began := time.Now()
+	time.Sleep(stableWindow + span)
+	for _, h := range s.hosts {
+		h.kill(syscall.SIGKILL)
+		time.Sleep(stableWindow)
+	}
+	callers.markRecovered()
+	time.Sleep(span)
+	callers.stop()
+	s.checkResults(t, callers)
+	for _, target := range limited {
+		arrivals := target.Arrivals()
+		most := 0
+		for i, at := range arrivals {
+			n := 0
+			for _, earlier := range arrivals[:i+1] {
+				if at.Sub(earlier) <= span && earlier.After(began.Add(stableWindow)) {
+					n++
+				}
+			}
+			most = max(most, n)
+		}
+		require.LessOrEqual(t, most, int(1.5*limit*span.Seconds())+5, "%s", target.ID)
+	}
+}
+
 // TestCrashingPartStaysWithheld sends requests with a part that crashes engines to all
 // hosts, and kills all hosts at once in the middle. Of the requests that are sent later than
 // stableWindow after the fifth crash, three at most may reach engines, also after the
@@ -152,7 +197,7 @@
 	h := s.hosts[random.IntN(len(s.hosts))]
 	target := s.targets[random.IntN(len(s.targets))]
 	pause := time.Duration(200+random.IntN(2800)) * time.Millisecond
-	switch random.IntN(11) {
+	switch random.IntN(13) {
 	case 0:
 		h.suspend(pause)
 	case 1:
@@ -176,6 +221,11 @@
 		s.putConfiguration()
 	case 10:
 		h.kill(syscall.SIGHUP)
+	case 11:
+		s.restoreStore(random)
+	case 12:
+		target.SetLimit(float64(1 + random.IntN(5)))
+		time.AfterFunc(pause, func() { target.SetLimit(0) })
 	}
 }
 
--- a/standin/fakeplatform/target.go
+++ b/standin/fakeplatform/target.go
@@ -33,6 +33,34 @@
 	tenants map[string]string // by request id
 	withKey []string          // ids of requests that came with an API key
 	epochs  []uint64          // fencing tokens of the received weight orders, in order of arrival
+
+	limit    float64     // requests per second that all answers name; zero for none
+	arrivals []time.Time // of requests, other than those for another target
+}
+
+// SetLimit sets the requests per second that answers name as the target's limit; zero
+// names none.
+func (t *Target) SetLimit(rate float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.limit = rate
+}
+
+// Arrivals returns when requests arrived, other than those for another target.
+func (t *Target) Arrivals() []time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]time.Time(nil), t.arrivals...)
+}
+
+// arrive records a request and sets the headers that all answers have.
+func (t *Target) arrive(header http.Header) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.arrivals = append(t.arrivals, time.Now())
+	if t.limit > 0 {
+		header.Set("Server-Limit", strconv.FormatFloat(t.limit, 'f', -1, 64))
+	}
 }
 
 // Runs returns how often each request ran and for which tenant, and the ids of the
@@ -196,6 +224,7 @@
 	}
 	id := r.Header.Get("X-Hibiscuslb-Request-Id")
 	w.Header().Set("X-Hibiscuslb-Request-Id", id)
+	t.arrive(w.Header())
 	if status := t.begin(id, r); status != http.StatusOK {
 		w.Header().Set("X-Hibiscuslb-Not-Executed", "1")
 		w.WriteHeader(status)
