chooser, plan: keep to what targets say of leaving and of pauses

The adapter decodes them, with the limit, into one type (intake.Notice). A host keeps what it was told in its ledger, per life of the target, and avoids such targets whoever chooses: the planner, a deputy or itself. A grant of a target that closed itself while the request waited is given back. What concerns all hosts, limits and leaving, travels with reports and requests; the planner, a successor and deputies keep all hosts off a leaving target. If only paused targets are left, requests are refused at once, not run, with the time when the first pause ends, spread over up to a second. The longest pause that is believed is ten windows of the retry budget.

--- a/fleet/intake/intake.go
+++ b/fleet/intake/intake.go
@@ -5,7 +5,11 @@
 // no answers arrive says nothing, so a limit doesn't expire; instead each target gets a
 // few requests, however low its limit is, whose answers show whether the limit still holds.
 //
-// A limit belongs to one life of a target: the next one starts with none.
+// A target that leaves says so in its answers, too, for the rest of its life. One that turns
+// a request away may ask the host that sent it for a pause, which concerns no other host and
+// ends after its time.
+//
+// All this belongs to one life of a target: the next one starts with none.
 package intake
 
 import (
@@ -24,9 +28,18 @@
 	Rate  Rate
 }
 
-// A Known limit is one that a host has read from an answer.
+// A Notice is what an answer says of the work that its target takes. The zero value is an
+// answer that says nothing of it.
+type Notice struct {
+	Limit   Limit
+	Leaving bool          // the target takes no new work and will end
+	Pause   time.Duration // for which the host must send the target nothing; zero for none
+}
+
+// Known is what a host has read from an answer and what concerns all hosts.
 type Known struct {
-	Target fleet.TargetID
-	Limit  Limit
-	Age    time.Duration // since the answer
+	Target  fleet.TargetID
+	Limit   Limit
+	Leaving bool
+	Age     time.Duration // since the answer
 }
--- a/fleet/plan/admission.go
+++ b/fleet/plan/admission.go
@@ -82,7 +82,7 @@
 // Submit decides on a request. If it returns false, the request is queued and a
 // later Tick returns its decision.
 func (f *Fleet) Submit(now fleet.Instant, req *Request) (Decision, bool) {
-	f.learnLimits(now, req)
+	f.learnKnown(now, req)
 	s, ok := f.services[req.Service]
 	if !ok {
 		return refuse(req, fleet.ReasonNoTarget, minRetryAfter), true
@@ -162,7 +162,7 @@
 // request later, although it is not usable now.
 func (f *Fleet) mayBecomeUsable(req *Request) bool {
 	for _, t := range f.targets {
-		if t.Service == req.Service && !t.Leaving && !t.evacuated && !slices.Contains(req.Avoid, t.ID) {
+		if t.Service == req.Service && !t.leaves() && !t.evacuated && !slices.Contains(req.Avoid, t.ID) {
 			return true
 		}
 	}
--- a/fleet/plan/limit.go
+++ b/fleet/plan/limit.go
@@ -55,11 +55,17 @@
 	}
 }
 
-// learnLimits records the limits that targets have named to the host of the request.
-func (f *Fleet) learnLimits(now fleet.Instant, req *Request) {
-	for _, known := range req.Limits {
+// learn records what an answer of the target said that came at an instant.
+func (t *target) learn(heard fleet.Instant, limit intake.Limit, leaving bool) {
+	t.limit.learn(heard, limit)
+	t.saysLeaving = t.saysLeaving || leaving
+}
+
+// learnKnown records what targets have said to the host of the request.
+func (f *Fleet) learnKnown(now fleet.Instant, req *Request) {
+	for _, known := range req.Known {
 		if t, ok := f.targets[known.Target]; ok {
-			t.limit.learn(now.Add(-known.Age), known.Limit)
+			t.learn(now.Add(-known.Age), known.Limit, known.Leaving)
 		}
 	}
 }
--- a/fleet/plan/limit_test.go
+++ b/fleet/plan/limit_test.go
@@ -106,7 +106,7 @@
 	h := l.random.IntN(len(l.hosts))
 	req := newRequest(time.Second, filePrompt(fmt.Sprint("file", l.random.IntN(12)))...)
 	req.Host = fleet.HostID(fmt.Sprint(h))
-	req.Limits = l.hosts[h].ledger.Known(at(now), engineService, func(fleet.TargetID) (time.Time, bool) { return time.Time{}, true })
+	req.Known = l.hosts[h].ledger.Known(at(now), engineService, func(fleet.TargetID) (time.Time, bool) { return time.Time{}, true })
 	f := l.planner
 	if l.deputy != nil && h%2 == 1 {
 		f = l.deputy
@@ -136,12 +136,12 @@
 	l.after(now, time.Duration(30+l.random.IntN(120))*time.Millisecond, func(now time.Duration) {
 		rate, limited := l.limits[g.Target]
 		limit := intake.Limit{Named: limited, Rate: rate}
-		before := host.ledger.Observe(at(now), intake.Life{Target: g.Target, Service: engineService}, limit)
+		before := host.ledger.Observe(at(now), intake.Life{Target: g.Target, Service: engineService}, intake.Notice{Limit: limit})
 		if _, ok := host.told[g.Target]; limited && !ok {
 			host.told[g.Target] = now
 		}
-		if limited || before.Named || g.Limited {
-			f.Report(at(now), plan.Report{Number: g.Number, Progress: plan.Answered, Limit: limit})
+		if limited || before.Limit.Named || g.Limited {
+			f.Report(at(now), plan.Report{Number: g.Number, Progress: plan.Answered, Notice: intake.Notice{Limit: limit}})
 		}
 		f.Report(at(now), plan.Report{Number: g.Number, Progress: plan.Started})
 		l.after(now, time.Duration(200+l.random.IntN(400))*time.Millisecond, func(now time.Duration) {
@@ -249,3 +249,37 @@
 	require.LessOrEqual(t, l.most("i0", 9*time.Second), allowed(1)+l.got("i0", 14*time.Second, 24*time.Second))
 	require.Greater(t, l.got("i0", 18*time.Second, 24*time.Second), l.got("i0", 0, 6*time.Second)/2)
 }
+
+// Load pattern: an engine says in its answers that it leaves, before its entry does. One host
+// was told; requests of all hosts go elsewhere, also at a successor that the host asks first.
+func TestEngineThatSaysItLeavesGetsNoMoreRequests(t *testing.T) {
+	entries := newLimitedFleet(t, 1).entries[:2]
+	submit := func(f *plan.Fleet, host fleet.HostID, known ...intake.Known) *plan.Grant {
+		req := newRequest(second, filePrompt("file")...)
+		req.Host, req.Known = host, known
+		return mustGrant(t, f, at(second), req)
+	}
+	f := newFleet(t, entries)
+	g := submit(f, "told")
+	f.Report(at(second), plan.Report{Number: g.Number, Progress: plan.Answered, Notice: intake.Notice{Leaving: true}})
+	for range 3 {
+		require.NotEqual(t, g.Target, submit(f, "another").Target)
+	}
+	successor := newFleet(t, entries)
+	require.NotEqual(t, g.Target, submit(successor, "told", intake.Known{Target: g.Target, Leaving: true}).Target)
+	for range 3 {
+		require.NotEqual(t, g.Target, submit(successor, "another").Target)
+	}
+	again := entries[0]
+	if again.ID != g.Target {
+		again = entries[1]
+	}
+	again.StartTime = time.Unix(2, 0)
+	before := again
+	before.StartTime = time.Unix(1, 0)
+	f = newFleet(t, []roster.Target{before})
+	g = submit(f, "told")
+	f.Report(at(second), plan.Report{Number: g.Number, Progress: plan.Answered, Notice: intake.Notice{Leaving: true}})
+	f.SetTargets(at(second), []roster.Target{again}, nil)
+	require.Equal(t, again.ID, submit(f, "another").Target, "its next life has said nothing")
+}
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -60,7 +60,7 @@
 	Deadline  time.Duration    // time left until the caller abandons the request
 	Avoid     []fleet.TargetID // targets that must not be chosen
 	Repeat    bool             // the request was sent to a target before
-	Limits    []intake.Known   // that targets of the service have named to the host
+	Known     []intake.Known   // what targets of the service have said to the host
 }
 
 // A Grant allows a host to send a request to a target.
@@ -111,8 +111,8 @@
 	// Abandoned means that the caller disconnected, or that its deadline
 	// passed.
 	Abandoned
-	// Answered means that the header of an answer was received that names a limit, or
-	// none after an earlier one did. It is not the end of the grant.
+	// Answered means that the header of an answer was received that names a limit, none
+	// after an earlier one did, or that the target leaves. It is not the end of the grant.
 	Answered
 )
 
@@ -120,7 +120,7 @@
 type Report struct {
 	Number   GrantNumber
 	Progress Progress
-	Limit    intake.Limit // if Progress is Answered
+	Notice   intake.Notice // if Progress is Answered
 }
 
 // activeGrant is a grant whose end has not been reported.
@@ -333,7 +333,7 @@
 		ag.target.startGrant(now, ag)
 		return
 	case Answered:
-		ag.target.limit.learn(now, report.Limit)
+		ag.target.learn(now, report.Notice.Limit, report.Notice.Leaving)
 		return
 	}
 	delete(f.active, report.Number)
--- a/fleet/plan/target.go
+++ b/fleet/plan/target.go
@@ -19,6 +19,7 @@
 	coldUntil    fleet.Instant
 	recentGrants slidingWindow // grants, counted while the target may be cold
 	limit        targetLimit
+	saysLeaving  bool // in its answers, maybe before its entry does
 	evacuated    bool // its data centre is evacuated
 	removed      bool // no longer on the roster
 
@@ -89,9 +90,12 @@
 
 // usable reports whether the target may be given new requests.
 func (t *target) usable(now fleet.Instant) bool {
-	return !t.Leaving && !t.evacuated && !t.removed && !t.unresponsive && now >= t.pausedUntil && t.service != nil && t.service.spec != nil
+	return !t.leaves() && !t.evacuated && !t.removed && !t.unresponsive && now >= t.pausedUntil && t.service != nil && t.service.spec != nil
 }
 
+// leaves reports whether the target leaves, as its entry or its answers say.
+func (t *target) leaves() bool { return t.Leaving || t.saysLeaving }
+
 // withinColdRate reports whether the rate limit of a cold target allows one more
 // request now. A target that is not cold has no such limit.
 func (f *Fleet) withinColdRate(now fleet.Instant, t *target) bool {
--- a/fleet/plan/weights.go
+++ b/fleet/plan/weights.go
@@ -45,7 +45,7 @@
 	var result []weightupdate.Engine
 	for _, t := range f.targets {
 		version := t.version(id)
-		if version == 0 || t.Leaving {
+		if version == 0 || t.leaves() {
 			continue
 		}
 		result = append(result, weightupdate.Engine{
--- a/hibiscusfront/internal/chooser/chooser.go
+++ b/hibiscusfront/internal/chooser/chooser.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -51,7 +52,7 @@
 
 	mu         sync.Mutex
 	backoffEnd map[fleet.Address]fleet.Instant // of hosts that gave no decision
-	limits     intake.Ledger                   // that targets have named to this host
+	ledger     intake.Ledger                   // of what targets have said to this host
 	pending    chan report                     // reports that Run has to send
 	tasks      task.Group
 }
@@ -65,30 +66,67 @@
 	}
 }
 
-// maxExcluded is how many grants of a target that this host's view excludes are given
-// back before this host chooses itself.
+// maxExcluded is how many grants of a target that this host's view excludes, or that has
+// closed itself to this host, are given back before this host chooses itself.
 const maxExcluded = 2
 
-// Choose implements gateway.Chooser. A planner that cannot reach the object store may not
-// know yet what this host knows, and grant a target that has left or whose data centre is
-// evacuated. Such a grant is given back.
+// Choose implements gateway.Chooser. Targets that leave, as their answers said, or that have
+// asked this host for a pause are avoided. A planner that cannot reach the object store may
+// not know yet what this host knows, and grant a target that has left or whose data centre is
+// evacuated; and a target may close itself while the request waits for it. Such a grant is
+// given back.
 func (c *Chooser) Choose(ctx context.Context, v *view.View, req *plan.Request) plan.Decision {
-	req.Limits = c.knownLimits(v, req.Service)
+	sent := req.Avoid
 	for range maxExcluded {
+		closed, _ := c.closed(v, req.Service)
+		req.Known, req.Avoid = c.known(v, req.Service), append(slices.Clone(sent), closed...)
 		decision := c.ask(ctx, v, req)
-		if decision.Grant == nil || !v.Excludes(decision.Grant.Target) {
+		if decision.Grant == nil {
+			return c.explainRefusal(v, decision)
+		}
+		closed, _ = c.closed(v, req.Service)
+		reason := ""
+		switch {
+		case v.Excludes(decision.Grant.Target):
+			reason = "the target has left or its data centre is evacuated, which the planner does not know"
+		case slices.Contains(closed, decision.Grant.Target):
+			reason = "the target has said that it leaves, or asked this host for a pause"
+		default:
 			return decision
 		}
 		c.Log.Info().Str("Request", string(req.ID)).Str("Target", string(decision.Grant.Target)).Str("Planner", string(decision.Grant.By)).
-			Msg("grant given back: the target has left or its data centre is evacuated, which the planner does not know")
+			Msg("grant given back: " + reason)
 		c.Report(decision.Grant, plan.Rejected)
 		again := *req
-		again.Avoid = append(slices.Clone(req.Avoid), decision.Grant.Target)
-		req = &again
+		req, sent = &again, append(slices.Clone(sent), decision.Grant.Target)
 	}
-	return c.Local.Choose(c.Clock(), v, req)
+	closed, _ := c.closed(v, req.Service)
+	req.Known, req.Avoid = c.known(v, req.Service), append(slices.Clone(sent), closed...)
+	return c.explainRefusal(v, c.Local.Choose(c.Clock(), v, req))
 }
 
+// explainRefusal sets when a request should come back that was refused for want of a target,
+// if some have asked this host for a pause: when the first of them ends. Requests are spread
+// over as much time again, up to pauseSpread, so that they do not all come at once.
+func (c *Chooser) explainRefusal(v *view.View, decision plan.Decision) plan.Decision {
+	if decision.Refusal == nil || decision.Refusal.Reason != fleet.ReasonNoTarget {
+		return decision
+	}
+	_, soonest := c.closed(v, decision.Request.Service)
+	if soonest <= decision.Refusal.RetryAfter {
+		return decision
+	}
+	refusal := *decision.Refusal
+	refusal.RetryAfter = soonest + time.Duration(rand.Int64N(int64(min(soonest, pauseSpread))))
+	decision.Refusal = &refusal
+	c.Log.Info().Str("Request", string(decision.Request.ID)).Str("Service", string(decision.Request.Service)).Dur("RetryAfter", refusal.RetryAfter).
+		Msg("refused a request: all targets that could serve it have asked this host for a pause")
+	return decision
+}
+
+// pauseSpread bounds the time over which requests come back after a pause.
+const pauseSpread = time.Second
+
 // ask asks the planner, then a deputy, and then chooses locally.
 func (c *Chooser) ask(ctx context.Context, v *view.View, req *plan.Request) plan.Decision {
 	planner := wire.Host{ID: v.Duty.Holder, Peers: v.Duty.Address}
@@ -172,37 +210,59 @@
 	c.enqueue(g, plan.Report{Number: g.Number, Progress: progress})
 }
 
-// ObserveLimit implements gateway.Chooser. It queues a report if the answer names a limit,
-// or if it names none and this host or the one that made the grant believes in one.
-func (c *Chooser) ObserveLimit(v *view.View, g *plan.Grant, limit intake.Limit) {
+// ObserveNotice implements gateway.Chooser. It queues a report if the answer says something
+// that concerns all hosts, or if it names no limit and this host or the one that made the
+// grant believes in one.
+func (c *Chooser) ObserveNotice(v *view.View, g *plan.Grant, notice intake.Notice) {
 	life := intake.Life{Target: g.Target, Service: g.Service}
 	if t := v.Target(g.Target); t != nil {
 		life.StartTime = t.StartTime
 	}
 	c.mu.Lock()
-	before := c.limits.Observe(c.Clock(), life, limit)
+	before := c.ledger.Observe(c.Clock(), life, notice)
 	c.mu.Unlock()
-	if limit != before {
+	if notice.Limit != before.Limit || notice.Leaving && !before.Leaving || notice.Pause > before.Pause {
 		c.Log.Info().Str("Target", string(g.Target)).Str("Service", string(g.Service)).Uint64("Grant", uint64(g.Number)).
-			Bool("Limited", limit.Named).Float64("RequestsPerSecond", float64(limit.Rate)).Float64("Before", float64(before.Rate)).
-			Msg("target changed the limit of the requests that it takes")
+			Bool("Limited", notice.Limit.Named).Float64("RequestsPerSecond", float64(notice.Limit.Rate)).Float64("Before", float64(before.Limit.Rate)).
+			Bool("Leaving", notice.Leaving).Dur("Pause", notice.Pause).
+			Msg("target changed what it says of the work that it takes")
 	}
-	if limit.Named || before.Named || g.Limited {
-		c.enqueue(g, plan.Report{Number: g.Number, Progress: plan.Answered, Limit: limit})
+	if notice.Limit.Named || before.Limit.Named || g.Limited || notice.Leaving && !before.Leaving {
+		c.enqueue(g, plan.Report{Number: g.Number, Progress: plan.Answered, Notice: notice})
 	}
 }
 
-// knownLimits returns the limits that targets of the service have named to this host.
-func (c *Chooser) knownLimits(v *view.View, service route.ServiceID) []intake.Known {
+// known returns what targets of the service have said to this host that concerns all.
+func (c *Chooser) known(v *view.View, service route.ServiceID) []intake.Known {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.limits.Known(c.Clock(), service, func(id fleet.TargetID) (time.Time, bool) {
+	return c.ledger.Known(c.Clock(), service, startTimes(v))
+}
+
+// closed returns the targets of the service to which this host must send nothing, and the
+// time until the first pause of them ends; zero if there is none.
+func (c *Chooser) closed(v *view.View, service route.ServiceID) ([]fleet.TargetID, time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ledger.Closed(c.Clock(), service, startTimes(v))
+}
+
+// startTimes returns the start times of the view's targets.
+func startTimes(v *view.View) intake.Roster {
+	return func(id fleet.TargetID) (time.Time, bool) {
 		t := v.Target(id)
 		if t == nil {
 			return time.Time{}, false
 		}
 		return t.StartTime, true
-	})
+	}
+}
+
+// SetMaxPause sets the longest pause of a target that is believed.
+func (c *Chooser) SetMaxPause(pause time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ledger.MaxPause = pause
 }
 
 // enqueue queues a report for the host that made the grant.
--- a/hibiscusfront/internal/chooser/chooser_test.go
+++ b/hibiscusfront/internal/chooser/chooser_test.go
@@ -195,13 +195,83 @@
 		return counts
 	}
 	require.NotZero(t, chosen()["limited"])
-	c.ObserveLimit(v, grant, intake.Limit{Named: true, Rate: 2})
+	c.ObserveNotice(v, grant, intake.Notice{Limit: intake.Limit{Named: true, Rate: 2}})
 	require.Equal(t, map[fleet.TargetID]int{"t": 40}, chosen())
-	c.ObserveLimit(v, &plan.Grant{Target: "t", Service: "s"}, intake.Limit{Named: true, Rate: 2})
+	c.ObserveNotice(v, &plan.Grant{Target: "t", Service: "s"}, intake.Notice{Limit: intake.Limit{Named: true, Rate: 2}})
 	decision := c.Choose(ctx, v, newRequest())
 	require.NotNil(t, decision.Refusal, "all targets have named limits")
 	require.Equal(t, fleet.OutcomeNotRun, decision.Refusal.Outcome)
 	require.Positive(t, decision.Refusal.RetryAfter)
-	c.ObserveLimit(v, grant, intake.Limit{})
+	c.ObserveNotice(v, grant, intake.Notice{})
 	require.Equal(t, map[fleet.TargetID]int{"limited": 40}, chosen(), "its answers name no limit any more")
 }
+
+// Load pattern: a target turns requests of one host away and asks it for a pause, or says in
+// its answers that it leaves. Neither the planner nor this host alone may choose it.
+func TestTargetThatClosedItselfIsNotChosen(t *testing.T) {
+	for name, notice := range map[string]intake.Notice{"pause": {Pause: 3 * time.Second}, "leaving": {Leaving: true}} {
+		for _, alone := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, ", alone ", alone), func(t *testing.T) {
+				ctx, c, v := startChooser(t)
+				v.Targets = append(v.Targets, roster.Target{ID: "closed", Service: "s", Address: "127.0.0.1:4", Slots: 100})
+				v.Targets[0].Slots = 100
+				if !alone {
+					c.Planner.Permissions = ownsDuty{}
+					v.Duty = election.Record{Holder: "self", Address: self, Epoch: 1}
+				}
+				v.Freeze()
+				c.Planner.SetView(ctx, v)
+				if !alone {
+					c.Planner.SetPlanning(ctx, 1, true)
+				}
+				c.ObserveNotice(v, &plan.Grant{Target: "closed", Service: "s"}, notice)
+				for i := range 40 {
+					req := newRequest()
+					req.ID = fleet.RequestID(fmt.Sprint(i))
+					decision := c.Choose(ctx, v, req)
+					require.NotNil(t, decision.Grant)
+					require.Equal(t, fleet.TargetID("t"), decision.Grant.Target)
+				}
+				// All targets ask for a pause: requests come back when the first one ends.
+				c.ObserveNotice(v, &plan.Grant{Target: "t", Service: "s"}, intake.Notice{Pause: 2 * time.Second})
+				times := make(map[time.Duration]bool)
+				for range 10 {
+					decision := c.Choose(ctx, v, newRequest())
+					require.NotNil(t, decision.Refusal)
+					require.Equal(t, fleet.OutcomeNotRun, decision.Refusal.Outcome)
+					require.InDelta(t, 2.5, decision.Refusal.RetryAfter.Seconds(), 0.6)
+					times[decision.Refusal.RetryAfter.Truncate(time.Millisecond)] = true
+				}
+				require.Greater(t, len(times), 3, "return times are spread")
+			})
+		}
+	}
+}
+
+// Load pattern: a request waits for the only target of its service, which asks this host for a
+// pause meanwhile, as another request of the host was turned away.
+func TestGrantOfTargetThatClosedItselfMeanwhileIsGivenBack(t *testing.T) {
+	ctx, c, v := startChooser(t)
+	c.Planner.Permissions = ownsDuty{}
+	v.Duty = election.Record{Holder: "self", Address: self, Epoch: 1}
+	v.Targets[0].Slots = 1
+	v.Freeze()
+	c.Planner.SetView(ctx, v)
+	c.Planner.SetPlanning(ctx, 1, true)
+	first := c.Choose(ctx, v, newRequest())
+	require.NotNil(t, first.Grant)
+	require.NotNil(t, c.Choose(ctx, v, newRequest()).Grant, "one request may queue at the target")
+	waiting := make(chan plan.Decision)
+	go func() {
+		req := newRequest()
+		req.Objective, req.Deadline = 8*time.Second, 8*time.Second
+		waiting <- c.Choose(ctx, v, req)
+	}()
+	time.Sleep(50 * time.Millisecond)
+	c.ObserveNotice(v, first.Grant, intake.Notice{Pause: 3 * time.Second})
+	c.Report(first.Grant, plan.Rejected)
+	decision := <-waiting
+	require.Nil(t, decision.Grant)
+	require.Equal(t, fleet.OutcomeNotRun, decision.Refusal.Outcome)
+	require.Greater(t, decision.Refusal.RetryAfter, 2*time.Second)
+}
--- a/hibiscusfront/internal/chooser/local.go
+++ b/hibiscusfront/internal/chooser/local.go
@@ -40,7 +40,7 @@
 		if t.Service != req.Service || !v.Usable(t) || t.ColdFor > 0 || slices.Contains(req.Avoid, t.ID) {
 			continue
 		}
-		if slices.ContainsFunc(req.Limits, func(k intake.Known) bool { return k.Target == t.ID }) {
+		if slices.ContainsFunc(req.Known, func(k intake.Known) bool { return k.Target == t.ID }) {
 			continue
 		}
 		if req.Prompt != nil && !l.mayStart(now, v, t, req.Prompt.Model) {
--- a/hibiscusfront/internal/gateway/fuzz_test.go
+++ b/hibiscusfront/internal/gateway/fuzz_test.go
@@ -35,7 +35,7 @@
 
 func (fixedChooser) Report(*plan.Grant, plan.Progress) {}
 
-func (fixedChooser) ObserveLimit(*view.View, *plan.Grant, intake.Limit) {}
+func (fixedChooser) ObserveNotice(*view.View, *plan.Grant, intake.Notice) {}
 
 // A closeTracker records which connections a server has closed, that is, has
 // finished serving.
--- a/hibiscusfront/internal/gateway/gateway.go
+++ b/hibiscusfront/internal/gateway/gateway.go
@@ -38,9 +38,9 @@
 type Chooser interface {
 	Choose(ctx context.Context, v *view.View, req *plan.Request) plan.Decision
 	Report(grant *plan.Grant, progress plan.Progress)
-	// ObserveLimit records what the answer to a granted request says of the requests
-	// that its target takes. The view is the one with which the target was chosen.
-	ObserveLimit(v *view.View, grant *plan.Grant, limit intake.Limit)
+	// ObserveNotice records what the answer to a granted request says of the work that
+	// its target takes. The view is the one with which the target was chosen.
+	ObserveNotice(v *view.View, grant *plan.Grant, notice intake.Notice)
 }
 
 // A Gateway is the HTTP handler for callers. Set all fields before use.
@@ -305,7 +305,7 @@
 	defer exchange.Close()
 	c.framing = exchange.Framing
 	c.Meter.RecordResponse(exchange.Framing)
-	c.Chooser.ObserveLimit(c.view, g, exchange.Answer.Limit)
+	c.Chooser.ObserveNotice(c.view, g, exchange.Answer.Notice)
 	if exchange.Answer.NotRun {
 		c.sends--
 		c.outcome = before
--- a/hibiscusfront/internal/gateway/gateway_test.go
+++ b/hibiscusfront/internal/gateway/gateway_test.go
@@ -33,7 +33,7 @@
 	refusal  *fleet.RefusalError
 	reports  map[plan.GrantNumber][]plan.Progress
 	requests []plan.Request
-	limits   []intake.Limit // that answers named
+	notices  []intake.Notice // of all answers
 }
 
 func (c *scriptedChooser) Choose(_ context.Context, _ *view.View, req *plan.Request) plan.Decision {
@@ -57,10 +57,10 @@
 	c.reports[grant.Number] = append(c.reports[grant.Number], progress)
 }
 
-func (c *scriptedChooser) ObserveLimit(_ *view.View, grant *plan.Grant, limit intake.Limit) {
+func (c *scriptedChooser) ObserveNotice(_ *view.View, _ *plan.Grant, notice intake.Notice) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.limits = append(c.limits, limit)
+	c.notices = append(c.notices, notice)
 }
 
 // lastReport returns the last report on a grant.
--- a/hibiscusfront/internal/host/host.go
+++ b/hibiscusfront/internal/host/host.go
@@ -97,6 +97,7 @@
 	h.meter.refresh = h.refreshMeters
 	h.chooser = chooser.New(settings.Host, settings.Peers, h.planner, &h.peers, h.clock, log)
 	h.chooser.Local.WeightsBound = settings.Bounds.Weights
+	h.chooser.SetMaxPause(maxPauseWindows * settings.Bounds.RetryWindow)
 	h.gateway = &gateway.Gateway{
 		Host: settings.Host, DataCentre: settings.DataCentre, View: h.control.View, Chooser: h.chooser, Pool: &h.pool,
 		Meter: h.meter, Log: log, Draining: h.draining.Load,
@@ -104,6 +105,10 @@
 	return h
 }
 
+// maxPauseWindows times the window over which retries are counted is the longest pause that
+// a target may ask for: a longer one is taken for a mistake.
+const maxPauseWindows = 10
+
 // Run serves until the context ends, then makes a planned stop. It returns an
 // error if the host cannot listen or a server fails.
 func (h *Host) Run(ctx context.Context) error {
--- a/hibiscusfront/internal/host/settings.go
+++ b/hibiscusfront/internal/host/settings.go
@@ -54,6 +54,7 @@
 			current = settings
 			h.control.SetBounds(ctx, settings.Bounds)
 			h.planner.SetBounds(ctx, settings.Bounds)
+			h.chooser.SetMaxPause(maxPauseWindows * settings.Bounds.RetryWindow)
 		}
 		if changed || signalled {
 			h.log.Info().Bool("Signal", signalled).Bool("Changed", changed).Msg("settings read again; only the bounds of leases, weights and retries are applied without a restart")
--- a/hibiscusfront/internal/soak/site_test.go
+++ b/hibiscusfront/internal/soak/site_test.go
@@ -295,6 +295,8 @@
 	for _, t := range s.targets {
 		t.path.injectFault(link.Pass, 0)
 		t.SetLimit(0)
+		t.SetLeaving(false)
+		t.SetPause(0)
 	}
 	for _, h := range s.hosts {
 		h.store.injectFault(link.Pass, 0)
--- a/hibiscusfront/internal/soak/soak_test.go
+++ b/hibiscusfront/internal/soak/soak_test.go
@@ -113,6 +113,44 @@
 	}
 }
 
+// TestClosedEngineGetsNoRequests lets one engine say that it leaves, and another turn requests
+// away and ask for a pause. Later than drainTime after it was told, no host may send the first
+// one anything; the second one may get two requests of each host until the pause ends.
+func TestClosedEngineGetsNoRequests(t *testing.T) {
+	const (
+		drainTime  = 2 * time.Second // drainMs of the settings
+		turnedAway = 1500 * time.Millisecond
+		pause      = 5 * time.Second
+		slack      = 500 * time.Millisecond // until an answer must have an effect
+	)
+	s := newSite(t, build(t), 0)
+	s.awaitReady(t, 10*time.Second)
+	callers := s.startCallers(0)
+	time.Sleep(2 * time.Second)
+	leaving, paused := s.targets[0], s.targets[1]
+	began := time.Now()
+	leaving.SetLeaving(true)
+	paused.SetPause(pause)
+	time.Sleep(turnedAway)
+	paused.SetPause(0)
+	time.Sleep(pause + drainTime)
+	callers.markRecovered()
+	time.Sleep(2 * time.Second)
+	callers.stop()
+	s.checkResults(t, callers)
+	count := func(target *target, from, to time.Duration) (n int) {
+		for _, at := range target.Arrivals() {
+			if at.After(began.Add(from)) && at.Before(began.Add(to)) {
+				n++
+			}
+		}
+		return n
+	}
+	require.Zero(t, count(leaving, drainTime+slack, time.Hour), "the engine that leaves")
+	require.LessOrEqual(t, count(paused, turnedAway+slack, pause), 2*len(s.hosts), "the engine that asked for a pause")
+	require.NotZero(t, count(paused, turnedAway+pause, time.Hour), "the pause is over")
+}
+
 // TestCrashingPartStaysWithheld sends requests with a part that crashes engines to all
 // hosts, and kills all hosts at once in the middle. Of the requests that are sent later than
 // stableWindow after the fifth crash, three at most may reach engines, also after the
@@ -197,7 +235,7 @@
 	h := s.hosts[random.IntN(len(s.hosts))]
 	target := s.targets[random.IntN(len(s.targets))]
 	pause := time.Duration(200+random.IntN(2800)) * time.Millisecond
-	switch random.IntN(13) {
+	switch random.IntN(14) {
 	case 0:
 		h.suspend(pause)
 	case 1:
@@ -226,6 +264,9 @@
 	case 12:
 		target.SetLimit(float64(1 + random.IntN(5)))
 		time.AfterFunc(pause, func() { target.SetLimit(0) })
+	case 13:
+		target.SetPause(pause)
+		time.AfterFunc(pause/2, func() { target.SetPause(0) })
 	}
 }
 
--- a/standin/fakeplatform/target.go
+++ b/standin/fakeplatform/target.go
@@ -34,8 +34,10 @@
 	withKey []string          // ids of requests that came with an API key
 	epochs  []uint64          // fencing tokens of the received weight orders, in order of arrival
 
-	limit    float64     // requests per second that all answers name; zero for none
-	arrivals []time.Time // of requests, other than those for another target
+	limit    float64       // requests per second that all answers name; zero for none
+	leaving  bool          // all answers say that the target leaves
+	pause    time.Duration // for which requests are turned away; zero if they are not
+	arrivals []time.Time   // of requests, other than those for another target
 }
 
 // SetLimit sets the requests per second that answers name as the target's limit; zero
@@ -46,6 +48,21 @@
 	t.limit = rate
 }
 
+// SetLeaving sets whether answers say that the target leaves.
+func (t *Target) SetLeaving(leaving bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.leaving = leaving
+}
+
+// SetPause makes the target turn requests away and ask their hosts for a pause; zero makes
+// it serve again.
+func (t *Target) SetPause(pause time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.pause = pause
+}
+
 // Arrivals returns when requests arrived, other than those for another target.
 func (t *Target) Arrivals() []time.Time {
 	t.mu.Lock()
@@ -61,6 +78,12 @@
 	if t.limit > 0 {
 		header.Set("Server-Limit", strconv.FormatFloat(t.limit, 'f', -1, 64))
 	}
+	if t.leaving {
+		header.Set("Server-Leaving", "1")
+	}
+	if t.pause > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(t.pause.Seconds(), 'f', -1, 64))
+	}
 }
 
 // Runs returns how often each request ran and for which tenant, and the ids of the
@@ -199,6 +222,9 @@
 func (t *Target) begin(id string, r *http.Request) (status int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.pause > 0 {
+		return http.StatusServiceUnavailable
+	}
 	if t.Model != "" {
 		if want := r.Header.Get("X-Hibiscuslb-Expect-Version"); want != "" && want != strconv.FormatUint(t.version+1, 10) {
 			return http.StatusMisdirectedRequest
