--- a/fleet/election/election_test.go
+++ b/fleet/election/election_test.go
@@ -114,8 +114,7 @@
 	hosts    []*host
 	delayed  []election.Write // writes that the store will carry out later
 
-	history  []object // earlier contents
-	restores int      // since the start
+	history []object // earlier contents
 
 	lastOrder   time.Duration
 	orderedBy   fleet.HostID
