plan: a replay in which engines limit, pause and leave at once, and a checker of the three rules

Hosts that keep nothing of what they are told break each of the three rules on each of five seeds, hosts that do break none.

--- a/fleet/plan/limit_test.go
+++ b/fleet/plan/limit_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -25,15 +27,28 @@
 	deputy   *plan.Fleet // of the hosts with an odd number; nil if all ask the planner
 	hosts    [9]limitedHost
 	limits   map[fleet.TargetID]intake.Rate
+	leaving  map[fleet.TargetID]bool
+	pauses   map[fleet.TargetID]time.Duration // that engines ask for as they turn requests away
+	deaf     bool                             // hosts keep nothing of what engines say
 	events   []timedEvent
 	arrivals map[fleet.TargetID][]limitedArrival
 	refusals []plan.Decision
+	broken   []string // rules that a request broke as it arrived
 }
 
-// limitedHost is a host with the limits that it has been told, and since when.
+// limitedHost is a host with what it has been told, and since when.
 type limitedHost struct {
-	ledger intake.Ledger
-	told   map[fleet.TargetID]time.Duration
+	ledger  intake.Ledger
+	told    map[fleet.TargetID]time.Duration // of a limit
+	leaving map[fleet.TargetID]time.Duration
+	pauses  map[fleet.TargetID][]*pauseAsked
+}
+
+// pauseAsked is a pause that an engine asked a host for, with the requests that reached it
+// meanwhile although half a second had passed.
+type pauseAsked struct {
+	from, to time.Duration
+	arrived  int
 }
 
 type limitedArrival struct {
@@ -53,7 +68,8 @@
 	}
 	l.planner = newFleet(t, l.entries)
 	for i := range l.hosts {
-		l.hosts[i].told = make(map[fleet.TargetID]time.Duration)
+		l.hosts[i].told, l.hosts[i].leaving = make(map[fleet.TargetID]time.Duration), make(map[fleet.TargetID]time.Duration)
+		l.hosts[i].pauses = make(map[fleet.TargetID][]*pauseAsked)
 	}
 	return l
 }
@@ -106,7 +122,8 @@
 	h := l.random.IntN(len(l.hosts))
 	req := newRequest(time.Second, filePrompt(fmt.Sprint("file", l.random.IntN(12)))...)
 	req.Host = fleet.HostID(fmt.Sprint(h))
-	req.Known = l.hosts[h].ledger.Known(at(now), engineService, func(fleet.TargetID) (time.Time, bool) { return time.Time{}, true })
+	req.Known = l.hosts[h].ledger.Known(at(now), engineService, noStartTimes)
+	req.Avoid, _ = l.hosts[h].ledger.Closed(at(now), engineService, noStartTimes)
 	f := l.planner
 	if l.deputy != nil && h%2 == 1 {
 		f = l.deputy
@@ -125,23 +142,53 @@
 	_, err := fmt.Sscan(string(decision.Request.Host), &h)
 	require.NoError(l.t, err)
 	g, host := decision.Grant, &l.hosts[h]
-	l.after(now, time.Duration(2+l.random.IntN(30))*time.Millisecond, func(now time.Duration) { l.arrive(now, f, g, host) })
+	if closed, _ := host.ledger.Closed(at(now), engineService, noStartTimes); slices.Contains(closed, g.Target) {
+		f.Report(at(now), plan.Report{Number: g.Number, Progress: plan.Rejected})
+		return
+	}
+	sent := now
+	l.after(now, time.Duration(2+l.random.IntN(30))*time.Millisecond, func(now time.Duration) { l.arrive(now, sent, f, g, host) })
 }
 
+// noStartTimes is a roster that has all targets and does not know when they started.
+func noStartTimes(fleet.TargetID) (time.Time, bool) { return time.Time{}, true }
+
 // arrive plays a request at its engine: a first piece, whose header names the limit, and
-// the end of the answer.
-func (l *limitedFleet) arrive(now time.Duration, f *plan.Fleet, g *plan.Grant, host *limitedHost) {
+// the end of the answer, or an answer that turns it away.
+func (l *limitedFleet) arrive(now, sent time.Duration, f *plan.Fleet, g *plan.Grant, host *limitedHost) {
+	const drainTime, slack = 2 * time.Second, 500 * time.Millisecond
+	if since, ok := host.leaving[g.Target]; ok && sent > since+drainTime {
+		l.broken = append(l.broken, fmt.Sprintf("DRAIN: %s at %v", g.Target, now))
+	}
+	for _, p := range host.pauses[g.Target] {
+		if now > p.from+slack && now < p.to {
+			if p.arrived++; p.arrived == 3 {
+				l.broken = append(l.broken, fmt.Sprintf("BUDGET: %s at %v", g.Target, now))
+			}
+		}
+	}
 	since, told := host.told[g.Target]
 	l.arrivals[g.Target] = append(l.arrivals[g.Target], limitedArrival{now, told && now-since >= 500*time.Millisecond})
 	l.after(now, time.Duration(30+l.random.IntN(120))*time.Millisecond, func(now time.Duration) {
 		rate, limited := l.limits[g.Target]
-		limit := intake.Limit{Named: limited, Rate: rate}
-		before := host.ledger.Observe(at(now), intake.Life{Target: g.Target, Service: engineService}, intake.Notice{Limit: limit})
+		notice := intake.Notice{Limit: intake.Limit{Named: limited, Rate: rate}, Leaving: l.leaving[g.Target], Pause: l.pauses[g.Target]}
+		var before intake.Notice
+		if !l.deaf {
+			before = host.ledger.Observe(at(now), intake.Life{Target: g.Target, Service: engineService}, notice)
+		}
 		if _, ok := host.told[g.Target]; limited && !ok {
 			host.told[g.Target] = now
 		}
-		if limited || before.Limit.Named || g.Limited {
-			f.Report(at(now), plan.Report{Number: g.Number, Progress: plan.Answered, Notice: intake.Notice{Limit: limit}})
+		if _, ok := host.leaving[g.Target]; notice.Leaving && !ok {
+			host.leaving[g.Target] = now
+		}
+		if !l.deaf && (limited || before.Limit.Named || g.Limited || notice.Leaving && !before.Leaving) {
+			f.Report(at(now), plan.Report{Number: g.Number, Progress: plan.Answered, Notice: notice})
+		}
+		if notice.Pause > 0 {
+			host.pauses[g.Target] = append(host.pauses[g.Target], &pauseAsked{from: now, to: now + notice.Pause})
+			f.Report(at(now), plan.Report{Number: g.Number, Progress: plan.Rejected})
+			return
 		}
 		f.Report(at(now), plan.Report{Number: g.Number, Progress: plan.Started})
 		l.after(now, time.Duration(200+l.random.IntN(400))*time.Millisecond, func(now time.Duration) {
@@ -283,3 +330,40 @@
 	f.SetTargets(at(second), []roster.Target{again}, nil)
 	require.Equal(t, again.ID, submit(f, "another").Target, "its next life has said nothing")
 }
+
+// Load pattern: engines of one service name limits, turn requests away and leave, all in the
+// same seconds, while the planner changes and a deputy decides for half of the hosts. Hosts
+// that keep nothing of what they are told show that each rule is checked.
+func TestEnginesThatAskForLessAtOnce(t *testing.T) {
+	for _, deaf := range []bool{false, true} {
+		for seed := range uint64(5) {
+			t.Run(fmt.Sprint("deaf ", deaf, " ", seed), func(t *testing.T) {
+				l := newLimitedFleet(t, seed)
+				l.deaf = deaf
+				l.run(0, 4*time.Second, 40)
+				l.limits = map[fleet.TargetID]intake.Rate{"i0": 3.5, "i1": 1.6}
+				l.leaving = map[fleet.TargetID]bool{"i2": true}
+				l.pauses = map[fleet.TargetID]time.Duration{"i3": 2 * time.Second, "i4": 5 * time.Second}
+				l.run(4*time.Second, 10*time.Second, 40)
+				l.succeed(10 * time.Second)
+				l.startDeputy(10 * time.Second)
+				l.run(10*time.Second, 14*time.Second, 40)
+				delete(l.pauses, "i3")
+				l.run(14*time.Second, 22*time.Second, 40)
+				for id, rate := range l.limits {
+					if most := l.most(id, 7*time.Second); most > allowed(rate) {
+						l.broken = append(l.broken, fmt.Sprintf("LIMIT: %s got %d", id, most))
+					}
+				}
+				if !deaf {
+					require.Empty(t, l.broken)
+					require.NotZero(t, l.got("i3", 17*time.Second, 22*time.Second), "its pauses are over")
+					return
+				}
+				for _, rule := range []string{"LIMIT", "DRAIN", "BUDGET"} {
+					require.True(t, slices.ContainsFunc(l.broken, func(b string) bool { return strings.HasPrefix(b, rule) }), "%s is not broken: %v", rule, l.broken)
+				}
+			})
+		}
+	}
+}
