--- a/fleet/plan/limit.go
+++ b/fleet/plan/limit.go
@@ -16,6 +16,8 @@
 // targets. This handles engines that attract more prompts by what they have cached than
 // they can serve.
 //
+// In the same way it learns that a target leaves, before the target's entry says so.
+//
 // The limit ends with an answer that names none. So that there are answers, a target gets
 // requests at minLimitedRate even if it asks for fewer.
 const (
