gateway: log by which fingerprint a request comes again

Failed attempts now log the fingerprint of workspace, method, host, path with query, and body, and the planner gets it with the request. Nothing decides by it yet.

--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -52,7 +52,9 @@
 	Workspace fleet.WorkspaceID
 	Isolated  bool           // the workspace shares no cache with others
 	Prompt    *prompt.Prompt // nil for plain services
-	Rank      int            // 0 is the most urgent
+	// Fingerprint is that of the request itself, which is the same for each attempt at it.
+	Fingerprint quarantine.Fingerprint
+	Rank        int // 0 is the most urgent
 	// Objective is the time left until the first piece of the answer is late. It
 	// is zero or less if the route has no objective or its time has passed:
 	// lateness is then ignored, and the request is queued until the next Tick at most.
--- a/hibiscusfront/internal/gateway/gateway.go
+++ b/hibiscusfront/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/intake"
 	"hibiscuslb/fleet/plan"
+	"hibiscuslb/fleet/quarantine"
 	"hibiscuslb/fleet/route"
 	"hibiscuslb/hibiscusfront/internal/backend"
 	"hibiscuslb/hibiscusfront/internal/view"
@@ -102,8 +103,10 @@
 	workspace *route.Workspace
 	service   route.ServiceID
 	body      []byte
-	start     time.Time
-	expiresAt time.Time // the earlier of the ends of the caller's Deadline and the route's Timeout
+	// fingerprint identifies the request over all attempts of its caller.
+	fingerprint quarantine.Fingerprint
+	start       time.Time
+	expiresAt   time.Time // the earlier of the ends of the caller's Deadline and the route's Timeout
 
 	tried   []fleet.TargetID
 	sends   int           // number of targets that may have run the request
@@ -170,7 +173,11 @@
 	if t := c.route.Timeout; t > 0 && c.start.Add(t).Before(c.expiresAt) {
 		c.expiresAt = c.start.Add(t)
 	}
-	return c.readBody()
+	if refusal := c.readBody(); refusal != nil {
+		return refusal
+	}
+	c.fingerprint = quarantine.FingerprintOf(c.workspaceID(), c.r.Method, host, c.r.RequestURI, c.body)
+	return nil
 }
 
 // readBody reads the complete body, so that the request can be sent with its
@@ -208,7 +215,7 @@
 	req := &plan.Request{
 		ID: c.ID, Host: c.Host, Near: c.DataCentre, Service: c.service, Prompt: c.Prompt, Rank: c.route.Rank,
 		Objective: c.route.LatencyObjective - time.Since(c.start), Deadline: time.Until(c.expiresAt),
-		Avoid: c.tried, Repeat: len(c.tried) > 0,
+		Avoid: c.tried, Repeat: len(c.tried) > 0, Fingerprint: c.fingerprint,
 	}
 	if c.workspace != nil {
 		req.Workspace, req.Isolated = c.workspace.ID, c.workspace.Isolated
--- a/hibiscusfront/internal/gateway/record.go
+++ b/hibiscusfront/internal/gateway/record.go
@@ -9,11 +9,12 @@
 )
 
 // logFailedAttempt logs why an attempt at a target did not serve the request. The shared
-// parts of its prompt, and whether its answer had begun, tell which request ended an engine.
+// parts of its prompt, whether its answer had begun, and the fingerprint by which it is
+// known when it comes again tell which request ended a target.
 func (c *call) logFailedAttempt(g *plan.Grant, message string, err error) {
 	c.Log.Info().Str("Request", string(c.ID)).Str("Target", string(g.Target)).Str("Service", string(g.Service)).
 		Uint64("Grant", uint64(g.Number)).Int("Tried", len(c.tried)).Stringer("Outcome", c.outcome).Stringer("Framing", c.framing).
-		Strs("Parts", c.sharedParts()).Dur("First", c.firstByte).AnErr("Cause", err).Msg(message)
+		Strs("Parts", c.sharedParts()).Str("Fingerprint", string(c.fingerprint)).Dur("First", c.firstByte).AnErr("Cause", err).Msg(message)
 }
 
 // sharedParts returns the IDs of the prompt's shared parts, for logs.
