plan: withhold a request that crashes server after server

Cause: a request without a prompt had no identity over its attempts, so nothing connected the crashes with it; and crashes of plain services were never noticed, as only engines are polled. Ruled out as the only cause: the host's own second send (two servers for each attempt), which doubles the crashes but ends with the attempt.

The ledger now also charges the fingerprint of each request whose answer had not begun. Unlike parts, requests are charged with each crash, as four servers end within 0.3 s and no answer is complete meanwhile; a complete answer clears a request; three crashes withhold it (true 503, next trial after 30 s, doubled). Requests withheld for the same crash soon get a trial one after the other. The list travels in the record of the duty, shared fairly among workspaces. A target of a plain service has crashed if an answer ended early and it refuses connections, which the planner tries once.

--- a/fleet/plan/admission.go
+++ b/fleet/plan/admission.go
@@ -153,7 +153,7 @@
 		return Decision{}, tooLate
 	}
 	if trial {
-		f.quarantine.StartTrial(now, req.Prompt)
+		f.quarantine.StartTrial(now, req.Fingerprint, req.Prompt)
 	}
 	return Decision{Request: req, Grant: f.grant(now, req, &c)}, decided
 }
--- a/fleet/plan/cache.go
+++ b/fleet/plan/cache.go
@@ -142,8 +142,8 @@
 	Considered     uint64 // times that a request was compared with all targets of its service
 	Repeats        uint64 // repeats within the retry budget
 	RepeatsRefused uint64 // repeats beyond the retry budget
-	Crashes        uint64 // of engines with requests on them
-	Withheld       uint64 // requests refused because a part of their prompt is withheld
+	Crashes        uint64 // of targets with requests on them
+	Withheld       uint64 // requests refused because they or a part of their prompt are withheld
 }
 
 // String formats the statistics for logs.
--- a/fleet/plan/crash.go
+++ b/fleet/plan/crash.go
@@ -5,24 +5,25 @@
 	"time"
 
 	"hibiscuslb/fleet"
-	"hibiscuslb/fleet/prompt"
 	"hibiscuslb/fleet/quarantine"
 )
 
-// Crashes of engines.
+// Crashes of targets.
 //
-// A prompt may crash each engine that begins to write an answer on it. If requests with
-// such a prompt went from engine to engine, all requests beside them would fail, too.
-// The plan therefore notes which requests were on an engine that crashed, and withholds
-// the parts that they have in common, see package quarantine.
+// A prompt may crash each engine that begins to write an answer on it, and a request each
+// target that begins to run it. If such requests went from target to target, all requests
+// beside them would fail, too. The plan therefore notes which requests were on a target that
+// crashed, and withholds what comes again, see package quarantine.
 //
-// A crash shows in two ways, in any order: answers of the engine end early, as
-// hosts report, and the engine no longer answers the planner's poll for events. An early
-// end alone may be a fault of the answer or of a link, and an engine that stops to
-// answer may be slow or cut off.
+// A crash shows in two ways, in any order: answers of the target end early, as hosts report,
+// and the target is gone. An engine that is gone no longer answers the planner's poll for
+// events; a target of a plain service, which is not polled, refuses connections. Requests
+// may avoid it, so the planner tries a connection itself, once after an early end. An early end
+// alone may be a fault of the answer or of a link, and a target that stops to answer may be
+// slow or cut off.
 const (
 	// crashWindow is the longest time between the early end of an answer and the first
-	// poll that fails. A poll fails at once if its connection is closed; a new one
+	// poll or connection that fails. A poll fails at once if its connection is closed; a new one
 	// starts after a pause and waits for a connection.
 	crashWindow = time.Second
 	// crashSettleTime is how long reports of failed requests are awaited after a crash was
@@ -35,8 +36,7 @@
 
 // earlyEnd is a request whose answer ended early.
 type earlyEnd struct {
-	at      fleet.Instant
-	prompt  *prompt.Prompt
+	quarantine.Suspect
 	suspect bool // its answer had not begun, or had just begun
 }
 
@@ -48,17 +48,67 @@
 
 // recordEarlyEnd notes that the answer to a grant's request ended early.
 func (f *Fleet) recordEarlyEnd(now fleet.Instant, ag *activeGrant) {
-	if ag.req.Prompt == nil {
+	t, req := ag.target, ag.req
+	t.earlyEnds = slices.DeleteFunc(t.earlyEnds, func(e earlyEnd) bool { return now.Sub(e.Ended) > crashWindow })
+	t.earlyEnds = append(t.earlyEnds, earlyEnd{
+		quarantine.Suspect{Prompt: req.Prompt, Request: req.Fingerprint, Workspace: req.Workspace, Sent: ag.grantedAt, Ended: now},
+		!ag.started || now.Sub(ag.startedAt) < soundAfter,
+	})
+	if t.service != nil && !t.isEngine() {
+		t.probeDue, f.probesDue = true, true
+	}
+	if t.unresponsive && now.Sub(t.unresponsiveSince) <= crashWindow || t.refused && now.Sub(t.refusedAt) <= crashWindow {
+		f.noteCrash(now, t)
+	}
+}
+
+// recordRefusal notes that a target of a plain service refused a connection.
+func (f *Fleet) recordRefusal(now fleet.Instant, t *target) {
+	if t.service == nil || t.isEngine() {
 		return
 	}
-	t := ag.target
-	t.earlyEnds = slices.DeleteFunc(t.earlyEnds, func(e earlyEnd) bool { return now.Sub(e.at) > crashWindow })
-	t.earlyEnds = append(t.earlyEnds, earlyEnd{now, ag.req.Prompt, !ag.started || now.Sub(ag.startedAt) < soundAfter})
-	if t.unresponsive && now.Sub(t.unresponsiveSince) <= crashWindow {
+	t.refused, t.refusedAt = true, now
+	if t.endedEarly(now) {
 		f.noteCrash(now, t)
 	}
 }
 
+// A Probe is a connection that the planner has to try, to learn whether a target has crashed.
+type Probe struct {
+	Target  fleet.TargetID
+	Address fleet.Address
+}
+
+// DueProbes returns the connections to try now, each once. RecordRefusedProbe must be
+// called for those that fail.
+func (f *Fleet) DueProbes() []Probe {
+	if !f.probesDue {
+		return nil
+	}
+	f.probesDue = false
+	var probes []Probe
+	for _, t := range f.targets {
+		if t.probeDue {
+			t.probeDue = false
+			probes = append(probes, Probe{t.ID, t.Address})
+		}
+	}
+	return probes
+}
+
+// RecordRefusedProbe records that a target did not accept the connection of a probe.
+func (f *Fleet) RecordRefusedProbe(now fleet.Instant, id fleet.TargetID) {
+	if t, ok := f.targets[id]; ok {
+		t.pause(now)
+		f.recordRefusal(now, t)
+	}
+}
+
+// endedEarly reports whether an answer of the target ended early within crashWindow.
+func (t *target) endedEarly(now fleet.Instant) bool {
+	return len(t.earlyEnds) > 0 && now.Sub(t.earlyEnds[len(t.earlyEnds)-1].Ended) <= crashWindow
+}
+
 // noteCrash notes that an engine has crashed, once until it answers again.
 func (f *Fleet) noteCrash(now fleet.Instant, t *target) {
 	if !t.crashed {
@@ -78,23 +128,27 @@
 			unsettled = append(unsettled, c)
 			continue
 		}
-		var suspects []*prompt.Prompt
+		var suspects []quarantine.Suspect
 		for _, e := range c.target.earlyEnds {
-			if e.suspect && c.at.Sub(e.at) <= crashWindow {
-				suspects = append(suspects, e.prompt)
+			if e.suspect && c.at.Sub(e.Ended) <= crashWindow {
+				suspects = append(suspects, e.Suspect)
 			}
 		}
+		if !c.target.isEngine() {
+			// No poll tells when the target is back. What is reported late is a crash again.
+			c.target.crashed, c.target.earlyEnds = false, nil
+		}
 		f.stats.Crashes++
 		f.quarantine.RecordCrash(now, suspects)
 	}
 	f.crashes = unsettled
 }
 
-// checkQuarantine returns a refusal if a part of the request's prompt is withheld. Trial
+// checkQuarantine returns a refusal if the request or a part of its prompt is withheld. Trial
 // is set if the request is to be sent as a trial. Deputies start none, since they would
 // not know of each other's.
 func (f *Fleet) checkQuarantine(now fleet.Instant, req *Request) (refusal *fleet.RefusalError, trial bool) {
-	verdict, after := f.quarantine.Check(now, req.Prompt)
+	verdict, after := f.quarantine.Check(now, req.Fingerprint, req.Prompt)
 	switch {
 	case verdict == quarantine.Allowed:
 		return nil, false
@@ -105,10 +159,11 @@
 	return fleet.RefuseWithRetryAfter(fleet.ReasonWithheld, max(after, minRetryAfter)), false
 }
 
-// Quarantine returns the suspected and withheld parts, for other hosts.
+// Quarantine returns the suspected and withheld parts and requests, for other hosts.
 func (f *Fleet) Quarantine() quarantine.List { return f.quarantine.List() }
 
-// RestoreQuarantine replaces the suspected and withheld parts by those of another host.
+// RestoreQuarantine replaces the suspected and withheld parts and requests by those of another
+// host.
 func (f *Fleet) RestoreQuarantine(now fleet.Instant, list quarantine.List) {
 	f.quarantine.Restore(now, list)
 }
--- a/fleet/plan/crashing_request_test.go
+++ b/fleet/plan/crashing_request_test.go
@@ -94,6 +94,11 @@
 				s.events = append(s.events, e)
 			}
 		}
+		for _, probe := range s.plan.DueProbes() {
+			if s.ended[probe.Target] {
+				s.after(now, 5*time.Millisecond, func(now time.Duration) { s.plan.RecordRefusedProbe(at(now), probe.Target) })
+			}
+		}
 		arrive(now)
 		for _, decision := range s.plan.Tick(at(now)) {
 			s.decided(now, decision)
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -193,6 +193,7 @@
 	tenureStart   fleet.Instant
 	quarantine    quarantine.Ledger
 	crashes       []crash // not settled yet
+	probesDue     bool    // of some target
 }
 
 // service is a service with the counts of its retry budget.
@@ -343,8 +344,10 @@
 	switch {
 	case report.Progress == Failed:
 		f.recordEarlyEnd(now, ag)
-	case report.Progress == Done && ag.req.Prompt != nil:
-		f.quarantine.RecordSuccess(ag.req.Prompt)
+	case report.Progress == Unreachable:
+		f.recordRefusal(now, ag.target)
+	case report.Progress == Done:
+		f.quarantine.RecordSuccess(ag.req.Fingerprint, ag.req.Prompt)
 	}
 }
 
--- a/fleet/plan/target.go
+++ b/fleet/plan/target.go
@@ -31,12 +31,15 @@
 	cache        *cache
 	link         linkEstimate // for its own transfers
 
-	failureShare      float64                  // moving average of the share of answers that failed
-	pausedUntil       fleet.Instant            // gets no requests before
-	pauseTime         time.Duration            // the last pause; the next is twice as long
-	unresponsive      bool                     // does not answer long polls for events
-	unresponsiveSince fleet.Instant            // first failed poll since the last answer
-	crashed           bool                     // has crashed since it last answered
+	failureShare      float64       // moving average of the share of answers that failed
+	pausedUntil       fleet.Instant // gets no requests before
+	pauseTime         time.Duration // the last pause; the next is twice as long
+	unresponsive      bool          // does not answer long polls for events
+	unresponsiveSince fleet.Instant // first failed poll since the last answer
+	crashed           bool          // has crashed since it last answered
+	probeDue          bool          // a connection is to be tried
+	refused           bool          // has refused a connection, last at refusedAt
+	refusedAt         fleet.Instant
 	lastFirstPiece    fleet.Instant            // when the last first piece was reported
 	earlyEnds         []earlyEnd               // of requests, within crashWindow
 	loadedVersions    map[fleet.ModelID]uint64 // weights that it is known to have before its roster entry shows them
@@ -265,7 +268,7 @@
 		return
 	}
 	t.unresponsive, t.unresponsiveSince = true, now
-	if len(t.earlyEnds) > 0 && now.Sub(t.earlyEnds[len(t.earlyEnds)-1].at) <= crashWindow {
+	if t.endedEarly(now) {
 		f.noteCrash(now, t)
 	}
 }
--- a/fleet/quarantine/quarantine.go
+++ b/fleet/quarantine/quarantine.go
@@ -1,5 +1,6 @@
-// Package quarantine decides which parts of prompts are withheld from engines, because
-// engine after engine crashed while it answered a prompt with that part.
+// Package quarantine decides which requests, and which parts of prompts, are withheld from
+// targets, because target after target crashed under them. Requests are described in
+// requests.go.
 //
 // When an engine crashes, only the requests whose answers had not begun, or had just
 // begun, are suspects: an engine that has written an answer for a while has survived
@@ -57,29 +58,52 @@
 	minListed = 2
 )
 
-// An Entry is a part that is suspected or withheld.
+// An Entry is a part or a request that is suspected or withheld: either Part or Request is
+// set.
 type Entry struct {
-	Part    prompt.PartID
-	Crashes int // of different engines, since the last complete answer to a prompt with the part
+	Part      prompt.PartID     `json:",omitempty"`
+	Request   Fingerprint       `json:",omitempty"`
+	Workspace fleet.WorkspaceID `json:",omitempty"` // of the request
+	Crashes   int               // of different targets, since the last complete answer to a prompt with the part, or to the request
 }
 
-// Withheld reports whether the part is withheld.
+// Withheld reports whether the part or request is withheld.
 func (e Entry) Withheld() bool { return e.Crashes >= crashLimit }
 
+// Same reports whether two entries are of the same part or request.
+func (e Entry) Same(other Entry) bool { return e.Part == other.Part && e.Request == other.Request }
+
 // A List is the content of a ledger as it is passed to other hosts.
 type List []Entry
 
-// Withholds reports whether a part of the prompt is withheld. The prompt may be nil.
-func (l List) Withholds(p *prompt.Prompt) bool {
-	return p != nil && slices.ContainsFunc(l, func(e Entry) bool {
-		return e.Withheld() && slices.ContainsFunc(p.Shared(), func(part prompt.Part) bool { return part.ID == e.Part })
+// Withholds reports whether a request is withheld, or a part of its prompt, which may be nil.
+func (l List) Withholds(request Fingerprint, p *prompt.Prompt) bool {
+	return slices.ContainsFunc(l, func(e Entry) bool {
+		switch {
+		case !e.Withheld():
+			return false
+		case e.Part == "":
+			return e.Request == request && request != ""
+		}
+		return p != nil && slices.ContainsFunc(p.Shared(), func(part prompt.Part) bool { return part.ID == e.Part })
 	})
 }
 
-// A Ledger counts the crashes of parts. The zero value is empty.
+// A Suspect is a request that was on a target when the target crashed, and whose answer had
+// not begun, or had just begun.
+type Suspect struct {
+	Prompt    *prompt.Prompt // nil for plain services
+	Request   Fingerprint
+	Workspace fleet.WorkspaceID
+	Sent      fleet.Instant // to the target
+	Ended     fleet.Instant // when its answer ended early
+}
+
+// A Ledger counts the crashes of parts and requests. The zero value is empty.
 type Ledger struct {
 	parts     map[prompt.PartID]*account
-	successes uint64 // number of recorded complete answers
+	requests  map[Fingerprint]*requestAccount
+	successes uint64 // number of recorded complete answers to prompts
 }
 
 // account is what is known of a part.
@@ -93,18 +117,22 @@
 	tied []prompt.PartID
 }
 
-// RecordCrash records that an engine crashed. Suspects are the prompts of its requests
-// whose answers had not begun, or had just begun.
-func (l *Ledger) RecordCrash(now fleet.Instant, suspects []*prompt.Prompt) {
+// RecordCrash records that a target crashed with the suspects on it.
+func (l *Ledger) RecordCrash(now fleet.Instant, suspects []Suspect) {
 	l.expire(now)
 	parts := make(map[prompt.PartID]bool)
-	explained := false // by a part that is withheld already
-	for _, p := range suspects {
-		for _, part := range p.Shared() {
+	explained := false // by a part or a request that is withheld already
+	for _, s := range suspects {
+		explained = explained || l.requestWithheld(s.Request)
+		if s.Prompt == nil {
+			continue
+		}
+		for _, part := range s.Prompt.Shared() {
 			parts[part.ID] = true
 			explained = explained || l.withheld(part.ID)
 		}
 	}
+	l.chargeRequests(suspects, explained)
 	var newlyWithheld []prompt.PartID
 	for id := range parts {
 		if explained && !l.withheld(id) {
@@ -116,7 +144,7 @@
 		}
 		a.Crashes, a.lastCrash, a.successes = a.Crashes+1, now, l.successes
 		if a.Withheld() {
-			a.trialAt = now.Add(a.trialInterval())
+			a.trialAt = now.Add(trialInterval(a.Crashes))
 		}
 		if a.Crashes == crashLimit {
 			newlyWithheld = append(newlyWithheld, id)
@@ -151,10 +179,10 @@
 	return a
 }
 
-// trialInterval returns the time from a crash of a withheld part to its next trial.
-func (a *account) trialInterval() time.Duration {
+// trialInterval returns the time from a crash of a withheld part or request to its next trial.
+func trialInterval(crashes int) time.Duration {
 	interval := FirstTrial
-	for n := a.Crashes; n > crashLimit && interval < maxTrialInterval; n-- {
+	for n := crashes; n > crashLimit && interval < maxTrialInterval; n-- {
 		interval *= 2
 	}
 	return min(interval, maxTrialInterval)
@@ -168,6 +196,7 @@
 			delete(l.parts, id)
 		}
 	}
+	l.expireRequests(now)
 	if len(l.parts) <= maxParts {
 		return
 	}
@@ -191,8 +220,13 @@
 	return accounts
 }
 
-// RecordSuccess records a complete answer to a prompt, which clears its parts.
-func (l *Ledger) RecordSuccess(p *prompt.Prompt) {
+// RecordSuccess records a complete answer to a request, which clears it and the parts of its
+// prompt, which may be nil.
+func (l *Ledger) RecordSuccess(request Fingerprint, p *prompt.Prompt) {
+	delete(l.requests, request)
+	if p == nil {
+		return
+	}
 	l.successes++
 	if len(l.parts) == 0 {
 		return
@@ -206,18 +240,31 @@
 type Verdict uint8
 
 const (
-	// Allowed means that no part of the prompt is withheld.
+	// Allowed means that neither the request nor a part of its prompt is withheld.
 	Allowed Verdict = iota
 	// Trial means that the request may be sent, after a call of StartTrial, to learn
-	// whether its withheld parts still crash engines.
+	// whether what is withheld still crashes targets.
 	Trial
 	// Refused means that the request must not be sent.
 	Refused
 )
 
-// Check returns the verdict on a request with the prompt and, if it is refused, the time
-// until a trial is due. The prompt may be nil.
-func (l *Ledger) Check(now fleet.Instant, p *prompt.Prompt) (v Verdict, retryAfter time.Duration) {
+// Check returns the verdict on a request and, if it is refused, the time until a trial is
+// due. The prompt may be nil.
+func (l *Ledger) Check(now fleet.Instant, request Fingerprint, p *prompt.Prompt) (v Verdict, retryAfter time.Duration) {
+	v, retryAfter = l.checkParts(now, p)
+	if a, ok := l.requests[request]; ok && a.Withheld() {
+		retryAfter = max(retryAfter, a.trialAt.Sub(now))
+		if retryAfter > 0 {
+			return Refused, retryAfter
+		}
+		return Trial, 0
+	}
+	return v, retryAfter
+}
+
+// checkParts returns the verdict on a prompt, which may be nil.
+func (l *Ledger) checkParts(now fleet.Instant, p *prompt.Prompt) (v Verdict, retryAfter time.Duration) {
 	if p == nil || len(l.parts) == 0 {
 		return Allowed, 0
 	}
@@ -238,24 +285,31 @@
 	return Refused, retryAfter
 }
 
-// StartTrial records that a request with the prompt was sent as a trial. The next one is
-// due after as long a time again, unless this one succeeds.
-func (l *Ledger) StartTrial(now fleet.Instant, p *prompt.Prompt) {
+// StartTrial records that a request was sent as a trial. The next one is due after as long a
+// time again, unless this one succeeds. The prompt may be nil.
+func (l *Ledger) StartTrial(now fleet.Instant, request Fingerprint, p *prompt.Prompt) {
+	if a, ok := l.requests[request]; ok && a.Withheld() {
+		a.trialAt = now.Add(trialInterval(a.Crashes))
+	}
+	if p == nil {
+		return
+	}
 	for _, part := range p.Shared() {
 		if a, ok := l.parts[part.ID]; ok && a.Withheld() {
-			a.trialAt, a.tied = now.Add(a.trialInterval()), nil
+			a.trialAt, a.tied = now.Add(trialInterval(a.Crashes)), nil
 		}
 	}
 }
 
-// List returns the parts to pass to other hosts, in the order of their IDs.
+// List returns the parts and requests to pass to other hosts, each in the order of their IDs.
 func (l *Ledger) List() List {
 	accounts := l.sorted(minListed)
 	var list List
 	for _, a := range accounts[:min(maxListed, len(accounts))] {
 		list = append(list, a.Entry)
 	}
-	slices.SortFunc(list, func(a, b Entry) int { return cmp.Compare(a.Part, b.Part) })
+	list = append(list, l.listRequests()...)
+	slices.SortFunc(list, func(a, b Entry) int { return cmp.Or(cmp.Compare(a.Part, b.Part), cmp.Compare(a.Request, b.Request)) })
 	return list
 }
 
@@ -263,13 +317,17 @@
 // crashes and trials are not passed on: they are kept where this host knows them, and
 // otherwise count from now.
 func (l *Ledger) Restore(now fleet.Instant, list List) {
+	l.restoreRequests(now, list)
 	old := l.parts
 	l.parts = make(map[prompt.PartID]*account, len(list))
 	for _, entry := range list {
+		if entry.Part == "" {
+			continue
+		}
 		a, ok := old[entry.Part]
 		if !ok || a.Crashes != entry.Crashes {
 			a = &account{Entry: entry, lastCrash: now, successes: l.successes}
-			a.trialAt = now.Add(a.trialInterval())
+			a.trialAt = now.Add(trialInterval(a.Crashes))
 		}
 		l.parts[entry.Part] = a
 	}
--- a/fleet/quarantine/quarantine_test.go
+++ b/fleet/quarantine/quarantine_test.go
@@ -24,21 +24,30 @@
 	return p
 }
 
+// onPrompts returns suspects with the prompts.
+func onPrompts(prompts ...*prompt.Prompt) []quarantine.Suspect {
+	var suspects []quarantine.Suspect
+	for _, p := range prompts {
+		suspects = append(suspects, quarantine.Suspect{Prompt: p})
+	}
+	return suspects
+}
+
 // crash records crashes one second apart, with complete answers to other prompts before
 // each, and returns the instant after the last one.
 func crash(l *quarantine.Ledger, from time.Duration, n int, suspects ...*prompt.Prompt) time.Duration {
 	for i := range n {
 		for range 10 {
-			l.RecordSuccess(newPrompt("elsewhere"))
+			l.RecordSuccess("", newPrompt("elsewhere"))
 		}
-		l.RecordCrash(at(from+time.Duration(i)*time.Second), suspects)
+		l.RecordCrash(at(from+time.Duration(i)*time.Second), onPrompts(suspects...))
 	}
 	return from + time.Duration(n)*time.Second
 }
 
 func requireVerdict(t *testing.T, l *quarantine.Ledger, now time.Duration, want quarantine.Verdict, p *prompt.Prompt) {
 	t.Helper()
-	got, after := l.Check(at(now), p)
+	got, after := l.Check(at(now), "", p)
 	require.Equal(t, want, got)
 	require.Equal(t, want == quarantine.Refused, after > 0, "a refusal, and nothing else, says when to come back")
 }
@@ -47,14 +56,14 @@
 	var l quarantine.Ledger
 	bad := newPrompt("system", "bad")
 	for i := range 3 {
-		l.RecordCrash(at(time.Duration(i)*time.Second), []*prompt.Prompt{bad})
+		l.RecordCrash(at(time.Duration(i)*time.Second), onPrompts(bad))
 		for range 10 {
-			l.RecordSuccess(newPrompt("system", "sound")) // clears the part "system"
+			l.RecordSuccess("", newPrompt("system", "sound")) // clears the part "system"
 		}
 	}
-	verdict, after := l.Check(at(10*time.Second), bad)
+	verdict, after := l.Check(at(10*time.Second), "", bad)
 	fmt.Println(verdict == quarantine.Refused, after)
-	verdict, _ = l.Check(at(10*time.Second), newPrompt("system", "sound"))
+	verdict, _ = l.Check(at(10*time.Second), "", newPrompt("system", "sound"))
 	fmt.Println(verdict == quarantine.Allowed)
 	// Output:
 	// true 22s
@@ -76,7 +85,7 @@
 			var l quarantine.Ledger
 			now := crash(&l, 0, 2, newPrompt("x"))
 			requireVerdict(t, &l, now, quarantine.Allowed, newPrompt("x"))
-			l.RecordSuccess(newPrompt(test.parts...))
+			l.RecordSuccess("", newPrompt(test.parts...))
 			now = crash(&l, now, 1, newPrompt("x"))
 			requireVerdict(t, &l, now, test.want, newPrompt("x"))
 		})
@@ -93,7 +102,7 @@
 func TestCrashesAtOnceChargePartOnce(t *testing.T) {
 	var l quarantine.Ledger
 	for i := range 10 {
-		l.RecordCrash(at(time.Duration(i)*20*time.Millisecond), []*prompt.Prompt{newPrompt("x")})
+		l.RecordCrash(at(time.Duration(i)*20*time.Millisecond), onPrompts(newPrompt("x")))
 	}
 	requireVerdict(t, &l, time.Second, quarantine.Allowed, newPrompt("x"))
 }
@@ -104,7 +113,7 @@
 func TestCrashesWithoutSuccessesWithholdNothing(t *testing.T) {
 	var l quarantine.Ledger
 	for i := range 10 {
-		l.RecordCrash(at(time.Duration(i)*time.Second), []*prompt.Prompt{newPrompt("system", "x"), newPrompt("system", "y")})
+		l.RecordCrash(at(time.Duration(i)*time.Second), onPrompts(newPrompt("system", "x"), newPrompt("system", "y")))
 	}
 	for _, part := range []prompt.PartID{"system", "x", "y"} {
 		requireVerdict(t, &l, 10*time.Second, quarantine.Allowed, newPrompt(part))
@@ -127,9 +136,9 @@
 	now := crash(&l, 0, 3, newPrompt("sound", "bad"))
 	requireVerdict(t, &l, now, quarantine.Refused, newPrompt("sound", "bad"))
 	requireVerdict(t, &l, now, quarantine.Trial, newPrompt("sound"))
-	l.StartTrial(at(now), newPrompt("sound"))
+	l.StartTrial(at(now), "", newPrompt("sound"))
 	requireVerdict(t, &l, now, quarantine.Refused, newPrompt("sound"))
-	l.RecordSuccess(newPrompt("sound"))
+	l.RecordSuccess("", newPrompt("sound"))
 	requireVerdict(t, &l, now, quarantine.Allowed, newPrompt("sound"))
 	requireVerdict(t, &l, now, quarantine.Refused, newPrompt("sound", "bad"))
 	requireVerdict(t, &l, now, quarantine.Refused, newPrompt("bad"))
@@ -141,12 +150,12 @@
 	now := crash(&l, 0, 3, bad) - time.Second // of the last crash
 	trials, last := 0, now
 	for ; now < time.Hour; now += time.Second {
-		if verdict, _ := l.Check(at(now), bad); verdict == quarantine.Trial {
+		if verdict, _ := l.Check(at(now), "", bad); verdict == quarantine.Trial {
 			trials++
 			require.GreaterOrEqual(t, now-last, quarantine.FirstTrial)
 			last = now
-			l.StartTrial(at(now), bad)
-			l.RecordCrash(at(now+100*time.Millisecond), []*prompt.Prompt{bad})
+			l.StartTrial(at(now), "", bad)
+			l.RecordCrash(at(now+100*time.Millisecond), onPrompts(bad))
 		}
 	}
 	require.Greater(t, trials, 3)
@@ -160,9 +169,9 @@
 	crash(&l, now, 1, newPrompt("once"))
 	list := l.List()
 	require.Equal(t, quarantine.List{{Part: "bad", Crashes: 3}, {Part: "suspect", Crashes: 2}}, list)
-	require.True(t, list.Withholds(newPrompt("a", "bad")))
-	require.False(t, list.Withholds(newPrompt("suspect")))
-	require.False(t, list.Withholds(nil))
+	require.True(t, list.Withholds("", newPrompt("a", "bad")))
+	require.False(t, list.Withholds("", newPrompt("suspect")))
+	require.False(t, list.Withholds("", nil))
 
 	data, err := json.Marshal(list)
 	require.NoError(t, err)
--- /dev/null
+++ b/fleet/quarantine/requests.go
@@ -0,0 +1,168 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"hibiscuslb/fleet"
+)
+
+// Requests.
+//
+// One request may come again and again, through any host, and crash each target that begins
+// to run it. It is known by its fingerprint. Each crash is charged to all suspects: the
+// request itself, and others that were on the target beside it. A complete answer clears a
+// request, and most of those beside it never come again. A request that reaches crashLimit
+// crashes without a complete answer is withheld.
+//
+// Load patterns:
+//   - A service has few targets. One request ends all of them within a third of a second,
+//     in several copies, and no answer of the service is complete meanwhile. Unlike parts,
+//     requests are therefore charged with each crash.
+//   - The targets of a rack fail in the same moment, with copies of a sound request on several
+//     of them. Copies that were under way together are charged once for crashes within
+//     jointFailure.
+//   - A sound request is sent again after each crash, or by many callers, and is on each target
+//     beside the bad one. Both are withheld for the same crash. Each of them soon gets a trial,
+//     one after the other, which clears the sound one. Once the bad one is withheld, a
+//     crash under its trial is charged to it alone.
+//   - A caller makes up requests that crash targets. A ledger and a list are shared fairly
+//     among workspaces, so that it can't push the requests of others out.
+const (
+	// jointFailure is the time within which the answers of targets that fail together end,
+	// as hosts report it.
+	jointFailure = 25 * time.Millisecond
+	// jointTrialInterval is the time between the first trials of requests that are withheld for
+	// the same crash. It is longer than most answers take.
+	jointTrialInterval = time.Second
+	// suspectRetention is how long a request that is not withheld is kept after its last
+	// crash.
+	suspectRetention = 2 * time.Minute
+	// maxRequests bounds the requests in a ledger, and maxListedRequests those in a list.
+	maxRequests       = 4096
+	maxListedRequests = 32
+)
+
+// requestAccount is what is known of a request.
+type requestAccount struct {
+	Entry
+	lastCrash fleet.Instant
+	trialAt   fleet.Instant // when the request may be let through again
+}
+
+func (l *Ledger) requestWithheld(request Fingerprint) bool {
+	a, ok := l.requests[request]
+	return ok && a.Withheld()
+}
+
+// chargeRequests charges the requests of the suspects with a crash, each once. If a withheld
+// part or request explains the crash, only withheld requests are charged.
+func (l *Ledger) chargeRequests(suspects []Suspect, explained bool) {
+	charged := make(map[Fingerprint]bool)
+	var newlyWithheld []*requestAccount
+	for _, s := range suspects {
+		if s.Request == "" || charged[s.Request] || explained && !l.requestWithheld(s.Request) {
+			continue
+		}
+		a, ok := l.requests[s.Request]
+		if ok && s.Sent <= a.lastCrash && s.Ended.Sub(a.lastCrash) < jointFailure {
+			continue
+		}
+		if !ok {
+			a = &requestAccount{Entry: Entry{Request: s.Request, Workspace: s.Workspace}}
+			if l.requests == nil {
+				l.requests = make(map[Fingerprint]*requestAccount)
+			}
+			l.requests[s.Request] = a
+		}
+		charged[s.Request] = true
+		a.Crashes, a.lastCrash = a.Crashes+1, max(a.lastCrash, s.Ended)
+		if a.Withheld() {
+			a.trialAt = max(a.trialAt, s.Ended.Add(trialInterval(a.Crashes)))
+		}
+		if a.Crashes == crashLimit {
+			newlyWithheld = append(newlyWithheld, a)
+		}
+	}
+	if len(newlyWithheld) > 1 {
+		for i, a := range newlyWithheld {
+			a.trialAt = a.lastCrash.Add(time.Duration(i+1) * jointTrialInterval)
+		}
+	}
+}
+
+// expireRequests drops requests whose last crash is long ago, and if there are too many, half
+// of what the ledger may hold.
+func (l *Ledger) expireRequests(now fleet.Instant) {
+	for id, a := range l.requests {
+		if now.Sub(max(a.lastCrash, a.trialAt)) > retention || !a.Withheld() && now.Sub(a.lastCrash) > suspectRetention {
+			delete(l.requests, id)
+		}
+	}
+	if len(l.requests) <= maxRequests {
+		return
+	}
+	for _, a := range l.fairOrder()[maxRequests/2:] {
+		delete(l.requests, a.Request)
+	}
+}
+
+// fairOrder returns all requests: the withheld ones first, then those of each workspace in
+// turn, with its most suspect ones first.
+func (l *Ledger) fairOrder() []*requestAccount {
+	accounts := make([]*requestAccount, 0, len(l.requests))
+	for _, a := range l.requests {
+		accounts = append(accounts, a)
+	}
+	slices.SortFunc(accounts, func(a, b *requestAccount) int {
+		return cmp.Or(cmp.Compare(b.Crashes, a.Crashes), cmp.Compare(b.lastCrash, a.lastCrash), cmp.Compare(a.Request, b.Request))
+	})
+	type turn struct {
+		withheld  bool
+		workspace fleet.WorkspaceID
+	}
+	count, turns := make(map[turn]int), make(map[Fingerprint]int)
+	for _, a := range accounts {
+		t := turn{a.Withheld(), a.Workspace}
+		turns[a.Request] = count[t]
+		count[t]++
+	}
+	slices.SortStableFunc(accounts, func(a, b *requestAccount) int {
+		if a.Withheld() != b.Withheld() {
+			if a.Withheld() {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(turns[a.Request], turns[b.Request])
+	})
+	return accounts
+}
+
+// listRequests returns the requests to pass to other hosts.
+func (l *Ledger) listRequests() List {
+	accounts := l.fairOrder()
+	var list List
+	for _, a := range accounts[:min(maxListedRequests, len(accounts))] {
+		list = append(list, a.Entry)
+	}
+	return list
+}
+
+// restoreRequests replaces the requests by those in the list of another host, as Restore does
+// with parts.
+func (l *Ledger) restoreRequests(now fleet.Instant, list List) {
+	old := l.requests
+	l.requests = make(map[Fingerprint]*requestAccount)
+	for _, entry := range list {
+		if entry.Request == "" {
+			continue
+		}
+		a, ok := old[entry.Request]
+		if !ok || a.Crashes != entry.Crashes {
+			a = &requestAccount{Entry: entry, lastCrash: now, trialAt: now.Add(trialInterval(entry.Crashes))}
+		}
+		l.requests[entry.Request] = a
+	}
+}
--- /dev/null
+++ b/fleet/quarantine/requests_test.go
@@ -0,0 +1,136 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/quarantine"
+)
+
+// suspect returns a request of workspace w that was sent and ended at the given times.
+func suspect(request quarantine.Fingerprint, sent, ended time.Duration) quarantine.Suspect {
+	return quarantine.Suspect{Request: request, Workspace: "w", Sent: at(sent), Ended: at(ended)}
+}
+
+func requireRequestVerdict(t *testing.T, l *quarantine.Ledger, now time.Duration, want quarantine.Verdict, request quarantine.Fingerprint) {
+	t.Helper()
+	got, after := l.Check(at(now), request, nil)
+	require.Equal(t, want, got)
+	require.Equal(t, want == quarantine.Refused, after > 0)
+}
+
+const ms = time.Millisecond
+
+// Load pattern: the four targets of a service end within a third of a second, under copies of
+// one request.
+func TestRequestIsChargedWithEachCrash(t *testing.T) {
+	var l quarantine.Ledger
+	for i, ended := range []time.Duration{308 * ms, 434 * ms, 477 * ms} {
+		requireRequestVerdict(t, &l, ended, quarantine.Allowed, "bad")
+		l.RecordCrash(at(ended), []quarantine.Suspect{suspect("bad", 300*ms, ended), suspect(quarantine.Fingerprint(fmt.Sprint("beside", i)), 0, ended)})
+	}
+	requireRequestVerdict(t, &l, time.Second, quarantine.Refused, "bad")
+	requireRequestVerdict(t, &l, time.Second, quarantine.Allowed, "beside0")
+	require.True(t, l.List().Withholds("bad", nil))
+	require.False(t, l.List().Withholds("", nil))
+}
+
+// Load pattern: all targets of a rack end in the same moment, each with a copy of a request
+// that is sent often.
+func TestRequestIsChargedOnceForJointFailure(t *testing.T) {
+	var l quarantine.Ledger
+	for i := range 5 {
+		ended := time.Second + time.Duration(i)*4*ms
+		l.RecordCrash(at(ended), []quarantine.Suspect{suspect("often", 900*ms, ended)})
+	}
+	requireRequestVerdict(t, &l, 2*time.Second, quarantine.Allowed, "often")
+}
+
+func TestCompleteAnswerClearsRequest(t *testing.T) {
+	var l quarantine.Ledger
+	for i := range 10 {
+		now := time.Duration(i) * time.Second
+		l.RecordCrash(at(now), []quarantine.Suspect{suspect("sound", now-10*ms, now)})
+		if i%2 == 1 {
+			l.RecordSuccess("sound", nil)
+		}
+		requireRequestVerdict(t, &l, now, quarantine.Allowed, "sound")
+	}
+}
+
+// Load pattern: the trial of a withheld request ends a target with sound requests on it, which
+// were beside it twice before.
+func TestWithheldRequestExplainsCrash(t *testing.T) {
+	var l quarantine.Ledger
+	for i := range 3 {
+		now := time.Duration(i) * time.Second
+		suspects := []quarantine.Suspect{suspect("bad", now-10*ms, now)}
+		if i > 0 {
+			suspects = append(suspects, suspect("beside", now-10*ms, now))
+		}
+		l.RecordCrash(at(now), suspects)
+	}
+	trial := 2*time.Second + quarantine.FirstTrial
+	requireRequestVerdict(t, &l, trial-ms, quarantine.Refused, "bad")
+	requireRequestVerdict(t, &l, trial, quarantine.Trial, "bad")
+	l.StartTrial(at(trial), "bad", nil)
+	requireRequestVerdict(t, &l, trial, quarantine.Refused, "bad")
+	l.RecordCrash(at(trial+ms), []quarantine.Suspect{suspect("bad", trial, trial+ms), suspect("beside", trial, trial+ms)})
+	requireRequestVerdict(t, &l, trial+ms, quarantine.Allowed, "beside")
+	requireRequestVerdict(t, &l, trial+quarantine.FirstTrial+2*ms, quarantine.Refused, "bad")
+}
+
+// Load pattern: a request that many callers send is on each of the targets that end within a
+// third of a second under another one.
+func TestSoundRequestBesideCrashingOneIsSoonServedAgain(t *testing.T) {
+	var l quarantine.Ledger
+	for i := range 3 {
+		now := time.Duration(i) * 100 * ms
+		l.RecordCrash(at(now), []quarantine.Suspect{suspect("bad", now-10*ms, now), suspect("often", now-10*ms, now)})
+	}
+	requireRequestVerdict(t, &l, 300*ms, quarantine.Refused, "bad")
+	requireRequestVerdict(t, &l, 300*ms, quarantine.Refused, "often")
+	for now := 300 * ms; now < 20*time.Second; now += 100 * ms {
+		for _, request := range []quarantine.Fingerprint{"bad", "often"} {
+			if v, _ := l.Check(at(now), request, nil); v != quarantine.Trial {
+				continue
+			}
+			l.StartTrial(at(now), request, nil)
+			if request == "often" {
+				l.RecordSuccess(request, nil)
+				continue
+			}
+			l.RecordCrash(at(now+ms), []quarantine.Suspect{suspect("bad", now, now+ms)})
+		}
+	}
+	requireRequestVerdict(t, &l, 3*time.Second, quarantine.Allowed, "often")
+	require.Equal(t, quarantine.List{{Request: "bad", Workspace: "w", Crashes: 4}}, l.List(), "one trial each")
+}
+
+// Load pattern: a workspace makes up thousands of requests, each of which crashes targets.
+func TestWorkspaceDoesNotPushOutRequestsOfOthers(t *testing.T) {
+	var l quarantine.Ledger
+	crash := func(n int, workspace fleet.WorkspaceID, request quarantine.Fingerprint, crashes int) {
+		for i := range crashes {
+			ended := time.Duration(n)*ms + time.Duration(i)*time.Second
+			l.RecordCrash(at(ended), []quarantine.Suspect{{Request: request, Workspace: workspace, Sent: at(ended), Ended: at(ended)}})
+		}
+	}
+	crash(0, "other", "other's", 3)
+	for n := range 10_000 {
+		crash(n, "flood", quarantine.Fingerprint(fmt.Sprint("made up ", n)), 3)
+	}
+	list := l.List()
+	require.LessOrEqual(t, len(list), 32)
+	require.True(t, list.Withholds("other's", nil))
+	requireRequestVerdict(t, &l, 3*time.Second, quarantine.Refused, "other's")
+
+	var successor quarantine.Ledger
+	successor.Restore(at(0), list)
+	requireRequestVerdict(t, &successor, time.Second, quarantine.Refused, "other's")
+	require.Equal(t, list, successor.List())
+}
--- a/hibiscusfront/internal/chooser/local.go
+++ b/hibiscusfront/internal/chooser/local.go
@@ -29,9 +29,9 @@
 const noTargetRetryAfter = 500 * time.Millisecond
 
 // Choose selects a target for the request, or refuses it if no target is usable or the
-// planner withholds a part of its prompt.
+// planner withholds it or a part of its prompt.
 func (l Local) Choose(now fleet.Instant, v *view.View, req *plan.Request) plan.Decision {
-	if v.Duty.Quarantine.Withholds(req.Prompt) {
+	if v.Duty.Quarantine.Withholds(req.Fingerprint, req.Prompt) {
 		return plan.Decision{Request: req, Refusal: fleet.RefuseWithRetryAfter(fleet.ReasonWithheld, quarantine.FirstTrial)}
 	}
 	var usable []*roster.Target
--- a/hibiscusfront/internal/planner/calls.go
+++ b/hibiscusfront/internal/planner/calls.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 
+	"github.com/rs/zerolog"
+
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/cachestore"
 	"hibiscuslb/fleet/plan"
@@ -23,9 +25,12 @@
 		p.Log.Info().Stringer("Count", p.fleet.Stats()).Int("Waiting", p.fleet.QueueLen()).Msg("planned")
 	}
 	p.noteQuarantine()
+	for _, probe := range p.fleet.DueProbes() {
+		p.tasks.Go(ctx, func(ctx context.Context) { p.probe(ctx, probe) })
+	}
 	p.fleet.StoresAllowed = p.active && p.engineClock.known && p.Permissions.MayPlan()
 	if p.deputy {
-		return // a deputy only grants
+		return // a deputy only grants, and finds out which targets have crashed
 	}
 	p.weightsOutdated.Store(p.fleet.HasOutdatedEngines())
 	epoch := p.epoch // copied: the tasks run concurrently with the goroutine that owns p.epoch
@@ -48,8 +53,18 @@
 	}
 }
 
-// noteQuarantine publishes the suspected and withheld parts of prompts, and logs which have
-// been withheld or released since the last call.
+// probe tries a connection to a target of a plain service on which an answer ended early.
+func (p *Planner) probe(ctx context.Context, probe plan.Probe) {
+	err := p.Targets.Probe(ctx, probe.Address)
+	p.Log.Info().AnErr("Cause", err).Str("Target", string(probe.Target)).Str("Address", string(probe.Address)).Bool("Accepted", err == nil).
+		Msg("tried a connection to a target, since an answer ended early")
+	if err != nil && ctx.Err() == nil {
+		p.enqueue(ctx, func(now fleet.Instant) { p.fleet.RecordRefusedProbe(now, probe.Target) })
+	}
+}
+
+// noteQuarantine publishes the suspected and withheld parts of prompts and requests, and logs
+// which have been withheld or released since the last call.
 func (p *Planner) noteQuarantine() {
 	list, before := p.fleet.Quarantine(), p.Quarantine()
 	if slices.Equal(list, before) {
@@ -57,19 +72,27 @@
 	}
 	for _, e := range list {
 		if e.Withheld() && !slices.Contains(before, e) {
-			p.Log.Warn().Str("Part", string(e.Part)).Int("Crashes", e.Crashes).Uint64("Epoch", uint64(p.epoch)).
-				Msg("requests with a part of a prompt are refused: engines crashed on it")
+			p.logQuarantine(p.Log.Warn(), e, "requests with a part of a prompt are refused: engines crashed on it", "a request is refused: targets crashed on it")
 		}
 	}
 	for _, e := range before {
-		if e.Withheld() && !slices.ContainsFunc(list, func(now quarantine.Entry) bool { return now.Part == e.Part }) {
-			p.Log.Info().Str("Part", string(e.Part)).Int("Crashes", e.Crashes).Uint64("Epoch", uint64(p.epoch)).
-				Msg("requests with a part of a prompt are served again")
+		if e.Withheld() && !slices.ContainsFunc(list, e.Same) {
+			p.logQuarantine(p.Log.Info(), e, "requests with a part of a prompt are served again", "a request that was refused is served again")
 		}
 	}
 	p.quarantine.Store(&list)
 }
 
+// logQuarantine writes one of two log lines, for an entry of a part or of a request.
+func (p *Planner) logQuarantine(line *zerolog.Event, e quarantine.Entry, part, request string) {
+	line = line.Int("Crashes", e.Crashes).Uint64("Epoch", uint64(p.epoch))
+	if e.Part != "" {
+		line.Str("Part", string(e.Part)).Msg(part)
+		return
+	}
+	line.Str("Fingerprint", string(e.Request)).Str("Workspace", string(e.Workspace)).Msg(request)
+}
+
 // sendOrder sends an engine an order to load weights, in the tenure of the epoch.
 func (p *Planner) sendOrder(ctx context.Context, epoch fleet.Epoch, order plan.AddressedOrder) {
 	if !p.Permissions.MayOrder() {
