plan: charge a crash of a plain target once until it is back

A target now stays crashed until it has answered a later request or accepted a connection that it keeps open. TestCrashOfPlainTargetIsChargedOnce holds the count.

--- a/fleet/plan/crash.go
+++ b/fleet/plan/crash.go
@@ -79,8 +79,8 @@
 	Address fleet.Address
 }
 
-// DueProbes returns the connections to try now, each once. RecordRefusedProbe must be
-// called for those that fail.
+// DueProbes returns the connections to try now, each once. RecordProbe must be called with
+// the results.
 func (f *Fleet) DueProbes() []Probe {
 	if !f.probesDue {
 		return nil
@@ -96,9 +96,14 @@
 	return probes
 }
 
-// RecordRefusedProbe records that a target did not accept the connection of a probe.
-func (f *Fleet) RecordRefusedProbe(now fleet.Instant, id fleet.TargetID) {
-	if t, ok := f.targets[id]; ok {
+// RecordProbe records whether a target accepted the connection of a probe.
+func (f *Fleet) RecordProbe(now fleet.Instant, id fleet.TargetID, accepted bool) {
+	t, ok := f.targets[id]
+	switch {
+	case !ok:
+	case accepted:
+		t.crashed = false
+	default:
 		t.pause(now)
 		f.recordRefusal(now, t)
 	}
@@ -109,10 +114,11 @@
 	return len(t.earlyEnds) > 0 && now.Sub(t.earlyEnds[len(t.earlyEnds)-1].Ended) <= crashWindow
 }
 
-// noteCrash notes that an engine has crashed, once until it answers again.
+// noteCrash notes that a target has crashed, once until it answers again. What stands before
+// a target that is gone may accept requests and end them early, too.
 func (f *Fleet) noteCrash(now fleet.Instant, t *target) {
 	if !t.crashed {
-		t.crashed = true
+		t.crashed, t.crashedAt = true, now
 		f.crashes = append(f.crashes, crash{t, now})
 	}
 }
@@ -134,10 +140,6 @@
 				suspects = append(suspects, e.Suspect)
 			}
 		}
-		if !c.target.isEngine() {
-			// No poll tells when the target is back. What is reported late is a crash again.
-			c.target.crashed, c.target.earlyEnds = false, nil
-		}
 		f.stats.Crashes++
 		f.quarantine.RecordCrash(now, suspects)
 	}
--- a/fleet/plan/crashing_request_test.go
+++ b/fleet/plan/crashing_request_test.go
@@ -95,9 +95,7 @@
 			}
 		}
 		for _, probe := range s.plan.DueProbes() {
-			if s.ended[probe.Target] {
-				s.after(now, 5*time.Millisecond, func(now time.Duration) { s.plan.RecordRefusedProbe(at(now), probe.Target) })
-			}
+			s.after(now, 5*time.Millisecond, func(now time.Duration) { s.plan.RecordProbe(at(now), probe.Target, !s.ended[probe.Target]) })
 		}
 		arrive(now)
 		for _, decision := range s.plan.Tick(at(now)) {
@@ -269,3 +267,38 @@
 		})
 	}
 }
+
+// Load pattern: what stands before a crashed target goes on accepting requests and ends each of
+// them early. Requests that come often are among them again and again.
+func TestCrashOfPlainTargetIsChargedOnce(t *testing.T) {
+	f := newFleet(t, []roster.Target{{ID: "p", Service: plainService, Address: "10.0.1.1:1", DataCentre: "a", Slots: 6}})
+	request := func() *plan.Request {
+		requestCount++
+		return &plan.Request{
+			ID: fleet.RequestID(fmt.Sprint("r", requestCount)), Host: "h", Near: "a", Service: plainService, Fingerprint: "often",
+			Objective: second, Deadline: second,
+		}
+	}
+	const interval = 3 * second // longer than a target that could not be reached is spared
+	crash := func(now time.Duration, accepted bool) {
+		g := mustGrant(t, f, at(now), request())
+		f.Report(at(now), plan.Report{Number: g.Number, Progress: plan.Failed})
+		require.Equal(t, []plan.Probe{{Target: "p", Address: "10.0.1.1:1"}}, f.DueProbes())
+		require.Empty(t, f.DueProbes())
+		f.RecordProbe(at(now), "p", accepted)
+		f.Tick(at(now + second))
+	}
+	for i := range 5 {
+		crash(time.Duration(i)*interval, false)
+	}
+	require.Equal(t, quarantine.List{{Request: "often", Crashes: 1}}, f.Quarantine())
+
+	crash(5*interval, true)
+	require.Equal(t, 1, f.Quarantine()[0].Crashes, "the target is up: the answer alone was broken off")
+	crash(6*interval, false)
+	require.Equal(t, 2, f.Quarantine()[0].Crashes, "the target was up in between")
+
+	g := mustGrant(t, f, at(7*interval), request())
+	f.Report(at(7*interval), plan.Report{Number: g.Number, Progress: plan.Done})
+	require.Empty(t, f.Quarantine())
+}
--- a/fleet/plan/target.go
+++ b/fleet/plan/target.go
@@ -36,9 +36,10 @@
 	pauseTime         time.Duration // the last pause; the next is twice as long
 	unresponsive      bool          // does not answer long polls for events
 	unresponsiveSince fleet.Instant // first failed poll since the last answer
-	crashed           bool          // has crashed since it last answered
-	probeDue          bool          // a connection is to be tried
-	refused           bool          // has refused a connection, last at refusedAt
+	crashed           bool          // has crashed since it last answered, at crashedAt
+	crashedAt         fleet.Instant
+	probeDue          bool // a connection is to be tried
+	refused           bool // has refused a connection, last at refusedAt
 	refusedAt         fleet.Instant
 	lastFirstPiece    fleet.Instant            // when the last first piece was reported
 	earlyEnds         []earlyEnd               // of requests, within crashWindow
@@ -223,6 +224,7 @@
 	switch progress {
 	case Done, Started:
 		t.markReachable(now)
+		t.crashed = t.crashed && ag.grantedAt <= t.crashedAt
 	case Failed:
 		failed = 1
 	case Unreachable:
--- a/hibiscusfront/internal/chooser/chooser_test.go
+++ b/hibiscusfront/internal/chooser/chooser_test.go
@@ -158,7 +158,7 @@
 func TestLocalChoiceKeepsToQuarantine(t *testing.T) {
 	_, c, _ := startChooser(t)
 	v := &view.View{
-		Duty:    election.Record{Quarantine: quarantine.List{{Part: "bad", Crashes: 3}}},
+		Duty:    election.Record{Quarantine: quarantine.List{{Part: "bad", Crashes: 3}, {Request: "bad", Workspace: "w", Crashes: 3}, {Request: "suspect", Crashes: 2}}},
 		Targets: []roster.Target{{ID: "t", Service: "s", Address: "127.0.0.1:3", Slots: 4, Models: []roster.Model{{ID: "m", Version: 1}}}},
 	}
 	v.Freeze()
@@ -173,6 +173,11 @@
 	require.Equal(t, fleet.ReasonWithheld, decision.Refusal.Reason)
 	require.Positive(t, decision.Refusal.RetryAfter)
 	require.NotNil(t, c.Local.Choose(c.Clock(), v, newRequest()).Grant)
+	for request, withheld := range map[quarantine.Fingerprint]bool{"bad": true, "suspect": false} {
+		req := newRequest()
+		req.Fingerprint = request
+		require.Equal(t, withheld, c.Local.Choose(c.Clock(), v, req).Refusal != nil, request)
+	}
 }
 
 // Load pattern: neither the planner nor a deputy answers while a target is in need. All
--- a/hibiscusfront/internal/planner/calls.go
+++ b/hibiscusfront/internal/planner/calls.go
@@ -58,8 +58,8 @@
 	err := p.Targets.Probe(ctx, probe.Address)
 	p.Log.Info().AnErr("Cause", err).Str("Target", string(probe.Target)).Str("Address", string(probe.Address)).Bool("Accepted", err == nil).
 		Msg("tried a connection to a target, since an answer ended early")
-	if err != nil && ctx.Err() == nil {
-		p.enqueue(ctx, func(now fleet.Instant) { p.fleet.RecordRefusedProbe(now, probe.Target) })
+	if ctx.Err() == nil {
+		p.enqueue(ctx, func(now fleet.Instant) { p.fleet.RecordProbe(now, probe.Target, err == nil) })
 	}
 }
 
--- a/hibiscusfront/internal/soak/callers_test.go
+++ b/hibiscusfront/internal/soak/callers_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -20,6 +21,7 @@
 type result struct {
 	id, kind  string
 	prefix    string // the parts of the prompt, if the request has one
+	path      string // empty for that of most requests of the kind
 	status    int    // zero if there was no answer
 	body      string
 	complete  bool // the body was read to its end
@@ -109,7 +111,8 @@
 
 // send sends one request and stores status and body in r.
 func send(client *http.Client, address string, r *result) {
-	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/"+r.kind+"/x", io.NopCloser(strings.NewReader("body")))
+	path := cmp.Or(r.path, "/"+r.kind+"/x")
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+path, io.NopCloser(strings.NewReader("body")))
 	if err != nil {
 		return
 	}
--- a/hibiscusfront/internal/soak/site_test.go
+++ b/hibiscusfront/internal/soak/site_test.go
@@ -33,6 +33,9 @@
 // crashPart is the part of prompts that crashes engines.
 const crashPart = "dead"
 
+// crashPath is the path of a request that crashes targets of the plain service.
+const crashPath = "/read/dead"
+
 // site is a small deployment: a store, front hosts and targets.
 type site struct {
 	store   *fakeplatform.Store
@@ -178,7 +181,7 @@
 			standIn.Model, standIn.Events = model, 12
 		}
 		path := newPath(t, serve(t, standIn))
-		standIn.CrashPart, standIn.Crash = crashPart, func() { path.injectFault(link.Cut, 1500*time.Millisecond) }
+		standIn.CrashPart, standIn.CrashPath, standIn.Crash = crashPart, crashPath, func() { path.injectFault(link.Cut, 1500*time.Millisecond) }
 		s.targets = append(s.targets, &target{standIn, path})
 		s.register(s.targets[i])
 	}
--- a/hibiscusfront/internal/soak/soak_test.go
+++ b/hibiscusfront/internal/soak/soak_test.go
@@ -151,11 +151,25 @@
 	require.NotZero(t, count(paused, turnedAway+pause, time.Hour), "the pause is over")
 }
 
-// TestCrashingPartStaysWithheld sends requests with a part that crashes engines to all
-// hosts, and kills all hosts at once in the middle. Of the requests that are sent later than
-// stableWindow after the fifth crash, three at most may reach engines, also after the
-// restart.
+// TestCrashingPartStaysWithheld sends requests with a part that crashes engines. Of those that
+// are sent later than stableWindow after the fifth crash, three at most may reach engines.
 func TestCrashingPartStaysWithheld(t *testing.T) {
+	testCrashesEnd(t, 5, func(i int) *result {
+		return &result{kind: "talk", prefix: fmt.Sprintf("aa:10,%s:10,own%d:10", crashPart, i)}
+	})
+}
+
+// TestCrashingRequestStaysWithheld sends one request that crashes the targets of a plain
+// service. Of its copies that are sent later than stableWindow after the third crash, three at
+// most may reach targets.
+func TestCrashingRequestStaysWithheld(t *testing.T) {
+	testCrashesEnd(t, 3, func(int) *result { return &result{kind: "read", path: crashPath} })
+}
+
+// testCrashesEnd sends requests that crash targets to all hosts, and kills all hosts at once
+// in the middle. Of the requests that are sent later than stableWindow after the given number
+// of them reached targets, three at most may reach targets, also after the restart.
+func testCrashesEnd(t *testing.T, crashes int, newResult func(i int) *result) {
 	const (
 		stableWindow = 3 * time.Second // stableWindowMs of the settings
 		interval     = 300 * time.Millisecond
@@ -178,7 +192,8 @@
 		if killedAt > 0 && now > killedAt+2*stableWindow {
 			callers.markRecovered()
 		}
-		r := &result{id: fmt.Sprint("dead-", len(sent)), kind: "talk", prefix: fmt.Sprintf("aa:10,%s:10,own%d:10", crashPart, len(sent))}
+		r := newResult(len(sent))
+		r.id = fmt.Sprint("dead-", len(sent))
 		go send(client, s.hosts[len(sent)%len(s.hosts)].callers, r)
 		sent = append(sent, now)
 		time.Sleep(interval)
@@ -188,19 +203,19 @@
 	var ran []time.Duration
 	for i, at := range sent {
 		for _, target := range s.targets {
-			if runs, _, _ := target.Runs(); runs[fmt.Sprint("dead-", i)] > 0 {
+			runs, _, _ := target.Runs()
+			for range runs[fmt.Sprint("dead-", i)] {
 				ran = append(ran, at)
-				break
 			}
 		}
 	}
 	late := 0
 	for _, at := range ran {
-		if len(ran) >= 5 && at > ran[4]+stableWindow && (at < killedAt || at > killedAt+stableWindow) {
+		if len(ran) >= crashes && at > ran[crashes-1]+stableWindow && (at < killedAt || at > killedAt+stableWindow) {
 			late++
 		}
 	}
-	t.Logf("requests with the part that reached engines were sent at %v; hosts killed at %v", ran, killedAt)
+	t.Logf("the requests that reached targets were sent at %v; hosts killed at %v", ran, killedAt)
 	require.NotEmpty(t, ran)
 	require.LessOrEqual(t, late, 3)
 }
--- a/standin/fakeplatform/target.go
+++ b/standin/fakeplatform/target.go
@@ -21,8 +21,10 @@
 	Events   int           // number of events of a stream
 	WorkTime time.Duration // time per event of a stream, or per answer of a plain service
 	// CrashPart is the ID of a part of prompts on which the engine crashes when it begins
-	// to write an answer. Crash is then called to make the target unreachable.
+	// to write an answer, and CrashPath the path of a request on which the target crashes
+	// when it begins to run it. Crash is then called to make the target unreachable.
 	CrashPart string
+	CrashPath string
 	Crash     func()
 
 	mu      sync.Mutex
@@ -257,6 +259,10 @@
 		return
 	}
 	w.Header().Set("X-Hibiscuslb-Response-Signature", "by "+t.ID)
+	if t.CrashPath != "" && r.URL.Path == t.CrashPath {
+		t.Crash()
+		panic(http.ErrAbortHandler)
+	}
 	if t.Model == "" {
 		time.Sleep(t.WorkTime)
 		_, _ = io.WriteString(w, t.Body(id))
