plan: tell a server error from an answer that ends early

Hosts reported both as Failed, so an internal error and a refused connection after it made a crash, and a plain service that answers a seventh of its requests with errors would get three needless connections a second from the planner. TestServerErrorIsNoEarlyEnd is red if the error is reported as Failed.

--- a/fleet/plan/crashing_request_test.go
+++ b/fleet/plan/crashing_request_test.go
@@ -302,3 +302,21 @@
 	f.Report(at(7*interval), plan.Report{Number: g.Number, Progress: plan.Done})
 	require.Empty(t, f.Quarantine())
 }
+
+// Load pattern: a plain service answers a seventh of its requests with internal errors. The
+// planner must neither take that for crashes nor try connections because of it.
+func TestServerErrorIsNoEarlyEnd(t *testing.T) {
+	f := newFleet(t, []roster.Target{{ID: "p", Service: plainService, Address: "10.0.1.1:1", DataCentre: "a", Slots: 6}})
+	for i := range 5 {
+		now := time.Duration(i) * 3 * second
+		req := &plan.Request{ID: "r", Host: "h", Near: "a", Service: plainService, Fingerprint: "often", Objective: second, Deadline: second}
+		g := mustGrant(t, f, at(now), req)
+		f.Report(at(now), plan.Report{Number: g.Number, Progress: plan.ServerError})
+		require.Empty(t, f.DueProbes())
+		g = mustGrant(t, f, at(now), req)
+		f.Report(at(now), plan.Report{Number: g.Number, Progress: plan.Unreachable})
+		f.Tick(at(now + second))
+	}
+	require.Zero(t, f.Stats().Crashes)
+	require.Empty(t, f.Quarantine())
+}
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -102,8 +102,7 @@
 	Done
 	// Rejected means that the target has not run the request.
 	Rejected
-	// Failed means that the target answered with an internal error, or that
-	// its answer ended early.
+	// Failed means that the answer ended early, or that there was none.
 	Failed
 	// Unreachable means that no connection to the target could be established.
 	Unreachable
@@ -116,6 +115,8 @@
 	// Answered means that the header of an answer was received that names a limit, none
 	// after an earlier one did, or that the target leaves. It is not the end of the grant.
 	Answered
+	// ServerError means that the target answered with an internal error.
+	ServerError
 )
 
 // A Report tells the planner the progress of a grant.
--- a/fleet/plan/target.go
+++ b/fleet/plan/target.go
@@ -225,7 +225,7 @@
 	case Done, Started:
 		t.markReachable(now)
 		t.crashed = t.crashed && ag.grantedAt <= t.crashedAt
-	case Failed:
+	case Failed, ServerError:
 		failed = 1
 	case Unreachable:
 		t.pause(now)
@@ -234,7 +234,7 @@
 	case Abandoned:
 		return
 	}
-	if progress == Done || progress == Failed {
+	if progress == Done || failed > 0 {
 		t.failureShare += failureWeight * (failed - t.failureShare)
 	}
 }
--- a/hibiscusfront/internal/gateway/relay.go
+++ b/hibiscusfront/internal/gateway/relay.go
@@ -36,7 +36,7 @@
 	}
 	c.firstByte = time.Since(c.start)
 	if exchange.Status >= http.StatusInternalServerError {
-		c.report(plan.Failed)
+		c.report(plan.ServerError)
 		if c.mayRepeat() {
 			c.logFailedAttempt(g, "target answered with a server error; trying another target", nil)
 			return true, nil
