--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -44,6 +44,10 @@
 // plain uint64 numbers instead, because its platform orders versions by number.
 type WeightVersion string
 
+// Software identifies a version of the software of a target. Versions are compared, but have no
+// order.
+type Software string
+
 // Class is the kind of a request within its workspace, such as "nudge".
 type Class string
 
--- a/fleet/plan/admission.go
+++ b/fleet/plan/admission.go
@@ -176,7 +176,7 @@
 	t := c.target
 	g := &Grant{
 		Number: f.lastNumber, Target: t.ID, Address: t.Address, Service: req.Service, Rank: min(req.Rank, MaxRank),
-		Limited: t.limit.Named,
+		Limited: t.limit.Named, Software: t.Software,
 	}
 	ag := &activeGrant{req: req, target: t, grantedAt: now, readTokens: c.readTokens, firstPiece: c.firstPiece, fetchTime: c.fetchTime, transfer: c.transferTime, slowdown: 1}
 	if p := req.Prompt; p != nil && t.isEngine() {
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -58,26 +58,41 @@
 	// Objective is the time left until the first piece of the answer is late. It
 	// is zero or less if the route has no objective or its time has passed:
 	// lateness is then ignored, and the request is queued until the next Tick at most.
-	Objective time.Duration
-	Deadline  time.Duration    // time left until the caller abandons the request
-	Avoid     []fleet.TargetID // targets that must not be chosen
-	Repeat    bool             // the request was sent to a target before
-	Known     []intake.Known   // what targets of the service have said to the host
+	Objective  time.Duration
+	Deadline   time.Duration    // time left until the caller abandons the request
+	Avoid      []fleet.TargetID // targets that must not be chosen
+	Repeat     bool             // the request was sent to a target before
+	Resumable  bool             // its answer is a stream that may go on at another target
+	Resumption Resumption
+	Known      []intake.Known // what targets of the service have said to the host
+}
+
+// A Resumption tells which stream a request resumes. The zero value is that of a request that
+// begins a new one. What two versions of the software write does not fit together, so that a
+// stream may only go on at the version that began it.
+type Resumption struct {
+	Resumes  bool
+	Known    bool           // the host knows which version began the stream
+	Software fleet.Software // that began it, if Known
+	// Attempt is the caller's attempt that brought the first event, as the caller says; it
+	// may be empty.
+	Attempt fleet.RequestID
 }
 
 // A Grant allows a host to send a request to a target.
 type Grant struct {
-	Number  GrantNumber
-	Target  fleet.TargetID
-	Address fleet.Address
-	Service route.ServiceID
-	Version uint64          // of the weights that the engine must have; zero for any
-	Salt    string          // of the cache that the request may use; see the function Salt
-	Fetch   []fleet.Address // for each part, the address of the cache store or engine to fetch it from; "" for none
-	Save    []fleet.Address // for each part, the address of the cache store to save it to; "" for none
-	Until   time.Time       // end of the time for fetches, on the engines' clock
-	Rank    int
-	Limited bool // the target has named a limit; its answer tells whether the limit still holds
+	Number   GrantNumber
+	Target   fleet.TargetID
+	Address  fleet.Address
+	Service  route.ServiceID
+	Version  uint64          // of the weights that the engine must have; zero for any
+	Salt     string          // of the cache that the request may use; see the function Salt
+	Fetch    []fleet.Address // for each part, the address of the cache store or engine to fetch it from; "" for none
+	Save     []fleet.Address // for each part, the address of the cache store to save it to; "" for none
+	Until    time.Time       // end of the time for fetches, on the engines' clock
+	Rank     int
+	Software fleet.Software // of the target
+	Limited  bool           // the target has named a limit; its answer tells whether the limit still holds
 
 	// By is the address of the host that made the grant; empty if the host of
 	// the request chose the target without a planner. It is set by the host
--- a/fleet/roster/roster.go
+++ b/fleet/roster/roster.go
@@ -24,6 +24,7 @@
 	ColdFor    time.Duration // remaining time for which the target is cold
 	StartTime  time.Time     // last start of the target; zero if unknown
 	Models     []Model
+	Software   fleet.Software
 }
 
 // A Model is a model that an engine serves, with the version of its weights.
--- a/hibiscusfront/internal/chooser/local.go
+++ b/hibiscusfront/internal/chooser/local.go
@@ -62,7 +62,7 @@
 	ranked := placement.Rank(req.AffinityHash(), usable, func(t *roster.Target) string { return string(t.ID) },
 		func(*roster.Target) float64 { return 1 })
 	t := ranked[0]
-	g := &plan.Grant{Target: t.ID, Address: t.Address, Service: req.Service, Rank: min(req.Rank, plan.MaxRank)}
+	g := &plan.Grant{Target: t.ID, Address: t.Address, Service: req.Service, Rank: min(req.Rank, plan.MaxRank), Software: t.Software}
 	if req.Prompt != nil {
 		g.Version = t.Version(req.Prompt.Model)
 		g.Salt = plan.Salt(req.Prompt.Model, g.Version, req.Workspace, req.Isolated)
--- a/hibiscusfront/internal/control/targets.go
+++ b/hibiscusfront/internal/control/targets.go
@@ -160,11 +160,11 @@
 	}
 	for id, entry := range entries {
 		old, known := t.entries[id]
-		if known && old.Leaving == entry.Leaving && old.Address == entry.Address && slices.Equal(old.Models, entry.Models) {
+		if known && old.Leaving == entry.Leaving && old.Address == entry.Address && old.Software == entry.Software && slices.Equal(old.Models, entry.Models) {
 			continue
 		}
 		log.Info().Str("Target", string(id)).Str("Service", string(entry.Service)).Str("Address", string(entry.Address)).
-			Bool("Leaving", entry.Leaving).Dur("ColdFor", entry.ColdFor).Interface("Models", entry.Models).Msg("target added or changed")
+			Bool("Leaving", entry.Leaving).Dur("ColdFor", entry.ColdFor).Interface("Models", entry.Models).Str("Software", string(entry.Software)).Msg("target added or changed")
 	}
 	t.entries = entries
 	for id := range t.vanished {
--- a/hibiscusfront/internal/gateway/gateway.go
+++ b/hibiscusfront/internal/gateway/gateway.go
@@ -116,10 +116,14 @@
 	// maxBufferedBody bytes, was read. It is zero before that.
 	firstByte  time.Duration
 	headerSent bool // a response header has been sent to the caller
-	status     int
-	reason     fleet.Reason
-	grant      *plan.Grant     // current or last one
-	framing    backend.Framing // of the last response that a target sent
+	// streamed is set once an event of a resumable stream has been sent to the caller, and
+	// software is then the version that wrote it.
+	streamed bool
+	software fleet.Software
+	status   int
+	reason   fleet.Reason
+	grant    *plan.Grant     // current or last one
+	framing  backend.Framing // of the last response that a target sent
 }
 
 var _ http.Handler = (*Gateway)(nil)
@@ -216,6 +220,7 @@
 		ID: c.ID, Host: c.Host, Near: c.DataCentre, Service: c.service, Prompt: c.Prompt, Rank: c.route.Rank,
 		Objective: c.route.LatencyObjective - time.Since(c.start), Deadline: time.Until(c.expiresAt),
 		Avoid: c.tried, Repeat: len(c.tried) > 0, Fingerprint: c.fingerprint,
+		Resumable: c.route.Kind == route.Streaming && c.route.Resumable, Resumption: c.resumption(),
 	}
 	if c.workspace != nil {
 		req.Workspace, req.Isolated = c.workspace.ID, c.workspace.Isolated
@@ -226,6 +231,15 @@
 	return req
 }
 
+// resumption tells which stream the request resumes: one that an earlier attempt of the caller
+// began, or one that an earlier target began within this attempt.
+func (c *call) resumption() plan.Resumption {
+	if c.route.Kind != route.Streaming {
+		return plan.Resumption{}
+	}
+	return plan.Resumption{Resumes: c.streamed || c.LastEvent != "", Known: c.streamed, Software: c.software, Attempt: c.Resumes}
+}
+
 // mayRepeat reports whether the request may be sent to another target although
 // a target has run it or may have run it.
 func (c *call) mayRepeat() bool {
--- a/hibiscusfront/internal/gateway/record.go
+++ b/hibiscusfront/internal/gateway/record.go
@@ -14,7 +14,8 @@
 func (c *call) logFailedAttempt(g *plan.Grant, message string, err error) {
 	c.Log.Info().Str("Request", string(c.ID)).Str("Target", string(g.Target)).Str("Service", string(g.Service)).
 		Uint64("Grant", uint64(g.Number)).Int("Tried", len(c.tried)).Stringer("Outcome", c.outcome).Stringer("Framing", c.framing).
-		Strs("Parts", c.sharedParts()).Str("Fingerprint", string(c.fingerprint)).Dur("First", c.firstByte).AnErr("Cause", err).Msg(message)
+		Strs("Parts", c.sharedParts()).Str("Fingerprint", string(c.fingerprint)).
+		Str("Software", string(g.Software)).Str("LastEvent", c.LastEvent).Dur("First", c.firstByte).AnErr("Cause", err).Msg(message)
 }
 
 // sharedParts returns the IDs of the prompt's shared parts, for logs.
@@ -29,6 +30,12 @@
 	return ids
 }
 
+// resumesForLog returns the attempt that the caller names, cut to the length of most.
+func (c *call) resumesForLog() string {
+	const maxLength = 64 // bytes
+	return string(c.Resumes[:min(len(c.Resumes), maxLength)])
+}
+
 // workspaceID returns the workspace's ID, or "" on a public route.
 func (c *call) workspaceID() fleet.WorkspaceID {
 	if c.workspace == nil {
@@ -58,7 +65,11 @@
 	if c.grant != nil {
 		grant = *c.grant
 	}
-	event.Str("Request", string(c.ID)).Str("Route", name).Str("Workspace", string(workspace)).
+	if c.LastEvent != "" {
+		// Which versions a stream was joined from can be told from these lines.
+		event.Str("Resumes", c.resumesForLog()).Str("LastEvent", c.LastEvent)
+	}
+	event.Str("Software", string(grant.Software)).Str("Request", string(c.ID)).Str("Route", name).Str("Workspace", string(workspace)).
 		Str("Target", string(grant.Target)).Uint64("Grant", uint64(grant.Number)).Int("Status", c.status).
 		Str("Reason", string(c.reason)).Stringer("Outcome", c.outcome).Int("Tried", len(c.tried)).
 		Uint64("Configuration", uint64(number)).Stringer("Framing", c.framing).Dur("First", c.firstByte).Dur("Total", total).Msg("request ended")
--- a/hibiscusfront/internal/gateway/relay.go
+++ b/hibiscusfront/internal/gateway/relay.go
@@ -146,6 +146,7 @@
 		}
 		if len(complete) > 0 {
 			c.recordFirstByte()
+			c.streamed, c.software = true, g.Software
 			if _, err := c.w.Write(complete); err != nil {
 				return false, c.abandon()
 			}
