--- /dev/null
+++ b/fleet/plan/origin_test.go
@@ -0,0 +1,102 @@
+package plan_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/plan"
+	"hibiscuslb/fleet/roster"
+)
+
+// versionedEngines returns n engines of each of the versions.
+func versionedEngines(n int, versions ...fleet.Software) []roster.Target {
+	entries := engines(n * len(versions))
+	for i := range entries {
+		entries[i].Software = versions[i%len(versions)]
+	}
+	return entries
+}
+
+// newStream returns a request of a caller for a stream that may be resumed.
+func newStream() *plan.Request {
+	req := newRequest(800*time.Millisecond, filePrompt(fmt.Sprint("file", requestCount%40))...)
+	req.Workspace, req.Resumable, req.Deadline = "w", true, 12*second
+	return req
+}
+
+// resume returns a request that takes up the stream that an attempt began.
+func resume(attempt fleet.RequestID) *plan.Request {
+	req := newStream()
+	req.Resumption = plan.Resumption{Resumes: true, Attempt: attempt}
+	return req
+}
+
+// TestStreamGoesOnAtItsVersion guards against second1: streams went on at another version of
+// the engines' software than the one that began them.
+//
+// Load pattern: a service changes from v1 to v1.1, an engine each 0.4 s, in which both serve
+// side by side. Engines crash and break off the streams on them; some callers name the attempt
+// that began their stream, others nothing, or something else.
+func TestStreamGoesOnAtItsVersion(t *testing.T) {
+	for seed := range uint64(10) {
+		random := rand.New(rand.NewPCG(seed, 32))
+		entries := versionedEngines(18, "v1")
+		f := newFleet(t, entries)
+		type stream struct {
+			attempt  fleet.RequestID
+			software fleet.Software
+		}
+		var begun []stream
+		joined, resumed, refused := 0, 0, 0
+		for now := time.Duration(0); now < 20*second; now += 20 * time.Millisecond {
+			if step := int(now/(400*time.Millisecond)) - 5; now%(400*time.Millisecond) == 0 && step >= 0 && step < 9 {
+				entries = append(slices.Clone(entries), roster.Target{
+					ID: fleet.TargetID(fmt.Sprint("new", step)), Service: engineService, Address: fleet.Address(fmt.Sprintf("10.1.0.%d:1", step)),
+					DataCentre: "a", Models: entries[0].Models, Software: "v1.1", ColdFor: second,
+				})
+				entries[2*step].Leaving = true
+				f.SetTargets(at(now), entries, nil)
+			}
+			req := newStream()
+			if decision, ok := f.Submit(at(now), req); ok && decision.Grant != nil {
+				begun = append(begun, stream{req.ID, decision.Grant.Software})
+				f.Report(at(now), plan.Report{Number: decision.Grant.Number, Progress: plan.Started})
+				f.Report(at(now), plan.Report{Number: decision.Grant.Number, Progress: plan.Failed})
+			}
+			if len(begun) == 0 || random.IntN(4) > 0 {
+				f.Tick(at(now))
+				continue
+			}
+			s := begun[max(0, len(begun)-1-random.IntN(100))]
+			again := resume(s.attempt)
+			switch random.IntN(6) {
+			case 0:
+				again.Resumption.Attempt = ""
+			case 1:
+				again.Resumption.Attempt = "unknown"
+			}
+			decision, ok := f.Submit(at(now), again)
+			switch {
+			case !ok:
+				f.Cancel(again)
+			case decision.Grant == nil:
+				refused++
+			default:
+				resumed++
+				if decision.Grant.Software != s.software {
+					joined++
+				}
+				f.Report(at(now), plan.Report{Number: decision.Grant.Number, Progress: plan.Done})
+			}
+			f.Tick(at(now))
+		}
+		require.LessOrEqual(t, joined, 2, "seed %d: streams that went on at another version; %d went on, %d were refused", seed, resumed, refused)
+		require.Greater(t, resumed, refused, "seed %d: streams that went on, and those refused", seed)
+	}
+}
