origin, plan: a stream goes on only at the software version that began it

Cause: a stream that is resumed was placed like a new one. Nothing read the version in the entries of engines, nor the attempt that a caller names. Both ways were open: the host's own resume within an answer, and a caller's take-up at any host.

Package origin remembers which version was granted to each attempt. Where one version alone can have begun a stream, that one did: which versions can have travels in the record of the duty, so that it outlives all hosts. What can't be told is refused, not guessed. Hosts resume within an answer at the version that wrote the first event. A split route picks the service by the attempt that began the stream.

--- a/fleet/election/election.go
+++ b/fleet/election/election.go
@@ -42,6 +42,7 @@
 	"time"
 
 	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/origin"
 	"hibiscuslb/fleet/quarantine"
 )
 
@@ -68,6 +69,9 @@
 	firstEra = 1
 )
 
+// IsFirst reports whether the epoch is that of the first holder that the duty has had.
+func IsFirst(epoch fleet.Epoch) bool { return epoch == 1 || epoch == firstEra*epochsPerEra+1 }
+
 // A Record is the content of the duty's object.
 type Record struct {
 	Holder   fleet.HostID // empty if the last holder resigned
@@ -79,12 +83,14 @@
 	// Quarantine is what the holder passes on to all hosts and to its successor. A
 	// holder that has nothing of its own to pass on keeps what it found.
 	Quarantine quarantine.List `json:",omitempty"`
+	// Versions is passed on in the same way.
+	Versions origin.Versions `json:",omitempty"`
 }
 
 // Equal reports whether two records are equal.
 func (r Record) Equal(other Record) bool {
 	return r.Holder == other.Holder && r.Address == other.Address && r.Epoch == other.Epoch && r.Renewal == other.Renewal &&
-		r.Ordering == other.Ordering && r.Era == other.Era && slices.Equal(r.Quarantine, other.Quarantine)
+		r.Ordering == other.Ordering && r.Era == other.Era && slices.Equal(r.Quarantine, other.Quarantine) && slices.Equal(r.Versions, other.Versions)
 }
 
 // newer reports whether the record is of a later tenure or renewal than other.
@@ -183,7 +189,7 @@
 	}
 	record := Record{
 		Holder: d.Self, Address: d.Address, Epoch: d.record.Epoch, Ordering: ordering,
-		Renewal: max(d.record.Renewal, d.lastRenewal) + 1, Era: d.revision.Era, Quarantine: d.record.Quarantine,
+		Renewal: max(d.record.Renewal, d.lastRenewal) + 1, Era: d.revision.Era, Quarantine: d.record.Quarantine, Versions: d.record.Versions,
 	}
 	w := Write{Expected: d.revision, Sent: now, orders: ordering}
 	waited := now.Sub(d.observedAt) >= LeaseDuration+ClockMargin
@@ -244,7 +250,7 @@
 		return Write{}, false
 	}
 	return Write{
-		Record:   Record{Epoch: d.record.Epoch, Renewal: d.record.Renewal + 1, Ordering: d.record.Ordering, Era: d.revision.Era, Quarantine: d.record.Quarantine},
+		Record:   Record{Epoch: d.record.Epoch, Renewal: d.record.Renewal + 1, Ordering: d.record.Ordering, Era: d.revision.Era, Quarantine: d.record.Quarantine, Versions: d.record.Versions},
 		Expected: d.revision, Sent: now,
 	}, true
 }
--- a/fleet/outcome.go
+++ b/fleet/outcome.go
@@ -29,8 +29,12 @@
 	ReasonConfigurationStale  Reason = "configuration may be stale"
 	ReasonPlatformUnavailable Reason = "platform unavailable" // a call to the platform failed
 	ReasonTargetFailed        Reason = "target failed"        // no complete answer from the target
-	// ReasonWithheld means that engines crashed on prompts with a part of this one.
-	ReasonWithheld           Reason = "a part of the prompt has crashed engines"
+	// ReasonWithheld means that targets crashed under this request, or on prompts with a part of
+	// this one.
+	ReasonWithheld Reason = "the request or a part of its prompt has crashed targets"
+	// ReasonUnknownOrigin means that the version of the software that began the stream, and at
+	// which alone it may go on, can't be told.
+	ReasonUnknownOrigin      Reason = "version that began the stream is not known"
 	ReasonRetryBudget        Reason = "retry budget spent"
 	ReasonAnswerNotKept      Reason = "answer of the earlier call was too long to keep"
 	ReasonInProgress         Reason = "in progress" // an earlier request with the idempotency key has not ended
--- a/fleet/plan/admission.go
+++ b/fleet/plan/admission.go
@@ -39,7 +39,13 @@
 )
 
 // MaxQueueTime returns how long the request may stay in the planner's queue.
-func (r *Request) MaxQueueTime() time.Duration { return max(0, r.Objective) / queueTimeDivisor }
+func (r *Request) MaxQueueTime() time.Duration {
+	least := time.Duration(0)
+	if r.Resumption.Resumes && !r.Resumption.Known {
+		least = originLoadTime
+	}
+	return max(least, r.Objective/queueTimeDivisor)
+}
 
 // queuedRequest is a request in the planner's queue.
 type queuedRequest struct {
@@ -142,8 +148,17 @@
 	if refusal != nil {
 		return Decision{Request: req, Refusal: refusal}, decided
 	}
-	c, eligible := f.bestCandidate(now, req)
-	if !eligible && c.target == nil && !f.mayBecomeUsable(req) {
+	software, known := f.requiredSoftware(now, req)
+	switch {
+	case known:
+	case f.origins.LoadPending():
+		return Decision{}, noCapacity
+	default:
+		f.stats.UnknownOrigins++
+		return refuse(req, fleet.ReasonUnknownOrigin, unknownOriginRetryAfter), decided
+	}
+	c, eligible := f.bestCandidate(now, req, software)
+	if !eligible && c.target == nil && !f.mayBecomeUsable(req, software) {
 		return refuse(req, fleet.ReasonNoTarget, maxRetryAfter/2), decided
 	}
 	if c.target == nil {
@@ -160,9 +175,9 @@
 
 // mayBecomeUsable reports whether the service has a target that may be given the
 // request later, although it is not usable now.
-func (f *Fleet) mayBecomeUsable(req *Request) bool {
+func (f *Fleet) mayBecomeUsable(req *Request, software *fleet.Software) bool {
 	for _, t := range f.targets {
-		if t.Service == req.Service && !t.leaves() && !t.evacuated && !slices.Contains(req.Avoid, t.ID) {
+		if t.Service == req.Service && t.has(software) && !t.leaves() && !t.evacuated && !slices.Contains(req.Avoid, t.ID) {
 			return true
 		}
 	}
@@ -218,6 +233,7 @@
 		f.active = make(map[GrantNumber]*activeGrant)
 	}
 	f.active[g.Number] = ag
+	f.recordOrigin(now, req, t)
 	return g
 }
 
@@ -262,7 +278,7 @@
 				continue
 			}
 			q.postpone(now, verdict)
-			if verdict == noCapacity && len(q.req.Avoid) == 0 {
+			if verdict == noCapacity && len(q.req.Avoid) == 0 && !q.req.Resumption.Resumes {
 				unmet[kind] = memory
 			}
 		}
--- a/fleet/plan/cache.go
+++ b/fleet/plan/cache.go
@@ -144,6 +144,7 @@
 	RepeatsRefused uint64 // repeats beyond the retry budget
 	Crashes        uint64 // of targets with requests on them
 	Withheld       uint64 // requests refused because they or a part of their prompt are withheld
+	UnknownOrigins uint64 // requests refused because the version that began their stream is not known
 }
 
 // String formats the statistics for logs.
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -32,6 +32,7 @@
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/cachestore"
 	"hibiscuslb/fleet/intake"
+	"hibiscuslb/fleet/origin"
 	"hibiscuslb/fleet/prompt"
 	"hibiscuslb/fleet/quarantine"
 	"hibiscuslb/fleet/roster"
@@ -208,6 +209,7 @@
 	queue         []*queuedRequest
 	tenureStart   fleet.Instant
 	quarantine    quarantine.Ledger
+	origins       origin.Ledger
 	crashes       []crash // not settled yet
 	probesDue     bool    // of some target
 }
@@ -336,6 +338,7 @@
 			delete(f.targets, id)
 		}
 	}
+	f.followVersions(now)
 }
 
 // Stats returns the statistics of this tenure.
@@ -350,6 +353,9 @@
 	switch report.Progress {
 	case Started:
 		ag.target.startGrant(now, ag)
+		if ag.req.Resumable {
+			f.origins.RecordStart(ag.req.originKey())
+		}
 		return
 	case Answered:
 		ag.target.learn(now, report.Notice.Limit, report.Notice.Leaving)
--- a/hibiscusfront/internal/chooser/local.go
+++ b/hibiscusfront/internal/chooser/local.go
@@ -34,9 +34,16 @@
 	if v.Duty.Quarantine.Withholds(req.Fingerprint, req.Prompt) {
 		return plan.Decision{Request: req, Refusal: fleet.RefuseWithRetryAfter(fleet.ReasonWithheld, quarantine.FirstTrial)}
 	}
+	software, known := requiredSoftware(v, req)
+	if !known {
+		return plan.Decision{Request: req, Refusal: fleet.RefuseWithRetryAfter(fleet.ReasonUnknownOrigin, noTargetRetryAfter)}
+	}
 	var usable []*roster.Target
 	for i := range v.Targets {
 		t := &v.Targets[i]
+		if software != nil && t.Software != *software {
+			continue
+		}
 		if t.Service != req.Service || !v.Usable(t) || t.ColdFor > 0 || slices.Contains(req.Avoid, t.ID) {
 			continue
 		}
@@ -70,6 +77,24 @@
 	return plan.Decision{Request: req, Grant: g}
 }
 
+// requiredSoftware returns the version that the request's target must have, nil for any. It
+// reports false if it is not known: without a planner the version of a stream that a caller
+// takes up can only be told by exclusion.
+func requiredSoftware(v *view.View, req *plan.Request) (software *fleet.Software, known bool) {
+	r := &req.Resumption
+	switch {
+	case !r.Resumes:
+		return nil, true
+	case r.Known:
+		return &r.Software, true
+	}
+	only, ok := v.Duty.Versions.Only(req.Service)
+	if !ok || slices.ContainsFunc(v.Targets, func(t roster.Target) bool { return t.Service == req.Service && t.Software != only }) {
+		return nil, false
+	}
+	return &only, true
+}
+
 // mayStart reports whether a run may start on the weights that the engine has.
 func (l Local) mayStart(now fleet.Instant, v *view.View, t *roster.Target, model fleet.ModelID) bool {
 	version := t.Version(model)
--- a/hibiscusfront/internal/control/control.go
+++ b/hibiscusfront/internal/control/control.go
@@ -24,6 +24,7 @@
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/election"
+	"hibiscuslb/fleet/origin"
 	"hibiscuslb/fleet/peer"
 	"hibiscuslb/fleet/quarantine"
 	"hibiscuslb/fleet/route"
@@ -69,7 +70,7 @@
 }
 
 // A Control owns the control state of a host. Set the exported fields before calling
-// Run; OnPlanningChange, OnPublish, OnHostLost, WantsOrders and Quarantine may be nil.
+// Run; OnPlanningChange, OnPublish, OnHostLost, WantsOrders, Quarantine and Versions may be nil.
 type Control struct {
 	Settings platform.Settings
 	Store    *platform.Store
@@ -91,6 +92,9 @@
 	// Quarantine returns the suspected and withheld parts of prompts that the host knows
 	// as the planner. They travel in the record of the duty.
 	Quarantine func() quarantine.List
+	// Versions returns the versions of targets that the host knows as the planner to have
+	// begun streams. They travel in the same way.
+	Versions func() origin.Versions
 
 	view atomic.Pointer[view.View]
 	// Instants that other goroutines read: the end of this host's tenure, the
--- a/hibiscusfront/internal/control/duty.go
+++ b/hibiscusfront/internal/control/duty.go
@@ -103,6 +103,12 @@
 	if c.planning && c.Quarantine != nil {
 		w.Record.Quarantine = c.Quarantine()
 	}
+	if c.planning && c.Versions != nil {
+		// A planner that does not know all of them keeps what it found.
+		if versions := c.Versions(); len(versions) > 0 {
+			w.Record.Versions = versions
+		}
+	}
 	c.dutyWriting, c.lastDutyWrite = true, now
 	peers := c.samplePeers(maxHedges)
 	c.tasks.Go(ctx, func(ctx context.Context) {
@@ -269,7 +275,8 @@
 // passes on.
 func (c *Control) updateTenure(now fleet.Instant) {
 	record, published := c.duty.Record(), c.View().Duty
-	if record.Epoch != published.Epoch || record.Holder != published.Holder || !slices.Equal(record.Quarantine, published.Quarantine) {
+	if record.Epoch != published.Epoch || record.Holder != published.Holder || !slices.Equal(record.Quarantine, published.Quarantine) ||
+		!slices.Equal(record.Versions, published.Versions) {
 		c.publish()
 	}
 	holds := c.duty.Holds(now)
--- a/hibiscusfront/internal/gateway/gateway.go
+++ b/hibiscusfront/internal/gateway/gateway.go
@@ -169,7 +169,7 @@
 	if c.ID == "" {
 		return fleet.Refuse(fleet.ReasonMalformed, "request has no ID")
 	}
-	c.service = c.route.PickService(requestHash(c.ID))
+	c.service = c.route.PickService(requestHash(c.firstAttempt()))
 	c.expiresAt = c.start.Add(defaultTimeout)
 	if c.Deadline > 0 {
 		c.expiresAt = c.start.Add(c.Deadline)
@@ -240,6 +240,15 @@
 	return plan.Resumption{Resumes: c.streamed || c.LastEvent != "", Known: c.streamed, Software: c.software, Attempt: c.Resumes}
 }
 
+// firstAttempt returns the attempt by which a split route picks the service: for a stream that
+// goes on the one that began it.
+func (c *call) firstAttempt() fleet.RequestID {
+	if c.route.Kind == route.Streaming && c.LastEvent != "" && c.Resumes != "" {
+		return c.Resumes
+	}
+	return c.ID
+}
+
 // mayRepeat reports whether the request may be sent to another target although
 // a target has run it or may have run it.
 func (c *call) mayRepeat() bool {
--- a/hibiscusfront/internal/host/host.go
+++ b/hibiscusfront/internal/host/host.go
@@ -93,6 +93,7 @@
 		},
 	}
 	h.planner = planner.New(settings.Host, settings.Bounds, platform.NewTargetClient(), h.control, h.clock, log)
+	h.planner.Origins = h.control.Store
 	h.meter = newMeters(&h.planner.WeightOrders)
 	h.meter.refresh = h.refreshMeters
 	h.chooser = chooser.New(settings.Host, settings.Peers, h.planner, &h.peers, h.clock, log)
@@ -120,6 +121,7 @@
 	h.control.OnHostLost = func(id fleet.HostID) { h.planner.ReleaseHost(runCtx, id) }
 	h.control.WantsOrders = h.planner.WeightsOutdated
 	h.control.Quarantine = h.planner.Quarantine
+	h.control.Versions = h.planner.Versions
 	var parts task.Group
 	parts.Go(runCtx, h.peers.Run)
 	parts.Go(runCtx, h.planner.Run)
--- a/hibiscusfront/internal/planner/calls.go
+++ b/hibiscusfront/internal/planner/calls.go
@@ -25,6 +25,7 @@
 		p.Log.Info().Stringer("Count", p.fleet.Stats()).Int("Waiting", p.fleet.QueueLen()).Msg("planned")
 	}
 	p.noteQuarantine()
+	p.dispatchOrigins(ctx, now)
 	for _, probe := range p.fleet.DueProbes() {
 		p.tasks.Go(ctx, func(ctx context.Context) { p.probe(ctx, probe) })
 	}
--- a/hibiscusfront/internal/planner/planner.go
+++ b/hibiscusfront/internal/planner/planner.go
@@ -20,7 +20,9 @@
 	"github.com/rs/zerolog"
 
 	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/election"
 	"hibiscuslb/fleet/meter"
+	"hibiscuslb/fleet/origin"
 	"hibiscuslb/fleet/plan"
 	"hibiscuslb/fleet/quarantine"
 	"hibiscuslb/fleet/task"
@@ -64,6 +66,8 @@
 	Permissions Permissions
 	Clock       fleet.Clock
 	Log         zerolog.Logger
+	// Origins stores which version began the streams; nil stores nothing.
+	Origins OriginStore
 
 	inbox             chan func(now fleet.Instant)
 	tasks             task.Group
@@ -81,6 +85,11 @@
 	restored      quarantine.List                 // the last list of another planner
 	followsRecord bool                            // restored is what this host knew last, not what it found out itself
 
+	versions       atomic.Pointer[origin.Versions] // as of the last dispatch or view
+	inherited      origin.Versions                 // the last ones of another planner
+	loadingOrigins bool
+	batchNumber    uint64 // of the last batch of streams that was written
+
 	lastStatsLog    fleet.Instant
 	weightsOutdated outdatedFlag
 	stats           atomic.Pointer[plan.Stats]
@@ -166,6 +175,9 @@
 		p.active, p.epoch = planning, epoch
 		if planning {
 			p.fleet.BeginTenure(now, firstGrantNumber(epoch))
+			if election.IsFirst(epoch) {
+				p.fleet.BeginFirstTenure(now)
+			}
 			p.syncWatchers(ctx, now)
 		}
 	})
@@ -206,6 +218,7 @@
 			p.fleet.SetWeights(model, w)
 		}
 		p.followQuarantine(now, v.Duty.Quarantine)
+		p.followVersions(now, v.Duty.Versions)
 		p.weightsOutdated.Store(p.fleet.HasOutdatedEngines())
 		if p.active || p.deputy {
 			p.syncWatchers(p.runCtx, now)
--- a/standin/fakeplatform/store.go
+++ b/standin/fakeplatform/store.go
@@ -273,7 +273,7 @@
 	current, exists := s.objects[kind][name]
 	switch {
 	case r.Method == http.MethodPost && exists,
-		r.Method == http.MethodPut && exists && o.Metadata.Revision != current.Metadata.Revision:
+		r.Method == http.MethodPut && exists && o.Metadata.Revision != 0 && o.Metadata.Revision != current.Metadata.Revision:
 		web.Reply(w, http.StatusConflict, current)
 	case r.Method == http.MethodPut && !exists:
 		w.WriteHeader(http.StatusNotFound)
