plan: streams that are taken up go before new requests of their rank

Their version was known, but only half of the engines have it, whose memory is full under the burst; nearly all were refused as overloaded after 150 ms.

Requests that resume a stream are now considered before new ones of their rank and wait for up to half of their objective: a caller who has part of an answer loses it with the refusal. A planner also reads the streams of earlier ones as it begins, not at the first miss.

--- a/fleet/origin/origin.go
+++ b/fleet/origin/origin.go
@@ -304,12 +304,19 @@
 	if versions := s.versions(); len(versions) == 1 && l.complete(now) {
 		return versions[0], true
 	}
-	l.loadDue = attempt != nil && now.Sub(l.loadedAt) >= loadInterval
+	l.loadDue = l.loadDue || attempt != nil && now.Sub(l.loadedAt) >= loadInterval
 	return "", false
 }
 
-// LoadPending reports whether an attempt that is not known may be in batches of other
-// planners that have not been read since.
+// BeginTenure records that the host begins to plan. Earlier planners may have written batches.
+func (l *Ledger) BeginTenure() {
+	for _, s := range l.services {
+		l.loadDue = l.loadDue || len(s.versions()) > 1
+	}
+}
+
+// LoadPending reports whether batches of other planners have to be read: at the begin of a
+// tenure, and if an attempt that is not known may be in batches written since the last read.
 func (l *Ledger) LoadPending() bool { return l.loadDue }
 
 // Requeue queues the streams of batches that could not be written.
--- a/fleet/plan/admission.go
+++ b/fleet/plan/admission.go
@@ -25,10 +25,17 @@
 // by the end of a request's time in the queue, earliest first. A request whose
 // first piece would be far too late at the target with the lowest cost is not
 // granted.
+//
+// Streams that were broken off in a burst are taken up while all engines are full, and
+// fewer engines may serve them, see origin.go. Their callers have part of the answer
+// already, and most would not come back after a refusal. They are therefore considered
+// before new requests of their rank, and wait for up to half of their objective.
 const (
 	// queueTimeDivisor divides the objective to give the longest time in the
 	// planner's queue.
 	queueTimeDivisor = 8
+	// resumeQueueTimeDivisor does the same for a request that resumes a stream.
+	resumeQueueTimeDivisor = 2
 	// minRetryAfter and maxRetryAfter bound the retry time of a refused
 	// request, before it is spread.
 	minRetryAfter = 100 * time.Millisecond
@@ -40,11 +47,10 @@
 
 // MaxQueueTime returns how long the request may stay in the planner's queue.
 func (r *Request) MaxQueueTime() time.Duration {
-	least := time.Duration(0)
-	if r.Resumption.Resumes && !r.Resumption.Known {
-		least = originLoadTime
+	if r.Resumption.Resumes {
+		return max(originLoadTime, r.Objective/resumeQueueTimeDivisor)
 	}
-	return max(least, r.Objective/queueTimeDivisor)
+	return max(0, r.Objective) / queueTimeDivisor
 }
 
 // queuedRequest is a request in the planner's queue.
@@ -57,6 +63,14 @@
 	nextTry fleet.Instant
 }
 
+// order is the order of requests of one rank in the queue.
+func (q *queuedRequest) order() int {
+	if q.req.Resumption.Resumes {
+		return 0
+	}
+	return 1
+}
+
 // lateRetryInterval is the time after which a request that would have started too late
 // is considered again. The passing of time does not help it, since its objective comes
 // nearer as fast as the engines read; only reports from hosts do.
@@ -258,7 +272,7 @@
 	f.expireGrants(now)
 	f.settleCrashes(now)
 	slices.SortStableFunc(f.queue, func(a, b *queuedRequest) int {
-		return cmp.Or(cmp.Compare(a.req.Rank, b.req.Rank), cmp.Compare(a.expires, b.expires))
+		return cmp.Or(cmp.Compare(a.req.Rank, b.req.Rank), cmp.Compare(a.order(), b.order()), cmp.Compare(a.expires, b.expires))
 	})
 	var decisions []Decision
 	var remaining []*queuedRequest
--- a/fleet/plan/origin_test.go
+++ b/fleet/plan/origin_test.go
@@ -100,3 +100,82 @@
 		require.Greater(t, resumed, refused, "seed %d: streams that went on, and those refused", seed)
 	}
 }
+
+// TestStreamsTakenUpUnderOverloadGoOn guards against rejoined: after a kill of hosts most of the
+// streams that were taken up again were refused, since only half of the engines have
+// their version.
+//
+// Load pattern: streams with long prompts arrive at twice the rate that the memory of the engines
+// bears, while two versions serve. A third of those under way are broken off at the same
+// moment, and taken up within three seconds.
+func TestStreamsTakenUpUnderOverloadGoOn(t *testing.T) {
+	for seed := range uint64(10) {
+		random := rand.New(rand.NewPCG(seed, 33))
+		f := newFleet(t, versionedEngines(9, "v1", "v1.1"))
+		type running struct {
+			attempt fleet.RequestID
+			number  plan.GrantNumber
+			ends    time.Duration
+		}
+		var under, brokenOff []running
+		waiting := make(map[*plan.Request]bool) // those that take a stream up
+		begun, submitted, wentOn, takenUp := 0, 0, 0, 0
+		decided := func(now time.Duration, d plan.Decision, goesOn bool) {
+			if d.Grant == nil {
+				return
+			}
+			if goesOn {
+				wentOn++
+			} else {
+				begun++
+			}
+			f.Report(at(now), plan.Report{Number: d.Grant.Number, Progress: plan.Started})
+			under = append(under, running{d.Request.ID, d.Grant.Number, now + second + time.Duration(random.Int64N(int64(2*second)))})
+		}
+		submit := func(now time.Duration, req *plan.Request, goesOn bool) {
+			if d, ok := f.Submit(at(now), req); ok {
+				decided(now, d, goesOn)
+				return
+			}
+			waiting[req] = goesOn
+		}
+		for now := time.Duration(0); now < 10*second; now += 10 * time.Millisecond {
+			under = slices.DeleteFunc(under, func(r running) bool {
+				if now >= r.ends {
+					f.Report(at(now), plan.Report{Number: r.number, Progress: plan.Done})
+				}
+				return now >= r.ends
+			})
+			if now == 5*second {
+				random.Shuffle(len(under), func(i, j int) { under[i], under[j] = under[j], under[i] })
+				lost := under[:len(under)/3]
+				under = slices.Clone(under[len(under)/3:])
+				for _, r := range lost {
+					f.Report(at(now), plan.Report{Number: r.number, Progress: plan.Abandoned})
+				}
+				for _, r := range lost {
+					brokenOff = append(brokenOff, running{attempt: r.attempt, ends: now + second + time.Duration(random.Int64N(int64(2*second)))})
+				}
+			}
+			brokenOff = slices.DeleteFunc(brokenOff, func(r running) bool {
+				if now >= r.ends {
+					takenUp++
+					submit(now, resume(r.attempt), true)
+				}
+				return now >= r.ends
+			})
+			for range 1 + random.IntN(2) {
+				submitted++
+				submit(now, newStream(), false)
+			}
+			for _, d := range f.Tick(at(now)) {
+				decided(now, d, waiting[d.Request])
+				delete(waiting, d.Request)
+			}
+		}
+		share, shareOfNew := float64(wentOn)/float64(takenUp), float64(begun)/float64(submitted)
+		require.Greater(t, takenUp, 12)
+		require.Less(t, shareOfNew, 0.7, "seed %d: the load is no overload", seed)
+		require.GreaterOrEqual(t, share, shareOfNew/2, "seed %d: %d of %d went on, %d of %d new ones began", seed, wentOn, takenUp, begun, submitted)
+	}
+}
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -229,6 +229,7 @@
 	f.tenureStart, f.lastNumber = now, base
 	f.stats = Stats{}
 	f.queue, f.crashes = nil, nil
+	f.origins.BeginTenure()
 	f.active = make(map[GrantNumber]*activeGrant)
 	for _, t := range f.targets {
 		t.resetGrants(now)
