origin: tests of the ledger, its way through planner, record and store, and with processes

TestOriginIsNeverWrong plays releases, kills of all hosts, lost batches and streams begun without a planner: no version may be named that did not begin the stream.

--- /dev/null
+++ b/fleet/origin/origin_test.go
@@ -0,0 +1,221 @@
+package origin_test
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/origin"
+)
+
+const (
+	second   = time.Second
+	deadline = 12 * time.Second
+)
+
+func at(d time.Duration) fleet.Instant { return fleet.Instant(time.Hour + d) }
+
+func versions(softwares ...fleet.Software) (list []origin.Version) {
+	for _, software := range softwares {
+		list = append(list, origin.Version{Service: "lm", Software: software})
+	}
+	return list
+}
+
+func keyOf(attempt string) *origin.Key {
+	key := origin.KeyOf("lm", "w", fleet.RequestID(attempt))
+	return &key
+}
+
+// newLedger returns the ledger of the first planner of a fleet.
+func newLedger(now time.Duration, softwares ...fleet.Software) *origin.Ledger {
+	l := new(origin.Ledger)
+	l.SetVersions(at(now), versions(softwares...))
+	l.BeginFirst(at(now))
+	return l
+}
+
+func grant(l *origin.Ledger, now time.Duration, attempt string, software fleet.Software) {
+	l.RecordGrant(at(now), *keyOf(attempt), versions(software)[0], deadline)
+}
+
+func requireOrigin(t *testing.T, l *origin.Ledger, now time.Duration, attempt *origin.Key, want fleet.Software) {
+	t.Helper()
+	got, known := l.Find(at(now), "lm", attempt)
+	require.Equal(t, want != "", known)
+	if known {
+		require.Equal(t, want, got)
+	}
+}
+
+func ExampleLedger() {
+	var l origin.Ledger
+	v1, v2 := origin.Version{Service: "lm", Software: "v1"}, origin.Version{Service: "lm", Software: "v2"}
+	l.SetVersions(at(0), []origin.Version{v1, v2})
+	key := origin.KeyOf("lm", "w", "9c41")
+	l.RecordGrant(at(0), key, v2, 10*time.Second)
+	fmt.Println(l.Find(at(second), "lm", &key))
+	other := origin.KeyOf("lm", "another workspace", "9c41")
+	_, known := l.Find(at(second), "lm", &other)
+	fmt.Println(known)
+	// Output:
+	// v2 true
+	// false
+}
+
+func TestVersionIsToldByExclusion(t *testing.T) {
+	l := newLedger(0, "v1")
+	requireOrigin(t, l, 0, nil, "v1")
+	requireOrigin(t, l, 0, keyOf("never recorded"), "v1")
+	grant(l, second, "first", "v1")
+	l.SetVersions(at(2*second), versions("v1", "v2"))
+	requireOrigin(t, l, 2*second, nil, "")
+	requireOrigin(t, l, 2*second, keyOf("never recorded"), "")
+	requireOrigin(t, l, 2*second, keyOf("first"), "v1")
+	l.SetVersions(at(10*second), versions("v2"))
+	requireOrigin(t, l, 11*second, nil, "")
+	requireOrigin(t, l, 10*second+l.Retention(), nil, "v2")
+}
+
+// A host that starts does not know which versions have left before.
+func TestNewLedgerExcludesNothing(t *testing.T) {
+	var l origin.Ledger
+	l.SetVersions(at(0), versions("v2"))
+	requireOrigin(t, &l, second, nil, "")
+	require.Empty(t, l.Versions(at(second)))
+	requireOrigin(t, &l, l.Retention(), nil, "v2")
+
+	l = origin.Ledger{}
+	l.SetVersions(at(0), versions("v2"))
+	l.Inherit(at(second), nil)
+	requireOrigin(t, &l, second, nil, "")
+	l.Inherit(at(second), versions("v2"))
+	requireOrigin(t, &l, second, nil, "v2")
+	l.Inherit(at(2*second), versions("v1", "v2"))
+	requireOrigin(t, &l, 2*second, nil, "")
+	require.Equal(t, origin.Versions(versions("v1", "v2")), l.Versions(at(2*second)))
+	only, ok := l.Versions(at(2*second + l.Retention())).Only("lm")
+	require.True(t, ok)
+	require.Equal(t, fleet.Software("v2"), only)
+}
+
+func TestEarlierGrantOfAttemptBroughtNoEvent(t *testing.T) {
+	l := newLedger(0, "v1", "v2")
+	grant(l, 0, "a", "v1")
+	grant(l, second, "a", "v2")
+	requireOrigin(t, l, second, keyOf("a"), "v2")
+	l.RecordStart(*keyOf("a"))
+	grant(l, 2*second, "a", "v1") // the caller uses the ID again
+	requireOrigin(t, l, 2*second, keyOf("a"), "")
+}
+
+func TestStreamsAreForgottenAfterRetention(t *testing.T) {
+	l := newLedger(0, "v1", "v2")
+	grant(l, 0, "a", "v1")
+	requireOrigin(t, l, l.Retention()-1, keyOf("a"), "v1")
+	requireOrigin(t, l, l.Retention(), keyOf("a"), "")
+	l.RecordGrant(at(0), *keyOf("long"), versions("v1")[0], 10*time.Minute)
+	require.Greater(t, l.Retention(), 10*time.Minute)
+}
+
+func TestBatchesAreWrittenOnlyBesideSeveralVersions(t *testing.T) {
+	l := newLedger(0, "v1")
+	grant(l, 0, "a", "v1")
+	require.Empty(t, l.DueBatches(at(second)))
+	l.SetVersions(at(2*second), versions("v1", "v2"))
+	grant(l, 2*second, "b", "v2")
+	batches := l.DueBatches(at(2 * second))
+	require.Len(t, batches, 2, "streams that were begun before the release are written, too")
+	grant(l, 2*second, "c", "v2")
+	require.Empty(t, l.DueBatches(at(2*second+origin.BatchInterval/2)))
+	require.Len(t, l.DueBatches(at(2*second+origin.BatchInterval)), 1)
+	require.Empty(t, l.DueBatches(at(3*second)))
+	l.Requeue(batches)
+	require.Equal(t, batches, l.DueBatches(at(4*second)))
+
+	var successor origin.Ledger
+	successor.SetVersions(at(0), versions("v1", "v2"))
+	successor.BeginTenure()
+	require.True(t, successor.LoadPending())
+	requireOrigin(t, &successor, 0, keyOf("a"), "")
+	successor.Load(at(0), at(0), batches)
+	requireOrigin(t, &successor, 0, keyOf("a"), "v1")
+	requireOrigin(t, &successor, 0, keyOf("b"), "v2")
+	require.False(t, successor.LoadPending())
+	requireOrigin(t, &successor, 0, keyOf("c"), "")
+	require.False(t, successor.LoadPending(), "nothing can have been written since")
+	requireOrigin(t, &successor, second, keyOf("c"), "")
+	require.True(t, successor.LoadPending())
+	successor.Load(at(second), at(second), append(batches, origin.Batch{Service: "lm", Software: "v2", Keys: []byte("odd")}))
+	requireOrigin(t, &successor, second, keyOf("b"), "v2")
+}
+
+// TestOriginIsNeverWrong plays planners that follow each other, over releases, kills of all
+// hosts and records that are lost, with hosts that begin streams without a planner. Whatever
+// version is named for an attempt must be the one that began it.
+func TestOriginIsNeverWrong(t *testing.T) {
+	for seed := range uint64(60) {
+		random := rand.New(rand.NewPCG(seed, 32))
+		listed := map[fleet.Software]bool{"v0": true}
+		list := func() []origin.Version { return versions(slices.Sorted(maps.Keys(listed))...) }
+		l := newLedger(0, "v0")
+		var record origin.Versions // in the record of the duty
+		var store [][]origin.Batch
+		began := make(map[string]fleet.Software)
+		var attempts []string
+		named, asked := 0, 0
+		releases := 0
+		for now := time.Duration(0); now < 3*time.Minute; now += 50 * time.Millisecond {
+			if random.IntN(200) == 0 { // a release begins, or an old version goes
+				if all := slices.Sorted(maps.Keys(listed)); len(all) > 1 {
+					delete(listed, all[random.IntN(len(all))])
+				} else {
+					releases++
+					listed[fleet.Software(fmt.Sprint("v", releases))] = true
+				}
+				l.SetVersions(at(now), list())
+			}
+			if random.IntN(7) == 0 {
+				record = l.Versions(at(now))
+			}
+			if batches := l.DueBatches(at(now)); len(batches) > 0 && random.IntN(10) > 0 {
+				store = append(store, batches)
+			}
+			if l.LoadPending() && random.IntN(2) == 0 {
+				l.Load(at(now), at(now), slices.Concat(store...))
+			}
+			if random.IntN(300) == 0 { // all hosts end; the successor reads the record and the roster
+				now += time.Duration(random.IntN(3000)) * time.Millisecond
+				l = new(origin.Ledger)
+				l.SetVersions(at(now), list())
+				l.Inherit(at(now), record)
+				l.BeginTenure()
+			}
+			attempt := fmt.Sprint("a", len(attempts))
+			all := slices.Sorted(maps.Keys(listed))
+			began[attempt] = all[random.IntN(len(all))]
+			attempts = append(attempts, attempt)
+			if random.IntN(10) > 0 { // the rest is begun without a planner
+				grant(l, now, attempt, began[attempt])
+				l.RecordStart(*keyOf(attempt))
+			}
+			taken := attempts[max(0, len(attempts)-1-random.IntN(int(deadline/(50*time.Millisecond))))]
+			asked++
+			if software, known := l.Find(at(now), "lm", keyOf(taken)); known {
+				named++
+				require.Equal(t, began[taken], software, "seed %d at %v", seed, now)
+			}
+			if len(all) > 1 {
+				_, known := l.Find(at(now), "lm", nil)
+				require.False(t, known, "seed %d at %v: %d versions serve", seed, now, len(all))
+			}
+		}
+		require.Greater(t, named, asked/4, "seed %d", seed)
+	}
+}
--- /dev/null
+++ b/hibiscusfront/internal/chooser/resume_test.go
@@ -0,0 +1,56 @@
+package chooser_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/election"
+	"hibiscuslb/fleet/origin"
+	"hibiscuslb/fleet/plan"
+	"hibiscuslb/fleet/roster"
+	"hibiscuslb/hibiscusfront/internal/view"
+)
+
+// Load pattern: hosts choose alone while callers take up streams that broke off with the
+// planner. A host may name a version only if no other one can have begun them.
+func TestLocalChoiceKeepsStreamsAtTheirVersion(t *testing.T) {
+	_, c, _ := startChooser(t)
+	one := origin.Versions{{Service: "other", Software: "v3"}, {Service: "s", Software: "v1"}}
+	two := append(origin.Versions{{Service: "s", Software: "v2"}}, one...)
+	for _, test := range []struct {
+		name       string
+		versions   origin.Versions
+		targets    []fleet.Software
+		resumption plan.Resumption
+		want       fleet.Software // empty if the request must be refused
+	}{
+		{"one version", one, []fleet.Software{"v1", "v1"}, plan.Resumption{Resumes: true}, "v1"},
+		{"a version that the planner does not know yet", one, []fleet.Software{"v1", "v2"}, plan.Resumption{Resumes: true}, ""},
+		{"the old version has just left", two, []fleet.Software{"v2"}, plan.Resumption{Resumes: true}, ""},
+		{"nothing known of the past", nil, []fleet.Software{"v1"}, plan.Resumption{Resumes: true}, ""},
+		{"resumed by this host", two, []fleet.Software{"v1", "v2", "v1"}, plan.Resumption{Resumes: true, Known: true, Software: "v2"}, "v2"},
+		{"resumed by this host, its version has left", two, []fleet.Software{"v1"}, plan.Resumption{Resumes: true, Known: true, Software: "v2"}, ""},
+		{"a new stream", nil, []fleet.Software{"v1"}, plan.Resumption{}, "v1"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			v := &view.View{Duty: election.Record{Versions: test.versions}}
+			for i, software := range test.targets {
+				v.Targets = append(v.Targets, roster.Target{ID: fleet.TargetID(rune('a' + i)), Service: "s", Address: "127.0.0.1:3", Software: software})
+			}
+			v.Freeze()
+			req := newRequest()
+			req.Resumption = test.resumption
+			decision := c.Local.Choose(c.Clock(), v, req)
+			if test.want == "" {
+				require.NotNil(t, decision.Refusal)
+				require.Equal(t, fleet.OutcomeNotRun, decision.Refusal.Outcome)
+				require.Positive(t, decision.Refusal.RetryAfter)
+				return
+			}
+			require.NotNil(t, decision.Grant)
+			require.Equal(t, test.want, decision.Grant.Software)
+		})
+	}
+}
--- /dev/null
+++ b/hibiscusfront/internal/control/versions_test.go
@@ -0,0 +1,32 @@
+package control
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslb/fleet/election"
+	"hibiscuslb/fleet/origin"
+)
+
+// TestVersionsOutliveAllHosts guards against rejoined: all hosts were lost just after the old
+// version of a service had left, and streams that it had begun went on at the new one.
+func TestVersionsOutliveAllHosts(t *testing.T) {
+	store := newConfiguredStore()
+	store.Remove("hosts", "other")
+	store.Put("servers", "i-1", map[string]any{"service": "s", "address": "10.0.0.1:80", "zone": "z", "slots": 4, "state": "ready", "version": "v2"})
+	versions := origin.Versions{{Service: "s", Software: "v1"}, {Service: "s", Software: "v2"}}
+	store.Put("duties", DutyName, map[string]any{
+		"Holder": "lost", "Address": "127.0.0.1:1", "Epoch": 5, "Renewal": 9,
+		"Versions": []map[string]any{{"Service": "s", "Software": "v1"}, {"Service": "s", "Software": "v2"}},
+	})
+	// The planner that follows has seen v2 only, so that it does not know all versions.
+	controls, _ := startFleet(t, store, 3, func(c *Control) { c.Versions = func() origin.Versions { return nil } })
+	awaitPlanner(t, controls)
+	time.Sleep(3 * election.RenewInterval)
+	for _, c := range controls {
+		require.Eventually(t, func() bool { return slices.Equal(c.View().Duty.Versions, versions) }, 3*time.Second, 5*time.Millisecond)
+	}
+}
--- a/hibiscusfront/internal/gateway/gateway_test.go
+++ b/hibiscusfront/internal/gateway/gateway_test.go
@@ -106,7 +106,9 @@
 		})
 	}
 	r.Host, r.Prefix = "127.0.0.1", "/"
-	r.Splits = []route.Split{{Service: "s", Weight: 1}}
+	if r.Splits == nil {
+		r.Splits = []route.Split{{Service: "s", Weight: 1}}
+	}
 	r.Attempts = max(r.Attempts, 1)
 	table := route.NewTable(route.Config{
 		Number: 1, Routes: []route.Route{r}, Limits: route.Limits{Body: 1000},
@@ -131,12 +133,21 @@
 
 // tryCall sends a request. The status is zero if there is no response.
 func (b *fixture) tryCall(t *testing.T, key string) (status int, header http.Header, body string, err error) {
+	t.Helper()
+	return b.tryCallWith(t, key, nil)
+}
+
+// tryCallWith sends a request with additional headers.
+func (b *fixture) tryCallWith(t *testing.T, key string, headers map[string]string) (status int, header http.Header, body string, err error) {
 	t.Helper()
 	request, err := http.NewRequest(http.MethodPost, b.url+"/x", strings.NewReader("body"))
 	require.NoError(t, err)
 	request.Header.Set("X-Hibiscuslb-Request-Id", "9c41")
 	request.Header.Set("X-Hibiscuslb-Deadline-Ms", "2000")
 	request.Header.Set("Authorization", "Token "+key)
+	for name, value := range headers {
+		request.Header.Set(name, value)
+	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return 0, nil, "", err
--- /dev/null
+++ b/hibiscusfront/internal/planner/origins_test.go
@@ -0,0 +1,157 @@
+package planner
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/origin"
+	"hibiscuslb/fleet/plan"
+	"hibiscuslb/fleet/roster"
+	"hibiscuslb/hibiscusfront/internal/view"
+)
+
+// memoryOrigins is an OriginStore of a test.
+type memoryOrigins struct {
+	mu      sync.Mutex
+	objects map[string][]origin.Batch
+	failing bool
+	reads   int
+}
+
+var errOrigins = errors.New("the store is down")
+
+func (m *memoryOrigins) WriteOrigins(_ context.Context, name string, batches []origin.Batch) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.failing {
+		return errOrigins
+	}
+	if m.objects == nil {
+		m.objects = make(map[string][]origin.Batch)
+	}
+	m.objects[name] = batches
+	return nil
+}
+
+func (m *memoryOrigins) ReadOrigins(context.Context) (batches []origin.Batch, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reads++
+	if m.failing {
+		return nil, errOrigins
+	}
+	for _, b := range m.objects {
+		batches = append(batches, b...)
+	}
+	return batches, nil
+}
+
+func (m *memoryOrigins) setFailing(failing bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.failing = failing
+}
+
+// streams returns the number of streams in the store.
+func (m *memoryOrigins) streams() (n int) {
+	batches, _ := m.ReadOrigins(context.Background())
+	for _, b := range batches {
+		n += len(b.Keys) / 8
+	}
+	return n
+}
+
+// startVersionedPlanner starts a planner of a service with two versions of targets.
+func startVersionedPlanner(t *testing.T, store *memoryOrigins, d *testPermissions) (context.Context, *Planner) {
+	t.Helper()
+	ctx, p, _ := startPlanner(t, d)
+	v := testView()
+	v.Targets = nil
+	for i, software := range []fleet.Software{"v1", "v2", "v1", "v2"} {
+		v.Targets = append(v.Targets, roster.Target{ID: fleet.TargetID(rune('a' + i)), Service: "s", Address: "127.0.0.1:1", Slots: 100, Software: software})
+	}
+	p.enqueue(ctx, func(fleet.Instant) { p.Origins = store })
+	p.SetView(ctx, v.Freeze())
+	return ctx, p
+}
+
+func planStream(t *testing.T, ctx context.Context, p *Planner, id fleet.RequestID, r plan.Resumption, deputy bool) plan.Decision {
+	t.Helper()
+	req := newRequest()
+	req.ID, req.Workspace, req.Resumable, req.Resumption = id, "w", true, r
+	decision, err := p.Plan(ctx, req, deputy)
+	require.NoError(t, err)
+	return decision
+}
+
+// TestSuccessorAndDeputyKnowOriginsOfStreams guards against second1: streams whose planner was
+// lost went on at another version.
+func TestSuccessorAndDeputyKnowOriginsOfStreams(t *testing.T) {
+	store := new(memoryOrigins)
+	d := new(testPermissions)
+	d.holds.Store(true)
+	ctx, p := startVersionedPlanner(t, store, d)
+	p.SetPlanning(ctx, 7, true)
+	began := make(map[fleet.RequestID]fleet.Software)
+	for _, id := range []fleet.RequestID{"1", "2", "3", "4", "5", "6", "7", "8"} {
+		began[id] = planStream(t, ctx, p, id, plan.Resumption{}, false).Grant.Software
+	}
+	require.Eventually(t, func() bool { return store.streams() == len(began) }, 2*time.Second, 5*time.Millisecond)
+
+	for _, deputy := range []bool{false, true} {
+		d := new(testPermissions)
+		d.holds.Store(!deputy)
+		ctx, p := startVersionedPlanner(t, store, d)
+		if !deputy {
+			p.SetPlanning(ctx, 8, true)
+		}
+		for id, software := range began {
+			decision := planStream(t, ctx, p, "again "+id, plan.Resumption{Resumes: true, Attempt: id}, deputy)
+			require.NotNil(t, decision.Grant)
+			require.Equal(t, software, decision.Grant.Software)
+		}
+		decision := planStream(t, ctx, p, "x", plan.Resumption{Resumes: true, Attempt: "unknown"}, deputy)
+		require.NotNil(t, decision.Refusal)
+		require.Equal(t, fleet.OutcomeNotRun, decision.Refusal.Outcome)
+		require.Positive(t, decision.Refusal.RetryAfter)
+	}
+}
+
+// While the store is down, streams of another planner are refused at once, and the planner's
+// own are written later.
+func TestOriginsAreWrittenOnceStoreAnswers(t *testing.T) {
+	store := &memoryOrigins{failing: true}
+	d := new(testPermissions)
+	d.holds.Store(true)
+	ctx, p := startVersionedPlanner(t, store, d)
+	p.SetPlanning(ctx, 7, true)
+	require.NotNil(t, planStream(t, ctx, p, "1", plan.Resumption{}, false).Grant)
+	began := time.Now()
+	require.Equal(t, fleet.ReasonUnknownOrigin, planStream(t, ctx, p, "x", plan.Resumption{Resumes: true, Attempt: "unknown"}, false).Refusal.Reason)
+	require.Less(t, time.Since(began), time.Second)
+	time.Sleep(2 * origin.BatchInterval)
+	store.setFailing(false)
+	require.Eventually(t, func() bool { return store.streams() == 1 }, 2*time.Second, 5*time.Millisecond)
+}
+
+// A host that is not the planner passes on what the planner before has passed on, and what it
+// has seen itself: targets without a version, then v1 and v2, then v2 alone.
+func TestVersionsArePassedOn(t *testing.T) {
+	d := new(testPermissions)
+	ctx, p := startVersionedPlanner(t, new(memoryOrigins), d)
+	v := &view.View{Table: testView().Table, Targets: []roster.Target{{ID: "a", Service: "s", Address: "127.0.0.1:1", Software: "v2"}}}
+	v.Duty.Versions = origin.Versions{{Service: "s", Software: "v0"}}
+	p.SetView(ctx, v.Freeze())
+	want := origin.Versions{{Service: "s"}, {Service: "s", Software: "v0"}, {Service: "s", Software: "v1"}, {Service: "s", Software: "v2"}}
+	require.Eventually(t, func() bool { return slices.Equal(p.Versions(), want) }, time.Second, time.Millisecond)
+	d.holds.Store(true)
+	p.SetPlanning(ctx, 7, true)
+	require.Equal(t, want, p.Versions())
+}
--- a/hibiscusfront/internal/soak/site_test.go
+++ b/hibiscusfront/internal/soak/site_test.go
@@ -223,7 +223,7 @@
 	}
 	s.store.PutIfChanged("servers", t.ID, map[string]any{
 		"service": service, "address": string(t.path.Listen), "zone": "z", "slots": 8, "state": "ready",
-		"coldRemainingMs": 0, "models": models,
+		"coldRemainingMs": 0, "models": models, "version": t.Software(),
 	})
 }
 
--- a/standin/fakeplatform/target.go
+++ b/standin/fakeplatform/target.go
@@ -27,14 +27,15 @@
 	CrashPath string
 	Crash     func()
 
-	mu      sync.Mutex
-	version uint64 // of the weights, minus one, so that the zero value is version 1
-	loading bool
-	loads   uint64            // number of started weight loads; the report sends it as seq
-	runs    map[string]int    // by request id
-	tenants map[string]string // by request id
-	withKey []string          // ids of requests that came with an API key
-	epochs  []uint64          // fencing tokens of the received weight orders, in order of arrival
+	mu       sync.Mutex
+	software string // version of the target's software
+	version  uint64 // of the weights, minus one, so that the zero value is version 1
+	loading  bool
+	loads    uint64            // number of started weight loads; the report sends it as seq
+	runs     map[string]int    // by request id
+	tenants  map[string]string // by request id
+	withKey  []string          // ids of requests that came with an API key
+	epochs   []uint64          // fencing tokens of the received weight orders, in order of arrival
 
 	limit    float64       // requests per second that all answers name; zero for none
 	leaving  bool          // all answers say that the target leaves
@@ -42,6 +43,34 @@
 	arrivals []time.Time   // of requests, other than those for another target
 }
 
+// SetWorkTime sets the time per event of a stream.
+func (t *Target) SetWorkTime(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.WorkTime = d
+}
+
+// workTime returns WorkTime, which a test may change while the target runs.
+func (t *Target) workTime() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.WorkTime
+}
+
+// SetSoftware sets the version of the target's software.
+func (t *Target) SetSoftware(version string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.software = version
+}
+
+// Software returns the version of the target's software.
+func (t *Target) Software() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.software
+}
+
 // SetLimit sets the requests per second that answers name as the target's limit; zero
 // names none.
 func (t *Target) SetLimit(rate float64) {
@@ -264,7 +293,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if t.Model == "" {
-		time.Sleep(t.WorkTime)
+		time.Sleep(t.workTime())
 		_, _ = io.WriteString(w, t.Body(id))
 		return
 	}
@@ -274,7 +303,7 @@
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	for i := from + 1; i <= t.Events; i++ {
-		time.Sleep(t.WorkTime)
+		time.Sleep(t.workTime())
 		if t.CrashPart != "" && strings.Contains(","+r.Header.Get("X-Hibiscuslb-Prefix-Hash"), ","+t.CrashPart+":") {
 			t.Crash()
 			panic(http.ErrAbortHandler)
