backend: an earlier refusal that a target writes again is not believed

A faulty target wrote its last refusal once more on a kept connection while it ran the next request. Callers were told 'not run, try again' for a request that ran (REFUSED), and their retry ran it a second time (TWICE): an error response without an ID counted as the one to the request, and so did one with its ID although the ID had been sent on the connection before.

No ID is sent twice on a connection now, and an error response without an ID counts only on a connection without earlier requests; otherwise the outcome is unknown.

--- a/hibiscusfront/internal/backend/backend.go
+++ b/hibiscusfront/internal/backend/backend.go
@@ -9,7 +9,9 @@
 // A target may send a late second response to an earlier request in place of
 // the response to the current one. Responses are therefore matched by the
 // request's ID before any byte of them is returned, and a connection with
-// unread bytes is not reused.
+// unread bytes is not reused. No ID is sent twice on a connection, and an error
+// response without an ID counts only on a connection that had no request before.
+// Otherwise an earlier refusal could pass for one of a request that runs.
 package backend
 
 import (
@@ -21,10 +23,13 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"hibiscuslb/fleet"
 	"hibiscuslb/platform"
 )
@@ -89,8 +94,10 @@
 	sendOnceMaxIdle = 900 * time.Millisecond
 	// maxResponses is how many responses are read, interim ones and those to
 	// other requests included, to find the one to the current request.
-	maxResponses   = 3
-	readBufferSize = 4 << 10
+	maxResponses = 3
+	// maxConnRequests is how many requests are sent on a connection. Their IDs are kept.
+	maxConnRequests = 1024
+	readBufferSize  = 4 << 10
 	// maxSkippedBody is the longest body in bytes of a response to another
 	// request that is read to get to the one after it.
 	maxSkippedBody = 64 << 10
@@ -121,6 +128,7 @@
 	net.Conn
 	reader    *bufio.Reader // reads from head
 	head      headLimiter
+	sent      []uint64 // hashes of the IDs of all requests sent on the connection
 	idleSince time.Time
 	idleUntil time.Time // when to stop using the idle connection
 }
@@ -147,10 +155,11 @@
 // a *NotSentError or a *NoResponseError.
 func (p *Pool) Send(ctx context.Context, r *Request) (*Exchange, error) {
 	k := poolKey{r.Target, r.Address}
-	c, err := p.connect(ctx, k, r.SendOnce)
+	c, err := p.connect(ctx, k, r)
 	if err != nil {
 		return nil, &NotSentError{r.Target, err}
 	}
+	c.sent = append(c.sent, idHash(r.ID))
 	e := &Exchange{pool: p, key: k, conn: c, writeResult: make(chan error, 1)}
 	e.cancelAutoClose = context.AfterFunc(ctx, func() { _ = c.Close() }) // closing twice is harmless
 	if len(r.Body) <= maxInlineBody {
@@ -185,6 +194,13 @@
 	e.writeResult <- err
 }
 
+// idHash returns the hash by which a connection knows an ID.
+func idHash(id fleet.RequestID) uint64 { return xxhash.Sum64String(string(id)) }
+
+// errNoID ends a connection on which an error response without an ID may be one to an
+// earlier request.
+var errNoID = errors.New("an error response on a connection with earlier requests has no ID")
+
 var errNoMatch = fmt.Errorf("none of %d responses received has the request's ID", maxResponses)
 
 // errSkippedTooLong ends a connection on which a response to another request goes on
@@ -201,7 +217,8 @@
 }
 
 // readHeader reads responses until one has the request's ID. An error response
-// without an ID also counts as the response to the request.
+// without an ID also counts as the response to the request, if it is the first on its
+// connection.
 func (e *Exchange) readHeader(r *Request) error {
 	for range maxResponses {
 		e.conn.head.start()
@@ -214,7 +231,11 @@
 			continue // an interim response (1xx)
 		}
 		answer := platform.DecodeResponseHeaders(response.StatusCode, response.Header)
-		if answer.ID == r.ID || answer.ID == "" && response.StatusCode >= http.StatusBadRequest {
+		withoutID := answer.ID == "" && response.StatusCode >= http.StatusBadRequest
+		if withoutID && len(e.conn.sent) > 1 {
+			return errNoID
+		}
+		if answer.ID == r.ID || withoutID {
 			e.response, e.Answer = response, answer
 			e.Status, e.Header, e.Framing = response.StatusCode, response.Header, framingOf(response)
 			return nil
@@ -238,7 +259,7 @@
 
 // Close ends the exchange and returns the connection to the pool if it can be reused.
 func (e *Exchange) Close() {
-	if !e.cancelAutoClose() || !e.complete || e.response.Close || e.Answer.Close || e.conn.reader.Buffered() > 0 || !e.requestSent() {
+	if !e.cancelAutoClose() || !e.complete || len(e.conn.sent) >= maxConnRequests || e.response.Close || e.Answer.Close || e.conn.reader.Buffered() > 0 || !e.requestSent() {
 		_ = e.conn.Close() // no more data is expected on it
 		return
 	}
@@ -273,16 +294,16 @@
 	p.idle[k] = append(p.idle[k], c)
 }
 
-func (p *Pool) connect(ctx context.Context, k poolKey, sendOnce bool) (*conn, error) {
+func (p *Pool) connect(ctx context.Context, k poolKey, r *Request) (*conn, error) {
 	for {
-		c := p.takeIdle(k, sendOnce)
+		c := p.takeIdle(k, r.SendOnce)
 		if c == nil {
 			break
 		}
-		if c.usable() {
+		if c.usable() && !slices.Contains(c.sent, idHash(r.ID)) {
 			return c, nil
 		}
-		_ = c.Close() // the target has closed it or sent unrequested data
+		_ = c.Close() // the target has closed it or sent unrequested data, or the ID was sent on it
 	}
 	p.mu.Lock()
 	p.Dials++
--- a/hibiscusfront/internal/backend/backend_test.go
+++ b/hibiscusfront/internal/backend/backend_test.go
@@ -260,3 +260,56 @@
 	require.True(t, errors.Is(err, context.DeadlineExceeded), "%v", err)
 	<-closed
 }
+
+// TestRefusalWrittenAgainIsNotBelieved guards against a target that writes an earlier refusal
+// once more on a kept connection: a caller was told "not run" for a request that ran.
+func TestRefusalWrittenAgainIsNotBelieved(t *testing.T) {
+	refuse := func(conn net.Conn, id string) {
+		header := ""
+		if id != "" {
+			header = "X-Hibiscuslb-Request-Id: " + id + "\r\n"
+		}
+		fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%sX-Hibiscuslb-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", header)
+	}
+	for _, test := range []struct {
+		name    string
+		refused string // ID in the refusal
+		second  string // ID of the second request
+		conns   int32  // that are needed; on a new one, the refusal is one of the second request
+	}{
+		{"without an ID", "", "2", 1},
+		{"with the ID of another request", "1", "2", 1},
+		{"with the ID that was sent on the connection before", "1", "1", 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			address, conns := startTarget(t, func(conn net.Conn, reader *bufio.Reader) {
+				for first := true; ; first = false {
+					r, ok := readRequest(reader)
+					if !ok {
+						return
+					}
+					refuse(conn, test.refused)
+					if !first {
+						time.Sleep(20 * time.Millisecond) // the request runs
+						writeResponse(conn, r.Header.Get("X-Hibiscuslb-Request-Id"), "ran")
+					}
+				}
+			})
+			var pool backend.Pool
+			for i, id := range []string{"1", test.second} {
+				exchange, err := pool.Send(context.Background(), newRequest(address, id))
+				if err != nil {
+					var noResponse *backend.NoResponseError
+					require.ErrorAs(t, err, &noResponse, "the request may have run")
+					continue
+				}
+				if exchange.Answer.NotRun && i == 1 {
+					require.Equal(t, int32(2), conns.Load(), "the refusal of an earlier request is believed")
+				}
+				_, _ = io.ReadAll(exchange)
+				exchange.Close()
+			}
+			require.Equal(t, test.conns, conns.Load())
+		})
+	}
+}
