--- a/hibiscusfront/internal/host/meters.go
+++ b/hibiscusfront/internal/host/meters.go
@@ -125,7 +125,7 @@
 		"Grants": int64(counts.Grants), "Repeats": int64(counts.Repeats), "RepeatsOverBudget": int64(counts.RepeatsRefused),
 		"TokensRead": int64(counts.ReadTokens), "TokensReadAgain": int64(counts.RereadTokens), "TokensFetched": int64(counts.FetchedTokens),
 		"TokensKept": int64(counts.CachedTokens), "PartsUnsaved": int64(counts.UnsavedParts),
-		"Crashes": int64(counts.Crashes), "Withheld": int64(counts.Withheld),
+		"Crashes": int64(counts.Crashes), "Withheld": int64(counts.Withheld), "UnknownOrigins": int64(counts.UnknownOrigins),
 	} {
 		h.meter.planned.Set(n, what)
 	}
