--- a/fleet/intake/ledger_test.go
+++ b/fleet/intake/ledger_test.go
@@ -68,3 +68,16 @@
 	closed, _ = l.Closed(6*second, "s", func(fleet.TargetID) (time.Time, bool) { return born.Add(time.Second), true })
 	require.Empty(t, closed, "successors under the same IDs start with nothing")
 }
+
+// Load pattern: a target starts again under its ID while it is busy. What it said in its life
+// before must not be taken for what it has said now.
+func TestAnswerOfNewLifeBeginsNewRecord(t *testing.T) {
+	born := time.Unix(1, 0)
+	l := intake.Ledger{MaxPause: 10 * time.Second}
+	limit := intake.Limit{Named: true, Rate: 3}
+	l.Observe(second, intake.Life{Target: "t", Service: "s", StartTime: born}, intake.Notice{Limit: limit, Leaving: true, Pause: 5 * time.Second})
+	again := intake.Life{Target: "t", Service: "s", StartTime: born.Add(time.Second)}
+	require.Zero(t, l.Observe(2*second, again, intake.Notice{Limit: limit}), "the new life has said nothing yet")
+	closed, _ := l.Closed(2*second, "s", func(fleet.TargetID) (time.Time, bool) { return again.StartTime, true })
+	require.Empty(t, closed)
+}
