--- a/fleet/plan/origin.go
+++ b/fleet/plan/origin.go
@@ -22,6 +22,18 @@
 	unknownOriginRetryAfter = time.Second
 )
 
+// A Resumption tells which stream a request resumes. The zero value is that of a request that
+// begins a new one. What two versions of the software write does not fit together, so that a
+// stream may only go on at the version that began it.
+type Resumption struct {
+	Resumes  bool
+	Known    bool           // the host knows which version began the stream
+	Software fleet.Software // that began it, if Known
+	// Attempt is the caller's attempt that brought the first event, as the caller says; it
+	// may be empty.
+	Attempt fleet.RequestID
+}
+
 // followVersions records which versions have targets now.
 func (f *Fleet) followVersions(now fleet.Instant) {
 	versions := make(map[origin.Version]bool)
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -68,18 +68,6 @@
 	Known      []intake.Known // what targets of the service have said to the host
 }
 
-// A Resumption tells which stream a request resumes. The zero value is that of a request that
-// begins a new one. What two versions of the software write does not fit together, so that a
-// stream may only go on at the version that began it.
-type Resumption struct {
-	Resumes  bool
-	Known    bool           // the host knows which version began the stream
-	Software fleet.Software // that began it, if Known
-	// Attempt is the caller's attempt that brought the first event, as the caller says; it
-	// may be empty.
-	Attempt fleet.RequestID
-}
-
 // A Grant allows a host to send a request to a target.
 type Grant struct {
 	Number   GrantNumber
