--- a/fleet/plan/withhold_test.go
+++ b/fleet/plan/withhold_test.go
@@ -109,8 +109,15 @@
 // submit submits a request with the given shared parts.
 func (c *crashingFleet) submit(now time.Duration, shared ...prompt.Part) {
 	requestCount++
-	parts := append(shared, prompt.Part{ID: prompt.PartID(fmt.Sprint("own", requestCount)), Tokens: 177})
-	if decision, ok := c.plan.Submit(at(now), newRequest(800*time.Millisecond, parts...)); ok {
+	own := fmt.Sprint("own", requestCount)
+	c.submitAs(now, quarantine.Fingerprint(own), append(shared, prompt.Part{ID: prompt.PartID(own), Tokens: 177})...)
+}
+
+// submitAs submits a request with a fingerprint and all parts of its prompt.
+func (c *crashingFleet) submitAs(now time.Duration, fingerprint quarantine.Fingerprint, parts ...prompt.Part) {
+	req := newRequest(800*time.Millisecond, parts...)
+	req.Fingerprint = fingerprint
+	if decision, ok := c.plan.Submit(at(now), req); ok {
 		c.decided(now, decision)
 	}
 }
@@ -271,6 +278,40 @@
 	}
 }
 
+// TestPromptThatComesAgainIsWithheld guards against inc1 at engines: one request came again
+// unchanged, and all of its shared parts are those of sound requests.
+//
+// Load pattern: 100 sound requests/s, and from 8 s on one request three times a second that
+// crashes the engine. Its last part is its own.
+func TestPromptThatComesAgainIsWithheld(t *testing.T) {
+	const (
+		begin = 8 * second
+		end   = 60 * second
+	)
+	for seed := range uint64(10) {
+		c := newCrashingFleet(t, seed)
+		bad := &badPart{}
+		c.bad["bad own"] = bad
+		system, file := c.system(), c.file()
+		c.play(end, func(now time.Duration) {
+			c.submit(now, c.system(), c.file())
+			if now >= begin && c.random.Float64() < 0.03 {
+				c.submitAs(now, badRequest, system, file, prompt.Part{ID: "bad own", Tokens: 177})
+			}
+		})
+		require.GreaterOrEqual(t, len(bad.crashes), 3)
+		late := 0
+		for _, sent := range bad.sent {
+			if sent > bad.crashes[2]+stableWindow {
+				late++
+			}
+		}
+		require.LessOrEqual(t, late, 3, "seed %d: %d engines ended", seed, len(bad.crashes))
+		learnt := bad.crashes[2] + 2*stableWindow
+		require.GreaterOrEqual(t, c.share(learnt, end-3*second), c.share(0, begin)*0.9, "seed %d: sound requests", seed)
+	}
+}
+
 // Load pattern: a rack of engines ends every four seconds, three times in a row, without a
 // bad part. No sound request may be withheld for it.
 func TestCrashesTogetherWithholdNoPart(t *testing.T) {
