origin: a host that is cut off tells no version by exclusion

A host that neither reaches the store nor hears from a host that does took the targets that it knew for all there are. If a release began meanwhile, it let a stream of the new version, begun elsewhere, go on at the old one (ORDER, which holds for hosts in touch or not). It now tells a version by exclusion only while its roster is at most 1.5 s old; attempts that it has recorded itself stay known.

--- a/fleet/origin/origin.go
+++ b/fleet/origin/origin.go
@@ -292,8 +292,9 @@
 }
 
 // Find returns the version that began the stream of an attempt, and whether it is known. The
-// attempt is nil if the caller names none.
-func (l *Ledger) Find(now fleet.Instant, id route.ServiceID, attempt *Key) (fleet.Software, bool) {
+// attempt is nil if the caller names none. Current tells whether the versions with engines are
+// those of now: a host that is cut off may have missed one.
+func (l *Ledger) Find(now fleet.Instant, id route.ServiceID, attempt *Key, current bool) (fleet.Software, bool) {
 	if attempt != nil {
 		if st, ok := l.streams[*attempt]; ok && now < st.expires {
 			return st.Software, !st.ambiguous
@@ -301,7 +302,7 @@
 	}
 	s := l.service(id)
 	s.expire(now)
-	if versions := s.versions(); len(versions) == 1 && l.complete(now) {
+	if versions := s.versions(); current && len(versions) == 1 && l.complete(now) {
 		return versions[0], true
 	}
 	l.loadDue = l.loadDue || attempt != nil && now.Sub(l.loadedAt) >= loadInterval
--- a/fleet/origin/origin_test.go
+++ b/fleet/origin/origin_test.go
@@ -47,7 +47,7 @@
 
 func requireOrigin(t *testing.T, l *origin.Ledger, now time.Duration, attempt *origin.Key, want fleet.Software) {
 	t.Helper()
-	got, known := l.Find(at(now), "lm", attempt)
+	got, known := l.Find(at(now), "lm", attempt, true)
 	require.Equal(t, want != "", known)
 	if known {
 		require.Equal(t, want, got)
@@ -60,9 +60,9 @@
 	l.SetVersions(at(0), []origin.Version{v1, v2})
 	key := origin.KeyOf("lm", "w", "9c41")
 	l.RecordGrant(at(0), key, v2, 10*time.Second)
-	fmt.Println(l.Find(at(second), "lm", &key))
+	fmt.Println(l.Find(at(second), "lm", &key, true))
 	other := origin.KeyOf("lm", "another workspace", "9c41")
-	_, known := l.Find(at(second), "lm", &other)
+	_, known := l.Find(at(second), "lm", &other, true)
 	fmt.Println(known)
 	// Output:
 	// v2 true
@@ -83,6 +83,18 @@
 	requireOrigin(t, l, 10*second+l.Retention(), nil, "v2")
 }
 
+// Load pattern: a host is cut off from the others and from the store while a release begins
+// elsewhere. What it knows of single attempts stays right.
+func TestHostThatIsCutOffExcludesNothing(t *testing.T) {
+	l := newLedger(0, "v1")
+	grant(l, 0, "a", "v1")
+	_, known := l.Find(at(second), "lm", keyOf("elsewhere"), false)
+	require.False(t, known)
+	software, known := l.Find(at(second), "lm", keyOf("a"), false)
+	require.True(t, known)
+	require.Equal(t, fleet.Software("v1"), software)
+}
+
 // A host that starts does not know which versions have left before.
 func TestNewLedgerExcludesNothing(t *testing.T) {
 	var l origin.Ledger
@@ -207,12 +219,12 @@
 			}
 			taken := attempts[max(0, len(attempts)-1-random.IntN(int(deadline/(50*time.Millisecond))))]
 			asked++
-			if software, known := l.Find(at(now), "lm", keyOf(taken)); known {
+			if software, known := l.Find(at(now), "lm", keyOf(taken), true); known {
 				named++
 				require.Equal(t, began[taken], software, "seed %d at %v", seed, now)
 			}
 			if len(all) > 1 {
-				_, known := l.Find(at(now), "lm", nil)
+				_, known := l.Find(at(now), "lm", nil, true)
 				require.False(t, known, "seed %d at %v: %d versions serve", seed, now, len(all))
 			}
 		}
--- a/fleet/plan/origin.go
+++ b/fleet/plan/origin.go
@@ -65,7 +65,7 @@
 		key := origin.KeyOf(req.Service, req.Workspace, r.Attempt)
 		attempt = &key
 	}
-	found, known := f.origins.Find(now, req.Service, attempt)
+	found, known := f.origins.Find(now, req.Service, attempt, !f.RosterStale)
 	return &found, known
 }
 
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -186,6 +186,10 @@
 	// no other host frees parts. Fetches from other engines are always allowed.
 	StoresAllowed bool
 
+	// RosterStale is set while this host may not know of targets that others know, so that
+	// streams which are not recorded may be of a version that it has missed.
+	RosterStale bool
+
 	targets       map[fleet.TargetID]*target
 	services      map[route.ServiceID]*service
 	stores        map[fleet.Address]*store
--- a/hibiscusfront/internal/chooser/chooser_test.go
+++ b/hibiscusfront/internal/chooser/chooser_test.go
@@ -33,6 +33,7 @@
 func (noPermissions) HoldsDuty() bool          { return false }
 func (noPermissions) MayOrder() bool           { return false }
 func (noPermissions) TenureEnd() fleet.Instant { return 0 }
+func (noPermissions) RosterCurrent() bool      { return true }
 
 const (
 	unreachable fleet.Address = "127.0.0.1:1" // without a listener
--- a/hibiscusfront/internal/control/control.go
+++ b/hibiscusfront/internal/control/control.go
@@ -52,6 +52,10 @@
 	// watcherTimeout is how long a host relies on others to watch the store
 	// after the last reply of a host that does.
 	watcherTimeout = 800 * time.Millisecond
+	// rosterAge is how old a host's knowledge of the targets may be if it has to know all of
+	// them. A host that hears no more of a planner begins to watch the store itself, and
+	// has the first answer, within about as long.
+	rosterAge = 1500 * time.Millisecond
 	// startGrace is added to watcherTimeout for a host that starts. If all hosts
 	// of a large fleet start together, the planner needs longer for its first replies.
 	startGrace = time.Second
@@ -103,8 +107,9 @@
 	tenureEnd, planWithoutLeaseUntil atomic.Int64
 	orderFrom, orderUntil            atomic.Int64
 
-	watching          atomic.Bool // the host watches the store
-	storeOutageShared atomic.Bool // copy of storeOutage for other goroutines
+	watching          atomic.Bool  // the host watches the store
+	rosterCurrentTill atomic.Int64 // instant until which the host knows the targets of now
+	storeOutageShared atomic.Bool  // copy of storeOutage for other goroutines
 
 	once   sync.Once
 	runCtx context.Context // of Run, for tasks that outlive the message that started them
@@ -179,6 +184,10 @@
 // TenureEnd returns the end of this host's tenure unless it is renewed.
 func (c *Control) TenureEnd() fleet.Instant { return fleet.Instant(c.tenureEnd.Load()) }
 
+// RosterCurrent reports whether the host knows the targets of now, but for changes of the last
+// rosterAge: it reads the store, or hears from a host that does.
+func (c *Control) RosterCurrent() bool { return int64(c.Clock()) < c.rosterCurrentTill.Load() }
+
 // Run owns the control state until the context ends.
 func (c *Control) Run(ctx context.Context) {
 	c.runCtx = ctx
@@ -248,6 +257,7 @@
 // targets, hosts and their entries.
 func (c *Control) tick(ctx context.Context, now fleet.Instant) {
 	c.watching.Store(c.planning || c.silent(now, c.lastWatcherReply))
+	c.rosterCurrentTill.Store(int64(max(c.lastStoreAnswer, min(c.lastWatcherReply, now)).Add(rosterAge)))
 	c.logRestore()
 	c.readDuty(ctx, now)
 	c.writeDutyIfDue(ctx, now)
--- a/hibiscusfront/internal/control/versions_test.go
+++ b/hibiscusfront/internal/control/versions_test.go
@@ -9,6 +9,7 @@
 
 	"hibiscuslb/fleet/election"
 	"hibiscuslb/fleet/origin"
+	"hibiscuslb/standin/link"
 )
 
 // TestVersionsOutliveAllHosts guards against rejoined: all hosts were lost just after the old
@@ -30,3 +31,22 @@
 		require.Eventually(t, func() bool { return slices.Equal(c.View().Duty.Versions, versions) }, 3*time.Second, 5*time.Millisecond)
 	}
 }
+
+// TestHostThatIsCutOffKnowsThatItsRosterIsOld guards against a host that takes its targets for
+// all there are, although it has heard from neither the store nor another host for some time.
+func TestHostThatIsCutOffKnowsThatItsRosterIsOld(t *testing.T) {
+	store := newConfiguredStore()
+	store.Remove("hosts", "other")
+	store.Put("servers", "i-1", map[string]any{"service": "s", "address": "10.0.0.1:80", "zone": "z", "slots": 4, "state": "ready"})
+	controls, paths := startFleet(t, store, 1)
+	awaitPlanner(t, controls)
+	require.Eventually(t, controls[0].RosterCurrent, time.Second, 5*time.Millisecond)
+	for end := time.Now().Add(2 * rosterAge); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		require.True(t, controls[0].RosterCurrent())
+	}
+	paths[0].SetMode(link.Cut)
+	time.Sleep(rosterAge + 2*tickInterval)
+	require.False(t, controls[0].RosterCurrent())
+	paths[0].SetMode(link.Pass)
+	require.Eventually(t, controls[0].RosterCurrent, 3*time.Second, 5*time.Millisecond)
+}
--- a/hibiscusfront/internal/planner/deputy_test.go
+++ b/hibiscusfront/internal/planner/deputy_test.go
@@ -27,6 +27,7 @@
 func (t *testPermissions) HoldsDuty() bool          { return t.holds.Load() }
 func (t *testPermissions) MayOrder() bool           { return t.holds.Load() }
 func (t *testPermissions) TenureEnd() fleet.Instant { return 0 }
+func (t *testPermissions) RosterCurrent() bool      { return true }
 
 var _ Permissions = (*testPermissions)(nil)
 
--- a/hibiscusfront/internal/planner/planner.go
+++ b/hibiscusfront/internal/planner/planner.go
@@ -56,6 +56,8 @@
 	MayOrder() bool
 	// TenureEnd returns the end of the tenure unless it is renewed.
 	TenureEnd() fleet.Instant
+	// RosterCurrent reports whether the host knows the targets of now.
+	RosterCurrent() bool
 }
 
 // A Planner decides on requests while its host is the planner or a deputy.
@@ -259,6 +261,7 @@
 			answer <- plan.Decision{Request: request, Refusal: fleet.Refuse(fleet.ReasonNotHolder, "this host is not the planner")}
 			return
 		}
+		p.fleet.RosterStale = !p.Permissions.RosterCurrent()
 		decision, ok := p.fleet.Submit(now, request)
 		if ok {
 			answer <- p.finishDecision(now, decision)
@@ -322,6 +325,7 @@
 	if !p.active && !p.deputy {
 		return
 	}
+	p.fleet.RosterStale = !p.Permissions.RosterCurrent()
 	for _, decision := range p.fleet.Tick(now) {
 		if answer, ok := p.pending[decision.Request]; ok {
 			delete(p.pending, decision.Request)
