chooser: tests change a copy of the view that they publish

The race detector showed TestGrantOfTargetThatClosedItselfMeanwhileIsGivenBack writing to a view that the planner read. With it chooser, planner, gateway, backend, host, plan, origin and quarantine pass; in control only the known red TestStartOfLargeFleetCostsFewCalls fails.

--- a/hibiscusfront/internal/chooser/chooser_test.go
+++ b/hibiscusfront/internal/chooser/chooser_test.go
@@ -64,9 +64,10 @@
 		Table: table, Duty: election.Record{Holder: "planner", Address: unreachable, Epoch: 3},
 		Targets: []roster.Target{{ID: "t", Service: "s", Address: "127.0.0.1:3", Slots: 4}},
 	}
-	v.Freeze()
-	p.SetView(ctx, v)
-	return ctx, c, v
+	published := *v // tests change v
+	published.Targets = append([]roster.Target(nil), v.Targets...)
+	p.SetView(ctx, published.Freeze())
+	return ctx, c, v.Freeze()
 }
 
 func newRequest() *plan.Request {
