--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -17,8 +17,8 @@
 // after its start, in which it serves requests only at a limited rate.
 //
 // Placement is described in placement.go, admission (queueing and refusal) in
-// admission.go, and prompts that crash engines in crash.go, each with the load pattern
-// that it handles.
+// admission.go, requests and prompts that crash targets in crash.go, and streams that
+// go on in origin.go, each with the load pattern that it handles.
 //
 // A Fleet is a state machine without I/O and without a clock: each method takes the
 // current time and returns what has to be done. It is not safe for concurrent use.
--- a/fleet/plan/reserve.go
+++ b/fleet/plan/reserve.go
@@ -7,6 +7,8 @@
 	"hibiscuslb/fleet"
 )
 
+// Reservations for streams that go on, see admission.go.
+
 // reservation is the right of a waiting request to a target's capacity.
 type reservation struct {
 	until   fleet.Instant
