--- a/hibiscusfront/internal/control/versions_test.go
+++ b/hibiscusfront/internal/control/versions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"hibiscuslb/fleet/election"
 	"hibiscuslb/fleet/origin"
+	"hibiscuslb/fleet/quarantine"
 	"hibiscuslb/standin/link"
 )
 
@@ -50,3 +52,49 @@
 	paths[0].SetMode(link.Pass)
 	require.Eventually(t, controls[0].RosterCurrent, 3*time.Second, 5*time.Millisecond)
 }
+
+// Load pattern: the store comes back from a copy of before a release, and before a request was
+// withheld. The planner is alive and knows better; all hosts must go on with what it knows.
+func TestRestoredStoreUndoesNeitherVersionsNorRequests(t *testing.T) {
+	store := newConfiguredStore()
+	store.Remove("hosts", "other")
+	store.Put("servers", "i-1", map[string]any{"service": "s", "address": "10.0.0.1:80", "zone": "z", "slots": 4, "state": "ready"})
+	versions := origin.Versions{{Service: "s", Software: "v1"}, {Service: "s", Software: "v2"}}
+	withheld := quarantine.List{{Request: "bad", Workspace: "w", Crashes: 3}}
+	var known atomic.Bool
+	controls, _ := startFleet(t, store, 3, func(c *Control) {
+		c.Versions = func() origin.Versions {
+			if known.Load() {
+				return versions
+			}
+			return nil
+		}
+		c.Quarantine = func() quarantine.List {
+			if known.Load() {
+				return withheld
+			}
+			return nil
+		}
+	})
+	awaitPlanner(t, controls)
+	saved := store.Copy()
+	known.Store(true)
+	requireKnown := func() {
+		t.Helper()
+		for _, c := range controls {
+			require.Eventually(t, func() bool {
+				duty := c.View().Duty
+				return slices.Equal(duty.Versions, versions) && slices.Equal(duty.Quarantine, withheld)
+			}, 3*time.Second, 5*time.Millisecond)
+		}
+	}
+	requireKnown()
+	store.Restore(saved)
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		for _, c := range controls {
+			require.Equal(t, versions, c.View().Duty.Versions)
+			require.Equal(t, withheld, c.View().Duty.Quarantine)
+		}
+	}
+	requireKnown()
+}
