--- a/hibiscusfront/internal/gateway/record.go
+++ b/hibiscusfront/internal/gateway/record.go
@@ -15,7 +15,7 @@
 	c.Log.Info().Str("Request", string(c.ID)).Str("Target", string(g.Target)).Str("Service", string(g.Service)).
 		Uint64("Grant", uint64(g.Number)).Int("Tried", len(c.tried)).Stringer("Outcome", c.outcome).Stringer("Framing", c.framing).
 		Strs("Parts", c.sharedParts()).Str("Fingerprint", string(c.fingerprint)).
-		Str("Software", string(g.Software)).Str("LastEvent", c.LastEvent).Dur("First", c.firstByte).AnErr("Cause", err).Msg(message)
+		Str("Software", string(g.Software)).Str("LastEvent", cutForLog(c.LastEvent)).Dur("First", c.firstByte).AnErr("Cause", err).Msg(message)
 }
 
 // sharedParts returns the IDs of the prompt's shared parts, for logs.
@@ -30,10 +30,10 @@
 	return ids
 }
 
-// resumesForLog returns the attempt that the caller names, cut to the length of most.
-func (c *call) resumesForLog() string {
+// cutForLog bounds the length of what a caller sent, for logs.
+func cutForLog(text string) string {
 	const maxLength = 64 // bytes
-	return string(c.Resumes[:min(len(c.Resumes), maxLength)])
+	return text[:min(len(text), maxLength)]
 }
 
 // workspaceID returns the workspace's ID, or "" on a public route.
@@ -66,8 +66,7 @@
 		grant = *c.grant
 	}
 	if c.LastEvent != "" {
-		// Which versions a stream was joined from can be told from these lines.
-		event.Str("Resumes", c.resumesForLog()).Str("LastEvent", c.LastEvent)
+		event.Str("Resumes", cutForLog(string(c.Resumes))).Str("LastEvent", cutForLog(c.LastEvent))
 	}
 	event.Str("Software", string(grant.Software)).Str("Request", string(c.ID)).Str("Route", name).Str("Workspace", string(workspace)).
 		Str("Target", string(grant.Target)).Uint64("Grant", uint64(grant.Number)).Int("Status", c.status).
