review: case 1, planned stops close connections on which a request is being read

Cause: a stopping host closes all connections that count as idle; one counts as idle until the head of its request is parsed. The request goes on to a target all the same.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,6 +4,6 @@
 cd "$(dirname "$0")" || exit 2
 root=$(cd ../.. && pwd) || exit 2
 [ -x ../bin/cases ] && [ -x "$root/target/hibiscusfront" ] || exit 2
-timeout -k 3 115 ../bin/cases proof "$root" "$PWD/record.txt"
+timeout -k 3 115 ../bin/cases isolated "$root" "$PWD/record.txt"
 status=$?
 case $status in 0|1) exit $status ;; *) exit 2 ;; esac
--- a/review/cases/engine.go
+++ b/review/cases/engine.go
@@ -21,6 +21,8 @@
 	software string // version of its software
 	events   int    // of a stream
 	pause    time.Duration
+	quiet    bool            // runs are not recorded one by one
+	onRun    func(id string) // is called when a request begins to run; may be nil
 	peers    *engines
 	address  string
 	// spoil spoils an answer if it returns true; nil spoils none.
@@ -195,7 +197,12 @@
 	e.mu.Lock()
 	e.runs[id]++
 	e.mu.Unlock()
-	e.site.rec.add("engine %s (%s): runs %s, tenant %s, body %d bytes, Last-Event-Id %q", e.id, e.software, id, r.Header.Get("X-Hibiscuslb-Tenant"), size, r.Header.Get("Last-Event-Id"))
+	if e.onRun != nil {
+		e.onRun(id)
+	}
+	if !e.quiet {
+		e.site.rec.add("engine %s (%s): runs %s, tenant %s, body %d bytes, Last-Event-Id %q", e.id, e.software, id, r.Header.Get("X-Hibiscuslb-Tenant"), size, r.Header.Get("Last-Event-Id"))
+	}
 	w.Header().Set("X-Hibiscuslb-Request-Id", id)
 	if e.spoil == nil || !e.spoil() {
 		w.Header().Set("X-Hibiscuslb-Response-Signature", "3e1b."+e.id)
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -27,7 +27,7 @@
 		os.Exit(failed)
 	}
 	play, ok := map[string]func(*site) (bool, error){
-		"versions": playVersions, "isolated": playIsolated, "bodies": playBodies, "proof": playProof,
+		"versions": playVersions, "isolated": playIsolated, "bodies": playBodies, "proof": playProof, "stops": playStops,
 	}[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
