--- a/review/cases/stops.go
+++ b/review/cases/stops.go
@@ -20,9 +20,9 @@
 	stopHosts     = 4
 	stopConsumers = 480
 	clumpPause    = 250 * time.Millisecond // from one clump of requests to the next
-	clumpTime     = 2 * time.Millisecond   // within which the requests of a clump are sent
-	stopTime      = 62 * time.Second
-	stopGap       = 1500 * time.Millisecond
+	clumpTime     = 6 * time.Millisecond   // within which the requests of a clump are sent
+	stopTime      = 100 * time.Second
+	stopGap       = 700 * time.Millisecond
 	graceTime     = 8 * time.Second
 )
 
