--- a/review/cases/isolated.go
+++ b/review/cases/isolated.go
@@ -52,8 +52,9 @@
 	}
 	ask(keyA)
 	time.Sleep(time.Second)
-	s.rec.add("operator: manifest 9, pulo780 isolated %t", trouble())
-	s.putManifest(9, []any{tenant("pulo780", keyA, trouble()), tenant("wuno96b", keyB, false)})
+	isolated := trouble() // what manifest 9 says of pulo780
+	s.rec.add("operator: manifest 9, pulo780 isolated %t", isolated)
+	s.putManifest(9, []any{tenant("pulo780", keyA, isolated), tenant("wuno96b", keyB, false)})
 	acked := time.Now()
 	time.Sleep(6 * time.Second) // configApplyMs is 2 s
 	ask(keyA)
@@ -68,7 +69,7 @@
 			reused++
 			s.rec.add("engine %s: request %s of tenant %s uses part %s (salt %q, %d tokens), made by request %s of tenant %s, %.1f s after the ack of manifest 9",
 				e.id, u.request, u.tenant, u.part, u.salt, u.maker.tokens, u.maker.request, u.maker.tenant, u.at.Sub(acked).Seconds())
-			if trouble() && (u.maker.tenant == "pulo780" || u.tenant == "pulo780") {
+			if isolated && (u.maker.tenant == "pulo780" || u.tenant == "pulo780") {
 				broken++
 			}
 		}
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -51,6 +51,7 @@
 		rec.tell("the case was ended before it was over")
 		os.Exit(failed)
 	}()
+	rec.add("case %s, disruption %t", os.Args[1], trouble())
 	isBroken, err := play(s)
 	s.close()
 	switch {
