departure: a planned stop closes no connection on which a request is being read

Cause: SetKeepAlivesEnabled(false) and Shutdown close every connection that net/http counts as idle, and it does so until the head of a request is parsed. Ruled out: requests cut by the end of the process; the losses come at the signal and at the shutdown.

Package departure owns how connections end in a stop: answers say that they do, the others are kept until no caller has the address (three times the TTL). Answers name an idle time that is shorter than the one after which the host closes.

--- a/hibiscusfront/internal/gateway/fuzz_test.go
+++ b/hibiscusfront/internal/gateway/fuzz_test.go
@@ -22,6 +22,7 @@
 	"hibiscuslb/fleet/plan"
 	"hibiscuslb/fleet/route"
 	"hibiscuslb/hibiscusfront/internal/backend"
+	"hibiscuslb/hibiscusfront/internal/departure"
 	"hibiscuslb/hibiscusfront/internal/gateway"
 	"hibiscuslb/hibiscusfront/internal/view"
 )
@@ -74,7 +75,7 @@
 	})
 	server := httptest.NewUnstartedServer(&gateway.Gateway{
 		View: func() *view.View { return &view.View{Table: table} }, Chooser: fixedChooser{target}, Pool: new(backend.Pool),
-		Meter: discardMeter{}, Log: zerolog.Nop(), Draining: func() bool { return false },
+		Meter: discardMeter{}, Log: zerolog.Nop(), Departure: new(departure.Departure),
 	})
 	server.Config.ConnState = closed.record
 	server.Config.ErrorLog = log.New(io.Discard, "", 0) // the fuzzer sends invalid requests
--- a/hibiscusfront/internal/gateway/gateway.go
+++ b/hibiscusfront/internal/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"hibiscuslb/fleet/quarantine"
 	"hibiscuslb/fleet/route"
 	"hibiscuslb/hibiscusfront/internal/backend"
+	"hibiscuslb/hibiscusfront/internal/departure"
 	"hibiscuslb/hibiscusfront/internal/view"
 	"hibiscuslb/platform"
 )
@@ -53,9 +54,8 @@
 	Pool       *backend.Pool
 	Meter      Meter
 	Log        zerolog.Logger
-	// Draining reports whether new requests are refused because the host is
-	// about to stop and could not complete them.
-	Draining func() bool
+	// Departure tells what happens to requests while the host makes a planned stop.
+	Departure *departure.Departure
 }
 
 // A Meter records metrics of requests.
@@ -149,9 +149,6 @@
 	if c.view.Table == nil {
 		return fleet.RefuseWithRetryAfter(fleet.ReasonConfigurationStale, unconfiguredRetryAfter)
 	}
-	if c.Draining() {
-		return fleet.RefuseWithRetryAfter(fleet.ReasonHostLeaving, leavingRetryAfter)
-	}
 	host := c.r.Host
 	if h, _, err := net.SplitHostPort(host); err == nil {
 		host = h
@@ -177,6 +174,9 @@
 	if t := c.route.Timeout; t > 0 && c.start.Add(t).Before(c.expiresAt) {
 		c.expiresAt = c.start.Add(t)
 	}
+	if c.Departure.Phase(c.start) >= departure.Draining {
+		return fleet.RefuseWithRetryAfter(fleet.ReasonHostLeaving, leavingRetryAfter)
+	}
 	if refusal := c.readBody(); refusal != nil {
 		return refusal
 	}
--- a/hibiscusfront/internal/gateway/gateway_test.go
+++ b/hibiscusfront/internal/gateway/gateway_test.go
@@ -18,6 +18,7 @@
 	"hibiscuslb/fleet/plan"
 	"hibiscuslb/fleet/route"
 	"hibiscuslb/hibiscusfront/internal/backend"
+	"hibiscuslb/hibiscusfront/internal/departure"
 	"hibiscuslb/hibiscusfront/internal/gateway"
 	"hibiscuslb/hibiscusfront/internal/testlog"
 	"hibiscuslb/hibiscusfront/internal/view"
@@ -116,7 +117,7 @@
 	})
 	front := httptest.NewServer(&gateway.Gateway{
 		View: func() *view.View { return &view.View{Table: table} }, Chooser: b.scriptedChooser, Pool: new(backend.Pool),
-		Meter: discardMeter{}, Log: b.log.Logger(), Draining: func() bool { return false },
+		Meter: discardMeter{}, Log: b.log.Logger(), Departure: new(departure.Departure),
 	})
 	t.Cleanup(front.Close)
 	b.url = front.URL
--- a/hibiscusfront/internal/host/host.go
+++ b/hibiscusfront/internal/host/host.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"os"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -24,6 +23,7 @@
 	"hibiscuslb/hibiscusfront/internal/chooser"
 	"hibiscuslb/hibiscusfront/internal/clock"
 	"hibiscuslb/hibiscusfront/internal/control"
+	"hibiscuslb/hibiscusfront/internal/departure"
 	"hibiscuslb/hibiscusfront/internal/gateway"
 	"hibiscuslb/hibiscusfront/internal/planner"
 	"hibiscuslb/hibiscusfront/internal/view"
@@ -43,35 +43,29 @@
 	// the configuration is not applied; the platform's own limit is no larger than
 	// this.
 	maxHeaderBytes = 16 << 10
+	// announcedIdle is how long a connection may be idle, as answers say. It is shorter than
+	// idleTimeout, so that a caller that keeps to it sends nothing on a connection that is
+	// just being closed.
+	announcedIdle = 12 * time.Second
 	// sweepInterval is the time between two sweeps of idle connections.
 	sweepInterval = time.Second
-	// drainDelay is how long a stopping host still accepts new requests. Within
-	// two heartbeat intervals (0.6 s), first the planner and then the other
-	// hosts learn that it is leaving; callers then use cached addresses for up
-	// to addressTTL. The rest is a margin for lost heartbeats.
-	drainDelay = 2800 * time.Millisecond
-	// exitMargin is the part of the grace period that is kept for exiting.
-	exitMargin = 500 * time.Millisecond
-	// minGrace is the grace period if the settings have none or a shorter one.
-	minGrace = 5 * time.Second
 )
 
 // A Host is a front host: the parts of its process and their state.
 type Host struct {
-	settings platform.Settings
-	log      zerolog.Logger
-	clock    fleet.Clock
-	peers    peer.Pool
-	pool     backend.Pool
-	control  *control.Control
-	planner  *planner.Planner
-	chooser  *chooser.Chooser
-	gateway  *gateway.Gateway
-	meter    *meters
-	leaving  atomic.Bool // a planned stop has begun
-	draining atomic.Bool // new requests are refused
-	serving  task.Group
-	serveErr chan error // of HTTP servers
+	settings  platform.Settings
+	log       zerolog.Logger
+	clock     fleet.Clock
+	peers     peer.Pool
+	pool      backend.Pool
+	control   *control.Control
+	planner   *planner.Planner
+	chooser   *chooser.Chooser
+	gateway   *gateway.Gateway
+	meter     *meters
+	serving   task.Group
+	departure departure.Departure // whether the host makes a planned stop
+	serveErr  chan error          // of HTTP servers
 
 	// MetricsPort is the port for metrics; zero picks a free port.
 	MetricsPort int
@@ -102,7 +96,7 @@
 	h.chooser.SetMaxPause(maxPauseWindows * settings.Bounds.RetryWindow)
 	h.gateway = &gateway.Gateway{
 		Host: settings.Host, DataCentre: settings.DataCentre, View: h.control.View, Chooser: h.chooser, Pool: &h.pool,
-		Meter: h.meter, Log: log, Draining: h.draining.Load,
+		Meter: h.meter, Log: log, Departure: &h.departure,
 	}
 	return h
 }
@@ -156,16 +150,18 @@
 const listenerCount = 5
 
 func (h *Host) listen(ctx context.Context) ([]*http.Server, error) {
-	callers := &http.Server{
-		Handler: h.gateway, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	newServer := func(handler http.Handler) *http.Server {
+		return &http.Server{
+			Handler: h.departure.Handler(announcedIdle, handler), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		}
 	}
 	list := []struct {
 		server  *http.Server
 		address fleet.Address
 	}{
-		{callers, h.settings.Callers},
-		{&http.Server{Handler: platform.DirectoryHandler(h.resolve), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}, h.settings.Directory},
-		{&http.Server{Handler: platform.ReadinessHandler(h.ready), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}, h.settings.Readiness},
+		{newServer(h.gateway), h.settings.Callers},
+		{newServer(platform.DirectoryHandler(h.resolve)), h.settings.Directory},
+		{newServer(platform.ReadinessHandler(h.ready)), h.settings.Readiness},
 		{&http.Server{Handler: &peer.Server{Handler: h}, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}, h.settings.Peers},
 	}
 	var servers []*http.Server
@@ -226,7 +222,7 @@
 // ready reports whether the host can serve callers.
 func (h *Host) ready() bool {
 	v := h.control.View()
-	return !h.leaving.Load() && v.Table != nil && len(v.Targets) > 0
+	return !h.departure.Leaving() && v.Table != nil && len(v.Targets) > 0
 }
 
 // sweep closes idle connections to targets at intervals.
@@ -240,26 +236,30 @@
 // stop makes a planned stop: it directs callers to other hosts, releases the
 // planner's duty, and lets running requests end within the grace period.
 func (h *Host) stop(ctx context.Context, servers []*http.Server) {
-	h.log.Info().Msg("stopping: callers are directed to other hosts")
-	start := time.Now()
-	grace := max(h.settings.Bounds.Grace, minGrace) - exitMargin
-	h.leaving.Store(true)
-	servers[0].SetKeepAlivesEnabled(false)
+	_, ttl := h.resolve(platform.Lookup{})
+	schedule := h.departure.Begin(time.Now(), departure.Settings{Grace: h.settings.Bounds.Grace, AddressTTL: ttl})
+	h.log.Info().Dur("Drain", time.Until(schedule.Drain)).Dur("Close", time.Until(schedule.Close)).
+		Msg("stopping: callers are directed to other hosts")
 	h.control.Leave(ctx)
 	h.serving.Go(ctx, func(ctx context.Context) {
 		if err := h.control.Unregister(ctx); err != nil {
 			h.log.Warn().Err(err).Msg("cannot remove this host's entry from the object store; the planner will remove it")
 		}
 	})
-	task.Sleep(ctx, min(drainDelay, grace/2))
-	h.draining.Store(true)
-	shutdownCtx, cancel := context.WithTimeout(ctx, grace-time.Since(start))
+	task.Sleep(ctx, time.Until(schedule.Close))
+	shutdownCtx, cancel := context.WithDeadline(ctx, schedule.End)
 	defer cancel()
-	if err := servers[0].Shutdown(shutdownCtx); err != nil {
-		h.log.Error().Err(err).Msg("aborting requests that did not end in the grace period")
+	for _, server := range servers[:sharedServers] {
+		if err := server.Shutdown(shutdownCtx); err != nil {
+			h.log.Error().Err(err).Msg("aborting requests that did not end in the grace period")
+		}
 	}
 }
 
+// sharedServers is the number of servers that callers and the platform use, the first ones of
+// those that listen returns. That of the peers goes on until the process ends.
+const sharedServers = 3
+
 var _ peer.Handler = (*Host)(nil)
 
 // Handle implements peer.Handler.
--- /dev/null
+++ b/hibiscusfront/internal/soak/stop_test.go
@@ -0,0 +1,110 @@
+package soak_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// keptConnection is a connection that a caller keeps for many requests.
+type keptConnection struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func dial(t *testing.T, address string) *keptConnection {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	return &keptConnection{conn, bufio.NewReader(conn)}
+}
+
+// head returns the head of a request for a booking, with a body of four bytes to follow.
+func head(id string, deadline time.Duration) string {
+	return fmt.Sprintf("POST /order/x HTTP/1.1\r\nHost: h.example\r\nX-Hibiscuslb-Request-Id: %s\r\nX-Hibiscuslb-Deadline-Ms: %d\r\n"+
+		"Authorization: Token key-w\r\nContent-Length: 4\r\n\r\n", id, deadline.Milliseconds())
+}
+
+func (c *keptConnection) write(text string) error {
+	_, err := io.WriteString(c, text)
+	return err
+}
+
+// answer is what a caller got for a request. The error tells that the connection ended without
+// a complete answer.
+type answer struct {
+	status int
+	closed bool // the answer says that the connection is closed after it
+	header http.Header
+	err    error
+}
+
+func (c *keptConnection) read(timeout time.Duration) answer {
+	if err := c.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		return answer{err: err}
+	}
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer response.Body.Close()
+	_, err = io.ReadAll(response.Body)
+	return answer{response.StatusCode, response.Close, response.Header, err}
+}
+
+// TestStopAnswersRequestsThatAreBeingRead sends the first half of a request on a connection that
+// was idle, and the second half some time after. In a planned stop such connections were closed,
+// at the signal and when the host began to refuse requests, and the requests were run all the
+// same.
+func TestStopAnswersRequestsThatAreBeingRead(t *testing.T) {
+	s := newSite(t, build(t), 0)
+	s.awaitReady(t, 10*time.Second)
+	h := s.hosts[0]
+	moments := []time.Duration{-30 * time.Millisecond, 300 * time.Millisecond, 2000 * time.Millisecond, 2300 * time.Millisecond, 2700 * time.Millisecond, 3200 * time.Millisecond}
+	const halfTime = 200 * time.Millisecond // from the first half to the second
+	connections := make([]*keptConnection, len(moments))
+	for i := range moments {
+		connections[i] = dial(t, h.callers)
+		require.NoError(t, connections[i].write(head(fmt.Sprint("before-", i), time.Second)+"body"))
+		require.Equal(t, http.StatusOK, connections[i].read(time.Second).status)
+	}
+	answers := make([]answer, len(moments))
+	done := make(chan struct{})
+	signalAt := time.Now().Add(100 * time.Millisecond)
+	for i, moment := range moments {
+		go func() {
+			defer func() { done <- struct{}{} }()
+			c, text := connections[i], head(fmt.Sprint("request-", i), time.Second)
+			time.Sleep(time.Until(signalAt.Add(moment)))
+			if err := c.write(text[:len(text)/3]); err != nil {
+				answers[i] = answer{err: err}
+				return
+			}
+			time.Sleep(halfTime)
+			if err := c.write(text[len(text)/3:] + "body"); err != nil {
+				answers[i] = answer{err: err}
+				return
+			}
+			answers[i] = c.read(2 * time.Second)
+		}()
+	}
+	time.Sleep(time.Until(signalAt))
+	h.kill(syscall.SIGTERM)
+	for range moments {
+		<-done
+	}
+	for i, moment := range moments {
+		require.NoError(t, answers[i].err, "the request that began %v after the signal got no answer", moment)
+		require.Contains(t, []int{http.StatusOK, http.StatusServiceUnavailable}, answers[i].status)
+		require.True(t, answers[i].closed, "the answer to the request that began %v after the signal keeps the connection", moment)
+	}
+	t.Log(answers)
+}
