departure: requests that a stop cuts get an answer, and none is taken that it would cut

Cause: neither admission nor the deadline of a request knew of the end of the grace period.

What is passed on in a stop gets the time left before the cut as its deadline. From 2.4 s on, a request whose own time is longer is refused at once as not run. What still runs at the cut is answered with 502 or 504.

TestStopAnswersRequestsThatDoNotEnd failed before: "unexpected EOF" after 7.7 s for a booking that had been passed on. Now 502 after 7.6 s, 504 for one sent 1 s after the signal, and 503 with Retry-After within 1 ms, run nowhere, for those sent 2.8 s and 3.2 s after it.

--- a/hibiscusfront/internal/departure/departure.go
+++ b/hibiscusfront/internal/departure/departure.go
@@ -11,16 +11,21 @@
 //   - Serving: there is no stop.
 //   - Leaving: the host is no longer named to callers, and each answer ends its connection.
 //     All requests are passed on.
-//   - Draining: new requests are refused as not run.
+//   - Draining: only requests whose time ends before the cut are passed on. The others
+//     could be cut, and are refused as not run.
 //   - Closing: callers no longer have the address. Idle connections are closed, and the process
 //     ends once the last request has been answered.
 //
+// At the cut, shortly before the process must end, requests that still run are answered with the
+// outcome unknown. Streams that have begun break off there.
+//
 // Load patterns:
 //   - Callers keep connections open and send at the moment of the signal. These requests are
 //     answered, and the callers go to other hosts.
 //   - Some callers keep an address for three times as long as they were told. Their
 //     requests come while the host drains.
 //   - The host is busy, and acts on the signal some hundred milliseconds late.
+//   - Requests without a short deadline run at a slow target when the stop begins.
 package departure
 
 import (
@@ -69,8 +74,10 @@
 	longRequestTime = 3 * time.Second
 	// lateness is how late a busy host may act on the signal.
 	lateness = 600 * time.Millisecond
-	// exitTime is the part of the grace period that is kept for the exit of the process.
-	exitTime = 500 * time.Millisecond
+	// exitTime is the part of the grace period that is kept for the exit of the process, and
+	// answerTime the part before it that is kept for answers to requests that are cut.
+	exitTime   = 500 * time.Millisecond
+	answerTime = 100 * time.Millisecond
 	// minGrace is the grace period if the settings have none or a shorter one.
 	minGrace = 5 * time.Second
 )
@@ -80,6 +87,7 @@
 	Leave time.Time
 	Drain time.Time
 	Close time.Time
+	Cut   time.Time // requests that still run are given up
 	End   time.Time // the process must end
 }
 
@@ -87,15 +95,16 @@
 func NewSchedule(now time.Time, s Settings) Schedule {
 	grace := max(s.Grace, minGrace)
 	end := now.Add(grace - exitTime)
+	cut := end.Add(-answerTime)
 	closeAt := now.Add(noticeTime + addressTTLFactor*s.AddressTTL + forgetMargin)
-	if closeAt.After(end) {
-		closeAt = end
+	if closeAt.After(cut) {
+		closeAt = cut
 	}
 	drain := now.Add(min(longRequestTime-lateness, grace/2))
 	if drain.After(closeAt) {
 		drain = closeAt
 	}
-	return Schedule{Leave: now, Drain: drain, Close: closeAt, End: end}
+	return Schedule{Leave: now, Drain: drain, Close: closeAt, Cut: cut, End: end}
 }
 
 // Phase returns the phase at a time.
@@ -111,6 +120,28 @@
 	return Closing
 }
 
+// Admit reports whether a request whose time ends at expires is passed on, and until when it
+// may then run.
+func (s *Schedule) Admit(now, expires time.Time) (until time.Time, ok bool) {
+	if !expires.After(s.Cut) {
+		return expires, true
+	}
+	phase := s.Phase(now)
+	if phase == Serving {
+		return expires, true
+	}
+	return s.Cut, phase == Leaving
+}
+
+// A CutError ends requests that still run at the cut.
+type CutError struct {
+	Since time.Time // begin of the stop
+}
+
+func (e *CutError) Error() string {
+	return fmt.Sprintf("the planned stop that began at %s leaves no more time", e.Since.Format(time.TimeOnly))
+}
+
 // A Departure is the state of a host: whether it makes a planned stop. The zero value serves. It
 // is safe for concurrent use.
 type Departure struct {
@@ -134,3 +165,12 @@
 
 // Leaving reports whether a planned stop has begun.
 func (d *Departure) Leaving() bool { return d.schedule.Load() != nil }
+
+// Admit reports whether a request whose time ends at expires is passed on, and until when it
+// may then run.
+func (d *Departure) Admit(now, expires time.Time) (until time.Time, ok bool) {
+	if s := d.schedule.Load(); s != nil {
+		return s.Admit(now, expires)
+	}
+	return expires, true
+}
--- a/hibiscusfront/internal/departure/departure_test.go
+++ b/hibiscusfront/internal/departure/departure_test.go
@@ -17,12 +17,42 @@
 	now := time.Unix(0, 0).UTC()
 	d.Begin(now, departure.Settings{Grace: 8 * time.Second, AddressTTL: time.Second})
 	for _, after := range []time.Duration{0, 3 * time.Second, 4 * time.Second} {
-		fmt.Println(d.Phase(now.Add(after)))
+		_, short := d.Admit(now.Add(after), now.Add(after+time.Second))
+		_, long := d.Admit(now.Add(after), now.Add(after+time.Minute))
+		fmt.Println(d.Phase(now.Add(after)), short, long)
 	}
 	// Output:
-	// leaving
-	// draining
-	// closing
+	// leaving true true
+	// draining true false
+	// closing true false
+}
+
+// TestAdmit replays requests that come before and during a stop.
+func TestAdmit(t *testing.T) {
+	begin := time.Unix(1000, 0)
+	s := departure.NewSchedule(begin, settings)
+	for _, test := range []struct {
+		name          string
+		after, budget time.Duration
+		want          bool
+		until         time.Time
+	}{
+		{"short, before", -time.Second, time.Second, true, begin},
+		{"long, before", -time.Second, time.Minute, true, begin.Add(59 * time.Second)},
+		{"short, leaving", time.Second, time.Second, true, begin.Add(2 * time.Second)},
+		{"long, leaving", time.Second, time.Minute, true, s.Cut},
+		{"short, draining", 3 * time.Second, time.Second, true, begin.Add(4 * time.Second)},
+		{"long, draining", 3 * time.Second, time.Minute, false, s.Cut},
+		{"short, closing", 5 * time.Second, time.Second, true, begin.Add(6 * time.Second)},
+		{"long, closing", 5 * time.Second, 3 * time.Second, false, s.Cut},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			now := begin.Add(test.after)
+			until, ok := s.Admit(now, now.Add(test.budget))
+			require.Equal(t, test.want, ok)
+			require.Equal(t, test.until, until)
+		})
+	}
 }
 
 // TestScheduleOrder checks the order of the phases, and that no request which the host may cut
@@ -34,7 +64,8 @@
 			s := departure.NewSchedule(begin, departure.Settings{Grace: grace, AddressTTL: ttl})
 			require.False(t, s.Drain.Before(s.Leave))
 			require.False(t, s.Close.Before(s.Drain))
-			require.False(t, s.End.Before(s.Close))
+			require.False(t, s.Cut.Before(s.Close))
+			require.True(t, s.End.After(s.Cut))
 			require.LessOrEqual(t, s.Drain.Sub(begin)+600*time.Millisecond, 3*time.Second)
 		}
 	}
--- a/hibiscusfront/internal/gateway/gateway.go
+++ b/hibiscusfront/internal/gateway/gateway.go
@@ -174,7 +174,8 @@
 	if t := c.route.Timeout; t > 0 && c.start.Add(t).Before(c.expiresAt) {
 		c.expiresAt = c.start.Add(t)
 	}
-	if c.Departure.Phase(c.start) >= departure.Draining {
+	var ok bool
+	if c.expiresAt, ok = c.Departure.Admit(c.start, c.expiresAt); !ok {
 		return fleet.RefuseWithRetryAfter(fleet.ReasonHostLeaving, leavingRetryAfter)
 	}
 	if refusal := c.readBody(); refusal != nil {
@@ -296,13 +297,21 @@
 	leavingRetryAfter = 20 * time.Millisecond
 )
 
-// contextRefusal returns a refusal if the caller has disconnected or the deadline
-// has passed, else nil.
+// contextRefusal returns a refusal if the caller has disconnected, the deadline has passed, or
+// the host stops and has no more time for the request, else nil.
 func (c *call) contextRefusal() *fleet.RefusalError {
 	err := c.ctx.Err()
 	if err == nil {
 		return nil
 	}
+	var cut *departure.CutError
+	if errors.As(context.Cause(c.ctx), &cut) {
+		refusal := &fleet.RefusalError{Reason: fleet.ReasonHostLeaving, Outcome: c.outcome}
+		if c.outcome == fleet.OutcomeNotRun {
+			refusal.RetryAfter = leavingRetryAfter
+		}
+		return refusal
+	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		return &fleet.RefusalError{Reason: fleet.ReasonDeadline, Outcome: c.outcome}
 	}
--- a/hibiscusfront/internal/host/host.go
+++ b/hibiscusfront/internal/host/host.go
@@ -53,19 +53,22 @@
 
 // A Host is a front host: the parts of its process and their state.
 type Host struct {
-	settings  platform.Settings
-	log       zerolog.Logger
-	clock     fleet.Clock
-	peers     peer.Pool
-	pool      backend.Pool
-	control   *control.Control
-	planner   *planner.Planner
-	chooser   *chooser.Chooser
-	gateway   *gateway.Gateway
-	meter     *meters
-	serving   task.Group
-	departure departure.Departure // whether the host makes a planned stop
-	serveErr  chan error          // of HTTP servers
+	settings platform.Settings
+	log      zerolog.Logger
+	clock    fleet.Clock
+	peers    peer.Pool
+	pool     backend.Pool
+	control  *control.Control
+	planner  *planner.Planner
+	chooser  *chooser.Chooser
+	gateway  *gateway.Gateway
+	meter    *meters
+	serving  task.Group
+	// departure is the state of a planned stop. Cut ends the requests of callers that still
+	// run at its cut.
+	departure departure.Departure
+	cut       context.CancelCauseFunc
+	serveErr  chan error // of HTTP servers
 
 	// MetricsPort is the port for metrics; zero picks a free port.
 	MetricsPort int
@@ -150,19 +153,22 @@
 const listenerCount = 5
 
 func (h *Host) listen(ctx context.Context) ([]*http.Server, error) {
+	callersCtx, cut := context.WithCancelCause(ctx)
+	h.cut = cut
 	newServer := func(handler http.Handler) *http.Server {
 		return &http.Server{
 			Handler: h.departure.Handler(announcedIdle, handler), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		}
 	}
 	list := []struct {
+		ctx     context.Context
 		server  *http.Server
 		address fleet.Address
 	}{
-		{newServer(h.gateway), h.settings.Callers},
-		{newServer(platform.DirectoryHandler(h.resolve)), h.settings.Directory},
-		{newServer(platform.ReadinessHandler(h.ready)), h.settings.Readiness},
-		{&http.Server{Handler: &peer.Server{Handler: h}, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}, h.settings.Peers},
+		{callersCtx, newServer(h.gateway), h.settings.Callers},
+		{ctx, newServer(platform.DirectoryHandler(h.resolve)), h.settings.Directory},
+		{ctx, newServer(platform.ReadinessHandler(h.ready)), h.settings.Readiness},
+		{ctx, &http.Server{Handler: &peer.Server{Handler: h}, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}, h.settings.Peers},
 	}
 	var servers []*http.Server
 	for _, l := range list {
@@ -170,7 +176,7 @@
 		if err != nil {
 			return nil, eris.Wrapf(err, "listen on %s", l.address)
 		}
-		l.server.BaseContext = func(net.Listener) context.Context { return ctx }
+		l.server.BaseContext = func(net.Listener) context.Context { return l.ctx }
 		servers = append(servers, l.server)
 		h.serve(ctx, l.server, listener)
 	}
@@ -238,7 +244,7 @@
 func (h *Host) stop(ctx context.Context, servers []*http.Server) {
 	_, ttl := h.resolve(platform.Lookup{})
 	schedule := h.departure.Begin(time.Now(), departure.Settings{Grace: h.settings.Bounds.Grace, AddressTTL: ttl})
-	h.log.Info().Dur("Drain", time.Until(schedule.Drain)).Dur("Close", time.Until(schedule.Close)).
+	h.log.Info().Dur("Drain", time.Until(schedule.Drain)).Dur("Close", time.Until(schedule.Close)).Dur("Cut", time.Until(schedule.Cut)).
 		Msg("stopping: callers are directed to other hosts")
 	h.control.Leave(ctx)
 	h.serving.Go(ctx, func(ctx context.Context) {
@@ -246,6 +252,12 @@
 			h.log.Warn().Err(err).Msg("cannot remove this host's entry from the object store; the planner will remove it")
 		}
 	})
+	h.serving.Go(ctx, func(ctx context.Context) {
+		if task.Sleep(ctx, time.Until(schedule.Cut)) {
+			h.log.Warn().Msg("ending the requests that did not end in the grace period")
+			h.cut(&departure.CutError{Since: schedule.Leave})
+		}
+	})
 	task.Sleep(ctx, time.Until(schedule.Close))
 	shutdownCtx, cancel := context.WithDeadline(ctx, schedule.End)
 	defer cancel()
--- a/hibiscusfront/internal/soak/stop_test.go
+++ b/hibiscusfront/internal/soak/stop_test.go
@@ -108,3 +108,82 @@
 	}
 	t.Log(answers)
 }
+
+// TestStopAnswersRequestsThatDoNotEnd sends requests that outlast the grace period to a host in a
+// planned stop. Those that it had passed on were cut at the end of the grace period with no
+// answer, and those that came late were passed on though they could not end.
+func TestStopAnswersRequestsThatDoNotEnd(t *testing.T) {
+	const (
+		grace    = 8 * time.Second // graceS of the settings
+		deadline = 9 * time.Second
+	)
+	s := newSite(t, build(t), 0)
+	s.putSlowOrders(deadline)
+	s.awaitReady(t, 10*time.Second)
+	time.Sleep(time.Second) // all hosts have the configuration
+	h := s.hosts[0]
+	moments := []time.Duration{-200 * time.Millisecond, time.Second, 2800 * time.Millisecond, 3200 * time.Millisecond}
+	connections := make([]*keptConnection, len(moments))
+	for i := range moments {
+		connections[i] = dial(t, h.callers)
+		require.NoError(t, connections[i].write(head(fmt.Sprint("before-", i), time.Second)+"body"))
+		require.Equal(t, http.StatusOK, connections[i].read(time.Second).status)
+	}
+	for _, target := range s.targets {
+		target.SetWorkTime(deadline)
+	}
+	answers, took := make([]answer, len(moments)), make([]time.Duration, len(moments))
+	done := make(chan struct{})
+	signalAt := time.Now().Add(300 * time.Millisecond)
+	for i, moment := range moments {
+		go func() {
+			defer func() { done <- struct{}{} }()
+			time.Sleep(time.Until(signalAt.Add(moment)))
+			if err := connections[i].write(head(fmt.Sprint("slow-", i), deadline) + "body"); err != nil {
+				answers[i] = answer{err: err}
+				return
+			}
+			sent := time.Now()
+			answers[i] = connections[i].read(grace)
+			took[i] = time.Since(sent)
+		}()
+	}
+	time.Sleep(time.Until(signalAt))
+	h.kill(syscall.SIGTERM)
+	for range moments {
+		<-done
+	}
+	for i, moment := range moments {
+		ran := 0
+		for _, target := range s.targets {
+			runs, _, _ := target.Runs()
+			ran += runs[fmt.Sprint("slow-", i)]
+		}
+		t.Logf("sent %v after the signal: %+v after %v, passed on to %d targets", moment, answers[i], took[i], ran)
+		require.NoError(t, answers[i].err, "the request that was sent %v after the signal got no answer", moment)
+		if moment > 2500*time.Millisecond {
+			require.Equal(t, http.StatusServiceUnavailable, answers[i].status)
+			require.NotEmpty(t, answers[i].header.Get("Retry-After"))
+			require.Less(t, took[i], 200*time.Millisecond)
+			require.Zero(t, ran)
+			continue
+		}
+		require.GreaterOrEqual(t, answers[i].status, http.StatusInternalServerError)
+		if answers[i].status == http.StatusServiceUnavailable {
+			require.Zero(t, ran, "the status says that the request has not run")
+		}
+	}
+}
+
+// putSlowOrders writes a configuration in which an order may take as long as the timeout.
+func (s *site) putSlowOrders(timeout time.Duration) {
+	s.store.Put("config", "main", map[string]any{
+		"version": s.configVersion + 3,
+		"routes": []map[string]any{
+			{"name": "order", "host": "h.example", "pathPrefix": "/order/", "kind": "non_idempotent", "service": "plain", "attempts": 1, "timeoutMs": timeout.Milliseconds()},
+		},
+		"services": []map[string]any{{"name": "plain", "maxConns": 100}},
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 100000, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants":  []map[string]any{{"name": "w", "apiKeys": []string{"key-w"}}},
+	})
+}
