origin: only a start tells which version began a stream, not a grant

Cause: the planner's ledger recorded grants. A planner that had been frozen decided on requests that a deputy had served meanwhile; those grants were withdrawn, but their entries stayed and answered for the deputy's. Ruled out: exclusion (two versions serve throughout) and late batches (they lead to refusals).

The ledger records starts, which the host that relays a stream reports. Starts that the planner has not granted are reported to it apart and kept until a planner has them. A planner skips requests whose hosts have given up.

TestGrantThatBroughtNothingNamesNoVersion failed before ("the stream of v1 goes on at v2"), and TestRequestThatWasGivenUpIsNotPlanned (1 grant).

--- a/fleet/origin/origin.go
+++ b/fleet/origin/origin.go
@@ -3,8 +3,11 @@
 //
 // Engines of several versions may serve side by side. What two of them write does not fit
 // together, and engines do not check it. A caller whose stream breaks off takes it up with
-// another attempt, at any host, and names the attempt that brought its first event. The
-// planner grants most streams and records for each attempt the version that it was granted.
+// another attempt, at any host, and names the attempt that brought its first event.
+//
+// Only what was sent to a caller tells which version began a stream. A planner's grant does not:
+// the host may not have waited for it, and have got another one from a deputy. A ledger
+// therefore records starts, which the host that relays a stream reports, and no grants.
 //
 // An attempt that is not recorded may still be told by exclusion: if all engines of the service
 // that can have begun it had one version, that one began it. A ledger knows this of the time in
@@ -23,6 +26,8 @@
 //     streams that they break off are all taken up at once.
 //   - All hosts end at the same moment, when two versions serve, or when the last engines of
 //     the old one have just left. Versions says that the old one may have begun streams.
+//   - A planner freezes while hosts wait for its decisions. They ask a deputy, and the planner
+//     decides the same requests when it wakes.
 //   - A caller names nothing, nonsense, or an attempt of another workspace.
 //
 // A Ledger has no clock and does no I/O. It is not safe for concurrent use.
@@ -51,8 +56,8 @@
 	// BatchInterval is the time between two batches. It is also what the end of a planner
 	// loses.
 	BatchInterval = 400 * time.Millisecond
-	// loadInterval is the time from a load of the batches of other planners to the next.
-	loadInterval = 500 * time.Millisecond
+	// loadInterval is the least time from a load of the object store's records to the next.
+	loadInterval = 250 * time.Millisecond
 	// maxStreams bounds the streams in a ledger.
 	maxStreams = 200_000
 )
@@ -108,11 +113,26 @@
 
 const keyBytes = 8
 
+// A Start tells which version began the stream of an attempt, whose caller waits for at most
+// Deadline.
+type Start struct {
+	Key      Key
+	Service  route.ServiceID
+	Software fleet.Software
+	Deadline time.Duration
+}
+
+// Records are what the object store holds: the batches of all planners, and the versions that
+// have engines.
+type Records struct {
+	Batches []Batch
+	Listed  []Version
+}
+
 // stream is what is known of an attempt.
 type stream struct {
 	Version
-	started   bool // the first event has been sent to the caller
-	ambiguous bool // two versions may have begun it
+	ambiguous bool // two versions have begun it: the caller has used its ID again
 	expires   fleet.Instant
 }
 
@@ -146,7 +166,7 @@
 	unwritten map[Key]bool
 	lastBatch fleet.Instant
 	nextSweep fleet.Instant
-	loadDue   bool          // an attempt was not known
+	loadDue   bool          // a request waits for the records of the object store
 	loadedAt  fleet.Instant // start of the last load that has ended
 }
 
@@ -255,46 +275,38 @@
 	return result
 }
 
-// RecordGrant records that an attempt, whose caller waits for at most deadline, was granted an
-// engine of the version. An earlier grant of the attempt brought no event.
-func (l *Ledger) RecordGrant(now fleet.Instant, key Key, v Version, deadline time.Duration) {
+// RecordDeadline records that callers may wait for a stream for as long.
+func (l *Ledger) RecordDeadline(deadline time.Duration) {
 	l.retention = max(l.retention, deadline+deadlineMargin)
+}
+
+// RecordStart records that the first event of a stream has been sent to its caller.
+func (l *Ledger) RecordStart(now fleet.Instant, start Start) {
+	l.RecordDeadline(start.Deadline)
 	l.sweep(now)
 	if l.streams == nil {
 		l.streams = make(map[Key]*stream)
 	}
-	st, ok := l.streams[key]
+	v := Version{start.Service, start.Software}
+	st, ok := l.streams[start.Key]
 	if !ok {
 		if len(l.streams) >= maxStreams {
 			return
 		}
 		st = &stream{Version: v}
-		l.streams[key] = st
-	}
-	switch {
-	case st.Version == v:
-	case st.started:
-		st.ambiguous = true // the caller has used the ID of an attempt again
-	default:
-		st.Version = v
+		l.streams[start.Key] = st
 	}
+	st.ambiguous = st.ambiguous || st.Version != v
 	st.expires = now.Add(l.Retention())
 	if s := l.services[v.Service]; s != nil && len(s.versions()) > 1 {
-		l.queue(key)
-	}
-}
-
-// RecordStart records that the first event of an attempt has been sent to its caller.
-func (l *Ledger) RecordStart(key Key) {
-	if st, ok := l.streams[key]; ok {
-		st.started = true
+		l.queue(start.Key)
 	}
 }
 
 // Find returns the version that began the stream of an attempt, and whether it is known. The
-// attempt is nil if the caller names none. Current tells whether the versions with engines are
-// those of now: a host that is cut off may have missed one.
-func (l *Ledger) Find(now fleet.Instant, id route.ServiceID, attempt *Key, current bool) (fleet.Software, bool) {
+// attempt is nil if the caller names none. Came is when the caller's request came. Current tells
+// whether the versions with engines are those of now, as far as the host can know.
+func (l *Ledger) Find(now fleet.Instant, id route.ServiceID, attempt *Key, came fleet.Instant, current bool) (fleet.Software, bool) {
 	if attempt != nil {
 		if st, ok := l.streams[*attempt]; ok && now < st.expires {
 			return st.Software, !st.ambiguous
@@ -302,10 +314,14 @@
 	}
 	s := l.service(id)
 	s.expire(now)
-	if versions := s.versions(); current && len(versions) == 1 && l.complete(now) {
+	versions := s.versions()
+	excludes := current && len(versions) == 1 && l.complete(now)
+	if excludes {
 		return versions[0], true
 	}
-	l.loadDue = l.loadDue || attempt != nil && now.Sub(l.loadedAt) >= loadInterval
+	if attempt != nil && l.loadedAt < came {
+		l.loadDue = true
+	}
 	return "", false
 }
 
@@ -316,10 +332,15 @@
 	}
 }
 
-// LoadPending reports whether batches of other planners have to be read: at the begin of a
-// tenure, and if an attempt that is not known may be in batches written since the last read.
+// LoadPending reports whether the records of the object store have to be read: at the begin of
+// a tenure, and if a request came since the last read for a stream that is not known.
 func (l *Ledger) LoadPending() bool { return l.loadDue }
 
+// LoadDue reports whether they have to be read now.
+func (l *Ledger) LoadDue(now fleet.Instant) bool {
+	return l.loadDue && (l.loadedAt == 0 || now.Sub(l.loadedAt) >= loadInterval)
+}
+
 // Requeue queues the streams of batches that could not be written.
 func (l *Ledger) Requeue(batches []Batch) {
 	for _, b := range batches {
@@ -329,22 +350,32 @@
 	}
 }
 
-// Load adds the batches that were read from the object store. Began is when the read began.
-// After a read that failed the batches are nil.
-func (l *Ledger) Load(now, began fleet.Instant, batches []Batch) {
+// Load adds the records that were read from the object store. Began is when the read began.
+// After a read that failed the records are nil.
+func (l *Ledger) Load(now, began fleet.Instant, records *Records) {
 	l.loadDue, l.loadedAt = false, began
+	if records == nil {
+		return
+	}
+	for _, v := range records.Listed {
+		// The roster that the host follows may have it later, or never, if its engines are
+		// gone by then.
+		s := l.service(v.Service)
+		if !s.listed[v.Software] {
+			s.left[v.Software] = now.Add(l.Retention())
+		}
+	}
 	if l.streams == nil {
 		l.streams = make(map[Key]*stream)
 	}
-	for _, b := range batches {
+	for _, b := range records.Batches {
 		for keys := b.Keys; len(keys) >= keyBytes; keys = keys[keyBytes:] {
 			key, v := Key(binary.BigEndian.Uint64(keys)), Version{b.Service, b.Software}
 			st, ok := l.streams[key]
 			switch {
-			case ok && st.Version != v:
-				// A planner knows which of its grants brought the first event.
-				st.ambiguous = st.ambiguous || !st.started
-			case !ok && len(l.streams) < maxStreams:
+			case ok:
+				st.ambiguous = st.ambiguous || st.Version != v
+			case len(l.streams) < maxStreams:
 				l.streams[key] = &stream{Version: v, expires: now.Add(l.Retention())}
 			}
 		}
--- a/fleet/plan/admission.go
+++ b/fleet/plan/admission.go
@@ -115,7 +115,7 @@
 	} else {
 		s.firstAttempts.add(now, f.RetryWindow)
 	}
-	decision, verdict := f.tryGrant(now, req)
+	decision, verdict := f.tryGrant(now, now, req)
 	if verdict == decided {
 		return decision, true
 	}
@@ -154,13 +154,13 @@
 
 // tryGrant grants the request if a target can start it in time, and refuses it if a
 // part of its prompt is withheld or no target is expected to serve it. Otherwise the
-// request has to wait.
-func (f *Fleet) tryGrant(now fleet.Instant, req *Request) (Decision, verdict) {
+// request, which came at the given time, has to wait.
+func (f *Fleet) tryGrant(now, came fleet.Instant, req *Request) (Decision, verdict) {
 	refusal, trial := f.checkQuarantine(now, req)
 	if refusal != nil {
 		return Decision{Request: req, Refusal: refusal}, decided
 	}
-	software, known := f.requiredSoftware(now, req)
+	software, known := f.requiredSoftware(now, came, req)
 	switch {
 	case known:
 	case f.origins.LoadPending():
@@ -205,7 +205,7 @@
 		Number: f.lastNumber, Target: t.ID, Address: t.Address, Service: req.Service, Rank: min(req.Rank, MaxRank),
 		Limited: t.limit.Named, Software: t.Software,
 	}
-	ag := &activeGrant{req: req, target: t, grantedAt: now, readTokens: c.readTokens, firstPiece: c.firstPiece, fetchTime: c.fetchTime, transfer: c.transferTime, slowdown: 1}
+	ag := &activeGrant{req: req, target: t, software: t.Software, grantedAt: now, readTokens: c.readTokens, firstPiece: c.firstPiece, fetchTime: c.fetchTime, transfer: c.transferTime, slowdown: 1}
 	if p := req.Prompt; p != nil && t.isEngine() {
 		g.Version = t.version(p.Model)
 		g.Salt = c.chain.salt
@@ -245,7 +245,9 @@
 		f.active = make(map[GrantNumber]*activeGrant)
 	}
 	f.active[g.Number] = ag
-	f.recordOrigin(now, req, t)
+	if req.Resumable {
+		f.origins.RecordDeadline(req.Deadline)
+	}
 	return g
 }
 
@@ -283,7 +285,7 @@
 			req := *q.req
 			req.Objective -= waited
 			req.Deadline -= waited
-			decision, verdict := f.tryGrant(now, &req)
+			decision, verdict := f.tryGrant(now, q.enqueued, &req)
 			if verdict == decided {
 				decision.Request = q.req
 				decisions = append(decisions, decision)
--- a/fleet/plan/origin.go
+++ b/fleet/plan/origin.go
@@ -11,12 +11,12 @@
 //
 // A stream may go on only at the version of the software that began it, see package origin. A
 // host that resumes a stream within one answer knows the version. For a stream that a caller
-// takes up, the planner finds it. If the attempt may be in the records of another planner, the
-// request waits in the queue until they have been read.
+// takes up, the planner finds it. If the attempt may be in the records of another planner, or
+// the roster has to be read again, the request waits in the queue until they have been read.
 const (
-	// originLoadTime is the least time for which such a request may wait: until the next
-	// dispatch, and for an answer of the object store.
-	originLoadTime = 150 * time.Millisecond
+	// originLoadTime is the least time for which such a request may wait: until a load is due,
+	// and for an answer of the object store.
+	originLoadTime = 400 * time.Millisecond
 	// unknownOriginRetryAfter is the Retry-After of a request whose stream can't be told. It
 	// can be once all engines but those of one version have left for long enough.
 	unknownOriginRetryAfter = time.Second
@@ -50,9 +50,14 @@
 // originKey returns the key of the request's own attempt.
 func (r *Request) originKey() origin.Key { return origin.KeyOf(r.Service, r.Workspace, r.ID) }
 
-// requiredSoftware returns the version that the request's target must have, nil for any. It
-// reports false if it is not known.
-func (f *Fleet) requiredSoftware(now fleet.Instant, req *Request) (software *fleet.Software, known bool) {
+// Start returns what the begin of the request's stream at a target of the version tells.
+func (r *Request) Start(software fleet.Software) origin.Start {
+	return origin.Start{Key: r.originKey(), Service: r.Service, Software: software, Deadline: r.Deadline}
+}
+
+// requiredSoftware returns the version that the target of the request, which came at the given
+// time, must have, nil for any. It reports false if it is not known.
+func (f *Fleet) requiredSoftware(now, came fleet.Instant, req *Request) (software *fleet.Software, known bool) {
 	r := &req.Resumption
 	switch {
 	case !r.Resumes:
@@ -65,14 +70,15 @@
 		key := origin.KeyOf(req.Service, req.Workspace, r.Attempt)
 		attempt = &key
 	}
-	found, known := f.origins.Find(now, req.Service, attempt, !f.RosterStale)
+	found, known := f.origins.Find(now, req.Service, attempt, came, !f.RosterStale)
 	return &found, known
 }
 
-// recordOrigin records the version at which the request's stream begins or goes on.
-func (f *Fleet) recordOrigin(now fleet.Instant, req *Request, t *target) {
-	if req.Resumable {
-		f.origins.RecordGrant(now, req.originKey(), origin.Version{Service: t.Service, Software: t.Software}, req.Deadline)
+// RecordStarts records starts of streams that hosts report apart from the progress of grants,
+// since this planner has not granted them.
+func (f *Fleet) RecordStarts(now fleet.Instant, starts []origin.Start) {
+	for _, start := range starts {
+		f.origins.RecordStart(now, start)
 	}
 }
 
@@ -100,12 +106,11 @@
 // RequeueBatches queues batches that could not be written.
 func (f *Fleet) RequeueBatches(batches []origin.Batch) { f.origins.Requeue(batches) }
 
-// LoadPending reports whether the streams in the object store have to be read. LoadOrigins
+// LoadDue reports whether the records in the object store have to be read now. LoadOrigins
 // must be called then.
-func (f *Fleet) LoadPending() bool { return f.origins.LoadPending() }
+func (f *Fleet) LoadDue(now fleet.Instant) bool { return f.origins.LoadDue(now) }
 
-// LoadOrigins records the streams as read from the object store since began, or nil if that
-// failed.
-func (f *Fleet) LoadOrigins(now, began fleet.Instant, batches []origin.Batch) {
-	f.origins.Load(now, began, batches)
+// LoadOrigins records what was read from the object store since began, or nil if that failed.
+func (f *Fleet) LoadOrigins(now, began fleet.Instant, records *origin.Records) {
+	f.origins.Load(now, began, records)
 }
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -87,6 +87,9 @@
 	// the request chose the target without a planner. It is set by the host
 	// that receives the grant.
 	By fleet.Address
+	// Stream is what the host reports when the answer begins, if it is a stream that may go
+	// on at another target; else nil. It is set like By.
+	Stream *origin.Start
 }
 
 // A Decision answers a Request with either a grant or a refusal.
@@ -146,6 +149,7 @@
 	slowdown    float64           // of the bytes, as the estimate of the fetch stores' links expected it
 	fetchStores []*store          // cache stores from which parts are fetched
 	memory      fleet.Tokens      // tokens of cache memory that the run occupies
+	software    fleet.Software    // of the target when the grant was made
 }
 
 // model is the state of a model's weights.
@@ -347,7 +351,7 @@
 	case Started:
 		ag.target.startGrant(now, ag)
 		if ag.req.Resumable {
-			f.origins.RecordStart(ag.req.originKey())
+			f.origins.RecordStart(now, ag.req.Start(ag.software))
 		}
 		return
 	case Answered:
--- a/fleet/plan/reserve.go
+++ b/fleet/plan/reserve.go
@@ -29,7 +29,7 @@
 // memory of those that are not kept for others.
 func (f *Fleet) reserve(now fleet.Instant, q *queuedRequest) {
 	req := q.req
-	software, known := f.requiredSoftware(now, req)
+	software, known := f.requiredSoftware(now, q.enqueued, req)
 	if !known {
 		return
 	}
--- a/hibiscusfront/internal/chooser/chooser.go
+++ b/hibiscusfront/internal/chooser/chooser.go
@@ -15,6 +15,7 @@
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/intake"
+	"hibiscuslb/fleet/origin"
 	"hibiscuslb/fleet/peer"
 	"hibiscuslb/fleet/plan"
 	"hibiscuslb/fleet/route"
@@ -54,6 +55,7 @@
 	backoffEnd map[fleet.Address]fleet.Instant // of hosts that gave no decision
 	ledger     intake.Ledger                   // of what targets have said to this host
 	pending    chan report                     // reports that Run has to send
+	starts     starts
 	tasks      task.Group
 }
 
@@ -62,7 +64,7 @@
 	const maxPendingReports = 4096
 	return &Chooser{
 		Host: host, PeerAddress: peerAddress, Planner: local, Peers: peers, Clock: clock, Log: log,
-		backoffEnd: make(map[fleet.Address]fleet.Instant), pending: make(chan report, maxPendingReports),
+		backoffEnd: make(map[fleet.Address]fleet.Instant), pending: make(chan report, maxPendingReports), starts: newStarts(),
 	}
 }
 
@@ -76,6 +78,16 @@
 // evacuated; and a target may close itself while the request waits for it. Such a grant is
 // given back.
 func (c *Chooser) Choose(ctx context.Context, v *view.View, req *plan.Request) plan.Decision {
+	c.starts.follow(v.Duty.Address)
+	decision := c.choose(ctx, v, req)
+	if decision.Grant != nil && req.Resumable {
+		start := req.Start(decision.Grant.Software)
+		decision.Grant.Stream = &start
+	}
+	return decision
+}
+
+func (c *Chooser) choose(ctx context.Context, v *view.View, req *plan.Request) plan.Decision {
 	sent := req.Avoid
 	for range maxExcluded {
 		closed, _ := c.closed(v, req.Service)
@@ -127,15 +139,25 @@
 // pauseSpread bounds the time over which requests come back after a pause.
 const pauseSpread = time.Second
 
+// maxDeputies is how many deputies are asked for a stream that a caller takes up: this host
+// alone can't tell its version.
+const maxDeputies = 2
+
 // ask asks the planner, then a deputy, and then chooses locally.
 func (c *Chooser) ask(ctx context.Context, v *view.View, req *plan.Request) plan.Decision {
 	planner := wire.Host{ID: v.Duty.Holder, Peers: v.Duty.Address}
 	if decision, ok := c.requestDecision(ctx, planner, req, false); ok {
 		return decision
 	}
-	deputy := v.Deputy(func(h wire.Host) bool { return h.ID != v.Duty.Holder && !c.inBackoff(h.Peers) })
-	if decision, ok := c.requestDecision(ctx, deputy, req, true); ok {
-		return decision
+	deputies := 1
+	if req.Resumption.Resumes && !req.Resumption.Known {
+		deputies = maxDeputies
+	}
+	for range deputies {
+		deputy := v.Deputy(func(h wire.Host) bool { return h.ID != v.Duty.Holder && !c.inBackoff(h.Peers) })
+		if decision, ok := c.requestDecision(ctx, deputy, req, true); ok {
+			return decision
+		}
 	}
 	return c.Local.Choose(c.Clock(), v, req)
 }
@@ -202,12 +224,21 @@
 type report struct {
 	to fleet.Address // of the host that made the grant
 	plan.Report
+	start *origin.Start // of a stream that may go on elsewhere, if Progress is Started
 }
 
 // Report implements gateway.Chooser. It queues a report for the host that made
 // the grant.
 func (c *Chooser) Report(g *plan.Grant, progress plan.Progress) {
-	c.enqueue(g, plan.Report{Number: g.Number, Progress: progress})
+	r := report{to: g.By, Report: plan.Report{Number: g.Number, Progress: progress}}
+	if progress == plan.Started {
+		r.start = g.Stream
+	}
+	if r.start != nil && g.By != c.starts.planner() {
+		c.starts.add(c.Clock(), *r.start)
+		r.start = nil
+	}
+	c.enqueue(r)
 }
 
 // ObserveNotice implements gateway.Chooser. It queues a report if the answer says something
@@ -228,7 +259,7 @@
 			Msg("target changed what it says of the work that it takes")
 	}
 	if notice.Limit.Named || before.Limit.Named || g.Limited || notice.Leaving && !before.Leaving {
-		c.enqueue(g, plan.Report{Number: g.Number, Progress: plan.Answered, Notice: notice})
+		c.enqueue(report{to: g.By, Report: plan.Report{Number: g.Number, Progress: plan.Answered, Notice: notice}})
 	}
 }
 
@@ -266,27 +297,28 @@
 }
 
 // enqueue queues a report for the host that made the grant.
-func (c *Chooser) enqueue(g *plan.Grant, r plan.Report) {
-	if g.By == "" {
+func (c *Chooser) enqueue(r report) {
+	if r.to == "" {
 		return // chosen locally
 	}
 	select {
-	case c.pending <- report{g.By, r}:
+	case c.pending <- r:
 	default:
 		// The host that made the grant discards it if it gets no report in
 		// time.
-		c.Log.Warn().Str("Planner", string(g.By)).Uint64("Grant", uint64(g.Number)).Msg("report on a grant dropped: the queue of pending reports is full")
+		c.Log.Warn().Str("Planner", string(r.to)).Uint64("Grant", uint64(r.Number)).Msg("report on a grant dropped: the queue of pending reports is full")
 	}
 }
 
 // Run sends reports in batches until the context ends.
 func (c *Chooser) Run(ctx context.Context) {
 	defer c.tasks.Wait()
+	c.tasks.Go(ctx, c.sendStarts)
 	for {
-		batches := make(map[fleet.Address][]plan.Report)
+		batches := make(map[fleet.Address][]report)
 		size := 0
 		add := func(r report) {
-			batches[r.to] = append(batches[r.to], r.Report)
+			batches[r.to] = append(batches[r.to], r)
 			size++
 		}
 		select {
@@ -315,18 +347,37 @@
 }
 
 // sendReports sends a batch to the host that made the grants, without waiting for
-// its reply.
-func (c *Chooser) sendReports(ctx context.Context, to fleet.Address, batch []plan.Report) {
+// its reply. If that host does not plan any more, or does not answer, the planner is told of the
+// streams that have begun.
+func (c *Chooser) sendReports(ctx context.Context, to fleet.Address, batch []report) {
+	reports := make([]plan.Report, len(batch))
+	for i, r := range batch {
+		reports[i] = r.Report
+	}
 	if to == c.PeerAddress {
-		c.Planner.Report(ctx, batch)
+		if !c.Planner.Report(ctx, reports) {
+			c.addStarts(batch)
+		}
 		return
 	}
 	c.tasks.Go(ctx, func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 		defer cancel()
-		var reply struct{}
-		if err := c.Peers.Call(ctx, to, wire.KindReports, wire.Reports{Reports: batch}, &reply); err != nil {
+		var reply wire.ReportsReply
+		if err := c.Peers.Call(ctx, to, wire.KindReports, wire.Reports{Reports: reports}, &reply); err != nil {
 			c.Log.Debug().Err(err).Str("Planner", string(to)).Int("Reports", len(batch)).Msg("reports on grants were not delivered to the host that made them")
 		}
+		if !reply.Planning {
+			c.addStarts(batch)
+		}
 	})
 }
+
+// addStarts queues the starts in a batch for the planner.
+func (c *Chooser) addStarts(batch []report) {
+	for _, r := range batch {
+		if r.start != nil {
+			c.starts.add(c.Clock(), *r.start)
+		}
+	}
+}
--- a/hibiscusfront/internal/chooser/chooser_test.go
+++ b/hibiscusfront/internal/chooser/chooser_test.go
@@ -41,9 +41,14 @@
 )
 
 func startChooser(t *testing.T) (context.Context, *chooser.Chooser, *view.View) {
+	t.Helper()
+	return startChooserWith(t, noPermissions{})
+}
+
+func startChooserWith(t *testing.T, permissions planner.Permissions) (context.Context, *chooser.Chooser, *view.View) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	p := planner.New("self", platform.Bounds{}, platform.NewTargetClient(), noPermissions{}, clock.BootTime(), zerolog.Nop())
+	p := planner.New("self", platform.Bounds{}, platform.NewTargetClient(), permissions, clock.BootTime(), zerolog.Nop())
 	peers := new(peer.Pool)
 	c := chooser.New("self", self, p, peers, clock.BootTime(), zerolog.Nop())
 	ended := make(chan struct{}, 3)
--- a/hibiscusfront/internal/chooser/resume_test.go
+++ b/hibiscusfront/internal/chooser/resume_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -57,3 +58,31 @@
 		})
 	}
 }
+
+// planning are the permissions of the planner.
+type planning struct{ noPermissions }
+
+func (planning) MayPlan() bool { return true }
+
+// TestPlannerLearnsStreamsThatItHasNotGranted begins a stream while no planner answers. The next
+// planner must be told which version began it, or it could not be taken up.
+func TestPlannerLearnsStreamsThatItHasNotGranted(t *testing.T) {
+	ctx, c, v := startChooserWith(t, planning{})
+	req := newRequest()
+	req.ID, req.Workspace, req.Resumable = "begun", "w", true
+	decision := c.Choose(ctx, v, req)
+	require.NotNil(t, decision.Grant)
+	require.Empty(t, decision.Grant.By)
+	c.Report(decision.Grant, plan.Started)
+	time.Sleep(300 * time.Millisecond) // in which no planner can be told
+
+	next := *v
+	next.Duty = election.Record{Holder: "self", Address: self, Epoch: 4}
+	c.Planner.SetPlanning(ctx, 4, true)
+	require.Eventually(t, func() bool {
+		again := newRequest()
+		again.ID, again.Workspace, again.Resumable, again.Resumption = "again", "w", true, plan.Resumption{Resumes: true, Attempt: "begun"}
+		decision := c.Choose(ctx, &next, again)
+		return decision.Grant != nil && decision.Grant.By == self
+	}, 3*time.Second, 50*time.Millisecond)
+}
--- a/hibiscusfront/internal/host/host.go
+++ b/hibiscusfront/internal/host/host.go
@@ -286,9 +286,9 @@
 	case wire.KindPlan:
 		return peer.ServeUnary(body, func(req wire.PlanRequest) (wire.PlanReply, error) { return h.plan(ctx, &req) })
 	case wire.KindReports:
-		return peer.ServeUnary(body, func(r wire.Reports) (struct{}, error) {
-			h.planner.Report(ctx, r.Reports)
-			return struct{}{}, nil
+		return peer.ServeUnary(body, func(r wire.Reports) (wire.ReportsReply, error) {
+			planning := h.planner.Report(ctx, r.Reports)
+			return wire.ReportsReply{Planning: planning && h.planner.RecordStarts(ctx, r.Starts)}, nil
 		})
 	default:
 		return nil, fleet.Refuse(fleet.ReasonMalformed, fmt.Sprintf("kind of message is %d, want %d to %d", kind, wire.KindHeartbeat, wire.KindRenew))
--- a/hibiscusfront/internal/planner/origins.go
+++ b/hibiscusfront/internal/planner/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -9,6 +10,7 @@
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/origin"
+	"hibiscuslb/fleet/task"
 )
 
 // An OriginStore keeps the batches of streams that planners have written.
@@ -17,6 +19,8 @@
 	WriteOrigins(ctx context.Context, name string, batches []origin.Batch) error
 	// ReadOrigins returns all batches that are stored.
 	ReadOrigins(ctx context.Context) ([]origin.Batch, error)
+	// ReadVersions returns the versions that have targets in the store's roster.
+	ReadVersions(ctx context.Context) ([]origin.Version, error)
 }
 
 // maxOriginObjects is the number of objects that each host uses in turn. Together they hold
@@ -49,7 +53,7 @@
 func (p *Planner) dispatchOrigins(ctx context.Context, now fleet.Instant) {
 	p.noteVersions(now)
 	if p.Origins == nil {
-		if p.fleet.LoadPending() {
+		if p.fleet.LoadDue(now) {
 			p.fleet.LoadOrigins(now, now, nil)
 		}
 		return
@@ -63,7 +67,7 @@
 		name := fmt.Sprintf("%s-%d", p.Host, p.batchNumber%maxOriginObjects)
 		p.tasks.Go(ctx, func(ctx context.Context) { p.writeOrigins(ctx, name, batches) })
 	}
-	if p.fleet.LoadPending() && !p.loadingOrigins {
+	if p.fleet.LoadDue(now) && !p.loadingOrigins {
 		p.loadingOrigins = true
 		p.tasks.Go(ctx, func(ctx context.Context) { p.readOrigins(ctx, now) })
 	}
@@ -80,17 +84,38 @@
 // originReadTimeout bounds the read for which requests wait.
 const originReadTimeout = 300 * time.Millisecond
 
+// readOrigins reads the batches and the roster at the same time.
 func (p *Planner) readOrigins(ctx context.Context, began fleet.Instant) {
 	readCtx, cancel := context.WithTimeout(ctx, originReadTimeout)
 	defer cancel()
-	batches, err := p.Origins.ReadOrigins(readCtx)
-	p.Log.Info().AnErr("Cause", err).Int("Batches", len(batches)).Msg("read which versions began streams")
+	var records origin.Records
+	var batchesErr, versionsErr error
+	var reads task.Group
+	reads.Go(readCtx, func(ctx context.Context) { records.Batches, batchesErr = p.Origins.ReadOrigins(ctx) })
+	reads.Go(readCtx, func(ctx context.Context) { records.Listed, versionsErr = p.Origins.ReadVersions(ctx) })
+	reads.Wait()
+	result, err := &records, errors.Join(batchesErr, versionsErr)
+	if err != nil {
+		result = nil
+	}
+	p.Log.Info().AnErr("Cause", err).Int("Batches", len(records.Batches)).Int("Versions", len(records.Listed)).
+		Msg("read which versions began streams, and which serve")
 	p.enqueue(ctx, func(now fleet.Instant) {
 		p.loadingOrigins = false
-		p.fleet.LoadOrigins(now, began, batches)
+		p.fleet.LoadOrigins(now, began, result)
 	})
 }
 
+// RecordStarts records starts of streams that this planner has not granted. It reports whether
+// the host plans: if not, the streams have to be reported to another one.
+func (p *Planner) RecordStarts(ctx context.Context, starts []origin.Start) bool {
+	if !p.plans.Load() {
+		return false
+	}
+	p.enqueue(ctx, func(now fleet.Instant) { p.fleet.RecordStarts(now, starts) })
+	return true
+}
+
 // Versions returns the versions that may have begun streams, as of the last dispatch.
 func (p *Planner) Versions() origin.Versions {
 	if versions := p.versions.Load(); versions != nil {
--- a/hibiscusfront/internal/planner/origins_test.go
+++ b/hibiscusfront/internal/planner/origins_test.go
@@ -21,6 +21,7 @@
 type memoryOrigins struct {
 	mu      sync.Mutex
 	objects map[string][]origin.Batch
+	roster  []origin.Version
 	failing bool
 	reads   int
 }
@@ -53,6 +54,16 @@
 	return batches, nil
 }
 
+// ReadVersions returns the versions that serve, whatever the planner knows.
+func (m *memoryOrigins) ReadVersions(context.Context) ([]origin.Version, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.failing {
+		return nil, errOrigins
+	}
+	return m.roster, nil
+}
+
 func (m *memoryOrigins) setFailing(failing bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -70,11 +81,17 @@
 
 // startVersionedPlanner starts a planner of a service with two versions of targets.
 func startVersionedPlanner(t *testing.T, store *memoryOrigins, d *testPermissions) (context.Context, *Planner) {
+	t.Helper()
+	return startPlannerOf(t, store, d, "v1", "v2", "v1", "v2")
+}
+
+// startPlannerOf starts a planner that knows a target of each of the versions.
+func startPlannerOf(t *testing.T, store *memoryOrigins, d *testPermissions, softwares ...fleet.Software) (context.Context, *Planner) {
 	t.Helper()
 	ctx, p, _ := startPlanner(t, d)
 	v := testView()
 	v.Targets = nil
-	for i, software := range []fleet.Software{"v1", "v2", "v1", "v2"} {
+	for i, software := range softwares {
 		v.Targets = append(v.Targets, roster.Target{ID: fleet.TargetID(rune('a' + i)), Service: "s", Address: "127.0.0.1:1", Slots: 100, Software: software})
 	}
 	p.enqueue(ctx, func(fleet.Instant) { p.Origins = store })
@@ -91,6 +108,67 @@
 	return decision
 }
 
+// beginStream plans a stream and reports its first event.
+func beginStream(t *testing.T, ctx context.Context, p *Planner, id fleet.RequestID, deputy bool) fleet.Software {
+	t.Helper()
+	g := planStream(t, ctx, p, id, plan.Resumption{}, deputy).Grant
+	require.NotNil(t, g)
+	p.Report(ctx, []plan.Report{{Number: g.Number, Progress: plan.Started}})
+	return g.Software
+}
+
+// TestGrantThatBroughtNothingNamesNoVersion guards against streams that went on at another
+// version: a planner that had been frozen decided on requests which a deputy had served
+// meanwhile, and took its own decisions for the origins of the streams.
+func TestGrantThatBroughtNothingNamesNoVersion(t *testing.T) {
+	for _, progress := range []plan.Progress{plan.Rejected, plan.Unreachable, plan.Answered} {
+		store := &memoryOrigins{roster: []origin.Version{{Service: "s", Software: "v1"}, {Service: "s", Software: "v2"}}}
+		d := new(testPermissions)
+		d.holds.Store(true)
+		ctx, p := startVersionedPlanner(t, store, d)
+		p.SetPlanning(ctx, 7, true)
+		g := planStream(t, ctx, p, "1", plan.Resumption{}, false).Grant
+		other := fleet.Software("v1")
+		if g.Software == "v1" {
+			other = "v2"
+		}
+		deputyCtx, deputy := startPlannerOf(t, store, new(testPermissions), other)
+		require.Equal(t, other, beginStream(t, deputyCtx, deputy, "1", true))
+		p.Report(ctx, []plan.Report{{Number: g.Number, Progress: progress}})
+		decision := planStream(t, ctx, p, "again", plan.Resumption{Resumes: true, Attempt: "1"}, false)
+		require.True(t, decision.Grant == nil || decision.Grant.Software == other, "the stream of %s goes on at %s after report %d", other, g.Software, progress)
+		p.RecordStarts(ctx, []origin.Start{{Key: origin.KeyOf("s", "w", "1"), Service: "s", Software: other}})
+		decision = planStream(t, ctx, p, "and again", plan.Resumption{Resumes: true, Attempt: "1"}, false)
+		require.NotNil(t, decision.Grant, "the host that relays the stream has reported it")
+		require.Equal(t, other, decision.Grant.Software)
+	}
+}
+
+// TestRequestThatWasGivenUpIsNotPlanned guards against a planner that was frozen and then works
+// off what hosts have asked meanwhile, though they have given up.
+func TestRequestThatWasGivenUpIsNotPlanned(t *testing.T) {
+	d := new(testPermissions)
+	d.holds.Store(true)
+	ctx, p := startVersionedPlanner(t, new(memoryOrigins), d)
+	p.SetPlanning(ctx, 7, true)
+	frozen, wake := make(chan struct{}), make(chan struct{})
+	p.enqueue(ctx, func(fleet.Instant) { close(frozen); <-wake })
+	<-frozen
+	callCtx, cancel := context.WithCancel(ctx)
+	ended := make(chan error)
+	go func() {
+		_, err := p.Plan(callCtx, newRequest(), false)
+		ended <- err
+	}()
+	require.Eventually(t, func() bool { return len(p.inbox) > 0 }, time.Second, time.Millisecond)
+	cancel()
+	require.ErrorIs(t, <-ended, context.Canceled)
+	close(wake)
+	grants := make(chan uint64, 1)
+	p.enqueue(ctx, func(fleet.Instant) { grants <- uint64(p.fleet.Stats().Grants) })
+	require.Zero(t, <-grants)
+}
+
 // TestSuccessorAndDeputyKnowOriginsOfStreams guards against second1: streams whose planner was
 // lost went on at another version.
 func TestSuccessorAndDeputyKnowOriginsOfStreams(t *testing.T) {
@@ -101,7 +179,7 @@
 	p.SetPlanning(ctx, 7, true)
 	began := make(map[fleet.RequestID]fleet.Software)
 	for _, id := range []fleet.RequestID{"1", "2", "3", "4", "5", "6", "7", "8"} {
-		began[id] = planStream(t, ctx, p, id, plan.Resumption{}, false).Grant.Software
+		began[id] = beginStream(t, ctx, p, id, false)
 	}
 	require.Eventually(t, func() bool { return store.streams() == len(began) }, 2*time.Second, 5*time.Millisecond)
 
@@ -132,7 +210,7 @@
 	d.holds.Store(true)
 	ctx, p := startVersionedPlanner(t, store, d)
 	p.SetPlanning(ctx, 7, true)
-	require.NotNil(t, planStream(t, ctx, p, "1", plan.Resumption{}, false).Grant)
+	beginStream(t, ctx, p, "1", false)
 	began := time.Now()
 	require.Equal(t, fleet.ReasonUnknownOrigin, planStream(t, ctx, p, "x", plan.Resumption{Resumes: true, Attempt: "unknown"}, false).Refusal.Reason)
 	require.Less(t, time.Since(began), time.Second)
--- a/hibiscusfront/internal/planner/planner.go
+++ b/hibiscusfront/internal/planner/planner.go
@@ -74,7 +74,8 @@
 	inbox             chan func(now fleet.Instant)
 	tasks             task.Group
 	fleet             plan.Fleet
-	active            bool // the host is the planner
+	active            bool        // the host is the planner
+	plans             atomic.Bool // copy of active for other goroutines
 	epoch             fleet.Epoch
 	deputy            bool                                  // the host plans for hosts that cannot reach the planner
 	lastDeputyRequest fleet.Instant                         // last request for a deputy
@@ -175,6 +176,7 @@
 		}
 		p.stop()
 		p.active, p.epoch = planning, epoch
+		p.plans.Store(planning)
 		if planning {
 			p.fleet.BeginTenure(now, firstGrantNumber(epoch))
 			if election.IsFirst(epoch) {
@@ -198,6 +200,7 @@
 // refuses all waiting requests.
 func (p *Planner) stop() {
 	p.active, p.deputy, p.fleet.Deputy, p.followsRecord = false, false, false, false
+	p.plans.Store(false)
 	for address, w := range p.watchers {
 		w.cancel()
 		delete(p.watchers, address)
@@ -255,6 +258,9 @@
 func (p *Planner) Plan(ctx context.Context, request *plan.Request, deputy bool) (plan.Decision, error) {
 	answer := make(chan plan.Decision, 1)
 	p.enqueue(ctx, func(now fleet.Instant) {
+		if ctx.Err() != nil {
+			return // the asking host has given up, and asks another one
+		}
 		if deputy && !p.active {
 			p.startDeputy(now)
 		} else if !p.active || !p.Permissions.MayPlan() {
@@ -292,13 +298,15 @@
 	}
 }
 
-// Report applies a host's reports on the progress of grants.
-func (p *Planner) Report(ctx context.Context, reports []plan.Report) {
+// Report applies a host's reports on the progress of grants. It reports whether the host is the
+// planner, who alone makes use of the begins of streams.
+func (p *Planner) Report(ctx context.Context, reports []plan.Report) bool {
 	p.enqueue(ctx, func(now fleet.Instant) {
 		for _, r := range reports {
 			p.fleet.Report(now, r)
 		}
 	})
+	return p.plans.Load()
 }
 
 // finishDecision logs a refusal, and sets the end of a fetch by the engines' clock,
--- a/hibiscusfront/internal/wire/wire.go
+++ b/hibiscusfront/internal/wire/wire.go
@@ -8,6 +8,7 @@
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/election"
+	"hibiscuslb/fleet/origin"
 	"hibiscuslb/fleet/peer"
 	"hibiscuslb/fleet/plan"
 	"hibiscuslb/platform"
@@ -109,8 +110,17 @@
 	RetryAfter time.Duration
 }
 
-// Reports tells the planner the progress of its grants.
-type Reports struct{ Reports []plan.Report }
+// Reports tells the planner the progress of its grants, and the starts of streams that it has
+// not granted.
+type Reports struct {
+	Reports []plan.Report
+	Starts  []origin.Start `cbor:",omitempty"`
+}
+
+// A ReportsReply answers Reports.
+type ReportsReply struct {
+	Planning bool // the host is the planner; else the starts have to be reported to another one
+}
 
 // A RenewRequest asks a host to write the record of the planner's duty on behalf
 // of a host that renews or takes over the duty and whose own call to the object store
