origin: exclusion needs the roster as read since the caller asked

During a release, streams that had begun on engines of the new version through other hosts went on at another version when they were taken up at a host that was cut off or stood still (ORDER; a report of another operator).

Cause: a host told the version by exclusion if it had heard of the roster within 1.5 s, by any answer of the store. The stream may have begun after that.

Exclusion needs a read of the roster that began after the request came. Nothing is excluded while missing engines may still return after an outage, nor by a host that chooses alone.

TestPlannerOutOfStepReadsRosterFirst failed before: granted at the only version that the planner knew, as planner and as deputy. In TestLocalChoiceKeepsStreamsAtTheirVersion, a host that chooses alone now refuses where it told the version by exclusion: it can't know what it has missed. The cases of its stale roster fall together with that one.

--- a/fleet/origin/origin.go
+++ b/fleet/origin/origin.go
@@ -12,7 +12,9 @@
 // An attempt that is not recorded may still be told by exclusion: if all engines of the service
 // that can have begun it had one version, that one began it. A ledger knows this of the time in
 // which it has followed the roster itself, and of the time before from the Versions that the
-// planner before has passed on. What can't be told is not guessed.
+// planner before has passed on. Its host may be out of step with the others, and not know of
+// engines that have joined. The roster must therefore have been read from the object store
+// since the caller asked: the stream had begun by then. What can't be told is not guessed.
 //
 // A planner's records die with it, so it writes them to the object store in batches, but only
 // while a service has, or had until recently, several versions. A planner or deputy that
@@ -28,6 +30,8 @@
 //     the old one have just left. Versions says that the old one may have begun streams.
 //   - A planner freezes while hosts wait for its decisions. They ask a deputy, and the planner
 //     decides the same requests when it wakes.
+//   - A host is cut off, or stands still, while engines of a new version join and begin streams
+//     through others. The streams break off and are taken up at that host.
 //   - A caller names nothing, nonsense, or an attempt of another workspace.
 //
 // A Ledger has no clock and does no I/O. It is not safe for concurrent use.
@@ -168,6 +172,7 @@
 	nextSweep fleet.Instant
 	loadDue   bool          // a request waits for the records of the object store
 	loadedAt  fleet.Instant // start of the last load that has ended
+	rosterAt  fleet.Instant // start of the last load that succeeded
 }
 
 // Retention returns how long after its begin a stream may be taken up.
@@ -316,10 +321,10 @@
 	s.expire(now)
 	versions := s.versions()
 	excludes := current && len(versions) == 1 && l.complete(now)
-	if excludes {
+	if excludes && l.rosterAt >= came {
 		return versions[0], true
 	}
-	if attempt != nil && l.loadedAt < came {
+	if (excludes || attempt != nil) && l.loadedAt < came {
 		l.loadDue = true
 	}
 	return "", false
@@ -357,6 +362,7 @@
 	if records == nil {
 		return
 	}
+	l.rosterAt = began
 	for _, v := range records.Listed {
 		// The roster that the host follows may have it later, or never, if its engines are
 		// gone by then.
--- a/fleet/origin/origin_test.go
+++ b/fleet/origin/origin_test.go
@@ -107,6 +107,28 @@
 	require.Equal(t, fleet.Software("v1"), software)
 }
 
+// TestHostOutOfStepReadsRosterFirst guards against a host that stood still, or whose watch is
+// silent, while engines of a new version joined: it took streams that they had begun for ones of
+// the only version that it knew.
+func TestHostOutOfStepReadsRosterFirst(t *testing.T) {
+	l := newLedger(0, "v1")
+	load(l, second, nil, "v1")
+	requireOrigin(t, l, second, keyOf("of v1"), "v1")
+	came := 1500 * time.Millisecond // v2 has joined, which the host has not heard
+	requireOrigin(t, l, came, keyOf("of v2"), "")
+	require.True(t, l.LoadPending(), "the request waits for the roster")
+	load(l, came+100*time.Millisecond, nil, "v1", "v2")
+	requireOrigin(t, l, came+200*time.Millisecond, keyOf("of v2"), "")
+	require.Len(t, l.Versions(at(came+200*time.Millisecond)), 2)
+
+	l = newLedger(0, "v1")
+	l.Find(at(0), "lm", keyOf("a"), at(0), true)
+	require.True(t, l.LoadDue(at(0)))
+	l.Load(at(second), at(0), nil)
+	require.False(t, l.LoadPending(), "the read failed")
+	requireOrigin(t, l, 0, keyOf("a"), "")
+}
+
 // A host that starts does not know which versions have left before.
 func TestNewLedgerExcludesNothing(t *testing.T) {
 	var l origin.Ledger
@@ -184,8 +206,8 @@
 
 // TestOriginIsNeverWrong plays planners that follow each other, over releases, kills of all
 // hosts and records that are lost, with hosts that begin streams without a planner, starts that
-// are reported late or never. Whatever version is named for an attempt must be the one that began
-// it.
+// are reported late or never, and planners that hear of new engines some seconds late. Whatever
+// version is named for an attempt must be the one that began it.
 func TestOriginIsNeverWrong(t *testing.T) {
 	for seed := range uint64(60) {
 		random := rand.New(rand.NewPCG(seed, 32))
@@ -209,6 +231,7 @@
 		var attempts []string
 		named, asked := 0, 0
 		releases := 0
+		heardAt := time.Duration(0) // when the planner hears of the roster again
 		for now := time.Duration(0); now < 3*time.Minute; now += 50 * time.Millisecond {
 			if random.IntN(200) == 0 { // a release begins, or an old version goes
 				if all := list(); len(all) > 1 {
@@ -218,7 +241,12 @@
 					listed[fleet.Software(fmt.Sprint("v", releases))] = true
 				}
 			}
-			l.SetVersions(at(now), versions(list()...))
+			if random.IntN(100) == 0 { // the planner is out of step
+				heardAt = now + time.Duration(random.IntN(4000))*time.Millisecond
+			}
+			if now >= heardAt {
+				l.SetVersions(at(now), versions(list()...))
+			}
 			if random.IntN(7) == 0 {
 				record = l.Versions(at(now))
 			}
--- a/hibiscusfront/internal/chooser/local.go
+++ b/hibiscusfront/internal/chooser/local.go
@@ -23,8 +23,6 @@
 type Local struct {
 	// WeightsBound has the meaning of plan.Fleet.WeightsBound.
 	WeightsBound time.Duration
-	// RosterCurrent reports whether the view has the targets of now; nil means that it has.
-	RosterCurrent func() bool
 }
 
 // noTargetRetryAfter is the Retry-After sent when no usable target is known.
@@ -36,7 +34,7 @@
 	if v.Duty.Quarantine.Withholds(req.Fingerprint, req.Prompt) {
 		return plan.Decision{Request: req, Refusal: fleet.RefuseWithRetryAfter(fleet.ReasonWithheld, quarantine.FirstTrial)}
 	}
-	software, known := l.requiredSoftware(v, req)
+	software, known := l.requiredSoftware(req)
 	if !known {
 		return plan.Decision{Request: req, Refusal: fleet.RefuseWithRetryAfter(fleet.ReasonUnknownOrigin, noTargetRetryAfter)}
 	}
@@ -80,9 +78,9 @@
 }
 
 // requiredSoftware returns the version that the request's target must have, nil for any. It
-// reports false if it is not known: without a planner the version of a stream that a caller
-// takes up can only be told by exclusion, and not by a host that may have missed another one.
-func (l Local) requiredSoftware(v *view.View, req *plan.Request) (software *fleet.Software, known bool) {
+// reports false if it is not known. Without a planner the version of a stream that a caller takes
+// up can't be told: the host may have missed engines of another version that have begun it.
+func (l Local) requiredSoftware(req *plan.Request) (software *fleet.Software, known bool) {
 	r := &req.Resumption
 	switch {
 	case !r.Resumes:
@@ -90,11 +88,7 @@
 	case r.Known:
 		return &r.Software, true
 	}
-	only, ok := v.Duty.Versions.Only(req.Service)
-	if !ok || l.RosterCurrent != nil && !l.RosterCurrent() || slices.ContainsFunc(v.Targets, func(t roster.Target) bool { return t.Service == req.Service && t.Software != only }) {
-		return nil, false
-	}
-	return &only, true
+	return nil, false
 }
 
 // mayStart reports whether a run may start on the weights that the engine has.
--- a/hibiscusfront/internal/chooser/resume_test.go
+++ b/hibiscusfront/internal/chooser/resume_test.go
@@ -15,7 +15,8 @@
 )
 
 // Load pattern: hosts choose alone while callers take up streams that broke off with the
-// planner. A host may name a version only if no other one can have begun them.
+// planner. A host that is out of step may have missed that engines of another version joined and
+// began them, and names no version but that of a stream which it resumes itself.
 func TestLocalChoiceKeepsStreamsAtTheirVersion(t *testing.T) {
 	_, c, _ := startChooser(t)
 	one := origin.Versions{{Service: "other", Software: "v3"}, {Service: "s", Software: "v1"}}
@@ -25,17 +26,16 @@
 		versions   origin.Versions
 		targets    []fleet.Software
 		resumption plan.Resumption
-		stale      bool           // the host has not heard of the roster lately
 		want       fleet.Software // empty if the request must be refused
 	}{
-		{"one version", one, []fleet.Software{"v1", "v1"}, plan.Resumption{Resumes: true}, false, "v1"},
-		{"one version, as the host knew it before it was cut off", one, []fleet.Software{"v1", "v1"}, plan.Resumption{Resumes: true}, true, ""},
-		{"a version that the planner does not know yet", one, []fleet.Software{"v1", "v2"}, plan.Resumption{Resumes: true}, false, ""},
-		{"the old version has just left", two, []fleet.Software{"v2"}, plan.Resumption{Resumes: true}, false, ""},
-		{"nothing known of the past", nil, []fleet.Software{"v1"}, plan.Resumption{Resumes: true}, false, ""},
-		{"resumed by this host", two, []fleet.Software{"v1", "v2", "v1"}, plan.Resumption{Resumes: true, Known: true, Software: "v2"}, true, "v2"},
-		{"resumed by this host, its version has left", two, []fleet.Software{"v1"}, plan.Resumption{Resumes: true, Known: true, Software: "v2"}, false, ""},
-		{"a new stream", nil, []fleet.Software{"v1"}, plan.Resumption{}, true, "v1"},
+		{"one version", one, []fleet.Software{"v1", "v1"}, plan.Resumption{Resumes: true}, ""},
+		{"one version, and an attempt", one, []fleet.Software{"v1", "v1"}, plan.Resumption{Resumes: true, Attempt: "a"}, ""},
+		{"a version that the planner does not know yet", one, []fleet.Software{"v1", "v2"}, plan.Resumption{Resumes: true}, ""},
+		{"the old version has just left", two, []fleet.Software{"v2"}, plan.Resumption{Resumes: true}, ""},
+		{"nothing known of the past", nil, []fleet.Software{"v1"}, plan.Resumption{Resumes: true}, ""},
+		{"resumed by this host", two, []fleet.Software{"v1", "v2", "v1"}, plan.Resumption{Resumes: true, Known: true, Software: "v2"}, "v2"},
+		{"resumed by this host, its version has left", two, []fleet.Software{"v1"}, plan.Resumption{Resumes: true, Known: true, Software: "v2"}, ""},
+		{"a new stream", nil, []fleet.Software{"v1"}, plan.Resumption{}, "v1"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			v := &view.View{Duty: election.Record{Versions: test.versions}}
@@ -43,7 +43,6 @@
 				v.Targets = append(v.Targets, roster.Target{ID: fleet.TargetID(rune('a' + i)), Service: "s", Address: "127.0.0.1:3", Software: software})
 			}
 			v.Freeze()
-			c.Local.RosterCurrent = func() bool { return !test.stale }
 			req := newRequest()
 			req.Resumption = test.resumption
 			decision := c.Local.Choose(c.Clock(), v, req)
--- a/hibiscusfront/internal/control/control.go
+++ b/hibiscusfront/internal/control/control.go
@@ -109,6 +109,7 @@
 
 	watching          atomic.Bool  // the host watches the store
 	rosterCurrentTill atomic.Int64 // instant until which the host knows the targets of now
+	rosterCertainFrom atomic.Int64 // instant from which targets that are missing in the store have left
 	storeOutageShared atomic.Bool  // copy of storeOutage for other goroutines
 
 	once   sync.Once
@@ -185,8 +186,12 @@
 func (c *Control) TenureEnd() fleet.Instant { return fleet.Instant(c.tenureEnd.Load()) }
 
 // RosterCurrent reports whether the host knows the targets of now, but for changes of the last
-// rosterAge: it reads the store, or hears from a host that does.
-func (c *Control) RosterCurrent() bool { return int64(c.Clock()) < c.rosterCurrentTill.Load() }
+// rosterAge: it reads the store, or hears from a host that does, and those that are missing in
+// the store have left.
+func (c *Control) RosterCurrent() bool {
+	now := int64(c.Clock())
+	return now < c.rosterCurrentTill.Load() && now >= c.rosterCertainFrom.Load()
+}
 
 // Run owns the control state until the context ends.
 func (c *Control) Run(ctx context.Context) {
@@ -258,6 +263,7 @@
 func (c *Control) tick(ctx context.Context, now fleet.Instant) {
 	c.watching.Store(c.planning || c.silent(now, c.lastWatcherReply))
 	c.rosterCurrentTill.Store(int64(max(c.lastStoreAnswer, min(c.lastWatcherReply, now)).Add(rosterAge)))
+	c.rosterCertainFrom.Store(int64(c.targets.uncertainUntil))
 	c.logRestore()
 	c.readDuty(ctx, now)
 	c.writeDutyIfDue(ctx, now)
--- a/hibiscusfront/internal/host/host.go
+++ b/hibiscusfront/internal/host/host.go
@@ -95,7 +95,6 @@
 	h.meter.refresh = h.refreshMeters
 	h.chooser = chooser.New(settings.Host, settings.Peers, h.planner, &h.peers, h.clock, log)
 	h.chooser.Local.WeightsBound = settings.Bounds.Weights
-	h.chooser.Local.RosterCurrent = h.control.RosterCurrent
 	h.chooser.SetMaxPause(maxPauseWindows * settings.Bounds.RetryWindow)
 	h.gateway = &gateway.Gateway{
 		Host: settings.Host, DataCentre: settings.DataCentre, View: h.control.View, Chooser: h.chooser, Pool: &h.pool,
--- a/hibiscusfront/internal/planner/origins_test.go
+++ b/hibiscusfront/internal/planner/origins_test.go
@@ -169,6 +169,34 @@
 	require.Zero(t, <-grants)
 }
 
+// TestPlannerOutOfStepReadsRosterFirst guards against a planner or deputy that stood still or was
+// cut off while engines of a new version joined: it let streams that they had begun through
+// other hosts go on at the only version that it knew.
+func TestPlannerOutOfStepReadsRosterFirst(t *testing.T) {
+	for _, deputy := range []bool{false, true} {
+		// startPlanner has begun with targets that name no version, which is one of its own.
+		store := &memoryOrigins{roster: []origin.Version{{Service: "s"}}}
+		d := new(testPermissions)
+		d.holds.Store(!deputy)
+		ctx, p := startPlannerOf(t, store, d, "")
+		p.enqueue(ctx, func(now fleet.Instant) { p.fleet.BeginFirstTenure(now) })
+		if !deputy {
+			p.SetPlanning(ctx, 7, true)
+		}
+		resumes := plan.Resumption{Resumes: true, Attempt: "begun through another host"}
+		decision := planStream(t, ctx, p, "1", resumes, deputy)
+		require.NotNil(t, decision.Grant, "one version serves, as the store says")
+		require.Empty(t, decision.Grant.Software)
+		store.mu.Lock()
+		store.roster = append(store.roster, origin.Version{Service: "s", Software: "v2"})
+		store.mu.Unlock()
+		decision = planStream(t, ctx, p, "2", resumes, deputy)
+		require.NotNil(t, decision.Refusal)
+		require.Equal(t, fleet.ReasonUnknownOrigin, decision.Refusal.Reason)
+		require.Positive(t, decision.Refusal.RetryAfter)
+	}
+}
+
 // TestSuccessorAndDeputyKnowOriginsOfStreams guards against second1: streams whose planner was
 // lost went on at another version.
 func TestSuccessorAndDeputyKnowOriginsOfStreams(t *testing.T) {
