plan: what a workspace made before it was isolated is not used by others

Cause: the salt that all workspaces share did not change. Ruled out: hosts with the older configuration; the isolated workspace's own requests had their own salt at once.

The shared salt names the set of isolated workspaces, which depends on the configuration alone. The planner applies the newer of its own and the host's configuration, to queued requests too, and a repeated request is asked for under the host's newest.

--- a/fleet/plan/admission.go
+++ b/fleet/plan/admission.go
@@ -115,8 +115,9 @@
 	} else {
 		s.firstAttempts.add(now, f.RetryWindow)
 	}
-	decision, verdict := f.tryGrant(now, now, req)
+	decision, verdict := f.tryGrant(now, now, req.under(f.table))
 	if verdict == decided {
+		decision.Request = req
 		return decision, true
 	}
 	if f.soonestWithinLimit(now, req) > req.MaxQueueTime() {
@@ -282,10 +283,10 @@
 		smallest, full := unmet[kind]
 		if now >= q.nextTry && !(full && memory >= smallest) {
 			waited := now.Sub(q.enqueued)
-			req := *q.req
+			req := q.req.under(f.table)
 			req.Objective -= waited
 			req.Deadline -= waited
-			decision, verdict := f.tryGrant(now, q.enqueued, &req)
+			decision, verdict := f.tryGrant(now, q.enqueued, req)
 			if verdict == decided {
 				decision.Request = q.req
 				decisions = append(decisions, decision)
@@ -371,12 +372,15 @@
 }
 
 // stale reports whether no request can use the part any more, since its weights
-// are superseded and all engines have newer ones.
+// are superseded and all engines have newer ones, or since another set of workspaces is isolated.
 func (f *Fleet) stale(p cachestore.Part) bool {
-	id, version, ok := parseSalt(p.Salt)
+	id, version, sharing, ok := parseSalt(p.Salt)
 	if !ok {
 		return true // not saved by this system
 	}
+	if f.table != nil && sharing != "" && sharing != f.table.Sharing() {
+		return true
+	}
 	if version >= f.model(id).version {
 		return false
 	}
--- a/fleet/plan/deputy_test.go
+++ b/fleet/plan/deputy_test.go
@@ -68,7 +68,7 @@
 	f.BeginTenure(at(0), 1<<40)
 	f.Deputy = true
 	parts := filePrompt("a")
-	salt := plan.Salt(model, 1, "", false)
+	salt := plan.Salt(model, 1, "", plan.Isolation{})
 	for _, part := range parts[:2] {
 		p := cachestore.Part{Salt: salt, ID: part.ID}
 		f.SetCachedTokens(engineID(0), p, part.Tokens)
--- /dev/null
+++ b/fleet/plan/isolation_test.go
@@ -0,0 +1,130 @@
+package plan_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/plan"
+	"hibiscuslb/fleet/route"
+)
+
+// configurationOf returns a configuration of the engine service in which the workspaces from w0
+// on exist and those that are set are isolated.
+func configurationOf(number fleet.Version, isolated ...bool) *route.Table {
+	config := route.Config{Number: number, Services: services()}
+	for i, set := range isolated {
+		config.Workspaces = append(config.Workspaces, route.Workspace{ID: fleet.WorkspaceID(fmt.Sprint("w", i)), Isolated: set})
+	}
+	return route.NewTable(config)
+}
+
+// TestIsolatedWorkspaceSharesNothingThatItMade guards against a workspace that a configuration
+// isolates and whose earlier parts others go on to use.
+//
+// Load pattern: four workspaces ask on the same parts. Configurations isolate some of them, end
+// that, and isolate them again.
+func TestIsolatedWorkspaceSharesNothingThatItMade(t *testing.T) {
+	for seed := range uint64(50) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		makers := make(map[string]map[fleet.WorkspaceID]bool) // of the parts under a salt
+		isolated := make([]bool, 4)
+		for number := range fleet.Version(40) {
+			table := configurationOf(number+1, isolated...)
+			for range 20 {
+				w := table.Workspaces[random.IntN(len(isolated))]
+				salt := plan.Salt(model, 1, w.ID, plan.IsolationOf(table, w.ID))
+				for maker := range makers[salt] {
+					if maker != w.ID {
+						require.False(t, w.Isolated, "seed %d: isolated %s uses parts of %s", seed, w.ID, maker)
+						require.False(t, table.WorkspaceByID(maker).Isolated, "seed %d: %s uses parts of isolated %s", seed, w.ID, maker)
+					}
+				}
+				if makers[salt] == nil {
+					makers[salt] = make(map[fleet.WorkspaceID]bool)
+				}
+				makers[salt][w.ID] = true
+			}
+			isolated[random.IntN(len(isolated))] = random.IntN(2) == 0
+		}
+	}
+}
+
+func TestSharingDependsOnIsolatedWorkspacesAlone(t *testing.T) {
+	require.Empty(t, configurationOf(1, false, false).Sharing())
+	one := configurationOf(1, true, false).Sharing()
+	require.NotEmpty(t, one)
+	require.Equal(t, one, configurationOf(9, true, false, false).Sharing())
+	require.NotEqual(t, one, configurationOf(1, false, true).Sharing())
+	require.NotEqual(t, one, configurationOf(1, true, true).Sharing())
+	a := route.NewTable(route.Config{Workspaces: []route.Workspace{{ID: "ab", Isolated: true}, {ID: "c", Isolated: true}}})
+	b := route.NewTable(route.Config{Workspaces: []route.Workspace{{ID: "a", Isolated: true}, {ID: "bc", Isolated: true}}})
+	require.NotEqual(t, a.Sharing(), b.Sharing())
+}
+
+// TestNewerConfigurationIsolatesRequestsUnderWay has hosts ask under a configuration that the
+// planner knows to be old, or that is replaced while the request waits.
+func TestNewerConfigurationIsolatesRequestsUnderWay(t *testing.T) {
+	older, newer := configurationOf(1, false, false), configurationOf(2, true, false)
+	request := func(workspace fleet.WorkspaceID, table *route.Table) *plan.Request {
+		req := newRequest(800*time.Millisecond, filePrompt("file")...)
+		req.Workspace, req.Isolation = workspace, plan.IsolationOf(table, workspace)
+		return req
+	}
+	for _, test := range []struct {
+		name          string
+		workspace     fleet.WorkspaceID
+		host, planner *route.Table
+		want          *route.Table
+	}{
+		{"both older", "w1", older, older, older},
+		{"host older", "w1", older, newer, newer},
+		{"planner older", "w1", newer, older, newer},
+		{"host older, workspace isolated", "w0", older, newer, newer},
+		{"planner older, workspace isolated", "w0", newer, older, newer},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFleet(t, engines(1))
+			f.SetConfiguration(at(0), test.planner)
+			req := request(test.workspace, test.host)
+			decision, ok := f.Submit(at(0), req)
+			require.True(t, ok)
+			require.Same(t, req, decision.Request)
+			require.Equal(t, plan.Salt(model, 1, test.workspace, plan.IsolationOf(test.want, test.workspace)), decision.Grant.Salt)
+		})
+	}
+	t.Run("replaced while the request waits", func(t *testing.T) {
+		entries := engines(1)
+		entries[0].Slots = 1
+		f := newFleet(t, entries)
+		f.SetConfiguration(at(0), older)
+		var waiting *plan.Request
+		for range 200 {
+			req := request("w0", older)
+			if _, ok := f.Submit(at(0), req); !ok {
+				waiting = req
+				break
+			}
+		}
+		require.NotNil(t, waiting)
+		f.SetConfiguration(at(10*time.Millisecond), newer)
+		f.SetTargets(at(10*time.Millisecond), engines(4), nil)
+		decisions := f.Tick(at(20 * time.Millisecond))
+		require.Len(t, decisions, 1)
+		require.Same(t, waiting, decisions[0].Request)
+		require.NotNil(t, decisions[0].Grant)
+		require.Equal(t, plan.Salt(model, 1, "w0", plan.IsolationOf(newer, "w0")), decisions[0].Grant.Salt)
+	})
+}
+
+// A request of a workspace that is gone from the configuration shares nothing.
+func TestRemovedWorkspaceSharesNothing(t *testing.T) {
+	table := configurationOf(1, true)
+	require.True(t, plan.IsolationOf(table, "removed").Isolated)
+	require.False(t, plan.IsolationOf(table, "").Isolated)
+	require.False(t, plan.IsolationOf(table, "").Sharing == "")
+}
--- a/fleet/plan/placement.go
+++ b/fleet/plan/placement.go
@@ -125,7 +125,7 @@
 // findChain returns the chain of the prompt's parts with their sources.
 func (f *Fleet) findChain(now fleet.Instant, req *Request, version uint64) *chain {
 	p := req.Prompt
-	c := &chain{salt: Salt(p.Model, version, req.Workspace, req.Isolated)}
+	c := &chain{salt: Salt(p.Model, version, req.Workspace, req.Isolation)}
 	c.parts = make([]cachestore.Part, len(p.Parts))
 	c.sources = make([]partSources, len(p.Shared()))
 	for i, part := range p.Parts {
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -51,8 +51,8 @@
 	Near      fleet.DataCentreID // data centre of the host
 	Service   route.ServiceID
 	Workspace fleet.WorkspaceID
-	Isolated  bool           // the workspace shares no cache with others
-	Prompt    *prompt.Prompt // nil for plain services
+	Isolation
+	Prompt *prompt.Prompt // nil for plain services
 	// Fingerprint is that of the request itself, which is the same for each attempt at it.
 	Fingerprint quarantine.Fingerprint
 	Rank        int // 0 is the most urgent
@@ -68,6 +68,35 @@
 	Known      []intake.Known // what targets of the service have said to the host
 }
 
+// An Isolation tells with whom a request may share cached parts, as of a configuration.
+type Isolation struct {
+	Configuration fleet.Version // its number
+	Isolated      bool          // the workspace shares no cache with others
+	Sharing       route.Sharing
+}
+
+// IsolationOf returns the isolation of a workspace, which may be empty, under the configuration.
+// A workspace that the configuration does not have any more shares nothing: it may have been
+// isolated.
+func IsolationOf(table *route.Table, workspace fleet.WorkspaceID) Isolation {
+	isolated := false
+	if workspace != "" {
+		w := table.WorkspaceByID(workspace)
+		isolated = w == nil || w.Isolated
+	}
+	return Isolation{Configuration: table.Number, Isolated: isolated, Sharing: table.Sharing()}
+}
+
+// under returns the request as of the configuration, if that is newer than the one that it was
+// made under. The request itself stays as it is, since its host may still use it.
+func (r *Request) under(table *route.Table) *Request {
+	renewed := *r
+	if table != nil && table.Number > r.Configuration {
+		renewed.Isolation = IsolationOf(table, r.Workspace)
+	}
+	return &renewed
+}
+
 // A Grant allows a host to send a request to a target.
 type Grant struct {
 	Number   GrantNumber
@@ -206,8 +235,9 @@
 	tenureStart   fleet.Instant
 	quarantine    quarantine.Ledger
 	origins       origin.Ledger
-	crashes       []crash // not settled yet
-	probesDue     bool    // of some target
+	table         *route.Table // the newest configuration; nil if none was set
+	crashes       []crash      // not settled yet
+	probesDue     bool         // of some target
 }
 
 // service is a service with the counts of its retry budget.
@@ -248,6 +278,13 @@
 	predecessorFetchTime = MaxFetchTime + time.Second
 )
 
+// SetConfiguration sets the services and their cache stores. The configuration also applies to
+// requests, queued ones too, that hosts have made under an older one.
+func (f *Fleet) SetConfiguration(now fleet.Instant, table *route.Table) {
+	f.SetServices(now, table.Services)
+	f.table = table
+}
+
 // SetServices sets the services and their cache stores from a new configuration.
 func (f *Fleet) SetServices(now fleet.Instant, services []route.Service) {
 	if f.services == nil {
@@ -395,11 +432,16 @@
 
 // Salt returns the cache salt of a request. Requests with the same salt may share
 // cached parts: those on the same version of a model's weights, and only those of
-// the same workspace if it is isolated.
-func Salt(model fleet.ModelID, version uint64, workspace fleet.WorkspaceID, isolated bool) string {
+// the same workspace if it is isolated. The others share parts that were made under the
+// same Sharing, since what a workspace made before it was isolated stays in engines and
+// stores.
+func Salt(model fleet.ModelID, version uint64, workspace fleet.WorkspaceID, isolation Isolation) string {
 	salt := versionSalt(model, version)
-	if isolated {
-		salt += "/" + string(workspace)
+	switch {
+	case isolation.Isolated:
+		salt += workspaceSeparator + string(workspace)
+	case isolation.Sharing != "":
+		salt += sharingSeparator + string(isolation.Sharing)
 	}
 	return salt
 }
--- a/fleet/plan/plan_test.go
+++ b/fleet/plan/plan_test.go
@@ -304,10 +304,10 @@
 }
 
 func TestSaltDependsOnVersionAndIsolatedWorkspace(t *testing.T) {
-	require.NotEqual(t, plan.Salt(model, 1, "w", false), plan.Salt(model, 2, "w", false))
-	require.NotEqual(t, plan.Salt(model, 1, "w", true), plan.Salt(model, 1, "v", true))
-	require.NotEqual(t, plan.Salt(model, 1, "w", true), plan.Salt(model, 1, "w", false))
-	require.Equal(t, plan.Salt(model, 1, "w", false), plan.Salt(model, 1, "v", false))
+	require.NotEqual(t, plan.Salt(model, 1, "w", plan.Isolation{}), plan.Salt(model, 2, "w", plan.Isolation{}))
+	require.NotEqual(t, plan.Salt(model, 1, "w", plan.Isolation{Isolated: true}), plan.Salt(model, 1, "v", plan.Isolation{Isolated: true}))
+	require.NotEqual(t, plan.Salt(model, 1, "w", plan.Isolation{Isolated: true}), plan.Salt(model, 1, "w", plan.Isolation{}))
+	require.Equal(t, plan.Salt(model, 1, "w", plan.Isolation{}), plan.Salt(model, 1, "v", plan.Isolation{}))
 }
 
 func TestUnreachableTargetPausesIncrease(t *testing.T) {
--- a/fleet/route/route.go
+++ b/fleet/route/route.go
@@ -9,6 +9,9 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
 	"slices"
 	"strings"
 	"time"
@@ -146,6 +149,38 @@
 	byHost     map[string][]*Route // longest prefix first
 	services   map[ServiceID]*Service
 	workspaces map[Key]*Workspace
+	byID       map[fleet.WorkspaceID]*Workspace
+	sharing    Sharing
+}
+
+// Sharing identifies the set of isolated workspaces of a configuration; it is empty if there are
+// none. The other workspaces share cached parts that were made under the same one only: whoever
+// made them is not isolated now. It depends on the configuration alone, so that all hosts
+// agree on it, also after they start again.
+type Sharing string
+
+// sharingBytes is the length of the hash in a Sharing.
+const sharingBytes = 12
+
+// sharingOf returns the Sharing of a configuration with the workspaces.
+func sharingOf(workspaces []Workspace) Sharing {
+	var isolated []string
+	for i := range workspaces {
+		if workspaces[i].Isolated {
+			isolated = append(isolated, string(workspaces[i].ID))
+		}
+	}
+	if len(isolated) == 0 {
+		return ""
+	}
+	slices.Sort(isolated)
+	hash := sha256.New()
+	for _, id := range slices.Compact(isolated) {
+		// The lengths keep the names apart. Writing to a hash never fails.
+		_, _ = hash.Write(binary.BigEndian.AppendUint64(nil, uint64(len(id))))
+		_, _ = hash.Write([]byte(id))
+	}
+	return Sharing(hex.EncodeToString(hash.Sum(nil)[:sharingBytes]))
 }
 
 // NewTable indexes the configuration. The Config must not change afterwards.
@@ -155,6 +190,8 @@
 		byHost:     make(map[string][]*Route),
 		services:   make(map[ServiceID]*Service, len(config.Services)),
 		workspaces: make(map[Key]*Workspace),
+		byID:       make(map[fleet.WorkspaceID]*Workspace, len(config.Workspaces)),
+		sharing:    sharingOf(config.Workspaces),
 	}
 	for i := range t.Routes {
 		r := &t.Routes[i]
@@ -167,6 +204,7 @@
 		t.services[t.Services[i].ID] = &t.Services[i]
 	}
 	for i := range t.Workspaces {
+		t.byID[t.Workspaces[i].ID] = &t.Workspaces[i]
 		for _, key := range t.Workspaces[i].Keys {
 			t.workspaces[key] = &t.Workspaces[i]
 		}
@@ -191,6 +229,22 @@
 // Workspace returns the workspace that holds the key, or nil.
 func (t *Table) Workspace(key Key) *Workspace { return t.workspaces[key] }
 
+// WorkspaceByID returns the workspace with the ID, or nil.
+func (t *Table) WorkspaceByID(id fleet.WorkspaceID) *Workspace { return t.byID[id] }
+
+// Sharing returns which workspaces share cached parts.
+func (t *Table) Sharing() Sharing { return t.sharing }
+
+// IsolatedCount returns the number of isolated workspaces.
+func (t *Table) IsolatedCount() (n int) {
+	for i := range t.Workspaces {
+		if t.Workspaces[i].Isolated {
+			n++
+		}
+	}
+	return n
+}
+
 // RequiresKey reports whether requests must carry a key.
 func (t *Table) RequiresKey() bool { return len(t.Workspaces) > 0 }
 
--- a/hibiscusfront/internal/control/objects.go
+++ b/hibiscusfront/internal/control/objects.go
@@ -212,7 +212,7 @@
 	}
 	c.table = table
 	c.Log.Info().Uint64("Number", uint64(table.Number)).Uint64("Revision", uint64(o.Revision.Number)).
-		Int("Routes", len(table.Routes)).Int("Workspaces", len(table.Workspaces)).Msg("configuration in force")
+		Int("Routes", len(table.Routes)).Int("Workspaces", len(table.Workspaces)).Int("Isolated", table.IsolatedCount()).Msg("configuration in force")
 }
 
 // decodedTarget is the decoded entry of a target as of a revision. Each host decodes an
--- a/hibiscusfront/internal/gateway/gateway.go
+++ b/hibiscusfront/internal/gateway/gateway.go
@@ -223,8 +223,9 @@
 		Avoid: c.tried, Repeat: len(c.tried) > 0, Fingerprint: c.fingerprint,
 		Resumable: c.route.Kind == route.Streaming && c.route.Resumable, Resumption: c.resumption(),
 	}
+	req.Isolation = plan.IsolationOf(c.view.Table, c.workspaceID())
 	if c.workspace != nil {
-		req.Workspace, req.Isolated = c.workspace.ID, c.workspace.Isolated
+		req.Workspace = c.workspace.ID
 		if c.workspace.HasRank {
 			req.Rank = c.workspace.Rank
 		}
--- a/hibiscusfront/internal/planner/planner.go
+++ b/hibiscusfront/internal/planner/planner.go
@@ -217,7 +217,7 @@
 		if v.Table == nil {
 			return
 		}
-		p.fleet.SetServices(now, v.Table.Services)
+		p.fleet.SetConfiguration(now, v.Table)
 		p.fleet.SetTargets(now, v.Targets, v.Evacuated)
 		for model, w := range v.Weights {
 			p.fleet.SetWeights(model, w)
