holding: what targets send without end draws on one budget of the host

Cause: each answer was bounded, but not all of them together.

What is longer than sound targets send draws on a budget, a 16th of the host's memory for answers to callers' requests and a quarter for those to its own calls. When it is spent, a body is passed on as it comes, and a head, an event or a list that would have to grow ends its exchange.

--- a/hibiscusfront/internal/backend/backend.go
+++ b/hibiscusfront/internal/backend/backend.go
@@ -31,6 +31,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/holding"
 	"hibiscuslb/platform"
 )
 
@@ -119,6 +120,9 @@
 // A Pool keeps idle connections to targets. The zero value is empty. It is safe
 // for concurrent use.
 type Pool struct {
+	// Budget bounds what all exchanges keep of answers that are too long; nil for no bound.
+	Budget *holding.Budget
+
 	mu    sync.Mutex
 	idle  map[poolKey][]*conn // the most recently used is the last
 	Dials uint64              // guarded by mu
@@ -259,6 +263,7 @@
 
 // Close ends the exchange and returns the connection to the pool if it can be reused.
 func (e *Exchange) Close() {
+	e.conn.head.hold.Release()
 	if !e.cancelAutoClose() || !e.complete || len(e.conn.sent) >= maxConnRequests || e.response.Close || e.Answer.Close || e.conn.reader.Buffered() > 0 || !e.requestSent() {
 		_ = e.conn.Close() // no more data is expected on it
 		return
@@ -313,7 +318,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: raw, head: headLimiter{conn: raw}}
+	c := &conn{Conn: raw, head: headLimiter{conn: raw, hold: holding.Hold{Budget: p.Budget, Free: freeHeadBytes}}}
 	c.reader = bufio.NewReaderSize(&c.head, readBufferSize)
 	return c, nil
 }
--- a/hibiscusfront/internal/backend/headlimiter.go
+++ b/hibiscusfront/internal/backend/headlimiter.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net"
+
+	"hibiscuslb/fleet/holding"
 )
 
 // maxHeadBytes is the most that is read of a connection to get the status line and the
@@ -24,8 +26,15 @@
 	conn    net.Conn
 	inHead  bool
 	headLen int // bytes read since start
+	hold    holding.Hold
 }
 
+// headCopies is how often the bytes of a head are in memory while it is parsed.
+const headCopies = 2
+
+// freeHeadBytes is what the head of a sound target has in memory at most. It draws on no budget.
+const freeHeadBytes = headCopies * 4 << 10
+
 func (l *headLimiter) start() { l.inHead, l.headLen = true, 0 }
 
 func (l *headLimiter) end() { l.inHead = false }
@@ -37,5 +46,10 @@
 	}
 	n, err := l.conn.Read(buffer)
 	l.headLen += n
+	if l.inHead {
+		if spent := l.hold.Keep(headCopies * l.headLen); spent != nil {
+			return 0, spent
+		}
+	}
 	return n, err
 }
--- a/hibiscusfront/internal/gateway/events.go
+++ b/hibiscusfront/internal/gateway/events.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 
+	"hibiscuslb/fleet/holding"
 	"hibiscuslb/hibiscusfront/internal/backend"
 )
 
@@ -61,7 +62,8 @@
 type eventSplitter struct {
 	eventScanner
 	partial []byte
-	lastID  string // ID of the last complete event that has one
+	lastID  string       // ID of the last complete event that has one
+	hold    holding.Hold // for partial
 }
 
 var idField = []byte("id:")
@@ -78,7 +80,7 @@
 }
 
 // add appends data to the stream and returns the events that it completes. The error
-// is an *EventTooLongError.
+// is an *EventTooLongError or a *holding.SpentError.
 func (e *eventSplitter) add(data []byte) ([]byte, error) {
 	end := e.scan(data)
 	if end == 0 {
@@ -86,10 +88,13 @@
 		if len(e.partial) > maxEventBytes {
 			return nil, &EventTooLongError{maxEventBytes}
 		}
-		return nil, nil
+		return nil, e.hold.Keep(cap(e.partial))
 	}
 	complete := append(e.partial, data[:end]...)
 	e.partial = append([]byte(nil), data[end:]...)
+	if err := e.hold.Keep(cap(e.partial)); err != nil {
+		return nil, err
+	}
 	for line := range bytes.FieldsFuncSeq(complete, func(r rune) bool { return r == '\n' || r == '\r' }) {
 		if id, ok := bytes.CutPrefix(line, idField); ok {
 			e.lastID = string(bytes.TrimSpace(id))
--- a/hibiscusfront/internal/gateway/relay.go
+++ b/hibiscusfront/internal/gateway/relay.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/holding"
 	"hibiscuslb/fleet/plan"
 	"hibiscuslb/fleet/route"
 	"hibiscuslb/hibiscusfront/internal/backend"
@@ -30,7 +31,9 @@
 		// The target that should resume the stream answered with an error.
 		return c.targetFailed(g, &platform.StatusError{Address: g.Address, Path: c.r.URL.Path, Status: exchange.Status})
 	}
-	body, err := io.ReadAll(io.LimitReader(exchange, maxBufferedBody+1))
+	hold := holding.Hold{Budget: c.Pool.Budget, Free: relayBufferSize}
+	defer hold.Release()
+	body, whole, err := readStart(exchange, &hold)
 	if err != nil {
 		return c.targetFailed(g, err)
 	}
@@ -43,14 +46,15 @@
 		}
 	}
 	c.copyHeader(exchange)
-	if len(body) <= maxBufferedBody {
+	if whole {
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	c.w.WriteHeader(exchange.Status)
 	if _, err := c.w.Write(body); err != nil {
 		return false, c.abandon()
 	}
-	if len(body) > maxBufferedBody {
+	hold.Release()
+	if !whole {
 		return c.relayRest(g, exchange, nil)
 	}
 	if exchange.Status < http.StatusInternalServerError {
@@ -60,6 +64,29 @@
 	return false, nil
 }
 
+// readStart reads a body, or the start of one that is not shorter than maxBufferedBody or that
+// the hold does not allow.
+func readStart(body io.Reader, hold *holding.Hold) (start []byte, whole bool, err error) {
+	const firstSize = 1 << 10
+	buffer := make([]byte, 0, firstSize)
+	for {
+		if len(buffer) == cap(buffer) {
+			if cap(buffer) >= maxBufferedBody || hold.Keep(2*cap(buffer)) != nil {
+				return buffer, false, nil
+			}
+			buffer = append(make([]byte, 0, 2*cap(buffer)), buffer...)
+		}
+		n, err := body.Read(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return buffer, true, nil
+		case err != nil:
+			return nil, false, err
+		}
+	}
+}
+
 // copyHeader copies the header of the target's response to the caller's.
 func (c *call) copyHeader(exchange *backend.Exchange) {
 	platform.CopyResponseHeaders(c.w.Header(), exchange.Header)
@@ -137,7 +164,8 @@
 	}
 	flusher := http.NewResponseController(c.w)
 	buffer := make([]byte, relayBufferSize)
-	var splitter eventSplitter
+	splitter := eventSplitter{hold: holding.Hold{Budget: c.Pool.Budget, Free: relayBufferSize}}
+	defer splitter.hold.Release()
 	for {
 		n, err := exchange.Read(buffer)
 		complete, splitErr := splitter.add(buffer[:n])
--- a/hibiscusfront/internal/host/host.go
+++ b/hibiscusfront/internal/host/host.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/holding"
 	"hibiscuslb/fleet/peer"
 	"hibiscuslb/fleet/task"
 	"hibiscuslb/hibiscusfront/internal/backend"
@@ -47,6 +48,10 @@
 	// idleTimeout, so that a caller that keeps to it sends nothing on a connection that is
 	// just being closed.
 	announcedIdle = 12 * time.Second
+	// answersShare and listsShare divide the host's memory to give what it keeps of answers
+	// that are longer than those of sound targets, to callers' requests and to its own calls.
+	answersShare = 16
+	listsShare   = 4
 	// sweepInterval is the time between two sweeps of idle connections.
 	sweepInterval = time.Second
 )
@@ -64,6 +69,9 @@
 	gateway  *gateway.Gateway
 	meter    *meters
 	serving  task.Group
+	// answers bounds what targets' answers to callers' requests make the host keep, and
+	// lists what their answers to its own calls do.
+	answers, lists holding.Budget
 	// departure is the state of a planned stop. Cut ends the requests of callers that still
 	// run at its cut.
 	departure departure.Departure
@@ -89,7 +97,12 @@
 			Incarnation: fleet.Incarnation(time.Now().UnixNano()), Cores: settings.Cores, Link: settings.Link,
 		},
 	}
-	h.planner = planner.New(settings.Host, settings.Bounds, platform.NewTargetClient(), h.control, h.clock, log)
+	h.answers.SetLimit(settings.Memory / answersShare)
+	h.lists.SetLimit(settings.Memory / listsShare)
+	h.pool.Budget = &h.answers
+	targets := platform.NewTargetClient()
+	targets.Budget = &h.lists
+	h.planner = planner.New(settings.Host, settings.Bounds, targets, h.control, h.clock, log)
 	h.planner.Origins = h.control.Store
 	h.meter = newMeters(&h.planner.WeightOrders)
 	h.meter.refresh = h.refreshMeters
--- a/hibiscusfront/internal/host/meters.go
+++ b/hibiscusfront/internal/host/meters.go
@@ -133,6 +133,8 @@
 	state := map[string]int64{
 		"Hosts": int64(len(v.Hosts)), "Targets": int64(len(v.Targets)), "Epoch": int64(v.Duty.Epoch),
 		"Plans": 0, "Goroutines": int64(runtime.NumGoroutine()),
+		"AnswerBytesKept": int64(h.answers.Used()), "AnswersOverBudget": h.answers.Refused(),
+		"ListBytesKept": int64(h.lists.Used()), "ListsOverBudget": h.lists.Refused(),
 	}
 	if v.Table != nil {
 		state["Configuration"] = int64(v.Table.Number)
--- a/hibiscusfront/internal/soak/site_test.go
+++ b/hibiscusfront/internal/soak/site_test.go
@@ -383,6 +383,23 @@
 // kill sends a signal that may end the process; supervise then restarts it.
 func (h *host) kill(signal syscall.Signal) { h.signal(signal) }
 
+// restart ends the process and returns when supervise has started another one.
+func (h *host) restart() {
+	h.mu.Lock()
+	before := h.process
+	h.mu.Unlock()
+	h.signal(syscall.SIGKILL)
+	for {
+		time.Sleep(10 * time.Millisecond)
+		h.mu.Lock()
+		process := h.process
+		h.mu.Unlock()
+		if process != before {
+			return
+		}
+	}
+}
+
 // suspend stops the process with SIGSTOP and resumes it after the pause.
 func (h *host) suspend(pause time.Duration) {
 	h.signal(syscall.SIGSTOP)
