holding: a test no longer depends on how its goroutines overlap

TestHoldsStayWithinBudget failed once in a run of all tests: it requires that some hold is refused, but with one goroutine after the other none wanted more than the limit.

--- a/fleet/holding/holding_test.go
+++ b/fleet/holding/holding_test.go
@@ -40,7 +40,7 @@
 
 // TestHoldsStayWithinBudget has answers grow, shrink and end at the same time.
 func TestHoldsStayWithinBudget(t *testing.T) {
-	const limit, free, holders = 1000, 50, 8
+	const limit, free, holders = 300, 50, 8 // a single holder can want more than the limit
 	var budget holding.Budget
 	budget.SetLimit(limit)
 	var running sync.WaitGroup
