weightupdate: a wave passes over engines whose orders get no answer

Where orders got no answer the wave took 14 s and longer. Such an engine now serves on, others are ordered meanwhile, and the order is repeated 0.7 s after it was sent.

--- a/fleet/plan/placement.go
+++ b/fleet/plan/placement.go
@@ -160,7 +160,7 @@
 // loading weights, and a run may still start on the weights that it has.
 func (f *Fleet) canStartRun(now fleet.Instant, t *target, id fleet.ModelID) bool {
 	m, version := f.model(id), t.version(id)
-	return version > 0 && m.update.Serves(t.ID) && m.announced.Allows(now, version, f.WeightsBound)
+	return version > 0 && m.update.Serves(now, t.ID) && m.announced.Allows(now, version, f.WeightsBound)
 }
 
 // hasCapacity reports whether the target can start one more request soon.
--- a/fleet/weightupdate/update.go
+++ b/fleet/weightupdate/update.go
@@ -11,6 +11,10 @@
 // the number of orders that the engine had accepted before, so that a delayed
 // one has no effect after another was accepted.
 //
+// An engine whose order gets no answer does not load as far as is known: it serves on, and
+// others are ordered meanwhile. If it counted as loading, a wave in which most orders get no
+// answer would reach the last engines after the end of the bound.
+//
 // The package is used by hibiscusfront; hibiscusd uses package loadslots.
 package weightupdate
 
@@ -26,13 +30,15 @@
 	// parallelDivisor limits parallel loads to one in this many of a model's
 	// engines.
 	parallelDivisor = 5
-	// retryDelay is the pause before an order without an answer is repeated.
+	// retryDelay is the time from an order without an answer until it is repeated.
 	// The first order may still be carried out seconds later; it has no effect
 	// if the repeated one was accepted (see LoadOrder.Accepted).
 	retryDelay = 700 * time.Millisecond
 	// stateQueryDelay is how long a load may take before the engine is queried
 	// for its state, if its entry does not show the new weights by then.
 	stateQueryDelay = 350 * time.Millisecond
+	// answerDelay is how long an order may take before its engine is taken not to load.
+	answerDelay = 100 * time.Millisecond
 	// loadTimeout is the time after which a load counts as failed, or an order
 	// as lost.
 	loadTimeout = 4 * time.Second
@@ -77,8 +83,8 @@
 	loading
 )
 
-// engineUpdate is the update of one engine, which gets no work until it has the
-// version.
+// engineUpdate is the update of one engine. While it may be loading the engine gets no work, and
+// counts as one of the parallel loads.
 type engineUpdate struct {
 	phase     phase
 	since     fleet.Instant // when the phase was entered
@@ -87,6 +93,11 @@
 	noAnswer  bool // the order got no answer
 }
 
+// mayLoad reports whether the engine may be loading the version.
+func (e *engineUpdate) mayLoad(now fleet.Instant) bool {
+	return e.phase == loading || !e.noAnswer && now.Sub(e.since) < answerDelay
+}
+
 // A LoadOrder tells an engine to load a version.
 type LoadOrder struct {
 	Target   fleet.TargetID
@@ -119,11 +130,18 @@
 	if !mayOrder {
 		return nil
 	}
+	loads := 0
+	for _, update := range u.updates {
+		if update.mayLoad(now) {
+			loads++
+		}
+	}
 	var orders []LoadOrder
 	for _, e := range u.candidates(version, engines) {
-		if len(u.updates) >= MaxParallelLoads(len(engines)) {
+		if loads >= MaxParallelLoads(len(engines)) {
 			break
 		}
+		loads++
 		u.updates[e.ID] = &engineUpdate{phase: ordered, since: now, lastQuery: now, version: version}
 		orders = append(orders, LoadOrder{Target: e.ID, Version: version, Accepted: e.OrdersAccepted})
 	}
@@ -175,7 +193,7 @@
 		delete(u.updates, target)
 		return true
 	case Unknown:
-		update.noAnswer, update.since = true, now
+		update.noAnswer = true
 		return true
 	}
 	return false
@@ -195,9 +213,8 @@
 	return result
 }
 
-// Serves reports whether an engine may be given work, that is, has no update in
-// progress.
-func (u *Update) Serves(target fleet.TargetID) bool {
-	_, ok := u.updates[target]
-	return !ok
+// Serves reports whether an engine may be given work, that is, is not taken to be loading.
+func (u *Update) Serves(now fleet.Instant, target fleet.TargetID) bool {
+	update, ok := u.updates[target]
+	return !ok || !update.mayLoad(now)
 }
--- a/fleet/weightupdate/update_test.go
+++ b/fleet/weightupdate/update_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -28,8 +29,8 @@
 	orders := update.Step(at(0), 2, engines(18), true)
 	require.Len(t, orders, 3)
 	require.Equal(t, fleet.TargetID("e17"), orders[0].Target)
-	require.False(t, update.Serves("e17"))
-	require.True(t, update.Serves("e00"))
+	require.False(t, update.Serves(at(0), "e17"))
+	require.True(t, update.Serves(at(0), "e00"))
 	require.Empty(t, update.Step(at(time.Millisecond), 2, engines(18), true))
 }
 
@@ -44,7 +45,7 @@
 func TestStepGivesNoOrdersUnlessAllowed(t *testing.T) {
 	var update weightupdate.Update
 	require.Empty(t, update.Step(at(0), 2, engines(18), false))
-	require.True(t, update.Serves("e17"), "an engine without an order must stay available")
+	require.True(t, update.Serves(at(0), "e17"), "an engine without an order must stay available")
 }
 
 func TestUnansweredOrderIsRepeatedAfterDelay(t *testing.T) {
@@ -64,7 +65,7 @@
 	only := engines(1)
 	require.Len(t, update.Step(at(0), 2, only, true), 1)
 	require.False(t, update.RecordResult(at(0), "e00", weightupdate.NotSent))
-	require.True(t, update.Serves("e00"))
+	require.True(t, update.Serves(at(0), "e00"))
 	require.Len(t, update.Step(at(time.Millisecond), 2, only, true), 1)
 }
 
@@ -75,7 +76,72 @@
 	only := engines(1)
 	update.Step(at(0), 2, only, true)
 	update.Step(at(5*time.Second), 2, only, false)
-	require.True(t, update.Serves("e00"))
+	require.True(t, update.Serves(at(5*time.Second), "e00"))
+}
+
+// TestWaveEndsInTimeAlthoughOrdersGetNoAnswer guards against waves that reach the last engines after
+// the end of the bound, so that requests that wait there begin on older weights.
+//
+// Load pattern: seven orders in twenty get no answer within their time-out, and are carried out
+// seconds later. Then the engine is asked how many it has accepted. Loads take a quarter of a
+// second.
+func TestWaveEndsInTimeAlthoughOrdersGetNoAnswer(t *testing.T) {
+	const (
+		n            = 18
+		bound        = 4800 * time.Millisecond // in which engines with older weights get requests
+		orderTimeout = 500 * time.Millisecond
+		queryTime    = 350 * time.Millisecond
+		loadTime     = 250 * time.Millisecond
+		tick         = 10 * time.Millisecond
+	)
+	late := 0
+	const seeds = 50
+	for seed := range uint64(seeds) {
+		random := rand.New(rand.NewPCG(seed, 39))
+		var update weightupdate.Update
+		states := engines(n)
+		accepted := make(map[fleet.TargetID]fleet.Instant) // when the engine has loaded
+		timeouts := make(map[fleet.TargetID]fleet.Instant)
+		known := make(map[fleet.TargetID]fleet.Instant) // when the engine has been asked
+		mostLoading := 0
+		end := at(0)
+		for now := at(0); now < at(time.Minute); now = now.Add(tick) {
+			loading, done := 0, 0
+			for i := range states {
+				states[i].Usable = now >= known[states[i].ID]
+				if until, ok := accepted[states[i].ID]; ok && now >= until {
+					states[i].Version = 2
+					done++
+				} else if ok {
+					loading++
+				}
+			}
+			mostLoading = max(mostLoading, loading)
+			if end = now; done == n {
+				break
+			}
+			for id, until := range timeouts {
+				if now >= until {
+					update.RecordResult(now, id, weightupdate.Unknown)
+					delete(timeouts, id)
+					known[id] = now.Add(queryTime)
+				}
+			}
+			for _, o := range update.Step(now, 2, states, true) {
+				if random.IntN(20) < 7 {
+					timeouts[o.Target] = now.Add(orderTimeout)
+					continue
+				}
+				update.RecordResult(now, o.Target, weightupdate.Accepted)
+				accepted[o.Target] = now.Add(loadTime)
+			}
+		}
+		require.LessOrEqual(t, mostLoading, weightupdate.MaxParallelLoads(n))
+		if end > at(bound) {
+			late++
+		}
+	}
+	require.LessOrEqual(t, late, seeds/10, "waves that end after %v", bound)
 }
 
 // The bound is measured from the first version that an engine lacks. If it were
