gateway: a request that can't begin in time on older weights is withdrawn

A planner sends nothing to an engine with older weights that it expects to begin after the bound less 0.6 s. A request that has not begun by then is withdrawn; it goes to another engine where it may be repeated, else its caller gets 502.

--- a/fleet/outcome.go
+++ b/fleet/outcome.go
@@ -40,7 +40,10 @@
 	ReasonInProgress         Reason = "in progress" // an earlier request with the idempotency key has not ended
 	ReasonUnknownRoute       Reason = "unknown route"
 	ReasonCallerDisconnected Reason = "the caller left"
-	ReasonStreamTimeout      Reason = "stream timeout" // the answer was not complete in time
+	// ReasonWithdrawn means that the request had not begun when runs on its engine's older
+	// weights could start no longer.
+	ReasonWithdrawn     Reason = "withdrawn before it began on older weights"
+	ReasonStreamTimeout Reason = "stream timeout" // the answer was not complete in time
 )
 
 // A RefusalError reports that a request ended without a complete answer. Outcome
--- a/fleet/plan/admission.go
+++ b/fleet/plan/admission.go
@@ -210,6 +210,9 @@
 	if p := req.Prompt; p != nil && t.isEngine() {
 		g.Version = t.version(p.Model)
 		g.Salt = c.chain.salt
+		if latest, limited := f.model(p.Model).announced.LatestStart(g.Version, f.WeightsBound); limited {
+			g.StartWithin = max(1, latest.Sub(now))
+		}
 		g.Fetch = c.fetch
 		engine := t.service.spec.Engine
 		for i, address := range c.fetch {
--- a/fleet/plan/placement.go
+++ b/fleet/plan/placement.go
@@ -114,6 +114,9 @@
 			c.chain = chains[version]
 		}
 		f.estimate(now, &c, req)
+		if !f.startsInTime(now, &c, req) {
+			continue
+		}
 		c.cost += hashCost(affinity, t.ID)
 		if best.target == nil || c.cost < best.cost || c.cost == best.cost && t.ID < best.target.ID {
 			best = c
@@ -163,6 +166,17 @@
 	return version > 0 && m.update.Serves(now, t.ID) && m.announced.Allows(now, version, f.WeightsBound)
 }
 
+// startsInTime reports whether the run is expected to start while it may on the weights that the
+// engine has: a request that waits at a busy engine may start long after it was sent.
+func (f *Fleet) startsInTime(now fleet.Instant, c *candidate, req *Request) bool {
+	id := req.modelID()
+	if id == "" {
+		return true
+	}
+	latest, limited := f.model(id).announced.LatestStart(c.target.version(id), f.WeightsBound)
+	return !limited || now.Add(c.firstPiece) < latest
+}
+
 // hasCapacity reports whether the target can start one more request soon.
 func (t *target) hasCapacity(req *Request) bool {
 	if !t.isEngine() {
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -111,6 +111,9 @@
 	Rank     int
 	Software fleet.Software // of the target
 	Limited  bool           // the target has named a limit; its answer tells whether the limit still holds
+	// StartWithin is the time from the grant in which the run has to start, since newer
+	// weights than Version were announced; zero for no limit.
+	StartWithin time.Duration `cbor:",omitempty"`
 
 	// By is the address of the host that made the grant; empty if the host of
 	// the request chose the target without a planner. It is set by the host
--- a/fleet/weightupdate/announcements.go
+++ b/fleet/weightupdate/announcements.go
@@ -54,6 +54,26 @@
 	return true
 }
 
+// startLateness is how much later than the bound counts from its announcement this host may have
+// learned of a version, with the way of a request to the engine.
+const startLateness = 600 * time.Millisecond
+
+// LatestStart returns until when a run that this host has sent may start on the given version,
+// and whether there is a limit: only once a newer version was announced, and with a bound. If
+// that was at an unknown time, the limit is unknown to this host.
+func (a Announcements) LatestStart(version uint64, bound time.Duration) (fleet.Instant, bool) {
+	at, superseded := a.SupersededAt(version)
+	if !superseded || at == 0 || bound == 0 {
+		return 0, false
+	}
+	return EarliestLimit(at, bound), true
+}
+
+// EarliestLimit returns the earliest latest start that an announcement from now on can set.
+func EarliestLimit(now fleet.Instant, bound time.Duration) fleet.Instant {
+	return now.Add(bound - startLateness)
+}
+
 // SupersededAt returns when the first version newer than the given one was
 // announced, and whether there is one.
 func (a Announcements) SupersededAt(version uint64) (fleet.Instant, bool) {
--- a/fleet/weightupdate/update_test.go
+++ b/fleet/weightupdate/update_test.go
@@ -144,6 +144,19 @@
 	require.LessOrEqual(t, late, seeds/10, "waves that end after %v", bound)
 }
 
+func TestLatestStart(t *testing.T) {
+	const bound = 6 * time.Second
+	announced := weightupdate.Announcements(nil).Add(1, 0).Add(2, at(0)).Add(3, at(9*time.Second))
+	latest, limited := announced.LatestStart(1, bound)
+	require.True(t, limited)
+	require.Less(t, latest, at(bound))
+	require.Greater(t, latest, at(4*time.Second))
+	_, limited = announced.LatestStart(3, bound)
+	require.False(t, limited)
+	_, limited = announced.LatestStart(1, 0)
+	require.False(t, limited)
+}
+
 // The bound is measured from the first version that an engine lacks. If it were
 // measured from the newest one, each further version would extend it.
 func TestBoundCountsFromFirstNewerAnnouncement(t *testing.T) {
--- a/hibiscusfront/internal/gateway/gateway.go
+++ b/hibiscusfront/internal/gateway/gateway.go
@@ -54,6 +54,10 @@
 	Pool       *backend.Pool
 	Meter      Meter
 	Log        zerolog.Logger
+	Clock      fleet.Clock // of the view's instants
+	// WeightsBound is how long after the announcement of new weights a run may still start on
+	// older ones; zero for no limit.
+	WeightsBound time.Duration
 	// Departure tells what happens to requests while the host makes a planned stop.
 	Departure *departure.Departure
 }
@@ -330,15 +334,27 @@
 	c.sends++
 	before := c.outcome
 	c.outcome = fleet.OutcomeUnknown
-	exchange, err := c.Pool.Send(c.ctx, request)
+	limit := c.limitStart(g)
+	defer limit.end()
+	exchange, err := c.Pool.Send(limit.ctx, request)
+	limit.begun()
 	if err != nil {
 		var unsent *backend.NotSentError
-		if errors.As(err, &unsent) {
+		var late *LateStartError
+		switch {
+		case errors.As(err, &unsent):
 			c.sends--
 			c.outcome = before
 			c.report(plan.Unreachable)
 			c.logFailedAttempt(g, "request not sent: no connection to the target", err)
 			return true, nil
+		case errors.As(context.Cause(limit.ctx), &late) && c.contextRefusal() == nil:
+			c.report(plan.Abandoned)
+			c.logFailedAttempt(g, "request withdrawn from the target, which had not begun to answer it", late)
+			if c.mayRepeat() {
+				return true, nil
+			}
+			return false, &fleet.RefusalError{Reason: fleet.ReasonWithdrawn, Outcome: fleet.OutcomeUnknown}
 		}
 		return c.targetFailed(g, err)
 	}
--- /dev/null
+++ b/hibiscusfront/internal/gateway/withdraw.go
@@ -0,0 +1,98 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/plan"
+	"hibiscuslb/fleet/weightupdate"
+	"hibiscuslb/hibiscusfront/internal/view"
+)
+
+// A LateStartError ends a request that still waits at an engine when a run on the engine's
+// weights may not start any more. The engine drops it when its connection closes.
+type LateStartError struct {
+	Target  fleet.TargetID
+	Version uint64 // of the engine's weights
+}
+
+func (e *LateStartError) Error() string {
+	return fmt.Sprintf("target %s has weights of version %d, on which runs may start no longer", e.Target, e.Version)
+}
+
+// A startLimit withdraws a request from its engine unless it begins in time. New weights may be
+// announced while it waits, so that the time is known only then; those that were announced before
+// this host started, or that it has not read yet, limit what the grant says.
+type startLimit struct {
+	ctx    context.Context // of the exchange; its cause is a *LateStartError if it was withdrawn
+	cancel context.CancelCauseFunc
+	clock  fleet.Clock
+	view   func() *view.View
+	bound  time.Duration
+	grant  *plan.Grant
+	model  fleet.ModelID
+	until  fleet.Instant // as the grant says; zero if it names no limit
+
+	mu    sync.Mutex
+	timer *time.Timer
+	done  bool
+}
+
+// limitStart limits the start of the granted request. Begun must be called when its answer has
+// begun, and end when it has ended.
+func (c *call) limitStart(g *plan.Grant) *startLimit {
+	l := &startLimit{ctx: c.ctx, clock: c.Clock, view: c.View, bound: c.WeightsBound, grant: g}
+	if l.bound == 0 || g.Version == 0 || c.Prompt == nil {
+		return l
+	}
+	l.model = c.Prompt.Model
+	if g.StartWithin > 0 {
+		l.until = l.clock().Add(g.StartWithin)
+	}
+	l.ctx, l.cancel = context.WithCancelCause(c.ctx)
+	l.check()
+	return l
+}
+
+// check withdraws the request if its time is over, and else runs again when it may be.
+func (l *startLimit) check() {
+	now := l.clock()
+	latest, limited := l.view().Weights[l.model].LatestStart(l.grant.Version, l.bound)
+	if !limited {
+		// New weights may be announced from now on.
+		latest = weightupdate.EarliestLimit(now, l.bound)
+	}
+	if l.until > 0 {
+		latest = min(latest, l.until)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case l.done:
+	case now >= latest:
+		l.done = true
+		l.cancel(&LateStartError{l.grant.Target, l.grant.Version})
+	default:
+		l.timer = time.AfterFunc(latest.Sub(now), l.check)
+	}
+}
+
+// begun records that the answer has begun, or that there is none.
+func (l *startLimit) begun() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.done = true
+	if l.timer != nil {
+		l.timer.Stop()
+	}
+}
+
+// end releases the context.
+func (l *startLimit) end() {
+	if l.cancel != nil {
+		l.cancel(nil)
+	}
+}
--- /dev/null
+++ b/hibiscusfront/internal/gateway/withdraw_test.go
@@ -0,0 +1,118 @@
+package gateway_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/plan"
+	"hibiscuslb/fleet/route"
+	"hibiscuslb/fleet/weightupdate"
+	"hibiscuslb/hibiscusfront/internal/backend"
+	"hibiscuslb/hibiscusfront/internal/departure"
+	"hibiscuslb/hibiscusfront/internal/gateway"
+	"hibiscuslb/hibiscusfront/internal/testlog"
+	"hibiscuslb/hibiscusfront/internal/view"
+)
+
+// TestRequestIsWithdrawnBeforeItBeginsOnOldWeights guards against requests that wait at a busy
+// engine until long after newer weights were announced, and then begin on the old ones.
+func TestRequestIsWithdrawnBeforeItBeginsOnOldWeights(t *testing.T) {
+	const bound = 1600 * time.Millisecond // LatestStart leaves 1 s of it
+	for _, test := range []struct {
+		name      string
+		announced time.Duration // of version 2, from the begin; negative if the host does not know when
+		grant     plan.Grant
+		repeat    bool
+		waits     time.Duration // at the first engine
+		want      int
+		soonest   time.Duration
+	}{
+		{"no newer weights", time.Hour, plan.Grant{Version: 1}, true, 1500 * time.Millisecond, http.StatusOK, 1400 * time.Millisecond},
+		{"engine has the newest", 0, plan.Grant{Version: 2}, true, 1500 * time.Millisecond, http.StatusOK, 1400 * time.Millisecond},
+		{"begins in time", 0, plan.Grant{Version: 1}, true, 300 * time.Millisecond, http.StatusOK, 200 * time.Millisecond},
+		{"announced before it was sent", 0, plan.Grant{Version: 1}, true, 5 * time.Second, http.StatusOK, 800 * time.Millisecond},
+		{"announced while it waits", 500 * time.Millisecond, plan.Grant{Version: 1}, true, 5 * time.Second, http.StatusOK, 1300 * time.Millisecond},
+		{"may not be repeated", 0, plan.Grant{Version: 1}, false, 5 * time.Second, http.StatusBadGateway, 800 * time.Millisecond},
+		{"only the planner knows", -1, plan.Grant{Version: 1, StartWithin: 400 * time.Millisecond}, true, 5 * time.Second, http.StatusOK, 300 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			begin := time.Now()
+			clock := func() fleet.Instant { return fleet.Instant(time.Hour + time.Since(begin)) }
+			var withdrawn atomic.Bool
+			first := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body) // the server notices the end of the connection only after that
+				select {
+				case <-time.After(test.waits):
+				case <-r.Context().Done():
+					withdrawn.Store(true)
+					return
+				}
+				w.Header().Set("X-Hibiscuslb-Request-Id", r.Header.Get("X-Hibiscuslb-Request-Id"))
+			}))
+			t.Cleanup(first.Close)
+			second := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("X-Hibiscuslb-Request-Id", r.Header.Get("X-Hibiscuslb-Request-Id"))
+			}))
+			t.Cleanup(second.Close)
+			test.grant.Number, test.grant.Target, test.grant.Address = 1, "busy", fleet.Address(strings.TrimPrefix(first.URL, "http://"))
+			chooser := &scriptedChooser{
+				grants:  []plan.Grant{test.grant, {Number: 2, Target: "newest", Version: 2, Address: fleet.Address(strings.TrimPrefix(second.URL, "http://"))}},
+				refusal: fleet.Refuse(fleet.ReasonOverloaded, ""),
+			}
+			kind := route.Idempotent
+			if !test.repeat {
+				kind = route.NonIdempotent
+			}
+			table := route.NewTable(route.Config{
+				Number: 1, Limits: route.Limits{Body: 1000}, Workspaces: []route.Workspace{{ID: "w", Keys: []route.Key{"k"}}},
+				Routes: []route.Route{{Host: "127.0.0.1", Prefix: "/", Kind: kind, Attempts: 2, Splits: []route.Split{{Service: "s", Weight: 1}}}},
+			})
+			current := func() *view.View {
+				announced := weightupdate.Announcements(nil).Add(1, 0)
+				switch {
+				case test.announced < 0:
+					announced = announced.Add(2, 0)
+				case time.Since(begin) >= test.announced:
+					announced = announced.Add(2, fleet.Instant(time.Hour+test.announced))
+				}
+				return &view.View{Table: table, Weights: map[fleet.ModelID]weightupdate.Announcements{"m": announced}}
+			}
+			var log testlog.Lines
+			front := httptest.NewServer(&gateway.Gateway{
+				View: current, Chooser: chooser, Pool: new(backend.Pool), Meter: discardMeter{}, Log: log.Logger(),
+				Departure: new(departure.Departure), Clock: clock, WeightsBound: bound,
+			})
+			t.Cleanup(front.Close)
+			request, err := http.NewRequest(http.MethodPost, front.URL+"/x", strings.NewReader("body"))
+			require.NoError(t, err)
+			for name, value := range map[string]string{
+				"X-Hibiscuslb-Request-Id": "1", "Authorization": "Token k", "X-Hibiscuslb-Model": "m", "X-Hibiscuslb-Token-Usage": "30,10",
+				"X-Hibiscuslb-Prefix-Hash": "aa:10,bb:20",
+			} {
+				request.Header.Set(name, value)
+			}
+			response, err := http.DefaultClient.Do(request)
+			require.NoError(t, err)
+			defer response.Body.Close()
+			require.Equal(t, test.want, response.StatusCode)
+			require.GreaterOrEqual(t, time.Since(begin), test.soonest)
+			if test.waits < 2*time.Second {
+				require.False(t, withdrawn.Load())
+				require.Equal(t, plan.Done, chooser.lastReport(1))
+				return
+			}
+			require.Less(t, time.Since(begin), test.announced+bound, "the run would have begun late")
+			require.Eventually(t, withdrawn.Load, time.Second, 5*time.Millisecond)
+			require.Equal(t, plan.Abandoned, chooser.lastReport(1))
+		})
+	}
+}
--- a/hibiscusfront/internal/host/host.go
+++ b/hibiscusfront/internal/host/host.go
@@ -112,6 +112,7 @@
 	h.gateway = &gateway.Gateway{
 		Host: settings.Host, DataCentre: settings.DataCentre, View: h.control.View, Chooser: h.chooser, Pool: &h.pool,
 		Meter: h.meter, Log: log, Departure: &h.departure,
+		Clock: h.clock, WeightsBound: settings.Bounds.Weights,
 	}
 	return h
 }
