--- a/hibiscusfront/internal/host/host.go
+++ b/hibiscusfront/internal/host/host.go
@@ -74,9 +74,10 @@
 	answers, lists holding.Budget
 	// departure is the state of a planned stop. Cut ends the requests of callers that still
 	// run at its cut.
-	departure departure.Departure
-	cut       context.CancelCauseFunc
-	serveErr  chan error // of HTTP servers
+	departure   departure.Departure
+	cut         context.CancelCauseFunc
+	connections departure.Connections // of callers
+	serveErr    chan error            // of HTTP servers
 
 	// MetricsPort is the port for metrics; zero picks a free port.
 	MetricsPort int
@@ -106,6 +107,7 @@
 	h.planner.Origins = h.control.Store
 	h.meter = newMeters(&h.planner.WeightOrders)
 	h.meter.refresh = h.refreshMeters
+	h.connections.Departure = &h.departure
 	h.chooser = chooser.New(settings.Host, settings.Peers, h.planner, &h.peers, h.clock, log)
 	h.chooser.Local.WeightsBound = settings.Bounds.Weights
 	h.chooser.SetMaxPause(maxPauseWindows * settings.Bounds.RetryWindow)
@@ -173,12 +175,14 @@
 			Handler: h.departure.Handler(announcedIdle, handler), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		}
 	}
+	callers := newServer(h.gateway)
+	callers.ConnState = h.connections.Record
 	list := []struct {
 		ctx     context.Context
 		server  *http.Server
 		address fleet.Address
 	}{
-		{callersCtx, newServer(h.gateway), h.settings.Callers},
+		{callersCtx, callers, h.settings.Callers},
 		{ctx, newServer(platform.DirectoryHandler(h.resolve)), h.settings.Directory},
 		{ctx, newServer(platform.ReadinessHandler(h.ready)), h.settings.Readiness},
 		{ctx, &http.Server{Handler: &peer.Server{Handler: h}, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}, h.settings.Peers},
--- a/hibiscusfront/internal/host/meters.go
+++ b/hibiscusfront/internal/host/meters.go
@@ -10,6 +10,7 @@
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/meter"
 	"hibiscuslb/hibiscusfront/internal/backend"
+	"hibiscuslb/hibiscusfront/internal/departure"
 	"hibiscuslb/hibiscusfront/internal/gateway"
 	"hibiscuslb/platform"
 )
@@ -22,6 +23,7 @@
 	sent, responses            meter.Counter
 	orders                     *meter.Counter // of the planner
 	storeCalls, planned, state meter.Counter
+	connections                meter.Counter // of callers, that ended
 
 	// refresh copies the metrics that other parts record.
 	refresh func()
@@ -32,14 +34,15 @@
 
 func newMeters(orders *meter.Counter) *meters {
 	m := &meters{
-		ended:      meter.Counter{Name: "RequestsEnded", Labels: []string{"Status", "Route"}},
-		refused:    meter.Counter{Name: "RequestsRefused", Labels: []string{"Reason", "Route"}},
-		sent:       meter.Counter{Name: "RequestsSent", Labels: []string{"Try", "Chooser"}},
-		responses:  meter.Counter{Name: "ResponsesReceived", Labels: []string{"Framing"}},
-		orders:     orders,
-		storeCalls: meter.Counter{Name: "StoreCalls", Labels: []string{"Operation", "Result"}},
-		planned:    meter.Counter{Name: "Planned", Labels: []string{"What"}},
-		state:      meter.Counter{Name: "State", Labels: []string{"What"}},
+		ended:       meter.Counter{Name: "RequestsEnded", Labels: []string{"Status", "Route"}},
+		refused:     meter.Counter{Name: "RequestsRefused", Labels: []string{"Reason", "Route"}},
+		sent:        meter.Counter{Name: "RequestsSent", Labels: []string{"Try", "Chooser"}},
+		responses:   meter.Counter{Name: "ResponsesReceived", Labels: []string{"Framing"}},
+		orders:      orders,
+		storeCalls:  meter.Counter{Name: "StoreCalls", Labels: []string{"Operation", "Result"}},
+		planned:     meter.Counter{Name: "Planned", Labels: []string{"What"}},
+		connections: meter.Counter{Name: "ConnectionsEnded", Labels: []string{"Phase", "On"}},
+		state:       meter.Counter{Name: "State", Labels: []string{"What"}},
 	}
 	for _, c := range m.counters() {
 		m.vars.Set(c.Name, c)
@@ -52,7 +55,7 @@
 }
 
 func (m *meters) counters() []*meter.Counter {
-	return []*meter.Counter{&m.ended, &m.refused, &m.sent, &m.responses, m.orders, &m.storeCalls, &m.planned, &m.state}
+	return []*meter.Counter{&m.ended, &m.refused, &m.sent, &m.responses, m.orders, &m.storeCalls, &m.planned, &m.state, &m.connections}
 }
 
 func (m *meters) histograms() map[string]*meter.Histograms {
@@ -120,6 +123,7 @@
 	h.control.Store.Calls.Each(func(operation platform.StoreOperation, result platform.StoreResult, n uint64) {
 		h.meter.storeCalls.Set(int64(n), operation.String(), result.String())
 	})
+	h.connections.Each(func(end departure.End, n int64) { h.meter.connections.Set(n, end.Phase.String(), end.On.String()) })
 	counts := h.planner.Stats()
 	for what, n := range map[string]int64{
 		"Grants": int64(counts.Grants), "Repeats": int64(counts.Repeats), "RepeatsOverBudget": int64(counts.RepeatsRefused),
@@ -134,6 +138,7 @@
 		"Hosts": int64(len(v.Hosts)), "Targets": int64(len(v.Targets)), "Epoch": int64(v.Duty.Epoch),
 		"Plans": 0, "Goroutines": int64(runtime.NumGoroutine()),
 		"AnswerBytesKept": int64(h.answers.Used()), "AnswersOverBudget": h.answers.Refused(),
+		"Connections":   int64(h.connections.Open()),
 		"ListBytesKept": int64(h.lists.Used()), "ListsOverBudget": h.lists.Refused(),
 	}
 	if v.Table != nil {
