departure: idle connections are kept while callers may still send

Cause: callers go on with an old address while they look up others, up to a second, and a busy host acts late. Connections are kept 0.6 s longer, and up to a second more until no request has come for 0.5 s. Callers may keep addresses for half a second instead of a second, so that the stop takes no longer.

--- a/hibiscusfront/internal/departure/departure.go
+++ b/hibiscusfront/internal/departure/departure.go
@@ -13,8 +13,8 @@
 //     All requests are passed on.
 //   - Draining: only requests whose time ends before the cut are passed on. The others
 //     could be cut, and are refused as not run.
-//   - Closing: callers no longer have the address. Idle connections are closed, and the process
-//     ends once the last request has been answered.
+//   - Closing: callers no longer have the address. Once no request has come for a moment, idle
+//     connections are closed, and the process ends when the last request has been answered.
 //
 // At the cut, shortly before the process must end, requests that still run are answered with the
 // outcome unknown. Streams that have begun break off there.
@@ -67,8 +67,14 @@
 	noticeTime = 600 * time.Millisecond
 	// addressTTLFactor times the TTL is how long some callers keep an address.
 	addressTTLFactor = 3
-	// forgetMargin covers lost heartbeats.
-	forgetMargin = 200 * time.Millisecond
+	// forgetMargin covers lost heartbeats, and the time that callers take to look up other
+	// addresses, in which they go on with the old ones.
+	forgetMargin = 800 * time.Millisecond
+	// quietTime is how long no request may have come when idle connections are closed.
+	quietTime = 500 * time.Millisecond
+	// maxQuietWait is how long idle connections are kept for that. If all hosts stop, callers
+	// have no other address, and requests come until the end.
+	maxQuietWait = time.Second
 	// longRequestTime is how long after the signal a caller may send a request that is cut
 	// at the end of the grace period.
 	longRequestTime = 3 * time.Second
@@ -145,7 +151,29 @@
 // A Departure is the state of a host: whether it makes a planned stop. The zero value serves. It
 // is safe for concurrent use.
 type Departure struct {
-	schedule atomic.Pointer[Schedule]
+	schedule    atomic.Pointer[Schedule]
+	lastRequest atomic.Int64 // Unix time in nanoseconds of the last one that came in a stop
+}
+
+// recordRequest records that a request has come.
+func (d *Departure) recordRequest(now time.Time) {
+	if d.Leaving() {
+		d.lastRequest.Store(now.UnixNano())
+	}
+}
+
+// QuietFor returns how long idle connections must still be kept if no request comes: zero once
+// none has come for quietTime, later than maxQuietWait after the phase Closing has begun, or at the
+// cut. The stop must have begun.
+func (d *Departure) QuietFor(now time.Time) time.Duration {
+	schedule := d.schedule.Load()
+	quiet := time.Unix(0, d.lastRequest.Load()).Add(quietTime)
+	for _, latest := range []time.Time{schedule.Close.Add(maxQuietWait), schedule.Cut} {
+		if quiet.After(latest) {
+			quiet = latest
+		}
+	}
+	return max(0, quiet.Sub(now))
 }
 
 // Begin begins a planned stop. A stop that has begun keeps its schedule.
--- a/hibiscusfront/internal/departure/handler.go
+++ b/hibiscusfront/internal/departure/handler.go
@@ -6,11 +6,12 @@
 	"time"
 )
 
-// Handler returns a handler whose answers tell clients how long they may keep the connection:
+// Handler records requests, and returns a handler whose answers tell clients how long they may keep the connection:
 // idle, in whole seconds, or not at all once a planned stop has begun.
 func (d *Departure) Handler(idle time.Duration, next http.Handler) http.Handler {
 	keepAlive := "timeout=" + strconv.Itoa(int(idle/time.Second))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.recordRequest(time.Now())
 		next.ServeHTTP(&writer{ResponseWriter: w, departure: d, keepAlive: keepAlive}, r)
 	})
 }
--- a/hibiscusfront/internal/host/host.go
+++ b/hibiscusfront/internal/host/host.go
@@ -34,8 +34,10 @@
 
 const (
 	// addressTTL is how long callers may cache the addresses of hosts. It is
-	// short, so that callers soon stop using a host that has failed.
-	addressTTL = time.Second
+	// short, so that callers soon stop using a host that has failed, and so that those that
+	// keep addresses for three times as long have left a stopping host before it refuses
+	// requests.
+	addressTTL = 500 * time.Millisecond
 	// readHeaderTimeout and idleTimeout apply to connections of callers and
 	// other clients. The limits of a configuration are not applied to them.
 	readHeaderTimeout = 3 * time.Second
@@ -276,6 +278,11 @@
 		}
 	})
 	task.Sleep(ctx, time.Until(schedule.Close))
+	for wait := h.departure.QuietFor(time.Now()); wait > 0; wait = h.departure.QuietFor(time.Now()) {
+		if !task.Sleep(ctx, wait) {
+			return
+		}
+	}
 	shutdownCtx, cancel := context.WithDeadline(ctx, schedule.End)
 	defer cancel()
 	for _, server := range servers[:sharedServers] {
