--- a/hibiscusfront/internal/soak/stop_test.go
+++ b/hibiscusfront/internal/soak/stop_test.go
@@ -98,6 +98,10 @@
 	}
 	time.Sleep(time.Until(signalAt))
 	h.kill(syscall.SIGTERM)
+	for _, again := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
+		time.Sleep(400 * time.Millisecond)
+		h.kill(again) // changes nothing
+	}
 	for range moments {
 		<-done
 	}
