origin: a start of a version that the roster lacks counts for exclusion

Found by reading: a planner out of step learned from other hosts' reports that a version which it does not know began streams, and still excluded that version for unrecorded ones (ORDER). The version now counts as one that may have begun streams. The new lines of TestHostOutOfStepReadsRosterFirst fail without it.

--- a/fleet/origin/origin.go
+++ b/fleet/origin/origin.go
@@ -293,6 +293,7 @@
 		l.streams = make(map[Key]*stream)
 	}
 	v := Version{start.Service, start.Software}
+	l.observe(now, v)
 	st, ok := l.streams[start.Key]
 	if !ok {
 		if len(l.streams) >= maxStreams {
@@ -308,6 +309,14 @@
 	}
 }
 
+// observe records a version that may have begun streams. The roster that the host follows may
+// have it later, or never, if its engines are gone by then.
+func (l *Ledger) observe(now fleet.Instant, v Version) {
+	if s := l.service(v.Service); !s.listed[v.Software] {
+		s.left[v.Software] = now.Add(l.Retention())
+	}
+}
+
 // Find returns the version that began the stream of an attempt, and whether it is known. The
 // attempt is nil if the caller names none. Came is when the caller's request came. Current tells
 // whether the versions with engines are those of now, as far as the host can know.
@@ -364,12 +373,7 @@
 	}
 	l.rosterAt = began
 	for _, v := range records.Listed {
-		// The roster that the host follows may have it later, or never, if its engines are
-		// gone by then.
-		s := l.service(v.Service)
-		if !s.listed[v.Software] {
-			s.left[v.Software] = now.Add(l.Retention())
-		}
+		l.observe(now, v)
 	}
 	if l.streams == nil {
 		l.streams = make(map[Key]*stream)
--- a/fleet/origin/origin_test.go
+++ b/fleet/origin/origin_test.go
@@ -121,6 +121,12 @@
 	requireOrigin(t, l, came+200*time.Millisecond, keyOf("of v2"), "")
 	require.Len(t, l.Versions(at(came+200*time.Millisecond)), 2)
 
+	l = newLedger(0, "v1")
+	begin(l, second, "of v2", "v2") // another host reports a stream of engines that this one does not know
+	load(l, second, nil, "v1")
+	requireOrigin(t, l, second, keyOf("never recorded"), "")
+	requireOrigin(t, l, second, keyOf("of v2"), "v2")
+
 	l = newLedger(0, "v1")
 	l.Find(at(0), "lm", keyOf("a"), at(0), true)
 	require.True(t, l.LoadDue(at(0)))
