departure: look-ups and probes do not prolong a stop

Found by reading: requests at the directory and readiness probes counted as callers' requests, so that idle connections were always kept for the whole second more. Only callers' requests count.

--- a/hibiscusfront/internal/departure/departure_test.go
+++ b/hibiscusfront/internal/departure/departure_test.go
@@ -85,11 +85,12 @@
 // connections were closed: some callers kept the address for longer than expected.
 func TestIdleConnectionsAreKeptWhileRequestsCome(t *testing.T) {
 	var d departure.Departure
-	handler := d.Handler(time.Second, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	handler := d.CallersHandler(time.Second, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	ask := func() { handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil)) }
 	begin := time.Now()
 	ask()
 	schedule := d.Begin(begin, departure.Settings{})
+	d.Handler(time.Second, http.NotFoundHandler()).ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil)) // a probe or a look-up
 	require.Zero(t, d.QuietFor(schedule.Close), "no request has come since the stop began")
 	ask()
 	require.Positive(t, d.QuietFor(time.Now()))
--- a/hibiscusfront/internal/departure/handler.go
+++ b/hibiscusfront/internal/departure/handler.go
@@ -6,16 +6,24 @@
 	"time"
 )
 
-// Handler records requests, and returns a handler whose answers tell clients how long they may keep the connection:
+// Handler returns a handler whose answers tell clients how long they may keep the connection:
 // idle, in whole seconds, or not at all once a planned stop has begun.
 func (d *Departure) Handler(idle time.Duration, next http.Handler) http.Handler {
 	keepAlive := "timeout=" + strconv.Itoa(int(idle/time.Second))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		d.recordRequest(time.Now())
 		next.ServeHTTP(&writer{ResponseWriter: w, departure: d, keepAlive: keepAlive}, r)
 	})
 }
 
+// CallersHandler is like Handler, and also records that requests come, for QuietFor.
+func (d *Departure) CallersHandler(idle time.Duration, next http.Handler) http.Handler {
+	handler := d.Handler(idle, next)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.recordRequest(time.Now())
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // A writer sets the headers that concern the connection when the header of the answer is
 // written, which may be long after the request has come.
 type writer struct {
--- a/hibiscusfront/internal/host/host.go
+++ b/hibiscusfront/internal/host/host.go
@@ -174,10 +174,10 @@
 	h.cut = cut
 	newServer := func(handler http.Handler) *http.Server {
 		return &http.Server{
-			Handler: h.departure.Handler(announcedIdle, handler), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		}
 	}
-	callers := newServer(h.gateway)
+	callers := newServer(h.departure.CallersHandler(announcedIdle, h.gateway))
 	callers.ConnState = h.connections.Record
 	list := []struct {
 		ctx     context.Context
@@ -185,8 +185,8 @@
 		address fleet.Address
 	}{
 		{callersCtx, callers, h.settings.Callers},
-		{ctx, newServer(platform.DirectoryHandler(h.resolve)), h.settings.Directory},
-		{ctx, newServer(platform.ReadinessHandler(h.ready)), h.settings.Readiness},
+		{ctx, newServer(h.departure.Handler(announcedIdle, platform.DirectoryHandler(h.resolve))), h.settings.Directory},
+		{ctx, newServer(h.departure.Handler(announcedIdle, platform.ReadinessHandler(h.ready))), h.settings.Readiness},
 		{ctx, &http.Server{Handler: &peer.Server{Handler: h}, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}, h.settings.Peers},
 	}
 	var servers []*http.Server
