--- a/hibiscusfront/internal/chooser/chooser.go
+++ b/hibiscusfront/internal/chooser/chooser.go
@@ -72,11 +72,8 @@
 // closed itself to this host, are given back before this host chooses itself.
 const maxExcluded = 2
 
-// Choose implements gateway.Chooser. Targets that leave, as their answers said, or that have
-// asked this host for a pause are avoided. A planner that cannot reach the object store may
-// not know yet what this host knows, and grant a target that has left or whose data centre is
-// evacuated; and a target may close itself while the request waits for it. Such a grant is
-// given back.
+// Choose implements gateway.Chooser. It notes in the grant what the host reports when a stream
+// begins.
 func (c *Chooser) Choose(ctx context.Context, v *view.View, req *plan.Request) plan.Decision {
 	c.starts.follow(v.Duty.Address)
 	decision := c.choose(ctx, v, req)
@@ -87,6 +84,11 @@
 	return decision
 }
 
+// choose selects a target. Targets that leave, as their answers said, or that have
+// asked this host for a pause are avoided. A planner that cannot reach the object store may
+// not know yet what this host knows, and grant a target that has left or whose data centre is
+// evacuated; and a target may close itself while the request waits for it. Such a grant is
+// given back.
 func (c *Chooser) choose(ctx context.Context, v *view.View, req *plan.Request) plan.Decision {
 	sent := req.Avoid
 	for range maxExcluded {
