departure: nothing is passed on once idle connections are closed

TestStopAnswersRequestsThatAreBeingRead failed once, in a run of all tests beside others: the connection of a request that began 3.2 s after the signal was reset. Traced: since callers keep addresses for half a second, idle connections are closed from 2.9 s on, and no request came for 0.5 s until the second half of that one did at 3.4 s. No caller has the address by then, so the connection may be closed; but a request that is read at that moment could still be passed on and run without an answer.

TestNothingIsPassedOnOnceIdleConnectionsAreClosed was written with the fix.

--- a/hibiscusfront/internal/departure/departure.go
+++ b/hibiscusfront/internal/departure/departure.go
@@ -153,8 +153,13 @@
 type Departure struct {
 	schedule    atomic.Pointer[Schedule]
 	lastRequest atomic.Int64 // Unix time in nanoseconds of the last one that came in a stop
+	closed      atomic.Bool
 }
 
+// CloseIdle records that idle connections are closed from now on. A request that was being read
+// on one of them then is not passed on, since its answer would be lost.
+func (d *Departure) CloseIdle() { d.closed.Store(true) }
+
 // recordRequest records that a request has come.
 func (d *Departure) recordRequest(now time.Time) {
 	if d.Leaving() {
@@ -198,7 +203,8 @@
 // may then run.
 func (d *Departure) Admit(now, expires time.Time) (until time.Time, ok bool) {
 	if s := d.schedule.Load(); s != nil {
-		return s.Admit(now, expires)
+		until, ok = s.Admit(now, expires)
+		return until, ok && !d.closed.Load()
 	}
 	return expires, true
 }
--- a/hibiscusfront/internal/departure/departure_test.go
+++ b/hibiscusfront/internal/departure/departure_test.go
@@ -73,6 +73,19 @@
 	}
 }
 
+// TestNothingIsPassedOnOnceIdleConnectionsAreClosed guards against a request that is read while
+// its connection is closed, and runs without an answer.
+func TestNothingIsPassedOnOnceIdleConnectionsAreClosed(t *testing.T) {
+	var d departure.Departure
+	begin := time.Unix(1000, 0)
+	schedule := d.Begin(begin, settings)
+	_, ok := d.Admit(schedule.Close, schedule.Close.Add(time.Second))
+	require.True(t, ok)
+	d.CloseIdle()
+	_, ok = d.Admit(schedule.Close, schedule.Close.Add(time.Second))
+	require.False(t, ok)
+}
+
 func TestBeginTwiceKeepsSchedule(t *testing.T) {
 	var d departure.Departure
 	begin := time.Unix(1000, 0)
--- a/hibiscusfront/internal/host/host.go
+++ b/hibiscusfront/internal/host/host.go
@@ -283,6 +283,7 @@
 			return
 		}
 	}
+	h.departure.CloseIdle()
 	shutdownCtx, cancel := context.WithDeadline(ctx, schedule.End)
 	defer cancel()
 	for _, server := range servers[:sharedServers] {
