gateway: a request that is withdrawn before it was sent says nothing of its target

Found by reading: a request whose time to begin ended while its connection was made counted its target as unreachable, which is a step to taking it for crashed. It counts as rejected now. TestRequestIsWithdrawnWhileItsConnectionIsMade failed before (report 4, want 2).

--- a/hibiscusfront/internal/gateway/gateway.go
+++ b/hibiscusfront/internal/gateway/gateway.go
@@ -339,16 +339,22 @@
 	exchange, err := c.Pool.Send(limit.ctx, request)
 	limit.begun()
 	if err != nil {
-		var unsent *backend.NotSentError
+		var notSent *backend.NotSentError
 		var late *LateStartError
+		unsent := errors.As(err, &notSent)
+		withdrawn := errors.As(context.Cause(limit.ctx), &late) && c.contextRefusal() == nil
 		switch {
-		case errors.As(err, &unsent):
+		case unsent:
 			c.sends--
 			c.outcome = before
-			c.report(plan.Unreachable)
-			c.logFailedAttempt(g, "request not sent: no connection to the target", err)
+			progress, message := plan.Unreachable, "request not sent: no connection to the target"
+			if withdrawn {
+				progress, message = plan.Rejected, "request withdrawn before it was sent to the target"
+			}
+			c.report(progress)
+			c.logFailedAttempt(g, message, err)
 			return true, nil
-		case errors.As(context.Cause(limit.ctx), &late) && c.contextRefusal() == nil:
+		case withdrawn:
 			c.report(plan.Abandoned)
 			c.logFailedAttempt(g, "request withdrawn from the target, which had not begun to answer it", late)
 			if c.mayRepeat() {
--- a/hibiscusfront/internal/gateway/withdraw_test.go
+++ b/hibiscusfront/internal/gateway/withdraw_test.go
@@ -116,3 +116,41 @@
 		})
 	}
 }
+
+// TestRequestIsWithdrawnWhileItsConnectionIsMade guards against a target that counts as unreachable
+// since a request for it was withdrawn before it had a connection.
+func TestRequestIsWithdrawnWhileItsConnectionIsMade(t *testing.T) {
+	const bound = 700 * time.Millisecond // LatestStart leaves 100 ms of it
+	begin := time.Now()
+	announced := weightupdate.Announcements(nil).Add(1, 0).Add(2, fleet.Instant(time.Hour))
+	chooser := &scriptedChooser{
+		grants:  []plan.Grant{{Number: 1, Target: "t", Version: 1, Address: "127.0.0.1:1", StartWithin: 1}},
+		refusal: fleet.RefuseWithRetryAfter(fleet.ReasonOverloaded, time.Second),
+	}
+	table := route.NewTable(route.Config{
+		Number: 1, Limits: route.Limits{Body: 1000}, Workspaces: []route.Workspace{{ID: "w", Keys: []route.Key{"k"}}},
+		Routes: []route.Route{{Host: "127.0.0.1", Prefix: "/", Kind: route.NonIdempotent, Attempts: 1, Splits: []route.Split{{Service: "s", Weight: 1}}}},
+	})
+	var log testlog.Lines
+	front := httptest.NewServer(&gateway.Gateway{
+		View: func() *view.View {
+			return &view.View{Table: table, Weights: map[fleet.ModelID]weightupdate.Announcements{"m": announced}}
+		},
+		Chooser: chooser, Pool: new(backend.Pool), Meter: discardMeter{}, Log: log.Logger(), Departure: new(departure.Departure),
+		Clock: func() fleet.Instant { return fleet.Instant(time.Hour + time.Second + time.Since(begin)) }, WeightsBound: bound,
+	})
+	t.Cleanup(front.Close)
+	request, err := http.NewRequest(http.MethodPost, front.URL+"/x", strings.NewReader("body"))
+	require.NoError(t, err)
+	for name, value := range map[string]string{
+		"X-Hibiscuslb-Request-Id": "1", "Authorization": "Token k", "X-Hibiscuslb-Model": "m", "X-Hibiscuslb-Token-Usage": "30,10",
+		"X-Hibiscuslb-Prefix-Hash": "aa:10,bb:20",
+	} {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode, "it has not run")
+	require.Equal(t, plan.Rejected, chooser.lastReport(1))
+}
