gateway: a request uses the cache as of the configuration of now

Found by reading: a host that chooses alone used the configuration from before the body was read, which may take seconds (WALL). TestIsolationIsThatOfNow failed before.

--- a/hibiscusfront/internal/gateway/gateway.go
+++ b/hibiscusfront/internal/gateway/gateway.go
@@ -227,7 +227,8 @@
 		Avoid: c.tried, Repeat: len(c.tried) > 0, Fingerprint: c.fingerprint,
 		Resumable: c.route.Kind == route.Streaming && c.route.Resumable, Resumption: c.resumption(),
 	}
-	req.Isolation = plan.IsolationOf(c.view.Table, c.workspaceID())
+	// The configuration may have changed while the body was read or the request was tried.
+	req.Isolation = plan.IsolationOf(c.View().Table, c.workspaceID())
 	if c.workspace != nil {
 		req.Workspace = c.workspace.ID
 		if c.workspace.HasRank {
