soak: all hosts stop within two seconds, beside a change of the configuration

Callers keep connections and go on to send; what a target has run must be answered. The planner, its successors and hosts that have just started are among the stopped ones.

--- a/hibiscusfront/internal/soak/stop_test.go
+++ b/hibiscusfront/internal/soak/stop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -203,3 +204,92 @@
 		"tenants":  []map[string]any{{"name": "w", "apiKeys": []string{"key-w"}}},
 	})
 }
+
+// TestStopsOfAllHostsAnswerRequests stops all hosts within two seconds, the planner and its
+// successors among them, beside a change of the configuration, and some again while they start.
+// Callers go on to send on connections that they keep. What a target has run must be answered.
+func TestStopsOfAllHostsAnswerRequests(t *testing.T) {
+	const (
+		perHost = 6 // connections
+		pause   = 40 * time.Millisecond
+		stagger = 500 * time.Millisecond
+	)
+	s := newSite(t, build(t), 0)
+	s.awaitReady(t, 10*time.Second)
+	stop := make(chan struct{})
+	type lost struct {
+		id  string
+		err error
+	}
+	var (
+		callers sync.WaitGroup
+		mu      sync.Mutex
+		losses  []lost
+		asked   int
+	)
+	for _, h := range s.hosts {
+		for i := range perHost {
+			callers.Go(func() {
+				var c *keptConnection
+				for n := 0; ; n++ {
+					select {
+					case <-stop:
+						if c != nil {
+							c.Close()
+						}
+						return
+					case <-time.After(pause + time.Duration(i)*time.Millisecond):
+					}
+					if c == nil {
+						conn, err := net.Dial("tcp", h.callers)
+						if err != nil {
+							continue // the host has ended
+						}
+						c = &keptConnection{conn, bufio.NewReader(conn)}
+					}
+					id := fmt.Sprint(h.name, "-", i, "-", n)
+					err := c.write(head(id, time.Second) + "body")
+					var got answer
+					if err == nil {
+						got = c.read(3 * time.Second)
+						err = got.err
+					}
+					mu.Lock()
+					asked++
+					if err != nil {
+						losses = append(losses, lost{id, err})
+					}
+					mu.Unlock()
+					if err != nil || got.closed {
+						c.Close()
+						c = nil
+					}
+				}
+			})
+		}
+	}
+	time.Sleep(time.Second)
+	for i, h := range s.hosts {
+		h.kill(syscall.SIGTERM)
+		if i == 1 {
+			s.putConfiguration()
+		}
+		time.Sleep(stagger)
+	}
+	time.Sleep(4 * time.Second) // the first ones have started again
+	s.hosts[0].kill(syscall.SIGTERM)
+	time.Sleep(5 * time.Second)
+	close(stop)
+	callers.Wait()
+	ran := 0
+	for _, l := range losses {
+		for _, target := range s.targets {
+			if runs, _, _ := target.Runs(); runs[l.id] > 0 {
+				ran++
+				t.Errorf("request %s ran and got no answer: %v", l.id, l.err)
+			}
+		}
+	}
+	t.Logf("%d requests, %d without an answer, %d of which ran", asked, len(losses), ran)
+	require.Greater(t, asked, 1000)
+}
