--- a/fleet/plan/placement.go
+++ b/fleet/plan/placement.go
@@ -159,24 +159,6 @@
 	return src
 }
 
-// canStartRun reports whether the engine may start a run of the model: it is not
-// loading weights, and a run may still start on the weights that it has.
-func (f *Fleet) canStartRun(now fleet.Instant, t *target, id fleet.ModelID) bool {
-	m, version := f.model(id), t.version(id)
-	return version > 0 && m.update.Serves(now, t.ID) && m.announced.Allows(now, version, f.WeightsBound)
-}
-
-// startsInTime reports whether the run is expected to start while it may on the weights that the
-// engine has: a request that waits at a busy engine may start long after it was sent.
-func (f *Fleet) startsInTime(now fleet.Instant, c *candidate, req *Request) bool {
-	id := req.modelID()
-	if id == "" {
-		return true
-	}
-	latest, limited := f.model(id).announced.LatestStart(c.target.version(id), f.WeightsBound)
-	return !limited || now.Add(c.firstPiece) < latest
-}
-
 // hasCapacity reports whether the target can start one more request soon.
 func (t *target) hasCapacity(req *Request) bool {
 	if !t.isEngine() {
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -17,8 +17,9 @@
 // after its start, in which it serves requests only at a limited rate.
 //
 // Placement is described in placement.go, admission (queueing and refusal) in
-// admission.go, requests and prompts that crash targets in crash.go, and streams that
-// go on in origin.go, each with the load pattern that it handles.
+// admission.go, requests and prompts that crash targets in crash.go, streams that
+// go on in origin.go, and which workspaces share cached parts in isolation.go, each with the
+// load pattern that it handles.
 //
 // A Fleet is a state machine without I/O and without a clock: each method takes the
 // current time and returns what has to be done. It is not safe for concurrent use.
@@ -68,35 +69,6 @@
 	Known      []intake.Known // what targets of the service have said to the host
 }
 
-// An Isolation tells with whom a request may share cached parts, as of a configuration.
-type Isolation struct {
-	Configuration fleet.Version // its number
-	Isolated      bool          // the workspace shares no cache with others
-	Sharing       route.Sharing
-}
-
-// IsolationOf returns the isolation of a workspace, which may be empty, under the configuration.
-// A workspace that the configuration does not have any more shares nothing: it may have been
-// isolated.
-func IsolationOf(table *route.Table, workspace fleet.WorkspaceID) Isolation {
-	isolated := false
-	if workspace != "" {
-		w := table.WorkspaceByID(workspace)
-		isolated = w == nil || w.Isolated
-	}
-	return Isolation{Configuration: table.Number, Isolated: isolated, Sharing: table.Sharing()}
-}
-
-// under returns the request as of the configuration, if that is newer than the one that it was
-// made under. The request itself stays as it is, since its host may still use it.
-func (r *Request) under(table *route.Table) *Request {
-	renewed := *r
-	if table != nil && table.Number > r.Configuration {
-		renewed.Isolation = IsolationOf(table, r.Workspace)
-	}
-	return &renewed
-}
-
 // A Grant allows a host to send a request to a target.
 type Grant struct {
 	Number   GrantNumber
@@ -432,19 +404,3 @@
 		}
 	}
 }
-
-// Salt returns the cache salt of a request. Requests with the same salt may share
-// cached parts: those on the same version of a model's weights, and only those of
-// the same workspace if it is isolated. The others share parts that were made under the
-// same Sharing, since what a workspace made before it was isolated stays in engines and
-// stores.
-func Salt(model fleet.ModelID, version uint64, workspace fleet.WorkspaceID, isolation Isolation) string {
-	salt := versionSalt(model, version)
-	switch {
-	case isolation.Isolated:
-		salt += workspaceSeparator + string(workspace)
-	case isolation.Sharing != "":
-		salt += sharingSeparator + string(isolation.Sharing)
-	}
-	return salt
-}
--- a/fleet/plan/target.go
+++ b/fleet/plan/target.go
@@ -1,14 +1,11 @@
 package plan
 
 import (
-	"strconv"
-	"strings"
 	"time"
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/intake"
 	"hibiscuslb/fleet/roster"
-	"hibiscuslb/fleet/route"
 )
 
 // target is the state of a target: its roster entry and the planner's estimate of
@@ -297,31 +294,3 @@
 	w.times = w.times[old:]
 	return len(w.times)
 }
-
-// saltSeparator separates model and version in a salt.
-const saltSeparator = "@"
-
-const (
-	// workspaceSeparator separates the version from the isolated workspace in a salt, and
-	// sharingSeparator from the Sharing of workspaces that are not isolated.
-	workspaceSeparator = "/"
-	sharingSeparator   = "~"
-)
-
-// versionSalt returns the salt of a version of a model's weights.
-func versionSalt(id fleet.ModelID, version uint64) string {
-	return string(id) + saltSeparator + strconv.FormatUint(version, 10)
-}
-
-// parseSalt returns the model and version of a salt, the Sharing if it has one, and whether it
-// is valid.
-func parseSalt(salt string) (fleet.ModelID, uint64, route.Sharing, bool) {
-	salt, _, _ = strings.Cut(salt, workspaceSeparator)
-	id, text, ok := strings.Cut(salt, saltSeparator)
-	if !ok {
-		return "", 0, "", false
-	}
-	text, sharing, _ := strings.Cut(text, sharingSeparator)
-	version, err := strconv.ParseUint(text, 10, 64)
-	return fleet.ModelID(id), version, route.Sharing(sharing), err == nil
-}
--- a/fleet/plan/weights.go
+++ b/fleet/plan/weights.go
@@ -120,3 +120,21 @@
 	}
 	return result
 }
+
+// canStartRun reports whether the engine may start a run of the model: it is not
+// loading weights, and a run may still start on the weights that it has.
+func (f *Fleet) canStartRun(now fleet.Instant, t *target, id fleet.ModelID) bool {
+	m, version := f.model(id), t.version(id)
+	return version > 0 && m.update.Serves(now, t.ID) && m.announced.Allows(now, version, f.WeightsBound)
+}
+
+// startsInTime reports whether the run is expected to start while it may on the weights that the
+// engine has: a request that waits at a busy engine may start long after it was sent.
+func (f *Fleet) startsInTime(now fleet.Instant, c *candidate, req *Request) bool {
+	id := req.modelID()
+	if id == "" {
+		return true
+	}
+	latest, limited := f.model(id).announced.LatestStart(c.target.version(id), f.WeightsBound)
+	return !limited || now.Add(c.firstPiece) < latest
+}
--- a/hibiscusfront/internal/departure/departure.go
+++ b/hibiscusfront/internal/departure/departure.go
@@ -67,9 +67,9 @@
 	noticeTime = 600 * time.Millisecond
 	// addressTTLFactor times the TTL is how long some callers keep an address.
 	addressTTLFactor = 3
-	// forgetMargin covers lost heartbeats, and the time that callers take to look up other
-	// addresses, in which they go on with the old ones.
-	forgetMargin = 800 * time.Millisecond
+	// lookUpMargin covers lost heartbeats, and the time in which callers look up other
+	// addresses and go on with the old ones.
+	lookUpMargin = 800 * time.Millisecond
 	// quietTime is how long no request may have come when idle connections are closed.
 	quietTime = 500 * time.Millisecond
 	// maxQuietWait is how long idle connections are kept for that. If all hosts stop, callers
@@ -102,7 +102,7 @@
 	grace := max(s.Grace, minGrace)
 	end := now.Add(grace - exitTime)
 	cut := end.Add(-answerTime)
-	closeAt := now.Add(noticeTime + addressTTLFactor*s.AddressTTL + forgetMargin)
+	closeAt := now.Add(noticeTime + addressTTLFactor*s.AddressTTL + lookUpMargin)
 	if closeAt.After(cut) {
 		closeAt = cut
 	}
--- /dev/null
+++ b/hibiscusfront/internal/gateway/attempt.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/plan"
+	"hibiscuslb/hibiscusfront/internal/backend"
+	"hibiscuslb/platform"
+)
+
+// try sends the request to the granted target and relays the response. It
+// reports whether the request should be sent to another target.
+func (c *call) try(g *plan.Grant) (retry bool, refusal *fleet.RefusalError) {
+	c.grant = g
+	c.tried = append(c.tried, g.Target)
+	request := c.targetRequest(g)
+	// Counted before sending: from here on the target may run the request.
+	c.Meter.RecordSend(c.sends > 0, g.By != "")
+	c.sends++
+	before := c.outcome
+	c.outcome = fleet.OutcomeUnknown
+	limit := c.limitStart(g)
+	defer limit.end()
+	exchange, err := c.Pool.Send(limit.ctx, request)
+	limit.begun()
+	if err != nil {
+		var notSent *backend.NotSentError
+		var late *LateStartError
+		unsent := errors.As(err, &notSent)
+		withdrawn := errors.As(context.Cause(limit.ctx), &late) && c.contextRefusal() == nil
+		switch {
+		case unsent:
+			c.sends--
+			c.outcome = before
+			progress, message := plan.Unreachable, "request not sent: no connection to the target"
+			if withdrawn {
+				progress, message = plan.Rejected, "request withdrawn before it was sent to the target"
+			}
+			c.report(progress)
+			c.logFailedAttempt(g, message, err)
+			return true, nil
+		case withdrawn:
+			c.report(plan.Abandoned)
+			c.logFailedAttempt(g, "request withdrawn from the target, which had not begun to answer it", late)
+			if c.mayRepeat() {
+				return true, nil
+			}
+			return false, &fleet.RefusalError{Reason: fleet.ReasonWithdrawn, Outcome: fleet.OutcomeUnknown}
+		}
+		return c.targetFailed(g, err)
+	}
+	defer exchange.Close()
+	c.framing = exchange.Framing
+	c.Meter.RecordResponse(exchange.Framing)
+	c.Chooser.ObserveNotice(c.view, g, exchange.Answer.Notice)
+	if exchange.Answer.NotRun {
+		c.sends--
+		c.outcome = before
+		progress := plan.Rejected
+		if exchange.Answer.Misdirected {
+			progress = plan.Mismatched
+		}
+		c.report(progress)
+		c.logFailedAttempt(g, "target rejected the request without running it", nil)
+		c.discard(exchange)
+		return true, nil
+	}
+	return c.relay(g, exchange)
+}
+
+// targetFailed handles a missing or truncated response. It reports whether the
+// request should be sent to another target.
+func (c *call) targetFailed(g *plan.Grant, err error) (retry bool, refusal *fleet.RefusalError) {
+	if refusal := c.contextRefusal(); refusal != nil {
+		c.report(plan.Abandoned)
+		return false, refusal
+	}
+	c.report(plan.Failed)
+	c.logFailedAttempt(g, "no complete response from the target", err)
+	if c.mayRepeat() {
+		return true, nil
+	}
+	return false, &fleet.RefusalError{Reason: fleet.ReasonTargetFailed, Outcome: fleet.OutcomeUnknown}
+}
+
+// discard reads a short response to its end, so that its connection can be
+// reused.
+func (c *call) discard(exchange *backend.Exchange) {
+	const maxDiscard = 4 << 10 // bytes
+	// Close closes the connection if part of the response is unread.
+	_, _ = io.CopyN(io.Discard, exchange, maxDiscard)
+}
+
+// report tells the host that made the current grant its progress.
+func (c *call) report(progress plan.Progress) {
+	c.Chooser.Report(c.grant, progress)
+}
+
+// targetRequest returns the request to send to the granted target.
+func (c *call) targetRequest(g *plan.Grant) *backend.Request {
+	d := platform.TargetHeaders{
+		Target: g.Target, Deadline: time.Until(c.expiresAt), Version: g.Version, Salt: g.Salt,
+		Fetch: g.Fetch, Save: g.Save, FetchUntil: g.Until, LastEvent: c.LastEvent,
+	}
+	if c.workspace != nil {
+		d.Workspace = c.workspace.ID
+	}
+	if c.Prompt != nil {
+		d.Priority, d.HasPriority = g.Rank, true
+	}
+	return &backend.Request{
+		ID: c.ID, Target: g.Target, Address: g.Address, Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host,
+		Header: platform.ForwardHeaders(c.r.Header, d), Body: c.body, SendOnce: !c.route.Repeatable(),
+	}
+}
--- a/hibiscusfront/internal/soak/stop_test.go
+++ b/hibiscusfront/internal/soak/stop_test.go
@@ -72,9 +72,9 @@
 	moments := []time.Duration{-30 * time.Millisecond, 300 * time.Millisecond, 2000 * time.Millisecond, 2300 * time.Millisecond, 2600 * time.Millisecond, 3200 * time.Millisecond}
 	const (
 		halfTime = 200 * time.Millisecond // from the first half to the second
-		// forgotten is when no caller has the address any more. The connection of a request
+		// addressGone is when no caller has the address any more. The connection of a request
 		// that comes later may be closed, but the request must not run then.
-		forgotten = 2900 * time.Millisecond
+		addressGone = 2900 * time.Millisecond
 	)
 	connections := make([]*keptConnection, len(moments))
 	for i := range moments {
@@ -112,7 +112,7 @@
 		<-done
 	}
 	for i, moment := range moments {
-		if moment+halfTime > forgotten && answers[i].err != nil {
+		if moment+halfTime > addressGone && answers[i].err != nil {
 			for _, target := range s.targets {
 				runs, _, _ := target.Runs()
 				require.Zero(t, runs[fmt.Sprint("request-", i)], "the request that began %v after the signal ran and got no answer", moment)
