--- a/hibiscusfront/internal/soak/stop_test.go
+++ b/hibiscusfront/internal/soak/stop_test.go
@@ -206,7 +206,7 @@
 }
 
 // TestStopsOfAllHostsAnswerRequests stops all hosts within two seconds, the planner and its
-// successors among them, beside a change of the configuration, and some again while they start.
+// successors among them, beside a change of the configuration, and one again soon after its start.
 // Callers go on to send on connections that they keep. What a target has run must be answered.
 func TestStopsOfAllHostsAnswerRequests(t *testing.T) {
 	const (
