ingress: what clients make a host hold is bounded in sum

Callers saw hosts end: clients sent requests of legal size, many at once, stopped just short of their end and kept their connections open, and the process ran out of memory; the requests of all others on it ended with it.

Cause: each head, body and connection was bounded by itself, their sum by nothing. io.ReadAll also kept up to twice a body; the handler's server waited without a limit for bodies that no handler reads, and a write to a client that reads nothing never ended; the kernel kept megabytes for each such connection.

Fix: package ingress. A limit of connections, at which the one that was quiet the longest yields; a budget for heads and bodies beyond what an ordinary request needs, which ends a head without an answer and refuses a body as not run, before or while it is read; bodies in segments that count as they come; time limits for bodies and for writes; bounded buffers of sockets at both ends. The defaults come from memoryMb and maxFds, flags override them, counters and two log lines show them met. A body that is late gets 408 instead of 400, which is no promise.

--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,7 @@
 
 test: build
 	@for m in $(MODULES); do (cd $$m && $(GO) test -timeout 10m $$TESTFLAGS ./...) || exit 1; done
+	@cd hibiscusfront && $(GO) test -timeout 10m -count=1 -tags crowd -run '^TestCrowd' $$TESTFLAGS ./internal/soak # apart from other load
 
 # The same state machines with more checks and a fresh seed, which is printed.
 fuzz:
@@ -26,8 +27,8 @@
 
 lint:
 	@bad=$$(gofmt -l $(MODULES)); test -z "$$bad" || { echo "gofmt: $$bad"; exit 1; }
-	@for m in $(MODULES); do (cd $$m && $(GO) vet ./...) || exit 1; done
-	@for m in $(MODULES); do (cd fleet && $(GO) tool staticcheck hibiscuslb/$$m/...) || exit 1; done
+	@for m in $(MODULES); do (cd $$m && $(GO) vet -tags crowd ./...) || exit 1; done
+	@for m in $(MODULES); do (cd fleet && $(GO) tool staticcheck -tags crowd hibiscuslb/$$m/...) || exit 1; done
 
 # gopls renames an identifier at each use, in all modules and their tests:
 # bin/gopls rename -w FILE:LINE:COLUMN NAME
--- a/fleet/outcome.go
+++ b/fleet/outcome.go
@@ -44,6 +44,9 @@
 	// weights could start no longer.
 	ReasonWithdrawn     Reason = "withdrawn before it began on older weights"
 	ReasonStreamTimeout Reason = "stream timeout" // the answer was not complete in time
+	ReasonBodyTimeout   Reason = "body timeout"   // the body of the request did not arrive in time
+	// ReasonHostMemory means that the host has no memory for the body of the request.
+	ReasonHostMemory Reason = "host out of memory for requests"
 )
 
 // A RefusalError reports that a request ended without a complete answer. Outcome
--- a/fleet/quarantine/fingerprint.go
+++ b/fleet/quarantine/fingerprint.go
@@ -18,14 +18,16 @@
 const fingerprintBytes = 16
 
 // FingerprintOf returns the fingerprint of a request. The workspace is empty on public
-// routes; uri is the path with the query.
-func FingerprintOf(workspace fleet.WorkspaceID, method, host, uri string, body []byte) Fingerprint {
+// routes; uri is the path with the query; body is in segments.
+func FingerprintOf(workspace fleet.WorkspaceID, method, host, uri string, body ...[]byte) Fingerprint {
 	h := sha256.New()
 	for _, field := range []string{string(workspace), method, host, uri} {
 		// The lengths keep the fields apart. Writing to a hash never fails.
 		_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(field))))
 		_, _ = h.Write([]byte(field))
 	}
-	_, _ = h.Write(body)
+	for _, segment := range body {
+		_, _ = h.Write(segment)
+	}
 	return Fingerprint(hex.EncodeToString(h.Sum(nil)[:fingerprintBytes]))
 }
--- a/hibiscusfront/internal/backend/backend.go
+++ b/hibiscusfront/internal/backend/backend.go
@@ -32,6 +32,7 @@
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/holding"
+	"hibiscuslb/hibiscusfront/internal/socket"
 	"hibiscuslb/platform"
 )
 
@@ -73,13 +74,21 @@
 	URI     string
 	Host    string
 	Header  http.Header
-	Body    []byte
+	Body    [][]byte // in segments
 	// SendOnce marks a request that may not be repeated. It is sent only on a
 	// connection that is new or was idle for at most sendOnceMaxIdle: if the
 	// target closes an idle connection just then, the request is lost.
 	SendOnce bool
 }
 
+func (r *Request) bodyLen() int {
+	n := 0
+	for _, segment := range r.Body {
+		n += len(segment)
+	}
+	return n
+}
+
 const (
 	// dialTimeout limits a dial. A target that is up accepts a connection
 	// within milliseconds.
@@ -166,7 +175,7 @@
 	c.sent = append(c.sent, idHash(r.ID))
 	e := &Exchange{pool: p, key: k, conn: c, writeResult: make(chan error, 1)}
 	e.cancelAutoClose = context.AfterFunc(ctx, func() { _ = c.Close() }) // closing twice is harmless
-	if len(r.Body) <= maxInlineBody {
+	if r.bodyLen() <= maxInlineBody {
 		e.write(ctx, r)
 	} else {
 		go e.write(ctx, r)
@@ -189,11 +198,11 @@
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host)
 	// Writing to a bytes.Buffer never fails.
 	_ = r.Header.Write(&head)
-	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
-		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(r.Body))
+	if length := r.bodyLen(); length > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		fmt.Fprintf(&head, "Content-Length: %d\r\n", length)
 	}
 	head.WriteString("\r\n")
-	buffers := net.Buffers{head.Bytes(), r.Body}
+	buffers := append(net.Buffers{head.Bytes()}, r.Body...)
 	_, err := buffers.WriteTo(e.conn.Conn)
 	e.writeResult <- err
 }
@@ -313,7 +322,7 @@
 	p.mu.Lock()
 	p.Dials++
 	p.mu.Unlock()
-	dialer := net.Dialer{Timeout: dialTimeout}
+	dialer := net.Dialer{Timeout: dialTimeout, Control: socket.BoundBuffers}
 	raw, err := dialer.DialContext(ctx, "tcp", string(k.address))
 	if err != nil {
 		return nil, err
--- a/hibiscusfront/internal/backend/backend_test.go
+++ b/hibiscusfront/internal/backend/backend_test.go
@@ -59,7 +59,7 @@
 func newRequest(address fleet.Address, id string) *backend.Request {
 	return &backend.Request{
 		ID: fleet.RequestID(id), Target: "t", Address: address, Method: http.MethodPost, URI: "/a%2Fb?c=d", Host: "h.example",
-		Header: http.Header{"X-Hibiscuslb-Request-Id": {id}}, Body: []byte("body"),
+		Header: http.Header{"X-Hibiscuslb-Request-Id": {id}}, Body: [][]byte{[]byte("bo"), []byte("dy")},
 	}
 }
 
@@ -89,7 +89,7 @@
 	for i := range 40 {
 		r := newRequest(address, fmt.Sprint(i))
 		if i%2 == 1 {
-			r.Body = make([]byte, 32<<10) // written concurrently with the reading
+			r.Body = [][]byte{make([]byte, 32<<10)} // written concurrently with the reading
 		}
 		body, err := send(t, &pool, r)
 		require.NoError(t, err)
@@ -235,7 +235,7 @@
 	})
 	var pool backend.Pool
 	r := newRequest(address, "1")
-	r.Body = make([]byte, 8<<20) // more than the socket buffers hold
+	r.Body = [][]byte{make([]byte, 8<<20)} // more than the socket buffers hold
 	body, err := send(t, &pool, r)
 	require.NoError(t, err)
 	require.Equal(t, "early", body)
--- a/hibiscusfront/internal/gateway/gateway.go
+++ b/hibiscusfront/internal/gateway/gateway.go
@@ -16,7 +16,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -25,12 +24,14 @@
 	"github.com/rs/zerolog"
 
 	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/holding"
 	"hibiscuslb/fleet/intake"
 	"hibiscuslb/fleet/plan"
 	"hibiscuslb/fleet/quarantine"
 	"hibiscuslb/fleet/route"
 	"hibiscuslb/hibiscusfront/internal/backend"
 	"hibiscuslb/hibiscusfront/internal/departure"
+	"hibiscuslb/hibiscusfront/internal/ingress"
 	"hibiscuslb/hibiscusfront/internal/view"
 	"hibiscuslb/platform"
 )
@@ -91,8 +92,6 @@
 	// defaultMaxBody is the longest request body in bytes if the configuration
 	// does not limit it.
 	defaultMaxBody = 4 << 20
-	// bodyTimeout limits the time for reading a request body.
-	bodyTimeout = 5 * time.Second
 )
 
 // A call is the state of one request of a caller.
@@ -106,7 +105,7 @@
 	route     *route.Route
 	workspace *route.Workspace
 	service   route.ServiceID
-	body      []byte
+	body      [][]byte // in segments
 	// fingerprint identifies the request over all attempts of its caller.
 	fingerprint quarantine.Fingerprint
 	start       time.Time
@@ -185,40 +184,45 @@
 	if refusal := c.readBody(); refusal != nil {
 		return refusal
 	}
-	c.fingerprint = quarantine.FingerprintOf(c.workspaceID(), c.r.Method, host, c.r.RequestURI, c.body)
+	c.fingerprint = quarantine.FingerprintOf(c.workspaceID(), c.r.Method, host, c.r.RequestURI, c.body...)
 	return nil
 }
 
 // readBody reads the complete body, so that the request can be sent with its
 // length, and again if it may be repeated.
 func (c *call) readBody() *fleet.RefusalError {
-	limit := int64(c.view.Table.Limits.Body)
+	limit := c.view.Table.Limits.Body
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
-	if c.r.ContentLength > limit {
-		return fleet.Refuse(fleet.ReasonTooLarge, "")
+	var err error
+	if c.body, err = ingress.ReadBody(c.w, c.r, limit); err != nil {
+		return bodyRefusal(err)
 	}
-	if c.r.ContentLength == 0 {
-		return nil
-	}
-	if err := http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
-		c.Log.Warn().Err(err).Str("Request", string(c.ID)).Msg("cannot set the read deadline for the request body")
-	}
-	body, err := io.ReadAll(io.LimitReader(c.r.Body, limit+1))
-	if err != nil {
-		return fleet.Refuse(fleet.ReasonMalformed, "read request body: "+err.Error())
-	}
-	if int64(len(body)) > limit {
-		return fleet.Refuse(fleet.ReasonTooLarge, "")
-	}
-	if err := http.NewResponseController(c.w).SetReadDeadline(time.Time{}); err != nil {
-		c.Log.Warn().Err(err).Str("Request", string(c.ID)).Msg("cannot clear the read deadline after the request body")
-	}
-	c.body = body
 	return nil
 }
 
+// bodyRefusal returns the refusal of a request whose body could not be read.
+func bodyRefusal(err error) *fleet.RefusalError {
+	var (
+		tooLong *ingress.TooLongError
+		timeout *ingress.TimeoutError
+		spent   *holding.SpentError
+		evicted *holding.EvictedError
+	)
+	switch {
+	case errors.As(err, &tooLong):
+		return fleet.Refuse(fleet.ReasonTooLarge, err.Error())
+	case errors.As(err, &timeout):
+		return fleet.Refuse(fleet.ReasonBodyTimeout, err.Error())
+	case errors.As(err, &spent), errors.As(err, &evicted):
+		refusal := fleet.RefuseWithRetryAfter(fleet.ReasonHostMemory, holding.StallTime)
+		refusal.Detail = err.Error()
+		return refusal
+	}
+	return fleet.Refuse(fleet.ReasonMalformed, "read request body: "+err.Error())
+}
+
 // planRequest returns the request to the planner for a target.
 func (c *call) planRequest() *plan.Request {
 	req := &plan.Request{
--- a/hibiscusfront/internal/gateway/refusal.go
+++ b/hibiscusfront/internal/gateway/refusal.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"hibiscuslb/fleet"
+	"hibiscuslb/hibiscusfront/internal/ingress"
 	"hibiscuslb/platform"
 )
 
@@ -14,6 +15,14 @@
 var permanentStatuses = map[fleet.Reason]int{
 	fleet.ReasonMalformed: http.StatusBadRequest, fleet.ReasonUnauthorized: http.StatusUnauthorized,
 	fleet.ReasonUnknownRoute: http.StatusNotFound, fleet.ReasonTooLarge: http.StatusRequestEntityTooLarge,
+	fleet.ReasonBodyTimeout: http.StatusRequestTimeout,
+}
+
+// closingReasons are those of refusals after which the connection can't be used again: the host
+// leaves, or the rest of the request is not read.
+var closingReasons = map[fleet.Reason]bool{
+	fleet.ReasonHostLeaving: true, fleet.ReasonTooLarge: true, fleet.ReasonMalformed: true, fleet.ReasonBodyTimeout: true,
+	fleet.ReasonHostMemory: true,
 }
 
 // refuse answers a request without the response of a target. The status tells
@@ -40,11 +49,14 @@
 	}
 	h := c.w.Header()
 	platform.SetRefusalHeaders(h, c.ID, refusal.RetryAfter)
-	if refusal.Reason == fleet.ReasonHostLeaving || refusal.Reason == fleet.ReasonTooLarge || refusal.Reason == fleet.ReasonMalformed {
+	if closingReasons[refusal.Reason] {
 		h.Set("Connection", "close")
 	}
 	c.status = status
 	c.w.WriteHeader(status)
+	if refusal.Reason == fleet.ReasonHostMemory || refusal.Reason == fleet.ReasonTooLarge {
+		ingress.DropBody(c.w, c.r)
+	}
 }
 
 func requestHash(id fleet.RequestID) uint64 { return xxhash.Sum64String(string(id)) }
--- a/hibiscusfront/internal/host/host.go
+++ b/hibiscusfront/internal/host/host.go
@@ -26,6 +26,7 @@
 	"hibiscuslb/hibiscusfront/internal/control"
 	"hibiscuslb/hibiscusfront/internal/departure"
 	"hibiscuslb/hibiscusfront/internal/gateway"
+	"hibiscuslb/hibiscusfront/internal/ingress"
 	"hibiscuslb/hibiscusfront/internal/planner"
 	"hibiscuslb/hibiscusfront/internal/view"
 	"hibiscuslb/hibiscusfront/internal/wire"
@@ -54,6 +55,9 @@
 	// that are longer than those of sound targets, to callers' requests and to its own calls.
 	answersShare = 16
 	listsShare   = 4
+	// directoryShare divides the limit of connections of callers to give that of each other
+	// listener for clients.
+	directoryShare = 4
 	// sweepInterval is the time between two sweeps of idle connections.
 	sweepInterval = time.Second
 )
@@ -74,6 +78,10 @@
 	// answers bounds what targets' answers to callers' requests make the host keep, and
 	// lists what their answers to its own calls do.
 	answers, lists holding.Budget
+	// requests bounds what clients' requests make the host keep, and limits their connections.
+	requests  holding.Budget
+	limits    ingress.Limits
+	listeners []*ingress.Listener // for clients, that of callers first
 	// departure is the state of a planned stop. Cut ends the requests of callers that still
 	// run at its cut.
 	departure   departure.Departure
@@ -103,6 +111,8 @@
 	h.answers.SetLimit(settings.Memory / answersShare)
 	h.lists.SetLimit(settings.Memory / listsShare)
 	h.pool.Budget = &h.answers
+	h.requests.Clock = h.clock
+	h.SetLimits(ingress.DefaultLimits(settings.Memory, settings.Descriptors))
 	targets := platform.NewTargetClient()
 	targets.Budget = &h.lists
 	h.planner = planner.New(settings.Host, settings.Bounds, targets, h.control, h.clock, log)
@@ -121,6 +131,12 @@
 	return h
 }
 
+// SetLimits sets the limits of what clients may make the host hold. It must be called before Run.
+func (h *Host) SetLimits(limits ingress.Limits) {
+	h.limits = limits
+	h.requests.SetLimit(limits.Memory)
+}
+
 // maxPauseWindows times the window over which retries are counted is the longest pause that
 // a target may ask for: a longer one is taken for a mistake.
 const maxPauseWindows = 10
@@ -142,12 +158,12 @@
 	parts.Go(runCtx, h.planner.Run)
 	parts.Go(runCtx, h.chooser.Run)
 	parts.Go(runCtx, h.control.Run)
-	parts.Go(runCtx, h.sweep)
 	parts.Go(runCtx, h.watchSettings)
 	servers, err := h.listen(runCtx)
 	if err != nil {
 		return err
 	}
+	parts.Go(runCtx, h.sweep)
 	select {
 	case <-ctx.Done():
 	case err = <-h.serveErr:
@@ -174,31 +190,46 @@
 	h.cut = cut
 	newServer := func(handler http.Handler) *http.Server {
 		return &http.Server{
-			Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			Handler: ingress.Handler(handler), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			ConnState: ingress.Record, ConnContext: ingress.ConnContext,
 		}
 	}
 	callers := newServer(h.departure.CallersHandler(announcedIdle, h.gateway))
-	callers.ConnState = h.connections.Record
+	callers.ConnState = func(conn net.Conn, state http.ConnState) {
+		ingress.Record(conn, state)
+		h.connections.Record(conn, state)
+	}
+	others := h.limits.Share(directoryShare)
 	list := []struct {
 		ctx     context.Context
 		server  *http.Server
 		address fleet.Address
+		limits  ingress.Limits
 	}{
-		{callersCtx, callers, h.settings.Callers},
-		{ctx, newServer(h.departure.Handler(announcedIdle, platform.DirectoryHandler(h.resolve))), h.settings.Directory},
-		{ctx, newServer(h.departure.Handler(announcedIdle, platform.ReadinessHandler(h.ready))), h.settings.Readiness},
-		{ctx, &http.Server{Handler: &peer.Server{Handler: h}, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}, h.settings.Peers},
+		{callersCtx, callers, h.settings.Callers, h.limits},
+		{ctx, newServer(h.departure.Handler(announcedIdle, platform.DirectoryHandler(h.resolve))), h.settings.Directory, others},
+		{ctx, newServer(h.departure.Handler(announcedIdle, platform.ReadinessHandler(h.ready))), h.settings.Readiness, others},
 	}
 	var servers []*http.Server
 	for _, l := range list {
-		listener, err := net.Listen("tcp", string(l.address))
+		listener, err := ingress.Listen(ctx, string(l.address), l.limits.Connections, &h.requests)
 		if err != nil {
 			return nil, eris.Wrapf(err, "listen on %s", l.address)
 		}
 		l.server.BaseContext = func(net.Listener) context.Context { return l.ctx }
-		servers = append(servers, l.server)
+		servers, h.listeners = append(servers, l.server), append(h.listeners, listener)
 		h.serve(ctx, l.server, listener)
 	}
+	peers := &http.Server{
+		Handler: &peer.Server{Handler: h}, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+		BaseContext: func(net.Listener) context.Context { return ctx },
+	}
+	listener, err := net.Listen("tcp", string(h.settings.Peers))
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen on %s", h.settings.Peers)
+	}
+	servers = append(servers, peers)
+	h.serve(ctx, peers, listener)
 	if metrics := h.listenMetrics(ctx); metrics != nil {
 		servers = append(servers, metrics)
 	}
@@ -223,7 +254,7 @@
 		return nil
 	}
 	server := &http.Server{
-		Handler: h.meter.handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: h.meter.handler(), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		BaseContext: func(net.Listener) context.Context { return ctx },
 	}
 	h.serve(ctx, server, listener)
@@ -250,11 +281,13 @@
 	return !h.departure.Leaving() && v.Table != nil && len(v.Targets) > 0
 }
 
-// sweep closes idle connections to targets at intervals.
+// sweep closes idle connections to targets at intervals, and logs whether clients meet the limits.
 func (h *Host) sweep(ctx context.Context) {
+	var limits limitWatch
 	for task.Sleep(ctx, sweepInterval) {
 		v := h.control.View()
 		h.pool.Sweep(func(id fleet.TargetID) bool { return v.Target(id) != nil })
+		limits.sample(h)
 	}
 }
 
--- a/hibiscusfront/internal/host/meters.go
+++ b/hibiscusfront/internal/host/meters.go
@@ -133,12 +133,17 @@
 	} {
 		h.meter.planned.Set(n, what)
 	}
+	clients := h.countClients()
 	v := h.control.View()
 	state := map[string]int64{
 		"Hosts": int64(len(v.Hosts)), "Targets": int64(len(v.Targets)), "Epoch": int64(v.Duty.Epoch),
 		"Plans": 0, "Goroutines": int64(runtime.NumGoroutine()),
 		"AnswerBytesKept": int64(h.answers.Used()), "AnswersOverBudget": h.answers.Refused(),
-		"Connections":   int64(h.connections.Open()),
+		"Connections":      int64(h.connections.Open()),
+		"RequestBytesKept": int64(h.requests.Used()), "RequestBytesHighest": int64(h.requests.Highest()),
+		"RequestBytesLimit": int64(h.requests.Limit()), "ConnectionsLimit": int64(h.limits.Connections),
+		"ConnectionsEvicted": clients.Evicted, "ConnectionsRefused": clients.Refused, "HeadsRefused": clients.HeadsRefused,
+		"BodiesRefused": clients.bodiesRefused, "StalledEvicted": clients.stalled,
 		"ListBytesKept": int64(h.lists.Used()), "ListsOverBudget": h.lists.Refused(),
 	}
 	if v.Table != nil {
--- /dev/null
+++ b/hibiscusfront/internal/ingress/conn.go
@@ -0,0 +1,196 @@
+package ingress
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"hibiscuslb/fleet/holding"
+)
+
+const (
+	// freeBytes of the head and body of a request draw on no budget: those of an ordinary request,
+	// with a body of 12 KB.
+	freeBytes = 20 << 10
+	// headCopies is how often the bytes of a head are in memory: as received and decoded for the
+	// request, and again for the one to the target.
+	headCopies = 2
+	// lineBytes is what each line of a head takes in addition, in the decoded headers of both.
+	lineBytes = 256
+	// writeTimeout is how long a client may take to read writePiece bytes of an answer. What it holds
+	// until then are the buffers of the kernel and a target that waits.
+	writeTimeout = 15 * time.Second
+	writePiece   = 16 << 10
+	// slowReadTime is how long a client may read nothing before its connection may be closed for
+	// another.
+	slowReadTime = 5 * time.Second
+)
+
+// A phase is what a connection is doing.
+type phase int32
+
+const (
+	// waiting: no byte of the next request was received.
+	waiting phase = iota
+	// inHead: the head of a request is arriving.
+	inHead
+	// inBody: the handler runs, and the body of the request is arriving, or what is left of it
+	// is read and dropped.
+	inBody
+	// serving: the request has arrived whole and runs.
+	serving
+)
+
+// A Conn is the connection of a client.
+type Conn struct {
+	net.Conn
+	listener *Listener
+	phase    atomic.Int32
+	active   atomic.Int64 // time of the last byte that was received, in Unix nanoseconds
+	blocked  atomic.Int64 // since when a write has waited for the client; zero if none does
+	evicted  atomic.Bool  // its hold was taken back
+
+	// Used by the goroutine that reads the connection.
+	headBytes, headLines int
+	hold                 holding.Hold // of the head and the body of the current request
+
+	writeUntil time.Time // the write deadline; used by the goroutine that writes
+}
+
+func newConn(raw net.Conn, l *Listener) *Conn {
+	c := &Conn{Conn: raw, listener: l, hold: holding.Hold{Budget: l.Budget, Free: freeBytes}}
+	c.hold.Evict = c.evict
+	c.active.Store(time.Now().UnixNano())
+	return c
+}
+
+// evict ends the reading of a request whose hold was taken back.
+func (c *Conn) evict() {
+	c.evicted.Store(true)
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // a read that is blocked returns
+}
+
+// SetReadDeadline keeps the deadline that evict has set.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	if c.evicted.Load() {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Read implements io.Reader. While a head arrives, it accounts for the memory that it will take. A
+// *net.OpError ends the connection without an answer if that is more than the budget allows.
+func (c *Conn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	if n == 0 {
+		return n, err
+	}
+	c.active.Store(time.Now().UnixNano())
+	// While a handler runs, the server reads a single byte in another goroutine to see whether the client
+	// leaves.
+	if p := phase(c.phase.Load()); len(buffer) == 1 || p != waiting && p != inHead {
+		return n, err
+	}
+	c.phase.Store(int32(inHead))
+	c.headBytes += n
+	c.headLines += bytes.Count(buffer[:n], []byte{'\n'})
+	if spent := c.hold.Keep(c.headCost()); spent != nil {
+		c.listener.headsRefused.Add(1)
+		_ = c.Close() // else the server may take the head for a malformed one, and answer that
+		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: spent}
+	}
+	return n, err
+}
+
+// Write implements io.Writer. It fails if the client takes none of writePiece bytes within writeTimeout.
+func (c *Conn) Write(data []byte) (int, error) {
+	written := 0
+	for {
+		now := time.Now()
+		if c.writeUntil.Sub(now) < writeTimeout-time.Second {
+			c.writeUntil = now.Add(writeTimeout)
+			if err := c.Conn.SetWriteDeadline(c.writeUntil); err != nil {
+				return written, err
+			}
+		}
+		c.blocked.Store(now.UnixNano())
+		n, err := c.Conn.Write(data[written:min(len(data), written+writePiece)])
+		c.blocked.Store(0)
+		if written += n; err != nil || written == len(data) {
+			return written, err
+		}
+	}
+}
+
+// headCost returns the memory that the head of the current request takes.
+func (c *Conn) headCost() int { return headCopies*c.headBytes + lineBytes*c.headLines }
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.listener.remove(c)
+	return c.Conn.Close()
+}
+
+// CloseWrite makes the server end its direction first, so that the client reads an answer that was sent before
+// its request was read.
+func (c *Conn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
+// begin records that the head of a request has arrived.
+func (c *Conn) begin(r *http.Request) {
+	if r.ContentLength == 0 {
+		c.arrived()
+		return
+	}
+	c.phase.Store(int32(inBody))
+}
+
+// arrived records that the request has arrived whole.
+func (c *Conn) arrived() {
+	c.hold.Settle()
+	c.phase.Store(int32(serving))
+}
+
+// end releases what the request held. What is left of its body is read and dropped.
+func (c *Conn) end() {
+	c.hold.Release()
+	c.headBytes, c.headLines = 0, 0
+	c.phase.Store(int32(inBody))
+}
+
+// quietSince returns since when nothing has come from the client, or, while it is being served, since when it
+// has read nothing. It reports false if the connection must be kept: its request runs.
+func (c *Conn) quietSince(now time.Time) (since int64, ok bool) {
+	if phase(c.phase.Load()) != serving {
+		return c.active.Load(), true
+	}
+	blocked := c.blocked.Load()
+	return blocked, blocked > 0 && now.Sub(time.Unix(0, blocked)) >= slowReadTime
+}
+
+// Record is the ConnState hook of the server: the next request may come.
+func Record(conn net.Conn, state http.ConnState) {
+	if c, ok := conn.(*Conn); ok && state == http.StateIdle {
+		c.phase.Store(int32(waiting))
+	}
+}
+
+type connKey struct{}
+
+// ConnContext is the ConnContext hook of the server.
+func ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// connOf returns the connection of a request, nil if it did not come through a Listener.
+func connOf(r *http.Request) *Conn {
+	c, _ := r.Context().Value(connKey{}).(*Conn)
+	return c
+}
--- a/hibiscusfront/internal/soak/site_test.go
+++ b/hibiscusfront/internal/soak/site_test.go
@@ -90,6 +90,7 @@
 	callers, directory, ready string
 	store                     *path
 	log                       *os.File
+	backends                  []string // addresses of targets whose connections count as the host's memory
 
 	mu      sync.Mutex
 	process *os.Process
