prompt, plan: long chains of parts no longer fill the planner's memory

The host that selects targets ended when callers sent prompts of thousands of parts of one token, in heads of legal size: it kept a record of each part that it had granted for each engine, and compared each part with all stores and engines.

Evidence: the crowd "prompts of thousands of parts" (90 connections, 300 requests each) on the code before: 1,696 MB of 88; with 600 requests each 3,835 MB and a minute of work.

Fix: a prompt has 64 parts at most; what follows is folded into the last one, and the target still gets an address or "-" for each part that the caller named. The estimate of an engine's cache has 4,096 parts at most. Prompts of the sites have two to four parts, and engines room for a few hundred.

--- a/fleet/plan/cache.go
+++ b/fleet/plan/cache.go
@@ -68,10 +68,22 @@
 	c.put(t, p, cachedPart{tokens: tokens, granted: entry.granted && tokens >= entry.tokens})
 }
 
-// put stores the entry of a part and updates the index.
+// maxCachedParts is how many parts the estimate of one engine has at most. An engine has memory for a few
+// hundred parts of usual prompts; the bound keeps callers with parts of few tokens from filling the
+// planner's memory.
+const maxCachedParts = 4096
+
+// put stores the entry of a part and updates the index. It takes the place of any other entry if there
+// are maxCachedParts.
 func (c *cache) put(t *target, p cachestore.Part, entry cachedPart) {
 	old, ok := c.parts[p]
 	if !ok {
+		if len(c.parts) >= maxCachedParts {
+			for other := range c.parts {
+				c.remove(t, other)
+				break
+			}
+		}
 		if c.parts == nil {
 			c.parts = make(map[cachestore.Part]cachedPart)
 		}
--- a/fleet/prompt/prompt.go
+++ b/fleet/prompt/prompt.go
@@ -26,6 +26,24 @@
 	Parts  []Part
 	Input  fleet.Tokens // tokens of the whole prompt
 	Output fleet.Tokens // maximum number of tokens to generate
+	// Folded is how many parts of the caller's chain the last part stands for, besides itself. Only
+	// the first MaxParts-1 parts of a chain can be shared.
+	Folded int `cbor:",omitempty"`
+}
+
+// MaxParts is the number of parts that a prompt has at most. Callers describe their prompts, and each
+// part of one takes time and memory on the host that selects targets; prompts have a handful.
+const MaxParts = 64
+
+// Append appends a part to the chain. Beyond MaxParts, it is folded into the last part.
+func (p *Prompt) Append(part Part) {
+	if len(p.Parts) < MaxParts {
+		p.Parts = append(p.Parts, part)
+		return
+	}
+	last := &p.Parts[MaxParts-1]
+	last.ID, last.Tokens = part.ID, last.Tokens+part.Tokens
+	p.Folded++
 }
 
 // Shared returns the parts that other requests may share: all but the last.
--- a/hibiscusfront/internal/gateway/attempt.go
+++ b/hibiscusfront/internal/gateway/attempt.go
@@ -110,7 +110,7 @@
 		d.Workspace = c.workspace.ID
 	}
 	if c.Prompt != nil {
-		d.Priority, d.HasPriority = g.Rank, true
+		d.Priority, d.HasPriority, d.Folded = g.Rank, true, c.Prompt.Folded
 	}
 	return &backend.Request{
 		ID: c.ID, Target: g.Target, Address: g.Address, Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host,
--- a/hibiscusfront/internal/soak/crowd_test.go
+++ b/hibiscusfront/internal/soak/crowd_test.go
@@ -275,6 +275,30 @@
 	}
 }
 
+var promptNumber atomic.Int64
+
+// prompts returns as many complete requests, whose prompts have thousands of parts of their own, and
+// the start of one more.
+func prompts(requests int) func(int) []byte {
+	return func(n int) []byte {
+		if n > requests {
+			return nil
+		}
+		var head strings.Builder
+		number := promptNumber.Add(1)
+		head.WriteString(startTo("/talk/x", int(number), "key-w"))
+		fmt.Fprintf(&head, "X-Hibiscuslb-Model: %s\r\nX-Hibiscuslb-Token-Usage: 100,2\r\nX-Hibiscuslb-Prefix-Hash: ", model)
+		for i := 0; head.Len() < crowdHead-200; i++ {
+			fmt.Fprintf(&head, "%x%03x:1,", number, i)
+		}
+		head.WriteString("f:1\r\nContent-Length: 0\r\n\r\n")
+		if n == requests {
+			return []byte(head.String())[:head.Len()-shortOfEnd]
+		}
+		return []byte(head.String())
+	}
+}
+
 // oneChunk returns a body that is one chunk but for its end.
 func oneChunk(length, piece int) func(int) []byte {
 	rest := inPieces(length, piece)
@@ -309,6 +333,7 @@
 		}},
 	{name: "answers that nobody reads", clients: 200, address: toCallers,
 		head: func(client int) string { return startTo("/long/x", client, "key-w") + "Content-Length: 0\r\n\r\n" }},
+	{name: "prompts of thousands of parts", clients: 90, address: toCallers, body: prompts(300), reads: true},
 	{name: "small bodies", clients: 1200, address: toCallers, head: withLength(1 << 10), body: inPieces(1<<10, 1<<10)},
 	{name: "small bodies without a valid key", clients: 1200, address: toCallers, body: inPieces(1<<10, 1<<10),
 		head: func(client int) string { return startOf(client, "none") + "Content-Length: 1024\r\n\r\n" }},
