gateway: a success response without a signature is a failed response

Cause: the gateway relayed each response with the request's ID; nothing looked at the signature.

A 2xx without it is now handled like a missing response: the grant is reported as Failed, a repeatable request goes to another target within its attempts, one that may run once gets 502, a stream before its first event follows the same rules, and a resumption goes on at another target or breaks the stream off. The body is not read, and its connection is closed. ResponsesUnsigned counts such responses by service, and one log line names the target.

The target of FuzzRequest and the test servers in withdraw_test.go and backend_test.go answered 2xx without a signature and now send one.

--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -113,7 +113,8 @@
 	Done
 	// Rejected means that the target has not run the request.
 	Rejected
-	// Failed means that the answer ended early, or that there was none.
+	// Failed means that the answer ended early, that it has a success status and no
+	// signature, or that there was none.
 	Failed
 	// Unreachable means that no connection to the target could be established.
 	Unreachable
--- a/hibiscusfront/internal/backend/backend.go
+++ b/hibiscusfront/internal/backend/backend.go
@@ -12,6 +12,9 @@
 // unread bytes is not reused. No ID is sent twice on a connection, and an error
 // response without an ID counts only on a connection that had no request before.
 // Otherwise an earlier refusal could pass for one of a request that runs.
+//
+// A connection is not reused after a success response without a signature, since its
+// target may have lost or added other bytes as well.
 package backend
 
 import (
@@ -139,7 +142,7 @@
 
 // An Exchange is a request whose response header was received. Read returns the
 // response body. Close must be called; it closes the connection unless the
-// response was read to its end.
+// response was read to its end and passes CheckSignature.
 type Exchange struct {
 	Status          int
 	Header          http.Header
@@ -264,7 +267,7 @@
 // Close ends the exchange and returns the connection to the pool if it can be reused.
 func (e *Exchange) Close() {
 	e.conn.head.hold.Release()
-	if !e.cancelAutoClose() || !e.complete || len(e.conn.sent) >= maxConnRequests || e.response.Close || e.Answer.Close || e.conn.reader.Buffered() > 0 || !e.requestSent() {
+	if !e.cancelAutoClose() || !e.complete || len(e.conn.sent) >= maxConnRequests || e.CheckSignature() != nil || e.response.Close || e.Answer.Close || e.conn.reader.Buffered() > 0 || !e.requestSent() {
 		_ = e.conn.Close() // no more data is expected on it
 		return
 	}
--- a/hibiscusfront/internal/backend/backend_test.go
+++ b/hibiscusfront/internal/backend/backend_test.go
@@ -53,7 +53,7 @@
 }
 
 func writeResponse(conn net.Conn, id, body string) {
-	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Hibiscuslb-Request-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Hibiscuslb-Request-Id: %s\r\nX-Hibiscuslb-Response-Signature: p\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
 
 func newRequest(address fleet.Address, id string) *backend.Request {
--- a/hibiscusfront/internal/gateway/attempt.go
+++ b/hibiscusfront/internal/gateway/attempt.go
@@ -69,10 +69,15 @@
 		c.discard(exchange)
 		return true, nil
 	}
+	if err := exchange.CheckSignature(); err != nil {
+		// The body is not read: closing the exchange closes the connection.
+		c.Meter.RecordUnsigned(c.service)
+		return c.targetFailed(g, err)
+	}
 	return c.relay(g, exchange)
 }
 
-// targetFailed handles a missing or truncated response. It reports whether the
+// targetFailed handles a missing, truncated or unsigned response. It reports whether the
 // request should be sent to another target.
 func (c *call) targetFailed(g *plan.Grant, err error) (retry bool, refusal *fleet.RefusalError) {
 	if refusal := c.contextRefusal(); refusal != nil {
@@ -80,7 +85,12 @@
 		return false, refusal
 	}
 	c.report(plan.Failed)
-	c.logFailedAttempt(g, "no complete response from the target", err)
+	message := "no complete response from the target"
+	var unsigned *backend.UnsignedError
+	if errors.As(err, &unsigned) {
+		message = "target sent a success response without a signature"
+	}
+	c.logFailedAttempt(g, message, err)
 	if c.mayRepeat() {
 		return true, nil
 	}
--- a/hibiscusfront/internal/gateway/fuzz_test.go
+++ b/hibiscusfront/internal/gateway/fuzz_test.go
@@ -131,6 +131,7 @@
 		ran = append(ran, r)
 		mu.Unlock()
 		w.Header().Set("X-Hibiscuslb-Request-Id", r.Header.Get("X-Hibiscuslb-Request-Id"))
+		w.Header().Set(signatureHeader, "p")
 	}))
 	f.Cleanup(target.Close)
 	var closed closeTracker
@@ -172,12 +173,13 @@
 }
 
 // FuzzAnswer answers with arbitrary bytes as a target. It checks that the caller
-// gets a success status only for a complete response to its own request.
+// gets a success status only for a complete and signed response to its own request.
 func FuzzAnswer(f *testing.F) {
 	const good = "HTTP/1.1 200 OK\r\nX-Hibiscuslb-Request-Id: a1\r\nX-Hibiscuslb-Response-Signature: p\r\n"
 	for _, seed := range []string{
 		good + "Content-Length: 4\r\n\r\nbody",
 		good + "Content-Length: 9\r\n\r\nbody",
+		"HTTP/1.1 200 OK\r\nX-Hibiscuslb-Request-Id: a1\r\nContent-Length: 4\r\n\r\nbody",
 		good + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
 		good + "Transfer-Encoding: chunked\r\n\r\n4\r\nbo",
 		good + "\r\nuntil the end",
@@ -236,7 +238,7 @@
 		if err != nil || got.StatusCode >= http.StatusMultipleChoices {
 			return // a truncated response or an error status, both of which the caller can recognize
 		}
-		if got.Header.Get("X-Hibiscuslb-Request-Id") != "a1" || !strings.Contains(string(bytes), string(body)) && !strings.Contains(strings.ToLower(string(bytes)), "chunked") {
+		if got.Header.Get("X-Hibiscuslb-Request-Id") != "a1" || got.Header.Get(signatureHeader) == "" || !strings.Contains(string(bytes), string(body)) && !strings.Contains(strings.ToLower(string(bytes)), "chunked") {
 			t.Fatalf("target sent %q: caller got status %d, body %q, header %v", bytes, got.StatusCode, body, got.Header)
 		}
 	})
--- a/hibiscusfront/internal/gateway/gateway.go
+++ b/hibiscusfront/internal/gateway/gateway.go
@@ -10,7 +10,8 @@
 // Invariants: a request that may not be repeated is sent again only after its
 // target has reported that it did not run it. The outcome "not run" is returned
 // only for requests that no target has run or may have run. The caller can
-// always tell a truncated response from a complete one.
+// always tell a truncated response from a complete one. No part of a success
+// response without a signature reaches the caller.
 package gateway
 
 import (
@@ -74,6 +75,9 @@
 	RecordSend(repeat, planned bool)
 	// RecordResponse counts a response that a target sent, by its framing.
 	RecordResponse(framing backend.Framing)
+	// RecordUnsigned counts a response that was not accepted because it has a success
+	// status and no signature, by the service of its target.
+	RecordUnsigned(service route.ServiceID)
 	// RecordEnd records the result of a request, with the time to the first part
 	// of the response and the total time. The first part of a stream is its first
 	// event or bytes, that of another response its body, or the start of a long
--- a/hibiscusfront/internal/gateway/gateway_test.go
+++ b/hibiscusfront/internal/gateway/gateway_test.go
@@ -76,6 +76,7 @@
 func (discardMeter) RecordChoice(fleet.WorkspaceID, string, time.Duration) {}
 func (discardMeter) RecordSend(bool, bool)                                 {}
 func (discardMeter) RecordResponse(backend.Framing)                        {}
+func (discardMeter) RecordUnsigned(route.ServiceID)                        {}
 
 func (discardMeter) RecordEnd(fleet.WorkspaceID, string, int, fleet.Reason, time.Duration, time.Duration) {
 }
@@ -86,6 +87,7 @@
 	url      string
 	log      testlog.Lines
 	received chan http.Header // request headers that targets received
+	meter    unsignedCounter
 }
 
 func startGateway(t *testing.T, r route.Route, handlers ...http.HandlerFunc) *fixture {
@@ -117,7 +119,7 @@
 	})
 	front := httptest.NewServer(&gateway.Gateway{
 		View: func() *view.View { return &view.View{Table: table} }, Chooser: b.scriptedChooser, Pool: new(backend.Pool),
-		Meter: discardMeter{}, Log: b.log.Logger(), Departure: new(departure.Departure),
+		Meter: &b.meter, Log: b.log.Logger(), Departure: new(departure.Departure),
 	})
 	t.Cleanup(front.Close)
 	b.url = front.URL
--- a/hibiscusfront/internal/gateway/withdraw_test.go
+++ b/hibiscusfront/internal/gateway/withdraw_test.go
@@ -57,10 +57,12 @@
 					return
 				}
 				w.Header().Set("X-Hibiscuslb-Request-Id", r.Header.Get("X-Hibiscuslb-Request-Id"))
+				w.Header().Set(signatureHeader, "p")
 			}))
 			t.Cleanup(first.Close)
 			second := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				w.Header().Set("X-Hibiscuslb-Request-Id", r.Header.Get("X-Hibiscuslb-Request-Id"))
+				w.Header().Set(signatureHeader, "p")
 			}))
 			t.Cleanup(second.Close)
 			test.grant.Number, test.grant.Target, test.grant.Address = 1, "busy", fleet.Address(strings.TrimPrefix(first.URL, "http://"))
--- a/hibiscusfront/internal/host/meters.go
+++ b/hibiscusfront/internal/host/meters.go
@@ -9,6 +9,7 @@
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/meter"
+	"hibiscuslb/fleet/route"
 	"hibiscuslb/hibiscusfront/internal/backend"
 	"hibiscuslb/hibiscusfront/internal/departure"
 	"hibiscuslb/hibiscusfront/internal/gateway"
@@ -20,7 +21,7 @@
 type meters struct {
 	first, total, choice       meter.Histograms // by workspace and route
 	ended, refused             meter.Counter
-	sent, responses            meter.Counter
+	sent, responses, unsigned  meter.Counter
 	orders                     *meter.Counter // of the planner
 	storeCalls, planned, state meter.Counter
 	connections                meter.Counter // of callers, that ended
@@ -38,6 +39,7 @@
 		refused:     meter.Counter{Name: "RequestsRefused", Labels: []string{"Reason", "Route"}},
 		sent:        meter.Counter{Name: "RequestsSent", Labels: []string{"Try", "Chooser"}},
 		responses:   meter.Counter{Name: "ResponsesReceived", Labels: []string{"Framing"}},
+		unsigned:    meter.Counter{Name: "ResponsesUnsigned", Labels: []string{"Service"}},
 		orders:      orders,
 		storeCalls:  meter.Counter{Name: "StoreCalls", Labels: []string{"Operation", "Result"}},
 		planned:     meter.Counter{Name: "Planned", Labels: []string{"What"}},
@@ -55,7 +57,7 @@
 }
 
 func (m *meters) counters() []*meter.Counter {
-	return []*meter.Counter{&m.ended, &m.refused, &m.sent, &m.responses, m.orders, &m.storeCalls, &m.planned, &m.state, &m.connections}
+	return []*meter.Counter{&m.ended, &m.refused, &m.sent, &m.responses, &m.unsigned, m.orders, &m.storeCalls, &m.planned, &m.state, &m.connections}
 }
 
 func (m *meters) histograms() map[string]*meter.Histograms {
@@ -96,6 +98,9 @@
 // RecordResponse implements gateway.Meter.
 func (m *meters) RecordResponse(framing backend.Framing) { m.responses.Add(1, framing.String()) }
 
+// RecordUnsigned implements gateway.Meter.
+func (m *meters) RecordUnsigned(service route.ServiceID) { m.unsigned.Add(1, string(service)) }
+
 // handler serves the metrics as text on /metrics and as JSON on /debug/vars, the
 // path of package expvar.
 func (m *meters) handler() http.Handler {
--- a/hibiscusfront/internal/host/meters_test.go
+++ b/hibiscusfront/internal/host/meters_test.go
@@ -41,6 +41,7 @@
 	m.RecordSend(false, true)
 	m.RecordSend(true, false)
 	m.RecordResponse(backend.FramedByClose)
+	m.RecordUnsigned("kahu34a")
 	orders.Add(1, "accepted")
 
 	text := get(t, m, "/metrics")
@@ -52,6 +53,7 @@
 		`RequestsSent{Try="first",Chooser="planner"} 1`,
 		`RequestsSent{Try="repeat",Chooser="host"} 1`,
 		`ResponsesReceived{Framing="close"} 1`,
+		`ResponsesUnsigned{Service="kahu34a"} 1`,
 		`StoreCalls{Operation="watch",Result="done"} 12`,
 		`WeightOrders{Result="accepted"} 1`,
 		`FirstPieceCount{Series="kypseli/chat"} 1`,
