gateway: a grant whose salt a newer configuration forbids is not sent

Callers saw nothing; engines did. A request was granted under one configuration and sent with the granted salt, whatever configuration the sending host had in force by then. A workspace that had just been isolated so used parts that others had made, and others those of a workspace just isolated.

Cause: isolation was decided when the grant was asked for. Between the decision and the first byte lie the way of the grant to the host (up to the time in the queue and 60 ms), for a local choice the calls to the planner and to deputies that came first, and the dial of the target (up to 400 ms). A host that is suspended in between may send any time later.

Fix: a grant names the configuration that its salt was made under. When there is a connection, and before the first byte is written, the host compares that with the newest configuration it knows. If the salt would differ, the grant is reported as rejected and another one is asked for; the target is not avoided, and the attempt is no repeat. A change that leaves the salt as it is costs nothing.

--- a/fleet/plan/admission.go
+++ b/fleet/plan/admission.go
@@ -207,7 +207,7 @@
 	ag := &activeGrant{req: req, target: t, software: t.Software, grantedAt: now, readTokens: c.readTokens, firstPiece: c.firstPiece, fetchTime: c.fetchTime, transfer: c.transferTime, slowdown: 1}
 	if p := req.Prompt; p != nil && t.isEngine() {
 		g.Version = t.version(p.Model)
-		g.Salt = c.chain.salt
+		g.Salt, g.Configuration = c.chain.salt, req.Configuration
 		if latest, limited := f.model(p.Model).announced.LatestStart(g.Version, f.WeightsBound); limited {
 			g.StartWithin = max(1, latest.Sub(now))
 		}
--- a/fleet/plan/isolation.go
+++ b/fleet/plan/isolation.go
@@ -20,6 +20,8 @@
 //     same parts.
 //   - Hosts disagree for a moment: a request that was made under an older configuration waits in
 //     the queue, is asked at a deputy, or is asked again. The newer configuration counts.
+//   - A configuration is replaced between a grant and its sending, while the grant is on its way
+//     to the host or the target is dialled. Such a grant is given back, see AllowedUnder.
 
 // An Isolation tells with whom a request may share cached parts, as of a configuration.
 type Isolation struct {
@@ -50,6 +52,17 @@
 	return &renewed
 }
 
+// AllowedUnder reports whether a request with the grant may still be sent by a host that knows the
+// configuration, which may be nil: whether the configuration is no newer than the one that the
+// salt was made under, or gives the request the same salt. A grant that is not allowed is of no
+// use with another salt, since its fetches and saves were reserved under its own.
+func (g *Grant) AllowedUnder(table *route.Table, model fleet.ModelID, workspace fleet.WorkspaceID) bool {
+	if g.Salt == "" || table == nil || table.Number <= g.Configuration {
+		return true
+	}
+	return g.Salt == Salt(model, g.Version, workspace, IsolationOf(table, workspace))
+}
+
 // Salt returns the cache salt of a request. Requests with the same salt may share
 // cached parts: those on the same version of a model's weights, and only those of
 // the same workspace if it is isolated. The others share parts that were made under the
--- a/fleet/plan/isolation_test.go
+++ b/fleet/plan/isolation_test.go
@@ -95,6 +95,7 @@
 			require.True(t, ok)
 			require.Same(t, req, decision.Request)
 			require.Equal(t, plan.Salt(model, 1, test.workspace, plan.IsolationOf(test.want, test.workspace)), decision.Grant.Salt)
+			require.Equal(t, test.want.Number, decision.Grant.Configuration)
 		})
 	}
 	t.Run("replaced while the request waits", func(t *testing.T) {
@@ -128,3 +129,27 @@
 	require.False(t, plan.IsolationOf(table, "").Isolated)
 	require.False(t, plan.IsolationOf(table, "").Sharing == "")
 }
+
+// TestGrantAllowedUnderConfiguration guards against a grant that is used although a configuration
+// that its host knows by now gives the request another salt, and against grants that are given
+// back for nothing.
+func TestGrantAllowedUnderConfiguration(t *testing.T) {
+	granted := configurationOf(5, false, false)
+	for _, test := range []struct {
+		name  string
+		known *route.Table
+		want  bool
+	}{
+		{"none", nil, true},
+		{"the same", granted, true},
+		{"older", configurationOf(4, true, false), true},
+		{"newer, nobody isolated", configurationOf(6, false, false), true},
+		{"newer, the workspace isolated", configurationOf(6, true, false), false},
+		{"newer, another one isolated", configurationOf(6, false, true), false},
+		{"newer, without the workspace", configurationOf(6), false},
+	} {
+		g := &plan.Grant{Version: 1, Salt: plan.Salt(model, 1, "w0", plan.IsolationOf(granted, "w0")), Configuration: 5}
+		require.Equal(t, test.want, g.AllowedUnder(test.known, model, "w0"), test.name)
+	}
+	require.True(t, new(plan.Grant).AllowedUnder(configurationOf(6, true), model, "w0"), "uses no cache")
+}
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -86,6 +86,8 @@
 	// StartWithin is the time from the grant in which the run has to start, since newer
 	// weights than Version were announced; zero for no limit.
 	StartWithin time.Duration `cbor:",omitempty"`
+	// Configuration is the number of the one that Salt was made under.
+	Configuration fleet.Version `cbor:",omitempty"`
 
 	// By is the address of the host that made the grant; empty if the host of
 	// the request chose the target without a planner. It is set by the host
--- a/hibiscusfront/internal/backend/backend.go
+++ b/hibiscusfront/internal/backend/backend.go
@@ -42,7 +42,7 @@
 }
 
 func (e *NotSentError) Error() string {
-	return fmt.Sprintf("target %s: request not sent, no connection: %v", e.Target, e.Cause)
+	return fmt.Sprintf("target %s: request not sent: %v", e.Target, e.Cause)
 }
 
 // Unwrap returns the cause.
@@ -78,6 +78,9 @@
 	// connection that is new or was idle for at most sendOnceMaxIdle: if the
 	// target closes an idle connection just then, the request is lost.
 	SendOnce bool
+	// Check is called when there is a connection, immediately before the request is written;
+	// if it returns an error, nothing is written. It may be nil.
+	Check func() error
 }
 
 const (
@@ -163,6 +166,12 @@
 	if err != nil {
 		return nil, &NotSentError{r.Target, err}
 	}
+	if r.Check != nil {
+		if err := r.Check(); err != nil {
+			_ = c.Close() // nothing is expected on it
+			return nil, &NotSentError{r.Target, err}
+		}
+	}
 	c.sent = append(c.sent, idHash(r.ID))
 	e := &Exchange{pool: p, key: k, conn: c, writeResult: make(chan error, 1)}
 	e.cancelAutoClose = context.AfterFunc(ctx, func() { _ = c.Close() }) // closing twice is harmless
--- a/hibiscusfront/internal/backend/backend_test.go
+++ b/hibiscusfront/internal/backend/backend_test.go
@@ -174,6 +174,35 @@
 	require.ErrorAs(t, err, &unsent)
 }
 
+// TestCheckPrecedesEachByte guards against a request that is sent although what it was granted
+// under has changed while its target was dialled.
+func TestCheckPrecedesEachByte(t *testing.T) {
+	var received atomic.Int32
+	address, _ := startTarget(t, func(conn net.Conn, reader *bufio.Reader) {
+		if _, ok := readRequest(reader); ok {
+			received.Add(1)
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Hibiscuslb-Request-Id: 2\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	var pool backend.Pool
+	r := newRequest(address, "1")
+	dials := uint64(0)
+	r.Check = func() error {
+		dials = pool.Dials
+		return io.ErrNoProgress
+	}
+	_, err := send(t, &pool, r)
+	var unsent *backend.NotSentError
+	require.ErrorAs(t, err, &unsent)
+	require.ErrorIs(t, err, io.ErrNoProgress)
+	require.Equal(t, uint64(1), dials, "checked before the connection")
+	r = newRequest(address, "2")
+	r.Check = func() error { return nil }
+	_, err = send(t, &pool, r)
+	require.NoError(t, err)
+	require.Equal(t, int32(1), received.Load())
+}
+
 func TestTruncatedResponseIsUnexpectedEOF(t *testing.T) {
 	tests := map[string]string{
 		"length":  "HTTP/1.1 200 OK\r\nX-Hibiscuslb-Request-Id: 1\r\nContent-Length: 10\r\n\r\nhalf",
--- a/hibiscusfront/internal/chooser/chooser.go
+++ b/hibiscusfront/internal/chooser/chooser.go
@@ -77,6 +77,10 @@
 func (c *Chooser) Choose(ctx context.Context, v *view.View, req *plan.Request) plan.Decision {
 	c.starts.follow(v.Duty.Address)
 	decision := c.choose(ctx, v, req)
+	if decision.Grant != nil {
+		// A planner of an earlier version does not name it, but follows the newer of the two.
+		decision.Grant.Configuration = max(decision.Grant.Configuration, req.Configuration)
+	}
 	if decision.Grant != nil && req.Resumable {
 		start := req.Start(decision.Grant.Software)
 		decision.Grant.Stream = &start
--- a/hibiscusfront/internal/chooser/local.go
+++ b/hibiscusfront/internal/chooser/local.go
@@ -72,7 +72,7 @@
 	g := &plan.Grant{Target: t.ID, Address: t.Address, Service: req.Service, Rank: min(req.Rank, plan.MaxRank), Software: t.Software}
 	if req.Prompt != nil {
 		g.Version = t.Version(req.Prompt.Model)
-		g.Salt = plan.Salt(req.Prompt.Model, g.Version, req.Workspace, req.Isolation)
+		g.Salt, g.Configuration = plan.Salt(req.Prompt.Model, g.Version, req.Workspace, req.Isolation), req.Configuration
 	}
 	return plan.Decision{Request: req, Grant: g}
 }
--- a/hibiscusfront/internal/gateway/attempt.go
+++ b/hibiscusfront/internal/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"time"
 
@@ -30,6 +31,7 @@
 	if err != nil {
 		var notSent *backend.NotSentError
 		var late *LateStartError
+		var replaced *ReplacedConfigurationError
 		unsent := errors.As(err, &notSent)
 		withdrawn := errors.As(context.Cause(limit.ctx), &late) && c.contextRefusal() == nil
 		switch {
@@ -37,8 +39,13 @@
 			c.sends--
 			c.outcome = before
 			progress, message := plan.Unreachable, "request not sent: no connection to the target"
-			if withdrawn {
+			switch {
+			case withdrawn:
 				progress, message = plan.Rejected, "request withdrawn before it was sent to the target"
+			case errors.As(err, &replaced):
+				// The target has refused nothing, so it may be chosen again.
+				c.tried = c.tried[:len(c.tried)-1]
+				progress, message = plan.Rejected, "grant given back: the configuration changed before the request was sent"
 			}
 			c.report(progress)
 			c.logFailedAttempt(g, message, err)
@@ -115,5 +122,25 @@
 	return &backend.Request{
 		ID: c.ID, Target: g.Target, Address: g.Address, Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host,
 		Header: platform.ForwardHeaders(c.r.Header, d), Body: c.body, SendOnce: !c.route.Repeatable(),
+		Check: func() error { return c.checkSalt(g) },
 	}
 }
+
+// A ReplacedConfigurationError ends an attempt before the request is sent: the configuration that
+// this host knows by now gives the request another salt than the one that was granted.
+type ReplacedConfigurationError struct {
+	Granted, Known fleet.Version // numbers of configurations
+}
+
+func (e *ReplacedConfigurationError) Error() string {
+	return fmt.Sprintf("granted under configuration %d, replaced by %d, which separates the request from other cached parts", e.Granted, e.Known)
+}
+
+// checkSalt returns a *ReplacedConfigurationError if the granted salt may not be used any more.
+func (c *call) checkSalt(g *plan.Grant) error {
+	table := c.View().Table
+	if c.Prompt == nil || g.AllowedUnder(table, c.Prompt.Model, c.workspaceID()) {
+		return nil
+	}
+	return &ReplacedConfigurationError{Granted: g.Configuration, Known: table.Number}
+}
--- a/hibiscusfront/internal/gateway/gateway_test.go
+++ b/hibiscusfront/internal/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,7 +35,8 @@
 	refusal  *fleet.RefusalError
 	reports  map[plan.GrantNumber][]plan.Progress
 	requests []plan.Request
-	notices  []intake.Notice // of all answers
+	notices  []intake.Notice  // of all answers
+	chosen   func(choice int) // called after each grant was made; may be nil
 }
 
 func (c *scriptedChooser) Choose(_ context.Context, _ *view.View, req *plan.Request) plan.Decision {
@@ -46,6 +48,9 @@
 	}
 	g := c.grants[0]
 	c.grants = c.grants[1:]
+	if c.chosen != nil {
+		c.chosen(len(c.requests))
+	}
 	return plan.Decision{Request: req, Grant: &g}
 }
 
@@ -86,6 +91,7 @@
 	url      string
 	log      testlog.Lines
 	received chan http.Header // request headers that targets received
+	table    atomic.Pointer[route.Table]
 }
 
 func startGateway(t *testing.T, r route.Route, handlers ...http.HandlerFunc) *fixture {
@@ -115,8 +121,9 @@
 		Number: 1, Routes: []route.Route{r}, Limits: route.Limits{Body: 1000},
 		Workspaces: []route.Workspace{{ID: "w", Keys: []route.Key{"k"}}},
 	})
+	b.table.Store(table)
 	front := httptest.NewServer(&gateway.Gateway{
-		View: func() *view.View { return &view.View{Table: table} }, Chooser: b.scriptedChooser, Pool: new(backend.Pool),
+		View: func() *view.View { return &view.View{Table: b.table.Load()} }, Chooser: b.scriptedChooser, Pool: new(backend.Pool),
 		Meter: discardMeter{}, Log: b.log.Logger(), Departure: new(departure.Departure),
 	})
 	t.Cleanup(front.Close)
