gateway: a request with a prompt that is not decoded uses its workspace's own cache

A request whose description of its prompt this host can't decode (a part without tokens or an ID, a first header line that is empty) was decided on as if it had no prompt, and sent without a salt. The description itself is forwarded unchanged.

Fix: such a request carries a salt of its workspace alone, which differs from all others, whatever the configuration says. The request is served as before.

--- a/fleet/plan/isolation.go
+++ b/fleet/plan/isolation.go
@@ -79,6 +79,13 @@
 	return salt
 }
 
+// UndecodedSalt returns the cache salt of a workspace's requests whose prompt can't be decoded. They
+// are decided on as if they had none, while engines may still find parts in it. As the model
+// is not known, it differs from each Salt, and the workspace shares it with no other.
+func UndecodedSalt(workspace fleet.WorkspaceID) string {
+	return Salt("", 0, workspace, Isolation{Isolated: true})
+}
+
 // saltSeparator separates model and version in a salt.
 const saltSeparator = "@"
 
--- a/hibiscusfront/internal/gateway/attempt.go
+++ b/hibiscusfront/internal/gateway/attempt.go
@@ -116,6 +116,9 @@
 	if c.workspace != nil {
 		d.Workspace = c.workspace.ID
 	}
+	if c.Undecoded {
+		d.Salt = plan.UndecodedSalt(c.workspaceID())
+	}
 	if c.Prompt != nil {
 		d.Priority, d.HasPriority = g.Rank, true
 	}
--- a/hibiscusfront/internal/gateway/isolation_test.go
+++ b/hibiscusfront/internal/gateway/isolation_test.go
@@ -131,3 +131,29 @@
 	require.Equal(t, http.StatusOK, status)
 	require.Len(t, b.requests, 1)
 }
+
+// TestPromptThatIsNotDecodedUsesOwnCache guards against requests whose prompt this host can't
+// decode, but engines may: they were sent without a salt, so that all workspaces shared what
+// engines keep under none.
+func TestPromptThatIsNotDecodedUsesOwnCache(t *testing.T) {
+	for _, test := range []struct {
+		name, chain, salt string
+	}{
+		{"no tokens", "file", "@0/w"},
+		{"empty part", "file:15,,own:5", "@0/w"},
+		{"no ID", ":15", "@0/w"},
+		{"decoded", "file:15,own:5", "m@1"},
+		{"none", "", ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := startGateway(t, route.Route{Kind: route.NonIdempotent}, respondOK)
+			if test.name == "decoded" {
+				b.grants[0].Version, b.grants[0].Salt = 1, "m@1"
+			}
+			status, _, _, err := b.tryCallWith(t, "k", map[string]string{"X-Hibiscuslb-Prefix-Hash": test.chain, "X-Hibiscuslb-Model": "m"})
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, status)
+			require.Equal(t, test.salt, (<-b.received).Get("X-Hibiscuslb-Cache-Salt"))
+		})
+	}
+}
