plan: names are escaped in salts

Two isolated workspaces whose names differ in white space at an end ("w", "w ") or in the kind of white space ("a b", "a\nb") got salts that are the same once they have passed a header, and shared cached parts. A model named "m@1/w" could likewise get the salt of model "m" for workspace "w@1". Parts of a model with "/" or "@" in its name were not recognized in lists of cache stores, and freed at once.

Cause: model and workspace were put into the salt as they are. Fix: both are escaped as in a query; names of letters, digits, ".", "-", "_" and "~" give the salts that they gave before.

plan/TestSaltsOfOddNamesDiffer failed before ("m@1/w" of "w" is also that of "w "), and plan/TestStoresKeepPartsOfOddModels (a part of "org/m" was freed).

--- a/fleet/plan/isolation.go
+++ b/fleet/plan/isolation.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"net/url"
 	"strconv"
 	"strings"
 
@@ -68,11 +69,14 @@
 // the same workspace if it is isolated. The others share parts that were made under the
 // same Sharing, since what a workspace made before it was isolated stays in engines and
 // stores.
+//
+// Names are escaped: headers lose white space at the ends of a salt, and names may contain
+// separators. Either could make the salts of two workspaces the same.
 func Salt(model fleet.ModelID, version uint64, workspace fleet.WorkspaceID, isolation Isolation) string {
 	salt := versionSalt(model, version)
 	switch {
 	case isolation.Isolated:
-		salt += workspaceSeparator + string(workspace)
+		salt += workspaceSeparator + url.QueryEscape(string(workspace))
 	case isolation.Sharing != "":
 		salt += sharingSeparator + string(isolation.Sharing)
 	}
@@ -98,7 +102,7 @@
 
 // versionSalt returns the salt of a version of a model's weights.
 func versionSalt(id fleet.ModelID, version uint64) string {
-	return string(id) + saltSeparator + strconv.FormatUint(version, 10)
+	return url.QueryEscape(string(id)) + saltSeparator + strconv.FormatUint(version, 10)
 }
 
 // parseSalt returns the model and version of a salt, the Sharing if it has one, and whether it
@@ -109,6 +113,10 @@
 	if !ok {
 		return "", 0, "", false
 	}
+	id, err := url.QueryUnescape(id)
+	if err != nil {
+		return "", 0, "", false
+	}
 	text, sharing, _ := strings.Cut(text, sharingSeparator)
 	version, err := strconv.ParseUint(text, 10, 64)
 	return fleet.ModelID(id), version, route.Sharing(sharing), err == nil
--- a/fleet/plan/isolation_test.go
+++ b/fleet/plan/isolation_test.go
@@ -1,14 +1,19 @@
 package plan_test
 
 import (
+	"bufio"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"net/textproto"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/cachestore"
 	"hibiscuslb/fleet/plan"
 	"hibiscuslb/fleet/route"
 )
@@ -153,3 +158,46 @@
 	}
 	require.True(t, new(plan.Grant).AllowedUnder(configurationOf(6, true), model, "w0"), "uses no cache")
 }
+
+// overHeader returns a text as it arrives in a header of HTTP/1.1.
+func overHeader(t *testing.T, text string) string {
+	t.Helper()
+	var b strings.Builder
+	require.NoError(t, http.Header{"Salt": {text}}.Write(&b))
+	h, err := textproto.NewReader(bufio.NewReader(strings.NewReader(b.String() + "\r\n"))).ReadMIMEHeader()
+	require.NoError(t, err)
+	return h.Get("Salt")
+}
+
+// TestSaltsOfOddNamesDiffer guards against isolated workspaces that share a cache since their
+// salts become the same in a header, or since a separator is part of a name.
+func TestSaltsOfOddNamesDiffer(t *testing.T) {
+	salts := make(map[string]string)
+	for _, m := range []fleet.ModelID{"m", "org/m", "m@1", "m@1/w", "m~", " m", "m\n"} {
+		for _, w := range []fleet.WorkspaceID{"w", " w", "w ", "w\t", "w\n", "w\r", "a b", "a\nb", "a+b", "a%20b", "w@1", "w~", "ä", ""} {
+			name := fmt.Sprintf("%q %q", m, w)
+			salt := overHeader(t, plan.Salt(m, 1, w, plan.Isolation{Isolated: true}))
+			require.Empty(t, salts[salt], "salt %q is also that of %s", salt, name)
+			salts[salt] = name
+		}
+		for _, sharing := range []route.Sharing{"", "ab"} {
+			salt := overHeader(t, plan.Salt(m, 1, "w", plan.Isolation{Sharing: sharing}))
+			require.Empty(t, salts[salt], "salt %q is also that of %q shared", salt, m)
+			salts[salt] = fmt.Sprintf("%q shared", m)
+		}
+	}
+	require.Equal(t, "m@1/pulo780", plan.Salt("m", 1, "pulo780", plan.Isolation{Isolated: true}), "usual names stay readable")
+}
+
+// TestStoresKeepPartsOfOddModels guards against parts that are freed at once since the model of
+// their salt is not recognized.
+func TestStoresKeepPartsOfOddModels(t *testing.T) {
+	f := newFleet(t, engines(1))
+	s := f.StoreInventory(nearStore)
+	for i, m := range []fleet.ModelID{"m", "org/m", "m@1", "m~", " m"} {
+		p := cachestore.Part{Salt: plan.Salt(m, 1, "w", plan.Isolation{}), ID: "a"}
+		s.ApplyStored(at(0), 1, uint64(i+1), p, 100)
+		require.True(t, s.Readable(p))
+		require.Empty(t, f.Evictions(at(second)), "%q", m)
+	}
+}
