route: a workspace with several entries is isolated if one of them says so

In a configuration that names a workspace twice, the last entry decided whether it is isolated, while the set of isolated workspaces had it in any case. Its requests then used the cache that the others share, under a set that says it does not.

plan/TestWorkspaceIsIsolatedIfOneEntryIsolatesIt failed before (isolated first, then not). plan/TestWorkspaceWithoutKeysStaysIsolated guards a related rule, which held: a workspace without keys stays in the set. It fails if the set leaves such workspaces out.

--- a/fleet/plan/isolation_test.go
+++ b/fleet/plan/isolation_test.go
@@ -201,3 +201,30 @@
 		require.Empty(t, f.Evictions(at(second)), "%q", m)
 	}
 }
+
+// TestWorkspaceIsIsolatedIfOneEntryIsolatesIt guards against a configuration that names a workspace
+// twice, whose last entry decided alone.
+func TestWorkspaceIsIsolatedIfOneEntryIsolatesIt(t *testing.T) {
+	for _, isolated := range [][]bool{{true, false}, {false, true}} {
+		config := route.Config{Number: 1}
+		for i, set := range isolated {
+			config.Workspaces = append(config.Workspaces, route.Workspace{ID: "w", Keys: []route.Key{route.Key(fmt.Sprint("k", i))}, Isolated: set})
+		}
+		table := route.NewTable(config)
+		require.True(t, plan.IsolationOf(table, "w").Isolated, "%v", isolated)
+		require.Equal(t, fleet.WorkspaceID("w"), table.Workspace("k1").ID)
+	}
+}
+
+// TestWorkspaceWithoutKeysStaysIsolated guards against a set of isolated workspaces that goes back
+// to an earlier one while a workspace has no keys: others would find what it made under that one.
+func TestWorkspaceWithoutKeysStaysIsolated(t *testing.T) {
+	withKeys := func(number fleet.Version, keys ...route.Key) *route.Table {
+		return route.NewTable(route.Config{Number: number, Workspaces: []route.Workspace{{ID: "w", Keys: keys, Isolated: true}, {ID: "v"}}})
+	}
+	lost, regained := withKeys(2), withKeys(3, "new")
+	require.Equal(t, withKeys(1, "old").Sharing(), lost.Sharing())
+	require.NotEmpty(t, lost.Sharing())
+	require.True(t, plan.IsolationOf(lost, "w").Isolated)
+	require.Equal(t, plan.IsolationOf(regained, "w").Sharing, plan.IsolationOf(lost, "w").Sharing)
+}
--- a/fleet/route/route.go
+++ b/fleet/route/route.go
@@ -204,7 +204,10 @@
 		t.services[t.Services[i].ID] = &t.Services[i]
 	}
 	for i := range t.Workspaces {
-		t.byID[t.Workspaces[i].ID] = &t.Workspaces[i]
+		// A workspace that has several entries is isolated if one of them says so.
+		if known := t.byID[t.Workspaces[i].ID]; known == nil || !known.Isolated {
+			t.byID[t.Workspaces[i].ID] = &t.Workspaces[i]
+		}
 		for _, key := range t.Workspaces[i].Keys {
 			t.workspaces[key] = &t.Workspaces[i]
 		}
