--- a/fleet/plan/isolation_test.go
+++ b/fleet/plan/isolation_test.go
@@ -228,3 +228,37 @@
 	require.True(t, plan.IsolationOf(lost, "w").Isolated)
 	require.Equal(t, plan.IsolationOf(regained, "w").Sharing, plan.IsolationOf(lost, "w").Sharing)
 }
+
+// TestFetchUnderWayIsNotFoundAfterChange guards against parts that an engine receives, and a store
+// reports as saved, after a configuration came into force that isolates the workspace that made them.
+func TestFetchUnderWayIsNotFoundAfterChange(t *testing.T) {
+	older, newer := configurationOf(1, false, false), configurationOf(2, true, false)
+	f := newFleet(t, engines(2))
+	f.SetConfiguration(at(0), older)
+	request := func(workspace fleet.WorkspaceID, table *route.Table) *plan.Request {
+		req := newRequest(second, filePrompt("file")...)
+		req.Workspace, req.Isolation = workspace, plan.IsolationOf(table, workspace)
+		return req
+	}
+	made := request("w0", older)
+	first := mustGrant(t, f, at(0), made)
+	require.NotEmpty(t, first.Save)
+	f.SetConfiguration(at(second), newer)
+	for i, part := range made.Prompt.Shared() {
+		p := cachestore.Part{Salt: first.Salt, ID: part.ID}
+		f.SetCachedTokens(first.Target, p, part.Tokens)
+		f.StoreInventory(first.Save[i]).ApplyStored(at(second), 1, uint64(i+1), p, part.Tokens)
+	}
+	reportDone(f, at(second), first)
+	for _, workspace := range []fleet.WorkspaceID{"w0", "w1"} {
+		before := f.Stats()
+		g := mustGrant(t, f, at(2*second), request(workspace, older))
+		require.NotEqual(t, first.Salt, g.Salt)
+		require.Empty(t, g.Fetch)
+		require.Equal(t, before.CachedTokens, f.Stats().CachedTokens, "%s uses what w0 made before", workspace)
+	}
+	f.SetConfiguration(at(3*second), configurationOf(3, false, false))
+	before := f.Stats()
+	mustGrant(t, f, at(3*second), request("w1", configurationOf(3, false, false)))
+	require.Greater(t, f.Stats().CachedTokens+f.Stats().FetchedTokens, before.CachedTokens+before.FetchedTokens, "nobody is isolated any more")
+}
