--- a/hibiscusfront/internal/backend/backend.go
+++ b/hibiscusfront/internal/backend/backend.go
@@ -78,9 +78,8 @@
 	// connection that is new or was idle for at most sendOnceMaxIdle: if the
 	// target closes an idle connection just then, the request is lost.
 	SendOnce bool
-	// Check is called when there is a connection, immediately before the request is written;
-	// if it returns an error, nothing is written. It may be nil.
-	Check func() error
+	// Check is called immediately before the first byte is written; an error prevents that.
+	Check func() error // may be nil
 }
 
 const (
@@ -163,15 +162,14 @@
 func (p *Pool) Send(ctx context.Context, r *Request) (*Exchange, error) {
 	k := poolKey{r.Target, r.Address}
 	c, err := p.connect(ctx, k, r)
+	if err == nil && r.Check != nil {
+		if err = r.Check(); err != nil {
+			_ = c.Close()
+		}
+	}
 	if err != nil {
 		return nil, &NotSentError{r.Target, err}
 	}
-	if r.Check != nil {
-		if err := r.Check(); err != nil {
-			_ = c.Close() // nothing is expected on it
-			return nil, &NotSentError{r.Target, err}
-		}
-	}
 	c.sent = append(c.sent, idHash(r.ID))
 	e := &Exchange{pool: p, key: k, conn: c, writeResult: make(chan error, 1)}
 	e.cancelAutoClose = context.AfterFunc(ctx, func() { _ = c.Close() }) // closing twice is harmless
--- a/hibiscusfront/internal/gateway/gateway_test.go
+++ b/hibiscusfront/internal/gateway/gateway_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -15,7 +14,6 @@
 	"github.com/stretchr/testify/require"
 
 	"hibiscuslb/fleet"
-	"hibiscuslb/fleet/intake"
 	"hibiscuslb/fleet/plan"
 	"hibiscuslb/fleet/route"
 	"hibiscuslb/hibiscusfront/internal/backend"
@@ -27,55 +25,6 @@
 
 const signatureHeader = "X-Hibiscuslb-Response-Signature"
 
-// A scriptedChooser makes the given grants one after the other and then refuses.
-// It records the requests and the reports.
-type scriptedChooser struct {
-	mu       sync.Mutex
-	grants   []plan.Grant
-	refusal  *fleet.RefusalError
-	reports  map[plan.GrantNumber][]plan.Progress
-	requests []plan.Request
-	notices  []intake.Notice  // of all answers
-	chosen   func(choice int) // called after each grant was made; may be nil
-}
-
-func (c *scriptedChooser) Choose(_ context.Context, _ *view.View, req *plan.Request) plan.Decision {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.requests = append(c.requests, *req)
-	if len(c.grants) == 0 {
-		return plan.Decision{Request: req, Refusal: c.refusal}
-	}
-	g := c.grants[0]
-	c.grants = c.grants[1:]
-	if c.chosen != nil {
-		c.chosen(len(c.requests))
-	}
-	return plan.Decision{Request: req, Grant: &g}
-}
-
-func (c *scriptedChooser) Report(grant *plan.Grant, progress plan.Progress) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.reports == nil {
-		c.reports = make(map[plan.GrantNumber][]plan.Progress)
-	}
-	c.reports[grant.Number] = append(c.reports[grant.Number], progress)
-}
-
-func (c *scriptedChooser) ObserveNotice(_ *view.View, _ *plan.Grant, notice intake.Notice) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.notices = append(c.notices, notice)
-}
-
-// lastReport returns the last report on a grant.
-func (c *scriptedChooser) lastReport(number plan.GrantNumber) plan.Progress {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.reports[number][len(c.reports[number])-1]
-}
-
 type discardMeter struct{}
 
 func (discardMeter) RecordChoice(fleet.WorkspaceID, string, time.Duration) {}
