--- a/hibiscusfront/internal/control/restore_test.go
+++ b/hibiscusfront/internal/control/restore_test.go
@@ -304,3 +304,57 @@
 	_, due := second.duty.NextWrite(at(0), false)
 	require.True(t, due)
 }
+
+// putIsolation writes a configuration that isolates the named workspaces of three.
+func putIsolation(store *fakeplatform.Store, number int, isolated ...string) {
+	var tenants []map[string]any
+	for _, name := range []string{"w0", "w1", "w2"} {
+		tenants = append(tenants, map[string]any{"name": name, "apiKeys": []string{"k" + name}, "isolated": slices.Contains(isolated, name)})
+	}
+	store.Put("config", "main", map[string]any{
+		"version": number, "tenants": tenants, "services": []map[string]any{{"name": "s"}},
+		"routes": []map[string]any{{"name": "r", "host": "h.example", "pathPrefix": "/", "kind": "idempotent", "service": "s"}},
+	})
+}
+
+// TestRestoredStoreEndsNoIsolation guards against hosts that go back to the configuration of a
+// copy, in which a workspace is not isolated yet, and so to a salt under which it has made parts.
+func TestRestoredStoreEndsNoIsolation(t *testing.T) {
+	store := newConfiguredStore()
+	putTarget(store, "i-1", "ready")
+	putIsolation(store, 4)
+	controls, _ := startFleet(t, store, 3)
+	awaitPlanner(t, controls)
+	requireConfiguration(t, controls, 4)
+	saved := store.Copy()
+	putIsolation(store, 5, "w0")
+	requireConfiguration(t, controls, 5)
+	sharing := controls[0].View().Table.Sharing()
+	require.NotEmpty(t, sharing)
+
+	store.Restore(saved)
+	for _, c := range controls {
+		require.Eventually(t, func() bool {
+			known := make(chan fleet.Version, 1)
+			c.enqueue(t.Context(), func(fleet.Instant) {
+				o, _ := c.replicas[platform.KindConfiguration].Get(platform.ConfigurationName)
+				config, err := platform.DecodeConfiguration(o)
+				if err != nil {
+					config.Number = 0
+				}
+				known <- config.Number
+			})
+			return <-known == 4
+		}, 5*time.Second, 10*time.Millisecond, "host %s has not read the copy", c.Self.ID)
+		require.Equal(t, fleet.Version(5), c.View().Table.Number)
+		require.Equal(t, sharing, c.View().Table.Sharing())
+		require.True(t, c.View().Table.WorkspaceByID("w0").Isolated)
+	}
+	// The operator's next configuration takes effect.
+	putIsolation(store, 6, "w0", "w1")
+	requireConfiguration(t, controls, 6)
+	for _, c := range controls {
+		require.True(t, c.View().Table.WorkspaceByID("w1").Isolated)
+		require.NotEqual(t, sharing, c.View().Table.Sharing())
+	}
+}
