--- a/fleet/plan/isolation.go
+++ b/fleet/plan/isolation.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"net/url"
 	"strconv"
 	"strings"
 
@@ -20,6 +21,8 @@
 //     same parts.
 //   - Hosts disagree for a moment: a request that was made under an older configuration waits in
 //     the queue, is asked at a deputy, or is asked again. The newer configuration counts.
+//   - A configuration is replaced between a grant and its sending, while the grant is on its way
+//     to the host or the target is dialled. Such a grant is given back, see AllowedUnder.
 
 // An Isolation tells with whom a request may share cached parts, as of a configuration.
 type Isolation struct {
@@ -50,22 +53,43 @@
 	return &renewed
 }
 
+// AllowedUnder reports whether a request with the grant may still be sent by a host that knows the
+// configuration, which may be nil: whether the configuration is no newer than the one that the
+// salt was made under, or gives the request the same salt. A grant that is not allowed is of no
+// use with another salt, since its fetches and saves were reserved under its own.
+func (g *Grant) AllowedUnder(table *route.Table, model fleet.ModelID, workspace fleet.WorkspaceID) bool {
+	if g.Salt == "" || table == nil || table.Number <= g.Configuration {
+		return true
+	}
+	return g.Salt == Salt(model, g.Version, workspace, IsolationOf(table, workspace))
+}
+
 // Salt returns the cache salt of a request. Requests with the same salt may share
 // cached parts: those on the same version of a model's weights, and only those of
 // the same workspace if it is isolated. The others share parts that were made under the
 // same Sharing, since what a workspace made before it was isolated stays in engines and
 // stores.
+//
+// Names are escaped: headers lose white space at the ends of a salt, and names may contain
+// separators. Either could make the salts of two workspaces the same.
 func Salt(model fleet.ModelID, version uint64, workspace fleet.WorkspaceID, isolation Isolation) string {
 	salt := versionSalt(model, version)
 	switch {
 	case isolation.Isolated:
-		salt += workspaceSeparator + string(workspace)
+		salt += workspaceSeparator + url.QueryEscape(string(workspace))
 	case isolation.Sharing != "":
 		salt += sharingSeparator + string(isolation.Sharing)
 	}
 	return salt
 }
 
+// UndecodedSalt returns the cache salt of a workspace's requests whose prompt can't be decoded. They
+// are decided on as if they had none, while engines may still find parts in it. As the model
+// is not known, it differs from each Salt, and the workspace shares it with no other.
+func UndecodedSalt(workspace fleet.WorkspaceID) string {
+	return Salt("", 0, workspace, Isolation{Isolated: true})
+}
+
 // saltSeparator separates model and version in a salt.
 const saltSeparator = "@"
 
@@ -78,7 +102,7 @@
 
 // versionSalt returns the salt of a version of a model's weights.
 func versionSalt(id fleet.ModelID, version uint64) string {
-	return string(id) + saltSeparator + strconv.FormatUint(version, 10)
+	return url.QueryEscape(string(id)) + saltSeparator + strconv.FormatUint(version, 10)
 }
 
 // parseSalt returns the model and version of a salt, the Sharing if it has one, and whether it
@@ -89,6 +113,10 @@
 	if !ok {
 		return "", 0, "", false
 	}
+	id, err := url.QueryUnescape(id)
+	if err != nil {
+		return "", 0, "", false
+	}
 	text, sharing, _ := strings.Cut(text, sharingSeparator)
 	version, err := strconv.ParseUint(text, 10, 64)
 	return fleet.ModelID(id), version, route.Sharing(sharing), err == nil
--- a/fleet/plan/isolation_test.go
+++ b/fleet/plan/isolation_test.go
@@ -1,14 +1,19 @@
 package plan_test
 
 import (
+	"bufio"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"net/textproto"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/cachestore"
 	"hibiscuslb/fleet/plan"
 	"hibiscuslb/fleet/route"
 )
@@ -95,6 +100,7 @@
 			require.True(t, ok)
 			require.Same(t, req, decision.Request)
 			require.Equal(t, plan.Salt(model, 1, test.workspace, plan.IsolationOf(test.want, test.workspace)), decision.Grant.Salt)
+			require.Equal(t, test.want.Number, decision.Grant.Configuration)
 		})
 	}
 	t.Run("replaced while the request waits", func(t *testing.T) {
@@ -128,3 +134,131 @@
 	require.False(t, plan.IsolationOf(table, "").Isolated)
 	require.False(t, plan.IsolationOf(table, "").Sharing == "")
 }
+
+// TestGrantAllowedUnderConfiguration guards against a grant that is used although a configuration
+// that its host knows by now gives the request another salt, and against grants that are given
+// back for nothing.
+func TestGrantAllowedUnderConfiguration(t *testing.T) {
+	granted := configurationOf(5, false, false)
+	for _, test := range []struct {
+		name  string
+		known *route.Table
+		want  bool
+	}{
+		{"none", nil, true},
+		{"the same", granted, true},
+		{"older", configurationOf(4, true, false), true},
+		{"newer, nobody isolated", configurationOf(6, false, false), true},
+		{"newer, the workspace isolated", configurationOf(6, true, false), false},
+		{"newer, another one isolated", configurationOf(6, false, true), false},
+		{"newer, without the workspace", configurationOf(6), false},
+	} {
+		g := &plan.Grant{Version: 1, Salt: plan.Salt(model, 1, "w0", plan.IsolationOf(granted, "w0")), Configuration: 5}
+		require.Equal(t, test.want, g.AllowedUnder(test.known, model, "w0"), test.name)
+	}
+	require.True(t, new(plan.Grant).AllowedUnder(configurationOf(6, true), model, "w0"), "uses no cache")
+}
+
+// overHeader returns a text as it arrives in a header of HTTP/1.1.
+func overHeader(t *testing.T, text string) string {
+	t.Helper()
+	var b strings.Builder
+	require.NoError(t, http.Header{"Salt": {text}}.Write(&b))
+	h, err := textproto.NewReader(bufio.NewReader(strings.NewReader(b.String() + "\r\n"))).ReadMIMEHeader()
+	require.NoError(t, err)
+	return h.Get("Salt")
+}
+
+// TestSaltsOfOddNamesDiffer guards against isolated workspaces that share a cache since their
+// salts become the same in a header, or since a separator is part of a name.
+func TestSaltsOfOddNamesDiffer(t *testing.T) {
+	salts := make(map[string]string)
+	for _, m := range []fleet.ModelID{"m", "org/m", "m@1", "m@1/w", "m~", " m", "m\n"} {
+		for _, w := range []fleet.WorkspaceID{"w", " w", "w ", "w\t", "w\n", "w\r", "a b", "a\nb", "a+b", "a%20b", "w@1", "w~", "ä", ""} {
+			name := fmt.Sprintf("%q %q", m, w)
+			salt := overHeader(t, plan.Salt(m, 1, w, plan.Isolation{Isolated: true}))
+			require.Empty(t, salts[salt], "salt %q is also that of %s", salt, name)
+			salts[salt] = name
+		}
+		for _, sharing := range []route.Sharing{"", "ab"} {
+			salt := overHeader(t, plan.Salt(m, 1, "w", plan.Isolation{Sharing: sharing}))
+			require.Empty(t, salts[salt], "salt %q is also that of %q shared", salt, m)
+			salts[salt] = fmt.Sprintf("%q shared", m)
+		}
+	}
+	require.Equal(t, "m@1/pulo780", plan.Salt("m", 1, "pulo780", plan.Isolation{Isolated: true}), "usual names stay readable")
+}
+
+// TestStoresKeepPartsOfOddModels guards against parts that are freed at once since the model of
+// their salt is not recognized.
+func TestStoresKeepPartsOfOddModels(t *testing.T) {
+	f := newFleet(t, engines(1))
+	s := f.StoreInventory(nearStore)
+	for i, m := range []fleet.ModelID{"m", "org/m", "m@1", "m~", " m"} {
+		p := cachestore.Part{Salt: plan.Salt(m, 1, "w", plan.Isolation{}), ID: "a"}
+		s.ApplyStored(at(0), 1, uint64(i+1), p, 100)
+		require.True(t, s.Readable(p))
+		require.Empty(t, f.Evictions(at(second)), "%q", m)
+	}
+}
+
+// TestWorkspaceIsIsolatedIfOneEntryIsolatesIt guards against a configuration that names a workspace
+// twice, whose last entry decided alone.
+func TestWorkspaceIsIsolatedIfOneEntryIsolatesIt(t *testing.T) {
+	for _, isolated := range [][]bool{{true, false}, {false, true}} {
+		config := route.Config{Number: 1}
+		for i, set := range isolated {
+			config.Workspaces = append(config.Workspaces, route.Workspace{ID: "w", Keys: []route.Key{route.Key(fmt.Sprint("k", i))}, Isolated: set})
+		}
+		table := route.NewTable(config)
+		require.True(t, plan.IsolationOf(table, "w").Isolated, "%v", isolated)
+		require.Equal(t, fleet.WorkspaceID("w"), table.Workspace("k1").ID)
+	}
+}
+
+// TestWorkspaceWithoutKeysStaysIsolated guards against a set of isolated workspaces that goes back
+// to an earlier one while a workspace has no keys: others would find what it made under that one.
+func TestWorkspaceWithoutKeysStaysIsolated(t *testing.T) {
+	withKeys := func(number fleet.Version, keys ...route.Key) *route.Table {
+		return route.NewTable(route.Config{Number: number, Workspaces: []route.Workspace{{ID: "w", Keys: keys, Isolated: true}, {ID: "v"}}})
+	}
+	lost, regained := withKeys(2), withKeys(3, "new")
+	require.Equal(t, withKeys(1, "old").Sharing(), lost.Sharing())
+	require.NotEmpty(t, lost.Sharing())
+	require.True(t, plan.IsolationOf(lost, "w").Isolated)
+	require.Equal(t, plan.IsolationOf(regained, "w").Sharing, plan.IsolationOf(lost, "w").Sharing)
+}
+
+// TestFetchUnderWayIsNotFoundAfterChange guards against parts that an engine receives, and a store
+// reports as saved, after a configuration came into force that isolates the workspace that made them.
+func TestFetchUnderWayIsNotFoundAfterChange(t *testing.T) {
+	older, newer := configurationOf(1, false, false), configurationOf(2, true, false)
+	f := newFleet(t, engines(2))
+	f.SetConfiguration(at(0), older)
+	request := func(workspace fleet.WorkspaceID, table *route.Table) *plan.Request {
+		req := newRequest(second, filePrompt("file")...)
+		req.Workspace, req.Isolation = workspace, plan.IsolationOf(table, workspace)
+		return req
+	}
+	made := request("w0", older)
+	first := mustGrant(t, f, at(0), made)
+	require.NotEmpty(t, first.Save)
+	f.SetConfiguration(at(second), newer)
+	for i, part := range made.Prompt.Shared() {
+		p := cachestore.Part{Salt: first.Salt, ID: part.ID}
+		f.SetCachedTokens(first.Target, p, part.Tokens)
+		f.StoreInventory(first.Save[i]).ApplyStored(at(second), 1, uint64(i+1), p, part.Tokens)
+	}
+	reportDone(f, at(second), first)
+	for _, workspace := range []fleet.WorkspaceID{"w0", "w1"} {
+		before := f.Stats()
+		g := mustGrant(t, f, at(2*second), request(workspace, older))
+		require.NotEqual(t, first.Salt, g.Salt)
+		require.Empty(t, g.Fetch)
+		require.Equal(t, before.CachedTokens, f.Stats().CachedTokens, "%s uses what w0 made before", workspace)
+	}
+	f.SetConfiguration(at(3*second), configurationOf(3, false, false))
+	before := f.Stats()
+	mustGrant(t, f, at(3*second), request("w1", configurationOf(3, false, false)))
+	require.Greater(t, f.Stats().CachedTokens+f.Stats().FetchedTokens, before.CachedTokens+before.FetchedTokens, "nobody is isolated any more")
+}
--- a/hibiscusfront/internal/backend/backend.go
+++ b/hibiscusfront/internal/backend/backend.go
@@ -46,7 +46,7 @@
 }
 
 func (e *NotSentError) Error() string {
-	return fmt.Sprintf("target %s: request not sent, no connection: %v", e.Target, e.Cause)
+	return fmt.Sprintf("target %s: request not sent: %v", e.Target, e.Cause)
 }
 
 // Unwrap returns the cause.
@@ -82,6 +82,8 @@
 	// connection that is new or was idle for at most sendOnceMaxIdle: if the
 	// target closes an idle connection just then, the request is lost.
 	SendOnce bool
+	// Check is called immediately before the first byte is written; an error prevents that.
+	Check func() error // may be nil
 }
 
 func (r *Request) bodyLen() int {
@@ -172,6 +174,11 @@
 func (p *Pool) Send(ctx context.Context, r *Request) (*Exchange, error) {
 	k := poolKey{r.Target, r.Address}
 	c, err := p.connect(ctx, k, r)
+	if err == nil && r.Check != nil {
+		if err = r.Check(); err != nil {
+			_ = c.Close()
+		}
+	}
 	if err != nil {
 		return nil, &NotSentError{r.Target, err}
 	}
