--- a/standin/fakeplatform/store.go
+++ b/standin/fakeplatform/store.go
@@ -23,6 +23,7 @@
 type Object struct {
 	Metadata Metadata        `json:"metadata"`
 	Spec     json.RawMessage `json:"spec,omitempty"`
+	Status   json.RawMessage `json:"status,omitempty"` // written apart from the spec, which keeps it
 }
 
 // Metadata names an object and the revision of its last change.
@@ -120,6 +121,14 @@
 	}
 }
 
+// Get returns an object. It reports false if there is none.
+func (s *Store) Get(kind, name string) (Object, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[kind][name]
+	return o, ok
+}
+
 // Remove removes an object, if it exists.
 func (s *Store) Remove(kind, name string) {
 	s.mu.Lock()
@@ -129,8 +138,13 @@
 
 // put writes an object at the next revision. s.mu is held.
 func (s *Store) put(kind, name string, spec json.RawMessage) Object {
+	return s.putObject(kind, name, spec, s.objects[kind][name].Status)
+}
+
+// putObject writes an object with a status. s.mu is held.
+func (s *Store) putObject(kind, name string, spec, status json.RawMessage) Object {
 	s.revision++
-	o := Object{Metadata: Metadata{Name: name, Revision: s.revision}, Spec: spec}
+	o := Object{Metadata: Metadata{Name: name, Revision: s.revision}, Spec: spec, Status: status}
 	if s.objects == nil {
 		s.objects = make(map[string]map[string]Object)
 	}
@@ -270,6 +284,7 @@
 	if r.Method == http.MethodPost {
 		name = o.Metadata.Name
 	}
+	name, isStatus := strings.CutSuffix(name, "/status")
 	current, exists := s.objects[kind][name]
 	switch {
 	case r.Method == http.MethodPost && exists,
@@ -277,8 +292,10 @@
 		web.Reply(w, http.StatusConflict, current)
 	case r.Method == http.MethodPut && !exists:
 		w.WriteHeader(http.StatusNotFound)
-	case exists && bytes.Equal(current.Spec, o.Spec):
+	case isStatus && bytes.Equal(current.Status, o.Status), !isStatus && exists && bytes.Equal(current.Spec, o.Spec):
 		s.replyWritten(w, current) // an unchanged object keeps its revision
+	case isStatus:
+		s.replyWritten(w, s.putObject(kind, name, current.Spec, o.Status))
 	default:
 		s.replyWritten(w, s.put(kind, name, o.Spec))
 	}
