plan, planner, control, chooser: roll-outs of a service's targets to another version

The planner lets the version on trial get what package rollout allows, on the smallest number of its targets that carries the share at the load of old ones, and writes record and status under its epoch. Deputies and hosts that choose alone follow the stage in the replicated records. Hosts without exposeShare neither watch the kinds nor take another path.

--- a/fleet/plan/admission.go
+++ b/fleet/plan/admission.go
@@ -168,14 +168,32 @@
 		f.stats.UnknownOrigins++
 		return refuse(req, fleet.ReasonUnknownOrigin, unknownOriginRetryAfter), decided
 	}
-	c, eligible := f.bestCandidate(now, req, software)
-	if !eligible && c.target == nil && !f.mayBecomeUsable(req, software) {
+	choices, count, wait := f.choices(now, req, software, trial)
+	if count == 0 {
+		if wait {
+			return Decision{}, noCapacity
+		}
+		return refuse(req, fleet.ReasonNoTarget, maxRetryAfter/2), decided
+	}
+	var c candidate
+	late, eligible, possible := false, false, false
+	for i := range choices[:count] {
+		var some bool
+		c, some = f.bestCandidate(now, req, &choices[i])
+		eligible = eligible || some
+		late = c.target != nil && req.Objective > 0 && c.firstPiece > time.Duration(maxLateFactor*float64(req.Objective))
+		if c.target != nil && !late {
+			break
+		}
+		possible = possible || !some && c.target == nil && f.mayBecomeUsable(req, &choices[i])
+	}
+	if !eligible && c.target == nil && !possible {
 		return refuse(req, fleet.ReasonNoTarget, maxRetryAfter/2), decided
 	}
 	if c.target == nil {
 		return Decision{}, noCapacity
 	}
-	if req.Objective > 0 && c.firstPiece > time.Duration(maxLateFactor*float64(req.Objective)) {
+	if late {
 		return Decision{}, tooLate
 	}
 	if trial {
@@ -186,9 +204,9 @@
 
 // mayBecomeUsable reports whether the service has a target that may be given the
 // request later, although it is not usable now.
-func (f *Fleet) mayBecomeUsable(req *Request, software *fleet.Software) bool {
+func (f *Fleet) mayBecomeUsable(req *Request, allowed *versions) bool {
 	for _, t := range f.targets {
-		if t.Service == req.Service && t.has(software) && !t.leaves() && !t.evacuated && !slices.Contains(req.Avoid, t.ID) {
+		if t.Service == req.Service && allowed.admits(t) && !t.leaves() && !t.evacuated && !slices.Contains(req.Avoid, t.ID) {
 			return true
 		}
 	}
@@ -237,6 +255,7 @@
 		}
 		ag.parts, ag.memory = c.chain.parts, p.Input+p.Output
 	}
+	f.recordGrant(now, ag)
 	f.stats.Grants++
 	f.stats.ReadTokens += c.readTokens
 	f.stats.RereadTokens += c.rereadTokens
--- a/fleet/plan/crash.go
+++ b/fleet/plan/crash.go
@@ -118,6 +118,7 @@
 // a target that is gone may accept requests and end them early, too.
 func (f *Fleet) noteCrash(now fleet.Instant, t *target) {
 	if !t.crashed {
+		f.recordLoss(now, t)
 		t.crashed, t.crashedAt = true, now
 		f.crashes = append(f.crashes, crash{t, now})
 	}
--- a/fleet/plan/placement.go
+++ b/fleet/plan/placement.go
@@ -86,16 +86,16 @@
 	readBefore bool      // some engine has read the part, or was granted to
 }
 
-// bestCandidate returns the target with the lowest cost for a request, of those that have the
-// software; nil allows any. The
+// bestCandidate returns the target with the lowest cost for a request, of the
+// versions that are allowed. The
 // candidate has no target if none has capacity now; eligible tells whether any
 // target may be given the request once it has capacity.
-func (f *Fleet) bestCandidate(now fleet.Instant, req *Request, software *fleet.Software) (best candidate, eligible bool) {
+func (f *Fleet) bestCandidate(now fleet.Instant, req *Request, allowed *versions) (best candidate, eligible bool) {
 	f.stats.Considered++
 	affinity := req.AffinityHash()
 	chains := make(map[uint64]*chain) // by version of the weights
 	for _, t := range f.targets {
-		if t.Service != req.Service || !t.has(software) || !t.usable(now) || slices.Contains(req.Avoid, t.ID) {
+		if t.Service != req.Service || !allowed.admits(t) || !t.usable(now) || slices.Contains(req.Avoid, t.ID) {
 			continue
 		}
 		if req.Prompt != nil && !f.canStartRun(now, t, req.Prompt.Model) {
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -16,7 +16,7 @@
 // (prefill), and then sends the answer in pieces. A target is cold for some time
 // after its start, in which it serves requests only at a limited rate.
 //
-// Placement is described in placement.go, admission (queueing and refusal) in
+// Roll-outs of versions are described in rollouts.go, placement in placement.go, admission (queueing and refusal) in
 // admission.go, requests and prompts that crash targets in crash.go, streams that
 // go on in origin.go, and which workspaces share cached parts in isolation.go, each with the
 // load pattern that it handles.
@@ -36,6 +36,7 @@
 	"hibiscuslb/fleet/origin"
 	"hibiscuslb/fleet/prompt"
 	"hibiscuslb/fleet/quarantine"
+	"hibiscuslb/fleet/rollout"
 	"hibiscuslb/fleet/roster"
 	"hibiscuslb/fleet/route"
 	"hibiscuslb/fleet/weightupdate"
@@ -51,6 +52,7 @@
 	Host      fleet.HostID
 	Near      fleet.DataCentreID // data centre of the host
 	Service   route.ServiceID
+	Route     string `cbor:",omitempty"` // its name; empty if there are no roll-outs
 	Workspace fleet.WorkspaceID
 	Isolation
 	Prompt *prompt.Prompt // nil for plain services
@@ -194,6 +196,11 @@
 	// no other host frees parts. Fetches from other engines are always allowed.
 	StoresAllowed bool
 
+	// RolloutBounds limit what a version on trial may get. Without a Share there are no roll-outs.
+	RolloutBounds rollout.Bounds
+	// Epoch is that of the tenure; it marks what the planner writes of roll-outs.
+	Epoch fleet.Epoch
+
 	// RosterStale is set while this host may not know of targets that others know, so that
 	// streams which are not recorded may be of a version that it has missed.
 	RosterStale bool
@@ -213,6 +220,8 @@
 	table         *route.Table // the newest configuration; nil if none was set
 	crashes       []crash      // not settled yet
 	probesDue     bool         // of some target
+	rollouts      map[route.ServiceID]*serviceRollout
+	planning      bool // a tenure has begun and not ended
 }
 
 // service is a service with the counts of its retry budget.
@@ -231,6 +240,11 @@
 	f.stats = Stats{}
 	f.queue, f.crashes = nil, nil
 	f.origins.BeginTenure()
+	f.planning = true
+	for id, s := range f.rollouts {
+		s.machine = nil
+		f.followOrder(now, id, s)
+	}
 	f.active = make(map[GrantNumber]*activeGrant)
 	for _, t := range f.targets {
 		t.resetGrants(now)
@@ -343,6 +357,7 @@
 	}
 	for id, t := range f.targets {
 		if !live[id] {
+			f.recordLoss(now, t)
 			t.markRemoved()
 			delete(f.targets, id)
 		}
@@ -361,6 +376,7 @@
 	}
 	switch report.Progress {
 	case Started:
+		f.recordProgress(now, ag, Started, ag.started)
 		ag.target.startGrant(now, ag)
 		if ag.req.Resumable {
 			f.origins.RecordStart(now, ag.req.Start(ag.software))
@@ -371,6 +387,7 @@
 		return
 	}
 	delete(f.active, report.Number)
+	f.recordProgress(now, ag, report.Progress, ag.started)
 	ag.target.endGrant(now, ag, report.Progress)
 	switch {
 	case report.Progress == Failed:
--- a/fleet/plan/target.go
+++ b/fleet/plan/target.go
@@ -269,6 +269,7 @@
 		return
 	}
 	t.unresponsive, t.unresponsiveSince = true, now
+	f.recordLoss(now, t)
 	if t.endedEarly(now) {
 		f.noteCrash(now, t)
 	}
--- a/fleet/rollout/evidence.go
+++ b/fleet/rollout/evidence.go
@@ -46,6 +46,8 @@
 	// for the test; it has to have rareLeast responses of the new version instead.
 	rareRoute = 60
 	rareLeast = 3
+	// quietTime is a share of the duration.
+	quietTime = 0.25
 )
 
 // fractions are those of responses that a bad version makes bad.
@@ -90,6 +92,7 @@
 // evidence is that of a route.
 type evidence struct {
 	seen, sent int
+	lastSeen   fleet.Instant
 	slices     []*slice
 	times      []time.Duration // of the first chunks of old targets, a ring
 	next       int             // in times
@@ -132,6 +135,12 @@
 	}
 }
 
+// Slow reports whether the first chunk of a response that took so long counts as bad.
+func (r *Rollout) Slow(route string, first time.Duration) bool {
+	e := r.route(route)
+	return e.slow > 0 && first > e.slow
+}
+
 // slice returns the present slice.
 func (e *evidence) slice(now fleet.Instant, length time.Duration) *slice {
 	if n := len(e.slices); n > 0 && now.Sub(e.slices[n-1].start) < length {
@@ -282,11 +291,12 @@
 	return 0, false
 }
 
-// busy returns the routes that have had traffic.
-func (r *Rollout) busy() []*evidence {
+// busy returns the routes that have traffic. Those with few requests count for quietTime after
+// the last one: they can give no more evidence when nothing comes any more.
+func (r *Rollout) busy(now fleet.Instant) []*evidence {
 	var list []*evidence
 	for _, e := range r.routes {
-		if e.seen > 0 {
+		if e.seen > rareRoute || e.seen > 0 && now.Sub(e.lastSeen) < r.part(quietTime) {
 			list = append(list, e)
 		}
 	}
@@ -294,8 +304,8 @@
 }
 
 // sampled reports whether each busy route has so many responses of the new version.
-func (r *Rollout) sampled(least int) bool {
-	for _, e := range r.busy() {
+func (r *Rollout) sampled(now fleet.Instant, least int) bool {
+	for _, e := range r.busy(now) {
 		all, _, _ := e.sums(e.slices)
 		if e.seen > rareRoute && all.n < least {
 			return false
@@ -306,8 +316,8 @@
 
 // accepted reports whether the version is as good as the old one on all routes. At the last
 // chance it suffices that the largest fraction is refuted.
-func (r *Rollout) accepted(lastChance bool) bool {
-	routes := r.busy()
+func (r *Rollout) accepted(now fleet.Instant, lastChance bool) bool {
+	routes := r.busy(now)
 	if len(routes) == 0 {
 		return false
 	}
--- a/fleet/rollout/exposure.go
+++ b/fleet/rollout/exposure.go
@@ -14,7 +14,14 @@
 func (r *Rollout) Arrived(now fleet.Instant, route string) {
 	r.seen++
 	r.arrivals.add(now)
-	r.route(route).seen++
+	e := r.route(route)
+	e.seen, e.lastSeen = e.seen+1, now
+}
+
+// Returned records that a request that had arrived was not run.
+func (r *Rollout) Returned(route string) {
+	r.seen--
+	r.route(route).seen--
 }
 
 // Sent records that a request was sent to the new version.
@@ -106,9 +113,9 @@
 	return float64(r.arrivals.count(now)) / float64(len(r.old))
 }
 
-// chosen returns the new targets that take part: the fewest that bear the share at the load of
+// Taking returns the new targets that take part: the fewest that bear the share at the load of
 // old ones, without those that fail by themselves.
-func (r *Rollout) chosen(now fleet.Instant) []fleet.TargetID {
+func (r *Rollout) Taking(now fleet.Instant) []fleet.TargetID {
 	if r.stored.Stage != Canary {
 		return r.new
 	}
@@ -142,7 +149,7 @@
 	if r.step < len(steps)-1 {
 		return max(least, catchUp*r.rate(now))
 	}
-	return max(least, loadFactor*r.oldLoad(now)*float64(len(r.chosen(now))))
+	return max(least, loadFactor*r.oldLoad(now)*float64(len(r.Taking(now))))
 }
 
 // promotion returns when the version is promoted if it is good: old targets then have the time
@@ -160,11 +167,6 @@
 // OldEnded records how long a request on an old target took.
 func (r *Rollout) OldEnded(took time.Duration) { r.longest = max(r.longest, took) }
 
-// Takes reports whether the new target takes part.
-func (r *Rollout) Takes(now fleet.Instant, id fleet.TargetID) bool {
-	return slices.Contains(r.chosen(now), id)
-}
-
 // window counts events of the last second.
 type window struct{ times []fleet.Instant }
 
@@ -181,3 +183,6 @@
 	w.times = w.times[old:]
 	return len(w.times)
 }
+
+// Undecided reports whether the version may get more requests later.
+func (r *Rollout) Undecided() bool { return r.stored.Stage != RolledBack && !r.bad }
--- a/fleet/rollout/exposure_test.go
+++ b/fleet/rollout/exposure_test.go
@@ -136,20 +136,30 @@
 	r.SetTargets([]fleet.TargetID{"o1"}, []fleet.TargetID{"n1", "n2"})
 	first := *r.Tick(at(0), 0).Record
 	r.Written(at(0), first)
-	r.Stop("the order was deleted")
-	require.False(t, r.Allow(at(second), "a"), "before the verdict is written")
+	for i := range 20 {
+		r.Record(at(0), "a", []fleet.TargetID{"n1", "n2"}[i%2], "v2", rollout.Bad, 0)
+	}
 	verdict := *r.Tick(at(second), 0).Record
+	require.False(t, r.Allow(at(second), "a"), "before the verdict is written")
 	require.Equal(t, rollout.RolledBack, verdict.Stage)
 	r.WriteFailed(at(second), &first) // the store came back from a copy
 	again := *r.Tick(at(second), 0).Record
 	require.Equal(t, rollout.RolledBack, again.Stage)
 	r.Written(at(second), again)
 	r.Rewrite()
-	require.Equal(t, rollout.RolledBack, r.Tick(at(2*second), 0).Record.Stage)
+	rewritten := *r.Tick(at(2*second), 0).Record
+	require.Equal(t, rollout.RolledBack, rewritten.Stage)
+	r.Written(at(2*second), rewritten)
 	successor := rollout.Begin(at(2*second), order, bounds, 2, 2*second, &again)
 	require.Equal(t, rollout.RolledBack, successor.Stage())
 	require.Nil(t, successor.Tick(at(11*second), 0).Record)
 	other := order
 	other.To = "v3"
 	require.Equal(t, rollout.Canary, rollout.Begin(at(3*second), other, bounds, 2, 0, &again).Stage(), "a new order")
+	r.Withdraw()
+	withdrawn := *r.Tick(at(3*second), 0).Record
+	require.Equal(t, rollout.Canary, rollout.Begin(at(3*second), order, bounds, 2, 0, &withdrawn).Stage(), "an order like one that was deleted")
+	running := rollout.Begin(at(3*second), order, bounds, 2, 0, &first)
+	running.Withdraw()
+	require.Equal(t, rollout.RolledBack, running.Tick(at(3*second), 0).Record.Stage)
 }
--- a/fleet/rollout/replay_test.go
+++ b/fleet/rollout/replay_test.go
@@ -142,7 +142,7 @@
 			p := sent{at: now, route: route}
 			candidates := old
 			if r.Allow(at(now), route) && len(new) > 0 {
-				candidates = slices.DeleteFunc(slices.Clone(new), func(id fleet.TargetID) bool { return !r.Takes(at(now), id) })
+				candidates = slices.DeleteFunc(slices.Clone(new), func(id fleet.TargetID) bool { return !slices.Contains(r.Taking(at(now)), id) })
 				p.new = true
 				r.Sent(at(now), route)
 				if r.Stage() != rollout.Completed {
--- a/fleet/rollout/rollout.go
+++ b/fleet/rollout/rollout.go
@@ -158,6 +158,8 @@
 	longest    time.Duration // that a request on an old target took
 	arrivals   window
 	promotedAt fleet.Instant
+	withdrawn  bool // the order was deleted
+	inherited  bool // the version was promoted by another planner, whose requests this one does not know
 	checkedAt  fleet.Instant
 	dirty      bool // a bad response came since the last verdict
 }
@@ -168,13 +170,14 @@
 	r := &Rollout{Order: order, Bounds: bounds, epoch: epoch, badCheck: badLimit, routes: make(map[string]*evidence), targets: make(map[fleet.TargetID]tally)}
 	r.stored.Order = order
 	if stored != nil && stored.Order == order {
-		r.stored = *stored
+		r.stored.Sequence = stored.Sequence
+		if !stored.Withdrawn {
+			r.stored = *stored
+		}
 	}
 	r.began = now.Add(-max(age, r.stored.Elapsed))
 	r.used, r.seen, r.badTotal = r.stored.Reserved, r.stored.Seen, r.stored.Bad
-	if r.stored.Stage == Promoted {
-		r.promotedAt = now
-	}
+	r.inherited = r.stored.Stage == Promoted
 	return r
 }
 
@@ -233,7 +236,7 @@
 		return Actions{}
 	}
 	record.Epoch, record.Seen, record.Bad, record.Elapsed = r.epoch, r.seen, r.badTotal, now.Sub(r.began)
-	record.Sequence = r.stored.Sequence + 1
+	record.Sequence, record.Withdrawn = r.stored.Sequence+1, r.Withdrawn()
 	r.writing, r.lastWrite = true, now
 	return Actions{Record: &record}
 }
@@ -268,6 +271,16 @@
 	}
 }
 
+// Idle reports whether the roll-out has ended and there is nothing to write.
+func (r *Rollout) Idle() bool { return r.stored.Stage.Final() && r.next == nil && !r.writing }
+
+// Settle records that the order has ended already, as its status says.
+func (r *Rollout) Settle(stage Stage, reason string) {
+	if !r.stored.Stage.Final() && r.next == nil {
+		r.setNext(stage, reason)
+	}
+}
+
 // Rewrite writes what is known again, since the store has lost it.
 func (r *Rollout) Rewrite() {
 	if r.next == nil {
@@ -278,13 +291,24 @@
 // Last returns the last record that the store is known to have held.
 func (r *Rollout) Last() Record { return r.stored }
 
-// Stop ends the roll-out in favour of the old version, because of its order.
-func (r *Rollout) Stop(reason string) {
-	if !r.stored.Stage.Final() {
+// Withdraw records that the order was deleted. A roll-out that has not ended does so in favour of
+// the old version.
+func (r *Rollout) Withdraw() {
+	const reason = "the order was deleted"
+	switch {
+	case r.withdrawn:
+		return
+	case !r.stored.Stage.Final():
 		r.reject(reason)
+	case r.next == nil && !r.stored.Withdrawn:
+		r.setNext(r.stored.Stage, reason)
 	}
+	r.withdrawn = true
 }
 
+// Withdrawn reports whether the order was deleted.
+func (r *Rollout) Withdrawn() bool { return r.withdrawn || r.stored.Withdrawn }
+
 // reject finds the version bad.
 func (r *Rollout) reject(reason string) {
 	if !r.bad {
@@ -305,17 +329,19 @@
 	}
 	switch r.stored.Stage {
 	case Canary:
-		for r.step < len(steps)-1 && age >= r.part(steps[r.step+1].from) && (r.sampled(steps[r.step+1].least) || r.step == len(steps)-2) {
+		for r.step < len(steps)-1 && age >= r.part(steps[r.step+1].from) && (r.sampled(now, steps[r.step+1].least) || r.step == len(steps)-2) {
 			r.step++
 		}
 		switch {
-		case now >= r.promotion() && r.step == len(steps)-1 && r.checkDue(now) && r.accepted(age >= r.part(promoteUntil-0.05)):
+		case now >= r.promotion() && r.step == len(steps)-1 && r.checkDue(now) && r.accepted(now, age >= r.part(promoteUntil-0.05)):
 			r.setNext(Promoted, "the new version is as good as the old one: "+r.Evidence())
 		case age >= r.part(promoteUntil):
 			r.reject("too little evidence: " + r.Evidence())
 		}
 	case Promoted:
-		idle := oldActive == 0 && now.Sub(r.promotedAt) >= r.part(promotedFor)
+		// Requests that others sent to old targets take no longer than the longest known.
+		wait := max(r.part(promotedFor), r.longest+r.longest/4)
+		idle := oldActive == 0 && !r.inherited && now.Sub(r.promotedAt) >= wait
 		if idle || now >= r.end().Add(-endMargin) {
 			r.setNext(Completed, "old targets have finished: "+r.Evidence())
 		}
--- a/hibiscusfront/internal/control/control.go
+++ b/hibiscusfront/internal/control/control.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -73,6 +74,17 @@
 	platform.KindHosts,
 }
 
+// rolloutKinds lists those that hosts replicate in addition if their settings allow roll-outs.
+var rolloutKinds = []string{platform.KindRollouts, platform.KindRolloutStates}
+
+// kinds returns the kinds of objects that this host replicates.
+func (c *Control) kinds() []string {
+	if c.Settings.Bounds.ExposeShare <= 0 {
+		return replicatedKinds
+	}
+	return append(slices.Clone(replicatedKinds), rolloutKinds...)
+}
+
 // A Control owns the control state of a host. Set the exported fields before calling
 // Run; OnPlanningChange, OnPublish, OnHostLost, WantsOrders, Quarantine and Versions may be nil.
 type Control struct {
@@ -133,6 +145,7 @@
 	targets       targets
 	members       members
 	evacuations   evacuations
+	rollouts      rollouts
 	bounds        platform.Bounds
 	leaving       bool
 	registeredIn  uint64 // era of the store in which this host's entry was written; zero while it is not
@@ -208,7 +221,7 @@
 	// The lists that the host reads now are as fresh as a reply.
 	c.lastWatcherReply, c.lastPlannerReply = c.Clock().Add(startGrace), c.Clock()
 	c.duty = election.Duty{Self: c.Settings.Host, Address: c.Settings.Peers}
-	for _, kind := range replicatedKinds {
+	for _, kind := range c.kinds() {
 		c.replicas[kind] = new(replica.Replica)
 		c.tasks.Go(ctx, func(ctx context.Context) { c.follow(ctx, kind) })
 	}
@@ -279,6 +292,10 @@
 		c.Log.Info().Interface("DataCentres", c.evacuations.list()).Msg("evacuations changed: one that the restored object store lacks was not written again")
 		c.publish()
 	}
+	if c.rollouts.expire(now) {
+		c.Log.Info().Msg("orders of roll-outs changed: one that the restored object store lacks was not written again")
+		c.publish()
+	}
 	if c.members.expire(now, c) {
 		c.publish()
 	}
@@ -324,6 +341,9 @@
 		Table: c.table, Targets: c.targets.list(), Removed: c.targets.removedIDs(), Evacuated: c.evacuations.list(), Weights: maps.Clone(c.announcements),
 		Hosts: hosts, Duty: c.duty.Record(), Leaving: c.leaving,
 	}
+	if c.Settings.Bounds.ExposeShare > 0 {
+		v.Rollouts = c.rollouts.list()
+	}
 	c.view.Store(v.Freeze())
 	if c.OnPublish != nil {
 		c.OnPublish(v)
--- a/hibiscusfront/internal/control/objects.go
+++ b/hibiscusfront/internal/control/objects.go
@@ -22,8 +22,9 @@
 	// the wait: the store's answer, the call to the next host and its fetch. They
 	// take up to three more quotients.
 	configurationTimeDivisor = 5
-	// hostsWatchTime is how long a watch for hosts waits. It is long because
-	// hosts learn of each other mainly from heartbeats.
+	// hostsWatchTime is how long a watch for hosts waits, or for the records of roll-outs. It
+	// is long because hosts learn of each other mainly from heartbeats, and the planner
+	// writes the records itself.
 	hostsWatchTime = 6 * time.Second
 	// minWatchTime limits the rate of watches if the settings have no bound for
 	// the configuration.
@@ -89,7 +90,7 @@
 
 // watchTime returns how long a watch of the kind waits.
 func (c *Control) watchTime(kind string) time.Duration {
-	if kind == platform.KindHosts {
+	if kind == platform.KindHosts || kind == platform.KindRolloutStates {
 		return hostsWatchTime
 	}
 	divisor := time.Duration(watchTimeDivisor)
@@ -190,6 +191,8 @@
 		c.applyWeights(now)
 	case platform.KindEvacuations:
 		c.applyEvacuations(now)
+	case platform.KindRollouts, platform.KindRolloutStates:
+		c.applyRollouts(now, kind)
 	}
 	c.publish()
 }
--- a/hibiscusfront/internal/gateway/gateway.go
+++ b/hibiscusfront/internal/gateway/gateway.go
@@ -227,6 +227,9 @@
 		Avoid: c.tried, Repeat: len(c.tried) > 0, Fingerprint: c.fingerprint,
 		Resumable: c.route.Kind == route.Streaming && c.route.Resumable, Resumption: c.resumption(),
 	}
+	if c.view.Rollouts != nil {
+		req.Route = c.route.Name
+	}
 	// The configuration may have changed while the body was read or the request was tried.
 	req.Isolation = plan.IsolationOf(c.View().Table, c.workspaceID())
 	if c.workspace != nil {
--- a/hibiscusfront/internal/host/host.go
+++ b/hibiscusfront/internal/host/host.go
@@ -106,7 +106,7 @@
 	targets := platform.NewTargetClient()
 	targets.Budget = &h.lists
 	h.planner = planner.New(settings.Host, settings.Bounds, targets, h.control, h.clock, log)
-	h.planner.Origins = h.control.Store
+	h.planner.Origins, h.planner.Rollouts = h.control.Store, h.control.Store
 	h.meter = newMeters(&h.planner.WeightOrders)
 	h.meter.refresh = h.refreshMeters
 	h.connections.Departure = &h.departure
--- a/hibiscusfront/internal/host/meters.go
+++ b/hibiscusfront/internal/host/meters.go
@@ -24,6 +24,7 @@
 	orders                     *meter.Counter // of the planner
 	storeCalls, planned, state meter.Counter
 	connections                meter.Counter // of callers, that ended
+	rollouts                   meter.Counter
 
 	// refresh copies the metrics that other parts record.
 	refresh func()
@@ -43,6 +44,7 @@
 		planned:     meter.Counter{Name: "Planned", Labels: []string{"What"}},
 		connections: meter.Counter{Name: "ConnectionsEnded", Labels: []string{"Phase", "On"}},
 		state:       meter.Counter{Name: "State", Labels: []string{"What"}},
+		rollouts:    meter.Counter{Name: "Rollouts", Labels: []string{"Service", "What"}},
 	}
 	for _, c := range m.counters() {
 		m.vars.Set(c.Name, c)
@@ -55,7 +57,7 @@
 }
 
 func (m *meters) counters() []*meter.Counter {
-	return []*meter.Counter{&m.ended, &m.refused, &m.sent, &m.responses, m.orders, &m.storeCalls, &m.planned, &m.state, &m.connections}
+	return []*meter.Counter{&m.ended, &m.refused, &m.sent, &m.responses, m.orders, &m.storeCalls, &m.planned, &m.state, &m.connections, &m.rollouts}
 }
 
 func (m *meters) histograms() map[string]*meter.Histograms {
@@ -133,6 +135,13 @@
 	} {
 		h.meter.planned.Set(n, what)
 	}
+	for _, r := range h.planner.RolloutList() {
+		for what, n := range map[string]int64{
+			"Stage": int64(r.Stage), "SharePerMille": int64(1000 * r.Share), "Exposure": int64(r.Exposure), "BadResponses": int64(r.Bad),
+		} {
+			h.meter.rollouts.Set(n, string(r.Order.Service), what)
+		}
+	}
 	v := h.control.View()
 	state := map[string]int64{
 		"Hosts": int64(len(v.Hosts)), "Targets": int64(len(v.Targets)), "Epoch": int64(v.Duty.Epoch),
--- a/hibiscusfront/internal/planner/planner.go
+++ b/hibiscusfront/internal/planner/planner.go
@@ -25,6 +25,7 @@
 	"hibiscuslb/fleet/origin"
 	"hibiscuslb/fleet/plan"
 	"hibiscuslb/fleet/quarantine"
+	"hibiscuslb/fleet/rollout"
 	"hibiscuslb/fleet/task"
 	"hibiscuslb/hibiscusfront/internal/view"
 	"hibiscuslb/platform"
@@ -70,6 +71,8 @@
 	Log         zerolog.Logger
 	// Origins stores which version began the streams; nil stores nothing.
 	Origins OriginStore
+	// Rollouts stores the state of roll-outs; nil stores nothing, and no version is promoted.
+	Rollouts RolloutStore
 
 	inbox             chan func(now fleet.Instant)
 	tasks             task.Group
@@ -93,6 +96,8 @@
 	loadingOrigins bool
 	batchNumber    uint64 // of the last batch of streams that was written
 
+	rollouts rollouts
+
 	lastStatsLog    fleet.Instant
 	weightsOutdated outdatedFlag
 	stats           atomic.Pointer[plan.Stats]
@@ -128,6 +133,7 @@
 	p.Bounds = bounds
 	p.fleet.RetryRatio, p.fleet.RetryWindow, p.fleet.RetryReserve = bounds.RetryRatio, bounds.RetryWindow, bounds.RetryReserve
 	p.fleet.WeightsBound = bounds.Weights
+	p.fleet.RolloutBounds = rollout.Bounds{Share: bounds.ExposeShare, Slack: bounds.ExposeSlack, Rollback: bounds.Rollback}
 }
 
 // Run owns the plan until the context ends. The ticker runs only while the host plans:
@@ -178,6 +184,7 @@
 		p.active, p.epoch = planning, epoch
 		p.plans.Store(planning)
 		if planning {
+			p.fleet.Epoch = epoch
 			p.fleet.BeginTenure(now, firstGrantNumber(epoch))
 			if election.IsFirst(epoch) {
 				p.fleet.BeginFirstTenure(now)
@@ -201,6 +208,8 @@
 func (p *Planner) stop() {
 	p.active, p.deputy, p.fleet.Deputy, p.followsRecord = false, false, false, false
 	p.plans.Store(false)
+	p.fleet.EndTenure()
+	p.rollouts.stop()
 	for address, w := range p.watchers {
 		w.cancel()
 		delete(p.watchers, address)
@@ -219,6 +228,7 @@
 		}
 		p.fleet.SetConfiguration(now, v.Table)
 		p.fleet.SetTargets(now, v.Targets, v.Evacuated)
+		p.followRollouts(now, v)
 		for model, w := range v.Weights {
 			p.fleet.SetWeights(model, w)
 		}
@@ -340,6 +350,7 @@
 			answer(p.finishDecision(now, decision))
 		}
 	}
+	p.dispatchRollouts(ctx, now)
 	if now.Sub(p.lastDispatch) >= dispatchInterval {
 		p.dispatch(ctx, now)
 	}
--- a/hibiscusfront/internal/view/view.go
+++ b/hibiscusfront/internal/view/view.go
@@ -12,10 +12,12 @@
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/election"
+	"hibiscuslb/fleet/rollout"
 	"hibiscuslb/fleet/roster"
 	"hibiscuslb/fleet/route"
 	"hibiscuslb/fleet/weightupdate"
 	"hibiscuslb/hibiscusfront/internal/wire"
+	"hibiscuslb/platform"
 )
 
 // A View is an immutable snapshot of the fleet. It must be frozen before use.
@@ -28,10 +30,19 @@
 	Hosts     []wire.Host     // that callers may be sent to
 	Duty      election.Record // last known record of the planner's duty
 	Leaving   bool            // this host is stopping
+	// Rollouts has what the object store holds of roll-outs; nil if the settings allow none.
+	Rollouts map[route.ServiceID]Rollout
 
 	byID map[fleet.TargetID]*roster.Target
 }
 
+// A Rollout is what the object store holds of the roll-out of a service.
+type Rollout struct {
+	rollout.Known
+	Object platform.Object        // the order, if there is one
+	Status platform.RolloutStatus // of the order
+}
+
 // Freeze indexes the targets and returns the view, which must not change from
 // then on.
 func (v *View) Freeze() *View {
@@ -74,6 +85,21 @@
 	return t != nil && !v.Usable(t)
 }
 
+// OutOfRollout reports whether a host that decides without the planner must send nothing new to the
+// target because of its version.
+func (v *View) OutOfRollout(t *roster.Target) bool {
+	known, ok := v.Rollouts[t.Service]
+	return ok && known.Excludes(t.Software, func(to fleet.Software, isNew bool) bool {
+		for i := range v.Targets {
+			other := &v.Targets[i]
+			if other.Service == t.Service && (other.Software == to) == isNew && v.Usable(other) && other.ColdFor <= 0 {
+				return true
+			}
+		}
+		return false
+	})
+}
+
 // Usable reports whether the target may receive new work: it is not leaving, and
 // its data centre is not evacuated.
 func (v *View) Usable(t *roster.Target) bool { return !t.Leaving && !v.Evacuated[t.DataCentre] }
