--- a/hibiscusfront/internal/soak/host_test.go
+++ b/hibiscusfront/internal/soak/host_test.go
@@ -21,13 +21,13 @@
 portRange: [%d, %d]
 limits: {cpuShare: 0.4, memoryMb: 284, maxFds: 4100, linkMbps: 1000.0}
 bounds: {drainMs: 2000, graceS: 8, configApplyMs: 2000, versionMs: 6000, leaseMs: 3000, stableWindowMs: 3000,
-  retryBudgetRatio: 0.2, budgetWindowS: 10, budgetSlack: 54, coldOver: 1.5, coldSlack: 5, ttl_max_s: 5}
+  retryBudgetRatio: 0.2, budgetWindowS: 10, budgetSlack: 54, coldOver: 1.5, coldSlack: 5, ttl_max_s: 5%s}
 provider: {address: "%s", writesPerS: 400, readsPerS: 2000}
 `
 
 // newHost writes the settings of a host and starts the proxy to its store. It does
-// not start the process.
-func newHost(t *testing.T, binary string, seed uint64, name, storeAddress string) *host {
+// not start the process. Bounds are added to those of the settings.
+func newHost(t *testing.T, binary string, seed uint64, name, storeAddress, bounds string) *host {
 	t.Helper()
 	ports, peers := freePorts(t, 3), freePorts(t, 2)
 	h := &host{
@@ -35,7 +35,7 @@
 		callers: address(ports), ready: address(ports + 1), directory: address(ports + 2),
 		store: newPath(t, storeAddress), log: openLog(t, seed, name), ended: make(chan struct{}),
 	}
-	text := fmt.Sprintf(settingsText, name, h.callers, h.ready, h.directory, peers, peers+1, h.store.Listen)
+	text := fmt.Sprintf(settingsText, name, h.callers, h.ready, h.directory, peers, peers+1, bounds, h.store.Listen)
 	require.NoError(t, os.WriteFile(h.settings, []byte(text), 0o600))
 	return h
 }
--- a/hibiscusfront/internal/soak/log_test.go
+++ b/hibiscusfront/internal/soak/log_test.go
@@ -26,7 +26,7 @@
 	defer unread.Close()
 	defer log.Close()
 	metrics := freePorts(t, 1)
-	h := newHost(t, binary, 0, "unread", string(s.hosts[0].store.Target))
+	h := newHost(t, binary, 0, "unread", string(s.hosts[0].store.Target), "")
 	h.log = log
 	h.arguments = []string{"--log", "debug", "--metrics", fmt.Sprint(metrics)}
 	go h.supervise()
--- a/hibiscusfront/internal/soak/site_test.go
+++ b/hibiscusfront/internal/soak/site_test.go
@@ -167,8 +167,8 @@
 }
 
 // newSite starts the store, the targets and the hosts. Targets update their
-// entries in the store every registrationInterval.
-func newSite(t *testing.T, binary string, seed uint64) *site {
+// entries in the store every registrationInterval. Bounds are added to those of the settings.
+func newSite(t *testing.T, binary string, seed uint64, bounds ...string) *site {
 	t.Helper()
 	s := &site{store: new(fakeplatform.Store), weightsVersion: 1}
 	s.store.Put("versions", model, map[string]any{"model": model, "version": 1})
@@ -197,7 +197,7 @@
 	}()
 	storeAddress := serve(t, s.store)
 	for i := range hostCount {
-		h := newHost(t, binary, seed, fmt.Sprintf("h%d", i), storeAddress)
+		h := newHost(t, binary, seed, fmt.Sprintf("h%d", i), storeAddress, strings.Join(bounds, ""))
 		s.hosts = append(s.hosts, h)
 		go h.supervise()
 	}
--- a/standin/fakeplatform/target.go
+++ b/standin/fakeplatform/target.go
@@ -37,6 +37,8 @@
 	withKey  []string          // ids of requests that came with an API key
 	epochs   []uint64          // fencing tokens of the received weight orders, in order of arrival
 
+	failing  int           // one of so many requests is answered with an internal error; zero for none
+	failed   int           // requests that were
 	limit    float64       // requests per second that all answers name; zero for none
 	leaving  bool          // all answers say that the target leaves
 	pause    time.Duration // for which requests are turned away; zero if they are not
@@ -86,6 +88,32 @@
 	t.leaving = leaving
 }
 
+// SetFailing makes the target answer one of n requests with an internal error; zero makes it
+// answer none so.
+func (t *Target) SetFailing(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.failing = n
+}
+
+// Failed returns how many requests were answered with an internal error.
+func (t *Target) Failed() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.failed
+}
+
+// fails reports whether the next request is answered with an internal error.
+func (t *Target) fails() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.failing == 0 || len(t.arrivals)%t.failing != 0 {
+		return false
+	}
+	t.failed++
+	return true
+}
+
 // SetPause makes the target turn requests away and ask their hosts for a pause; zero makes
 // it serve again.
 func (t *Target) SetPause(pause time.Duration) {
@@ -288,6 +316,10 @@
 		return
 	}
 	w.Header().Set("X-Hibiscuslb-Response-Signature", "by "+t.ID)
+	if t.fails() {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	if t.CrashPath != "" && r.URL.Path == t.CrashPath {
 		t.Crash()
 		panic(http.ErrAbortHandler)
