--- a/fleet/rollout/exposure.go
+++ b/fleet/rollout/exposure.go
@@ -46,7 +46,7 @@
 	}
 	e, level := r.route(route), r.level()
 	// A route with few requests need not wait, since it might miss its turns.
-	return float64(r.used) < r.budget() && float64(e.sent) < level && (now >= r.nextSend || e.seen <= rareRoute && float64(2*e.sent) < level)
+	return float64(e.sent) < level && (now >= r.nextSend || e.seen <= rareRoute && float64(2*e.sent) < level)
 }
 
 // AllowStream reports whether a stream that the new version began may go on there.
@@ -55,7 +55,7 @@
 	case RolledBack:
 		return false
 	case Canary:
-		return !r.stopped() && r.next == nil && r.confirmed && r.used < r.stored.Reserved
+		return !r.stopped() && r.used < r.stored.Reserved
 	}
 	return !r.stopped()
 }
--- a/fleet/rollout/exposure_test.go
+++ b/fleet/rollout/exposure_test.go
@@ -127,6 +127,12 @@
 	successor := rollout.Begin(at(second), order, bounds, 2, second, record)
 	require.False(t, successor.Allow(at(second), "a"), "a successor before its own record")
 	require.Equal(t, record.Reserved, successor.Exposure())
+	lost := successor.Tick(at(second), 0).Record
+	successor.WriteFailed(at(second), nil)
+	successor.Tick(at(2*second), 0)
+	successor.WriteFailed(at(2*second), lost) // a conflict shows that it was written
+	require.Equal(t, record.Reserved, successor.Exposure(), "what it has reserved itself is not used yet")
+	require.True(t, successor.Allow(at(2*second), "a"))
 }
 
 // TestVerdictIsFinal guards against a verdict that a planner, a restored store or a late
@@ -149,6 +155,9 @@
 	r.Rewrite()
 	rewritten := *r.Tick(at(2*second), 0).Record
 	require.Equal(t, rollout.RolledBack, rewritten.Stage)
+	r.WriteFailed(at(2*second), &first)
+	require.Equal(t, rollout.RolledBack, r.Stage(), "a copy of the store has an earlier record")
+	rewritten = *r.Tick(at(2*second), 0).Record
 	r.Written(at(2*second), rewritten)
 	successor := rollout.Begin(at(2*second), order, bounds, 2, 2*second, &again)
 	require.Equal(t, rollout.RolledBack, successor.Stage())
