plan, rollout: slow engines are found, cold caches are no fault, and new targets get even shares

Responses of a version on trial no longer teach the pace, and no target gets more than four requests more than another.

--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -156,6 +156,7 @@
 	fetchStores []*store          // cache stores from which parts are fetched
 	memory      fleet.Tokens      // tokens of cache memory that the run occupies
 	software    fleet.Software    // of the target when the grant was made
+	onTrial     bool              // software is on trial: its pace is not that of the service
 }
 
 // model is the state of a model's weights.
--- a/fleet/plan/rollouts.go
+++ b/fleet/plan/rollouts.go
@@ -12,8 +12,8 @@
 //
 // While a service has an order to move to a version of its targets' software, package rollout
 // decides which requests go to that version. The planner tells it what it grants and what hosts
-// report. A response counts as bad if it failed, or if its first piece came later than the plan
-// expected by more than most responses of the old version; a new target has none of the prompts'
+// report. A response counts as bad if it failed, or if its first piece came later than twice the time that
+// the plan expected by more than most responses of the old version; a new target has none of the prompts'
 // parts yet, which is no fault of its version. A response that fails after its first piece counts
 // as two. A target that is gone, or that did not run a request, is no evidence.
 //
@@ -214,10 +214,15 @@
 		m.Arrived(now, ag.req.Route)
 	}
 	if ag.software == m.Order.To {
-		m.Sent(now, ag.req.Route)
+		ag.onTrial = m.Stage() == rollout.Canary
+		m.Sent(now, ag.req.Route, ag.target.ID)
 	}
 }
 
+// expectedFactor times the expected time to the first piece is not counted. The estimate for a prompt
+// that has to be read may be off by less than that, and that for cached ones is almost exact.
+const expectedFactor = 2
+
 // recordProgress tells the roll-out of the service of a grant's progress.
 func (f *Fleet) recordProgress(now fleet.Instant, ag *activeGrant, progress Progress, started bool) {
 	m := f.rolloutOf(ag.req.Service)
@@ -225,7 +230,7 @@
 		return
 	}
 	took := now.Sub(ag.grantedAt)
-	first := max(0, took-ag.firstPiece)
+	first := max(0, took-expectedFactor*ag.firstPiece)
 	if progress != Started && progress != Answered && ag.software != m.Order.To {
 		m.OldEnded(took)
 	}
--- a/fleet/plan/rollouts_test.go
+++ b/fleet/plan/rollouts_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -220,138 +221,99 @@
 		s.tick(now)
 	}
 	require.Zero(t, s.f.Rollouts()[0].Bad, "a target that failed a request and then did not answer")
+	for i := range 200 {
+		now := 6*second + time.Duration(i)*5*time.Millisecond
+		if g := s.request(now, "desk", second); g != nil && g.Software == "v2" {
+			s.f.SetTargets(at(now), slices.DeleteFunc(slices.Clone(s.entries), func(e roster.Target) bool { return e.ID == g.Target }), nil)
+			s.f.Report(at(now), plan.Report{Number: g.Number, Progress: plan.Failed})
+			break
+		}
+		s.tick(now)
+	}
+	require.Zero(t, s.f.Rollouts()[0].Bad, "a target that has left, and whose failure was reported later")
 }
 
-// TestRetriesAreNotExposed guards against requests that fail on one new target and go to the next.
-func TestRetriesAreNotExposed(t *testing.T) {
-	s := newSite(t, plainService, plainTargets(2, 2), 1)
+// TestRequestsThatWereNotRunDoNotCount guards against exposure for requests that reached no target.
+func TestRequestsThatWereNotRunDoNotCount(t *testing.T) {
+	s := newSite(t, plainService, plainTargets(6, 6), 1)
 	s.tick(0)
-	for i := range 50 {
-		decision, ok := s.f.Submit(at(time.Duration(i)*50*time.Millisecond), &plan.Request{ID: fleet.RequestID(fmt.Sprint(i)), Service: plainService, Objective: second, Repeat: true, Deadline: second})
-		require.True(t, ok)
-		if decision.Grant != nil {
-			require.Equal(t, fleet.Software("v1"), decision.Grant.Software)
-			reportDone(s.f, at(0), decision.Grant)
+	for i := range 300 {
+		now := time.Duration(i) * 10 * time.Millisecond
+		if g := s.request(now, "desk", second); g != nil {
+			s.f.Report(at(now), plan.Report{Number: g.Number, Progress: plan.Rejected})
 		}
-		s.tick(time.Duration(i) * 50 * time.Millisecond)
+		s.tick(now)
 	}
+	require.Zero(t, s.record.Seen)
+	require.LessOrEqual(t, s.record.Reserved, 50)
 }
 
-// TestStreamOfVersionOnTrial guards against a stream that goes on at another version, and one that
-// goes on at a version that was rejected.
-func TestStreamOfVersionOnTrial(t *testing.T) {
-	s := newSite(t, engineService, versionedEngines(4, "v1", "v2"), 1)
-	resumed := func(now time.Duration, software fleet.Software) (plan.Decision, bool) {
-		req := newStream()
-		req.Resumption = plan.Resumption{Resumes: true, Known: true, Software: software}
-		return s.f.Submit(at(now), req)
+// playEngines plays a roll-out of engines whose old version has the prompts cached, and returns how many requests the
+// new version got. Its engines take slower times as long as old ones.
+func (s *site) playEngines(entries []roster.Target, slower time.Duration) (onNew int) {
+	s.order.Duration = 120 * second
+	s.publish(0, true)
+	cached := make(map[string]bool)
+	type run struct {
+		number plan.GrantNumber
+		begins time.Duration
 	}
-	d, ok := resumed(0, "v2")
-	require.False(t, ok && d.Grant != nil, "before exposure is reserved")
-	s.f.Tick(at(2 * second)) // the stream has left the queue
-	s.tick(2 * second)
-	before := s.f.Rollouts()[0].Exposure
-	d, ok = resumed(2*second, "v2")
-	require.True(t, ok)
-	require.NotNil(t, d.Grant, "%v", d.Refusal)
-	require.Equal(t, fleet.Software("v2"), d.Grant.Software)
-	require.Equal(t, before+1, s.f.Rollouts()[0].Exposure, "it counts as exposure")
-	d, _ = resumed(2*second, "v1")
-	require.Equal(t, fleet.Software("v1"), d.Grant.Software)
-	s.publish(3*second, false)
-	s.tick(3 * second)
-	require.Equal(t, rollout.RolledBack, s.stage())
-	d, ok = resumed(3*second, "v2")
-	require.True(t, ok)
-	require.Nil(t, d.Grant)
-	d, _ = resumed(3*second, "v1")
-	require.NotNil(t, d.Grant)
-}
-
-// TestColdTargetsKeepTheirRate guards against a share that exceeds the rate of cold targets.
-func TestColdTargetsKeepTheirRate(t *testing.T) {
-	entries := versionedEngines(2, "v1", "v2")
-	for i := range entries {
-		if entries[i].Software == "v2" {
-			entries[i].ColdFor = 3 * second
+	var runs []run
+	for now := time.Duration(0); now < 60*second; now += 10 * time.Millisecond {
+		if now == 30*second {
+			s.f.SetTargets(at(now), entries, nil)
 		}
-	}
-	s := newSite(t, engineService, entries, 1)
-	s.f.SetTargets(at(0), entries, nil)
-	counts := make(map[fleet.TargetID]int)
-	for i := range 200 {
-		now := time.Duration(i) * 5 * time.Millisecond
-		if d, ok := s.f.Submit(at(now), shortRequest()); ok && d.Grant != nil {
-			counts[d.Grant.Target]++
-			reportDone(s.f, at(now), d.Grant)
+		for len(runs) > 0 && runs[0].begins <= now {
+			reportDone(s.f, at(now), &plan.Grant{Number: runs[0].number})
+			runs = runs[1:]
 		}
 		s.tick(now)
-	}
-	for _, e := range entries {
-		if e.Software == "v2" {
-			require.LessOrEqual(t, counts[e.ID], 14)
+		if s.random.IntN(3) > 0 || len(runs) > 0 {
+			continue
 		}
+		file := fmt.Sprint("file", s.random.IntN(8))
+		req := newRequest(second, filePrompt(file)...)
+		req.Route = "talk"
+		d, ok := s.f.Submit(at(now), req)
+		if !ok || d.Grant == nil {
+			continue
+		}
+		took := 40 * time.Millisecond
+		if key := string(d.Grant.Target) + file; !cached[key] {
+			cached[key] = true
+			took = 250 * time.Millisecond
+			if slices.ContainsFunc(d.Grant.Fetch, func(a fleet.Address) bool { return a != "" }) {
+				took = 80 * time.Millisecond // from an engine
+			}
+		}
+		if d.Grant.Software == "v2" {
+			onNew++
+			took *= slower
+		}
+		runs = append(runs, run{d.Grant.Number, now + took})
 	}
+	return onNew
 }
 
-// TestSuccessorContinues guards against a planner that uses the new version before it has written
-// its own record, or that promotes on the evidence of nobody.
-func TestSuccessorContinues(t *testing.T) {
-	s := newSite(t, plainService, plainTargets(6, 6), 1)
-	s.play(0, 5*second, 120, never)
-	exposed, reserved := s.exposed, s.record.Reserved
-	require.GreaterOrEqual(t, reserved, exposed)
-	successor := newFleet(t, s.entries)
-	successor.RolloutBounds, successor.Epoch = s.f.RolloutBounds, 8
-	s.f, s.running = successor, make(map[plan.GrantNumber]*running)
-	s.publish(5*second, true)
-	for range 100 {
-		s.request(5*second, "desk", second)
-	}
-	require.Equal(t, exposed, s.exposed, "before the successor has written")
-	s.running = make(map[plan.GrantNumber]*running)
-	s.play(5*second, 12*second, 120, never)
-	require.Equal(t, rollout.Completed, s.stage())
-	require.LessOrEqual(t, float64(s.exposed), 0.1*float64(s.arrived)+50)
-}
-
-// TestDeputyFollowsTheStage guards against a deputy that sends requests to a version on trial, or to the
-// old one after the completion.
-func TestDeputyFollowsTheStage(t *testing.T) {
-	for stage, want := range map[rollout.Stage]fleet.Software{rollout.Canary: "v1", rollout.Promoted: "v2", rollout.Completed: "v2", rollout.RolledBack: "v1"} {
-		f := newFleet(t, plainTargets(2, 2))
-		f.RolloutBounds, f.Deputy = rollout.Bounds{Share: 0.1, Slack: 50}, true
-		order := rollout.Order{Service: plainService, To: "v2", Duration: 12 * second}
-		f.SetRollouts(at(0), map[route.ServiceID]rollout.Known{plainService: {Order: &order, Record: &rollout.Record{Order: order, Stage: stage}}})
-		for i := range 20 {
-			g := mustGrant(t, f, at(0), &plan.Request{ID: fleet.RequestID(fmt.Sprint(i)), Service: plainService, Objective: second, Deadline: second})
-			require.Equal(t, want, g.Software, "%v", stage)
-			reportDone(f, at(0), g)
-		}
-	}
+// newEngineSite returns a site whose roster has only old engines at first, and the later roster.
+func newEngineSite(t *testing.T) (*site, []roster.Target) {
+	t.Helper()
+	entries := versionedEngines(4, "v1", "v2")
+	return newSite(t, engineService, slices.DeleteFunc(slices.Clone(entries), func(e roster.Target) bool { return e.Software == "v2" }), 1), entries
 }
 
-// TestWithoutBoundsNothingChanges guards against roll-outs on hosts whose settings have none.
-func TestWithoutBoundsNothingChanges(t *testing.T) {
-	f := newFleet(t, plainTargets(1, 1))
-	order := rollout.Order{Service: plainService, To: "v2", Duration: 12 * second}
-	f.SetRollouts(at(0), map[route.ServiceID]rollout.Known{plainService: {Order: &order}})
-	seen := make(map[fleet.Software]bool)
-	for i := range 50 {
-		g := mustGrant(t, f, at(0), &plan.Request{ID: fleet.RequestID(fmt.Sprint(i)), Service: plainService, Objective: second, Deadline: second})
-		seen[g.Software] = true
-		reportDone(f, at(0), g)
-	}
-	require.Len(t, seen, 2)
-	require.Empty(t, f.DueRollouts(at(0)))
-	require.Empty(t, f.Rollouts())
+// TestColdCachesAreNoFault guards against a good version that is rejected since its engines have to read the
+// prompts that old ones have cached.
+func TestColdCachesAreNoFault(t *testing.T) {
+	s, entries := newEngineSite(t)
+	require.Greater(t, s.playEngines(entries, 1), 30)
+	require.Equal(t, rollout.Canary, s.stage(), "%v", s.record)
+	require.LessOrEqual(t, s.f.Rollouts()[0].Bad, 2, s.f.RolloutEvidence(engineService))
 }
 
-// TestOrderToPresentVersion guards against a service that gets nothing since all of its targets
-// are of the version that is ordered.
-func TestOrderToPresentVersion(t *testing.T) {
-	s := newSite(t, plainService, plainTargets(0, 3), 1)
-	s.tick(0)
-	require.Equal(t, rollout.Completed, s.stage())
-	require.NotNil(t, s.request(0, "desk", second))
+// TestSlowEnginesAreFound guards against a version whose slowness is taken for that of cold caches.
+func TestSlowEnginesAreFound(t *testing.T) {
+	s, entries := newEngineSite(t)
+	require.Less(t, s.playEngines(entries, 4), 50)
+	require.Equal(t, rollout.RolledBack, s.stage(), "%v", s.f.RolloutEvidence(engineService))
 }
--- a/fleet/plan/target.go
+++ b/fleet/plan/target.go
@@ -177,7 +177,7 @@
 	for _, s := range ag.fetchStores {
 		s.link.observe(now, ag.transfer+transferNoise, ag.transferTook(now)+transferNoise)
 	}
-	if ag.fetchTime == 0 && t.isEngine() {
+	if ag.fetchTime == 0 && t.isEngine() && !ag.onTrial {
 		switch {
 		case ag.idleEngine:
 			t.pace().observe(ag.readTokens, now.Sub(ag.grantedAt))
--- a/fleet/rollout/evidence.go
+++ b/fleet/rollout/evidence.go
@@ -33,6 +33,8 @@
 	minTimes   = 30
 	maxTimes   = 400
 	slowFactor = 1.5
+	// minSlow is the shortest such time, since the old version may take less than any clock error.
+	minSlow = 10 * time.Millisecond
 	// minRate is the lowest rate of bad responses that the old version is taken to have, and
 	// priorWeight the number of responses for which its rate over all slices counts.
 	minRate     = 0.01
@@ -166,7 +168,7 @@
 		return
 	}
 	sorted := slices.Sorted(slices.Values(e.times))
-	e.slow = time.Duration(slowFactor * float64(sorted[int(quantile*float64(len(sorted)-1))]))
+	e.slow = max(minSlow, time.Duration(slowFactor*float64(sorted[int(quantile*float64(len(sorted)-1))])))
 }
 
 // TargetLost records that a target is gone. Its last failures are no evidence.
--- a/fleet/rollout/evidence_test.go
+++ b/fleet/rollout/evidence_test.go
@@ -118,3 +118,91 @@
 	}
 	require.Equal(t, rollout.Promoted, r.Stage())
 }
+
+// serve plays a good version until an instant, at a rate of requests of which a fifth goes to it.
+func (r *trial) serve(until time.Duration, perTenth int, bad func(i int) bool) {
+	i := 0
+	for ; r.now < until; r.now += second / 10 {
+		for range perTenth {
+			r.Arrived(at(r.now), "a")
+		}
+		r.respond("v1", perTenth*4/5, 0, second/10)
+		for range perTenth / 5 {
+			i++
+			result := rollout.Good
+			if bad != nil && bad(i) {
+				result = rollout.Bad
+			}
+			r.Record(at(r.now), "a", []fleet.TargetID{"n1", "n2", "n3"}[i%3], order.To, result, 20*time.Millisecond)
+		}
+		r.tick()
+	}
+}
+
+// TestTargetBadByItselfDoesNotPreventThePromotion guards against a good version that is rolled back since one of
+// its targets failed a few requests, too few to take it out.
+func TestTargetBadByItselfDoesNotPreventThePromotion(t *testing.T) {
+	r := newTrial(t, nil)
+	r.Bounds.Slack = 20
+	for sent := 1; r.now < 10*second; r.now += second / 5 {
+		r.respond("v1", 10, 0, second/5)
+		r.Arrived(at(r.now), "a")
+		result, target := rollout.Good, sent%3
+		if target == 0 && sent < 10 {
+			result = rollout.Bad
+		}
+		r.Record(at(r.now), "a", []fleet.TargetID{"n1", "n2", "n3"}[target], order.To, result, 20*time.Millisecond)
+		sent++
+		r.tick()
+	}
+	require.Equal(t, rollout.Promoted, r.Stage(), r.Evidence())
+}
+
+// TestFewBadResponsesAreChance guards against a good version that is not promoted since the old one had no bad
+// response at all.
+func TestFewBadResponsesAreChance(t *testing.T) {
+	r := newTrial(t, nil)
+	r.Bounds.Share, r.Bounds.Slack = 0.1, 20
+	r.serve(10*second, 5, func(i int) bool { return i == 20 || i == 51 || i == 79 })
+	require.Equal(t, 3, r.BadResponses())
+	require.Equal(t, rollout.Promoted, r.Stage(), r.Evidence())
+}
+
+// TestRareRouteNeedsResponses guards against a version that is promoted while a route in use had no response of it.
+func TestRareRouteNeedsResponses(t *testing.T) {
+	for _, responses := range []int{0, 3} {
+		r := newTrial(t, nil)
+		for tenth := range 98 {
+			r.serve(time.Duration(tenth+1)*second/10, 10, nil)
+			if tenth%5 == 0 {
+				r.Arrived(at(r.now), "rare")
+			}
+			if tenth < responses {
+				r.Record(at(r.now), "rare", "n1", order.To, rollout.Good, 20*time.Millisecond)
+			}
+		}
+		require.Equal(t, responses > 0, r.Stage() == rollout.Promoted)
+	}
+}
+
+// TestSmallExposureSuffices guards against a small service that waits for evidence which its exposure can not give.
+func TestSmallExposureSuffices(t *testing.T) {
+	r := newTrial(t, nil)
+	r.Bounds.Share, r.Bounds.Slack = 0.1, 50
+	r.serve(9200*time.Millisecond, 5, nil)
+	require.Equal(t, rollout.Promoted, r.Stage(), r.Evidence())
+}
+
+// TestInheritedPromotionWaits guards against a successor that completes a roll-out while old targets run
+// requests of the planner before it, which it does not know.
+func TestInheritedPromotionWaits(t *testing.T) {
+	r := newTrial(t, &rollout.Record{Order: order, Sequence: 9, Stage: rollout.Promoted, Elapsed: 8 * second})
+	for ; r.now < 3*second; r.now += second / 10 {
+		require.Nil(t, r.Tick(at(r.now), 0).Record, "%v", r.now)
+	}
+	require.True(t, r.AllowOld(at(second)))
+	require.False(t, r.AllowOld(at(2*second)), "it could not finish")
+	record := r.Tick(at(3400*time.Millisecond), 0).Record
+	require.NotNil(t, record)
+	require.Equal(t, rollout.Completed, record.Stage)
+}
--- a/fleet/rollout/example_test.go
+++ b/fleet/rollout/example_test.go
@@ -20,7 +20,7 @@
 
 	// Every response of the new version fails on both targets.
 	for i := range 12 {
-		r.Sent(at(0), "/chat")
+		r.Sent(at(0), "/chat", []fleet.TargetID{"c", "d"}[i%2])
 		r.Record(at(second), "/chat", []fleet.TargetID{"c", "d"}[i%2], "v2", rollout.Bad, 0)
 	}
 	verdict := r.Tick(at(second), 0).Record
--- a/fleet/rollout/exposure.go
+++ b/fleet/rollout/exposure.go
@@ -25,11 +25,12 @@
 }
 
 // Sent records that a request was sent to the new version.
-func (r *Rollout) Sent(now fleet.Instant, route string) {
+func (r *Rollout) Sent(now fleet.Instant, route string, target fleet.TargetID) {
 	if r.stored.Stage != Canary {
 		return
 	}
 	r.used++
+	r.sentTo[target]++
 	r.route(route).sent++
 	gap := time.Duration(float64(time.Second) / r.pace(now))
 	const burst = 3 // requests, since arrivals are irregular
@@ -119,19 +120,47 @@
 	if r.stored.Stage != Canary {
 		return r.new
 	}
-	var sound []fleet.TargetID
+	sound := r.sound()
+	return r.balanced(sound[:min(r.wanted(now), len(sound))])
+}
+
+// sound returns the new targets that do not fail by themselves.
+func (r *Rollout) sound() (list []fleet.TargetID) {
 	for _, id := range r.new {
 		if !r.suspect(id) {
-			sound = append(sound, id)
+			list = append(list, id)
 		}
 	}
-	n := minTargets
+	return list
+}
+
+// wanted returns how many new targets bear the share at the load of old ones.
+func (r *Rollout) wanted(now fleet.Instant) int {
 	if load := r.oldLoad(now); load > 0 {
-		n = max(n, int(math.Ceil(r.rate(now)/load)))
+		return max(minTargets, int(math.Ceil(r.rate(now)/load)))
+	}
+	return minTargets
+}
+
+// maxLead is by how many requests a new target may be ahead of another. Caches would draw all
+// requests to one, and a version can't be told from a target that is bad by itself.
+const maxLead = 4
+
+// balanced returns the targets that have not got many more requests than the others.
+func (r *Rollout) balanced(targets []fleet.TargetID) []fleet.TargetID {
+	if len(targets) == 0 {
+		return nil
 	}
-	return sound[:min(n, len(sound))]
+	least := r.sentTo[targets[0]]
+	for _, id := range targets {
+		least = min(least, r.sentTo[id])
+	}
+	return slices.DeleteFunc(targets, func(id fleet.TargetID) bool { return r.sentTo[id] > least+maxLead })
 }
 
+// participants returns the number of new targets that take part.
+func (r *Rollout) participants(now fleet.Instant) int { return min(r.wanted(now), len(r.sound())) }
+
 // rate returns the requests per second that the step gives the new version. The last step uses
 // what is left until the promotion.
 func (r *Rollout) rate(now fleet.Instant) float64 {
@@ -149,7 +178,7 @@
 	if r.step < len(steps)-1 {
 		return max(least, catchUp*r.rate(now))
 	}
-	return max(least, loadFactor*r.oldLoad(now)*float64(len(r.Taking(now))))
+	return max(least, loadFactor*r.oldLoad(now)*float64(r.participants(now)))
 }
 
 // promotion returns when the version is promoted if it is good: old targets then have the time
--- a/fleet/rollout/exposure_test.go
+++ b/fleet/rollout/exposure_test.go
@@ -95,13 +95,14 @@
 					p.Record(at(now), route, "o1", "v1", rollout.Good, second/50)
 					continue
 				}
-				p.Sent(at(now), route)
+				target := fleet.TargetID(fmt.Sprint("n", 1+random.IntN(2)))
+				p.Sent(at(now), route, target)
 				exposed++
 				result := rollout.Good
 				if random.Float64() < badness {
 					result = rollout.Bad
 				}
-				p.Record(at(now), route, fleet.TargetID(fmt.Sprint("n", 1+random.IntN(2))), "v2", result, second/50)
+				p.Record(at(now), route, target, "v2", result, second/50)
 			}
 			require.LessOrEqual(t, float64(exposed), bounds.Share*float64(arrived)+float64(bounds.Slack), "seed %d at %v", seed, now)
 		}
--- a/fleet/rollout/replay_test.go
+++ b/fleet/rollout/replay_test.go
@@ -144,7 +144,6 @@
 			if r.Allow(at(now), route) && len(new) > 0 {
 				candidates = slices.DeleteFunc(slices.Clone(new), func(id fleet.TargetID) bool { return !slices.Contains(r.Taking(at(now)), id) })
 				p.new = true
-				r.Sent(at(now), route)
 				if r.Stage() != rollout.Completed {
 					o.exposed++
 				}
@@ -156,6 +155,9 @@
 				continue
 			}
 			p.target = slices.MinFunc(candidates, func(a, b fleet.TargetID) int { return len(loads[a]) - len(loads[b]) })
+			if p.new {
+				r.Sent(at(now), route, p.target)
+			}
 			p.load = load(p.target, now) + 1
 			loads[p.target] = append(loads[p.target], now)
 			fails, first := s.respond(random, p)
--- a/fleet/rollout/rollout.go
+++ b/fleet/rollout/rollout.go
@@ -153,6 +153,7 @@
 
 	routes     map[string]*evidence
 	targets    map[fleet.TargetID]tally // new ones
+	sentTo     map[fleet.TargetID]int   // requests on new ones
 	old, new   []fleet.TargetID
 	nextSend   fleet.Instant // to the new version, at the pace of the step
 	longest    time.Duration // that a request on an old target took
@@ -167,7 +168,7 @@
 // Begin returns the roll-out of an order that was written age ago. Stored is the last record of
 // the order, or nil.
 func Begin(now fleet.Instant, order Order, bounds Bounds, epoch fleet.Epoch, age time.Duration, stored *Record) *Rollout {
-	r := &Rollout{Order: order, Bounds: bounds, epoch: epoch, badCheck: badLimit, routes: make(map[string]*evidence), targets: make(map[fleet.TargetID]tally)}
+	r := &Rollout{Order: order, Bounds: bounds, epoch: epoch, badCheck: badLimit, routes: make(map[string]*evidence), targets: make(map[fleet.TargetID]tally), sentTo: make(map[fleet.TargetID]int)}
 	r.stored.Order = order
 	if stored != nil && stored.Order == order {
 		r.stored.Sequence = stored.Sequence
