--- a/fleet/rollout/evidence.go
+++ b/fleet/rollout/evidence.go
@@ -328,7 +328,7 @@
 	for _, e := range routes {
 		all, without, base := e.sums(e.slices)
 		if e.seen <= rareRoute && len(routes) > 1 {
-			if all.n < min(rareLeast, e.seen/3) || all.bad > 0 && ratio(without, base, fractions[0]) > 0 {
+			if all.n < min(rareLeast, e.seen/3) || ratio(all, base, fractions[0]) > 0 && (without.n == 0 || ratio(without, base, fractions[0]) > 0) {
 				return false
 			}
 			continue
--- a/fleet/rollout/evidence_test.go
+++ b/fleet/rollout/evidence_test.go
@@ -168,20 +168,24 @@
 	require.Equal(t, rollout.Promoted, r.Stage(), r.Evidence())
 }
 
-// TestRareRouteNeedsResponses guards against a version that is promoted while a route in use had no response of it.
+// TestRareRouteNeedsResponses guards against a version that is promoted while a route in use had no response of it,
+// or only bad ones of one target.
 func TestRareRouteNeedsResponses(t *testing.T) {
-	for _, responses := range []int{0, 3} {
+	for _, c := range []struct {
+		responses int
+		result    rollout.Result
+	}{{0, rollout.Good}, {3, rollout.Good}, {3, rollout.Bad}} {
 		r := newTrial(t, nil)
 		for tenth := range 98 {
 			r.serve(time.Duration(tenth+1)*second/10, 10, nil)
 			if tenth%5 == 0 {
 				r.Arrived(at(r.now), "rare")
 			}
-			if tenth < responses {
-				r.Record(at(r.now), "rare", "n1", order.To, rollout.Good, 20*time.Millisecond)
+			if tenth < c.responses {
+				r.Record(at(r.now), "rare", "n1", order.To, c.result, 20*time.Millisecond)
 			}
 		}
-		require.Equal(t, responses > 0, r.Stage() == rollout.Promoted)
+		require.Equal(t, c.responses > 0 && c.result == rollout.Good, r.Stage() == rollout.Promoted)
 	}
 }
 
@@ -206,3 +210,18 @@
 	require.NotNil(t, record)
 	require.Equal(t, rollout.Completed, record.Stage)
 }
+
+// TestSlownessBelowClockErrorIsNone guards against a good version that is rejected since the old one's responses come
+// within no measurable time.
+func TestSlownessBelowClockErrorIsNone(t *testing.T) {
+	r := newTrial(t, nil)
+	for range 100 {
+		r.Record(at(0), "a", "o1", "v1", rollout.Good, 0)
+	}
+	for i := range 30 {
+		r.Record(at(0), "a", []fleet.TargetID{"n1", "n2"}[i%2], order.To, rollout.Good, 5*time.Millisecond)
+	}
+	require.Zero(t, r.BadResponses())
+	r.Record(at(0), "a", "n1", order.To, rollout.Good, 50*time.Millisecond)
+	require.Equal(t, 1, r.BadResponses())
+}
