--- a/fleet/rollout/replay_test.go
+++ b/fleet/rollout/replay_test.go
@@ -30,6 +30,7 @@
 	// number of requests in the last second.
 	respond func(random *rand.Rand, s sent) (fails bool, first time.Duration)
 	chance  int                              // plays of a good version that may end in a roll-back, since its responses look worse by chance
+	mostBad int                              // bad responses of the new version in a play, most of them after the promotion; zero for any number
 	late    bool                             // the version becomes bad after its promotion
 	lost    map[fleet.TargetID]time.Duration // targets that crash, and when
 }
@@ -51,6 +52,7 @@
 	exposedLate int // later than the bound after the 50th bad response
 	writes      int
 	reason      string
+	bad         int // responses of the new version
 	used        int
 }
 
@@ -180,7 +182,7 @@
 			o.at = now
 		}
 	}
-	o.stage, o.reason, o.used = r.Stage(), r.Last().Reason, r.Exposure()
+	o.stage, o.reason, o.used, o.bad = r.Stage(), r.Last().Reason, r.Exposure(), bad
 	return o
 }
 
@@ -257,7 +259,7 @@
 		"rare route":                 {old: 9, new: 9, rates: map[string]float64{"a": 200, "c": 1}, respond: sound},
 		"unused route":               {old: 9, new: 9, rates: map[string]float64{"a": 200, "c": 0}, respond: sound},
 		"one target":                 {old: 2, new: 1, rates: map[string]float64{"a": 60}, respond: sound},
-		"one bad target":             {old: 9, new: 9, rates: threeRoutes, respond: failing(func(s sent) bool { return s.target == "new01" }, 0.9)},
+		"one bad target":             {mostBad: 90, old: 9, new: 9, rates: threeRoutes, respond: failing(func(s sent) bool { return s.target == "new01" }, 0.9)},
 		"one target fails half, few": {old: 9, new: 9, rates: threeRoutes, respond: failing(func(s sent) bool { return s.target == "new00" }, 0.3)},
 		"old fails as often":         {chance: 1, old: 9, new: 9, rates: threeRoutes, respond: failing(func(sent) bool { return true }, 0.2)},
 		"one route fails as often":   {chance: 1, old: 9, new: 9, rates: threeRoutes, respond: failing(func(s sent) bool { return s.route == "c" }, 0.2)},
@@ -273,6 +275,7 @@
 					t.Logf("seed %d: %+v", seed, o)
 				}
 				require.LessOrEqual(t, o.writes, 16, "seed %d", seed)
+				require.True(t, s.mostBad == 0 || o.bad <= s.mostBad, "seed %d: %d bad responses", seed, o.bad)
 			}
 			require.LessOrEqual(t, failed, s.chance, "plays of %d", seeds)
 		})
