--- a/fleet/rollout/evidence_test.go
+++ b/fleet/rollout/evidence_test.go
@@ -163,6 +163,7 @@
 func TestFewBadResponsesAreChance(t *testing.T) {
 	r := newTrial(t, nil)
 	r.Bounds.Share, r.Bounds.Slack = 0.1, 20
+	r.respond("v1", 20_000, 0, second)
 	r.serve(10*second, 5, func(i int) bool { return i == 20 || i == 51 || i == 79 })
 	require.Equal(t, 3, r.BadResponses())
 	require.Equal(t, rollout.Promoted, r.Stage(), r.Evidence())
