--- a/fleet/plan/rollouts_test.go
+++ b/fleet/plan/rollouts_test.go
@@ -317,3 +317,150 @@
 	require.Less(t, s.playEngines(entries, 4), 50)
 	require.Equal(t, rollout.RolledBack, s.stage(), "%v", s.f.RolloutEvidence(engineService))
 }
+
+// TestRetriesAreNotExposed guards against requests that fail on one new target and go to the next.
+func TestRetriesAreNotExposed(t *testing.T) {
+	s := newSite(t, plainService, plainTargets(2, 2), 1)
+	s.tick(0)
+	for i := range 50 {
+		decision, ok := s.f.Submit(at(time.Duration(i)*50*time.Millisecond), &plan.Request{ID: fleet.RequestID(fmt.Sprint(i)), Service: plainService, Objective: second, Repeat: true, Deadline: second})
+		require.True(t, ok)
+		if decision.Grant != nil {
+			require.Equal(t, fleet.Software("v1"), decision.Grant.Software)
+			reportDone(s.f, at(0), decision.Grant)
+		}
+		s.tick(time.Duration(i) * 50 * time.Millisecond)
+	}
+}
+
+// TestStreamOfVersionOnTrial guards against a stream that goes on at another version, and one that
+// goes on at a version that was rejected.
+func TestStreamOfVersionOnTrial(t *testing.T) {
+	s := newSite(t, engineService, versionedEngines(4, "v1", "v2"), 1)
+	resumed := func(now time.Duration, software fleet.Software) (plan.Decision, bool) {
+		req := newStream()
+		req.Resumption = plan.Resumption{Resumes: true, Known: true, Software: software}
+		return s.f.Submit(at(now), req)
+	}
+	d, ok := resumed(0, "v2")
+	require.False(t, ok && d.Grant != nil, "before exposure is reserved")
+	s.f.Tick(at(2 * second)) // the stream has left the queue
+	s.tick(2 * second)
+	before := s.f.Rollouts()[0].Exposure
+	d, ok = resumed(2*second, "v2")
+	require.True(t, ok)
+	require.NotNil(t, d.Grant, "%v", d.Refusal)
+	require.Equal(t, fleet.Software("v2"), d.Grant.Software)
+	require.Equal(t, before+1, s.f.Rollouts()[0].Exposure, "it counts as exposure")
+	d, _ = resumed(2*second, "v1")
+	require.Equal(t, fleet.Software("v1"), d.Grant.Software)
+	s.publish(3*second, false)
+	s.tick(3 * second)
+	require.Equal(t, rollout.RolledBack, s.stage())
+	d, ok = resumed(3*second, "v2")
+	require.True(t, ok)
+	require.Nil(t, d.Grant)
+	d, _ = resumed(3*second, "v1")
+	require.NotNil(t, d.Grant)
+}
+
+// TestColdTargetsKeepTheirRate guards against a share that exceeds the rate of cold targets.
+func TestColdTargetsKeepTheirRate(t *testing.T) {
+	entries := versionedEngines(2, "v1", "v2")
+	for i := range entries {
+		if entries[i].Software == "v2" {
+			entries[i].ColdFor = 3 * second
+		}
+	}
+	s := newSite(t, engineService, entries, 1)
+	s.f.SetTargets(at(0), entries, nil)
+	counts := make(map[fleet.TargetID]int)
+	for i := range 200 {
+		now := time.Duration(i) * 5 * time.Millisecond
+		if d, ok := s.f.Submit(at(now), shortRequest()); ok && d.Grant != nil {
+			counts[d.Grant.Target]++
+			reportDone(s.f, at(now), d.Grant)
+		}
+		s.tick(now)
+	}
+	for _, e := range entries {
+		if e.Software == "v2" {
+			require.LessOrEqual(t, counts[e.ID], 14)
+		}
+	}
+}
+
+// TestSuccessorContinues guards against a planner that uses the new version before it has written
+// its own record, or that promotes on the evidence of nobody.
+func TestSuccessorContinues(t *testing.T) {
+	s := newSite(t, plainService, plainTargets(6, 6), 1)
+	s.play(0, 5*second, 120, never)
+	exposed, reserved := s.exposed, s.record.Reserved
+	require.GreaterOrEqual(t, reserved, exposed)
+	successor := newFleet(t, s.entries)
+	successor.RolloutBounds, successor.Epoch = s.f.RolloutBounds, 8
+	s.f, s.running = successor, make(map[plan.GrantNumber]*running)
+	s.publish(5*second, true)
+	for range 100 {
+		s.request(5*second, "desk", second)
+	}
+	require.Equal(t, exposed, s.exposed, "before the successor has written")
+	s.running = make(map[plan.GrantNumber]*running)
+	s.play(5*second, 12*second, 120, never)
+	require.Equal(t, rollout.Completed, s.stage())
+	require.LessOrEqual(t, float64(s.exposed), 0.1*float64(s.arrived)+50)
+}
+
+// TestDeputyFollowsTheStage guards against a deputy that sends requests to a version on trial, or to the
+// old one after the completion.
+func TestDeputyFollowsTheStage(t *testing.T) {
+	for stage, want := range map[rollout.Stage]fleet.Software{rollout.Canary: "v1", rollout.Promoted: "v2", rollout.Completed: "v2", rollout.RolledBack: "v1"} {
+		f := newFleet(t, plainTargets(2, 2))
+		f.RolloutBounds, f.Deputy = rollout.Bounds{Share: 0.1, Slack: 50}, true
+		order := rollout.Order{Service: plainService, To: "v2", Duration: 12 * second}
+		f.SetRollouts(at(0), map[route.ServiceID]rollout.Known{plainService: {Order: &order, Record: &rollout.Record{Order: order, Stage: stage}}})
+		for i := range 20 {
+			g := mustGrant(t, f, at(0), &plan.Request{ID: fleet.RequestID(fmt.Sprint(i)), Service: plainService, Objective: second, Deadline: second})
+			require.Equal(t, want, g.Software, "%v", stage)
+			reportDone(f, at(0), g)
+		}
+	}
+}
+
+// TestWithoutBoundsNothingChanges guards against roll-outs on hosts whose settings have none.
+func TestWithoutBoundsNothingChanges(t *testing.T) {
+	f := newFleet(t, plainTargets(1, 1))
+	order := rollout.Order{Service: plainService, To: "v2", Duration: 12 * second}
+	f.SetRollouts(at(0), map[route.ServiceID]rollout.Known{plainService: {Order: &order}})
+	seen := make(map[fleet.Software]bool)
+	for i := range 50 {
+		g := mustGrant(t, f, at(0), &plan.Request{ID: fleet.RequestID(fmt.Sprint(i)), Service: plainService, Objective: second, Deadline: second})
+		seen[g.Software] = true
+		reportDone(f, at(0), g)
+	}
+	require.Len(t, seen, 2)
+	require.Empty(t, f.DueRollouts(at(0)))
+	require.Empty(t, f.Rollouts())
+}
+
+// TestOrderToPresentVersion guards against a service that gets nothing since all of its targets
+// are of the version that is ordered.
+func TestOrderToPresentVersion(t *testing.T) {
+	s := newSite(t, plainService, plainTargets(0, 3), 1)
+	s.tick(0)
+	require.Equal(t, rollout.Completed, s.stage())
+	require.NotNil(t, s.request(0, "desk", second))
+}
+
+// TestEndedOrderStaysEnded guards against an order that begins anew since there is no record of how it ended.
+func TestEndedOrderStaysEnded(t *testing.T) {
+	for _, stage := range []rollout.Stage{rollout.Completed, rollout.RolledBack} {
+		f := newFleet(t, plainTargets(2, 2))
+		f.RolloutBounds, f.Epoch = rollout.Bounds{Share: 0.1, Slack: 50}, 7
+		order := rollout.Order{Service: plainService, To: "v2", Duration: 12 * second}
+		f.SetRollouts(at(0), map[route.ServiceID]rollout.Known{plainService: {Order: &order, Since: at(0), Settled: true, Final: stage}})
+		due := f.DueRollouts(at(0))
+		require.Len(t, due, 1)
+		require.Equal(t, stage, due[0].Record.Stage)
+	}
+}
--- a/fleet/rollout/evidence_test.go
+++ b/fleet/rollout/evidence_test.go
@@ -226,3 +226,19 @@
 	r.Record(at(0), "a", "n1", order.To, rollout.Good, 50*time.Millisecond)
 	require.Equal(t, 1, r.BadResponses())
 }
+
+// TestStepsNeedResponses guards against a share that grows while no response has come.
+func TestStepsNeedResponses(t *testing.T) {
+	r := newTrial(t, nil)
+	first := r.Share()
+	for ; r.now < 4*second; r.now += second / 10 {
+		for range 10 {
+			r.Arrived(at(r.now), "a")
+		}
+		r.tick()
+	}
+	require.InDelta(t, first, r.Share(), 1e-9)
+	r.respond(order.To, 10, 0, second/10)
+	r.tick()
+	require.Greater(t, r.Share(), first)
+}
