--- a/fleet/plan/target.go
+++ b/fleet/plan/target.go
@@ -177,7 +177,7 @@
 	for _, s := range ag.fetchStores {
 		s.link.observe(now, ag.transfer+transferNoise, ag.transferTook(now)+transferNoise)
 	}
-	if ag.fetchTime == 0 && t.isEngine() {
+	if ag.fetchTime == 0 && t.isEngine() && !ag.onTrial {
 		switch {
 		case ag.idleEngine:
 			t.pace().observe(ag.readTokens, now.Sub(ag.grantedAt))
@@ -269,6 +269,7 @@
 		return
 	}
 	t.unresponsive, t.unresponsiveSince = true, now
+	f.recordLoss(now, t)
 	if t.endedEarly(now) {
 		f.noteCrash(now, t)
 	}
