ingress: each write of an answer has a deadline

A client that asked twice within a second on one connection and read nothing of the second answer held its handler, its target's connection and the kernel's buffers for as long as it liked.

Cause: the server clears the write deadline after each answer. Conn kept the time of the last deadline that it had set itself, took it for still in force, and set none for answers that began within a second of it.

Evidence: TestEachWriteHasADeadline; before, two of three answers were written without a deadline.

Fix: Conn records what the server sets, so that the next write sets a new one.

--- a/hibiscusfront/internal/ingress/conn.go
+++ b/hibiscusfront/internal/ingress/conn.go
@@ -111,8 +111,7 @@
 	for {
 		now := time.Now()
 		if c.writeUntil.Sub(now) < writeTimeout-time.Second {
-			c.writeUntil = now.Add(writeTimeout)
-			if err := c.Conn.SetWriteDeadline(c.writeUntil); err != nil {
+			if err := c.SetWriteDeadline(now.Add(writeTimeout)); err != nil {
 				return written, err
 			}
 		}
@@ -125,6 +124,12 @@
 	}
 }
 
+// SetWriteDeadline sets the write deadline. The server clears it after each answer.
+func (c *Conn) SetWriteDeadline(t time.Time) error {
+	c.writeUntil = t
+	return c.Conn.SetWriteDeadline(t)
+}
+
 // headCost returns the memory that the head of the current request takes.
 func (c *Conn) headCost() int { return headCopies*c.headBytes + lineBytes*c.headLines }
 
