ingress: a connection does not yield before its answer is written

At the limit of connections, the answer to a request that had run could be lost, and a connection was closed as the one that was quiet the longest just after a long request on it had been answered.

Cause: the server writes a short answer after the handler has returned. By then the connection counted as one whose body is read and dropped, and its quiet time began with the last byte of the request, so that it was the first to yield.

Fix: the phase of a request that has arrived whole lasts until the server is done with it, and the quiet time begins then.

--- a/hibiscusfront/internal/ingress/conn.go
+++ b/hibiscusfront/internal/ingress/conn.go
@@ -40,7 +40,7 @@
 	// inBody: the handler runs, and the body of the request is arriving, or what is left of it
 	// is read and dropped.
 	inBody
-	// serving: the request has arrived whole and runs.
+	// serving: the request has arrived whole and runs, or its answer is written.
 	serving
 )
 
@@ -49,7 +49,7 @@
 	net.Conn
 	listener *Listener
 	phase    atomic.Int32
-	active   atomic.Int64 // time of the last byte that was received, in Unix nanoseconds
+	active   atomic.Int64 // time of the last byte that was received or the last answer, in Unix nanoseconds
 	blocked  atomic.Int64 // since when a write has waited for the client; zero if none does
 	evicted  atomic.Bool  // its hold was taken back
 
@@ -163,11 +163,11 @@
 	c.phase.Store(int32(serving))
 }
 
-// end releases what the request held. What is left of its body is read and dropped.
+// end releases what the request held. The phase stays until the server has read the rest of the body and written
+// the answer.
 func (c *Conn) end() {
 	c.hold.Release()
 	c.headBytes, c.headLines = 0, 0
-	c.phase.Store(int32(inBody))
 }
 
 // quietSince returns since when nothing has come from the client, or, while it is being served, since when it
@@ -183,6 +183,7 @@
 // Record is the ConnState hook of the server: the next request may come.
 func Record(conn net.Conn, state http.ConnState) {
 	if c, ok := conn.(*Conn); ok && state == http.StateIdle {
+		c.active.Store(time.Now().UnixNano())
 		c.phase.Store(int32(waiting))
 	}
 }
--- a/hibiscusfront/internal/ingress/served_test.go
+++ b/hibiscusfront/internal/ingress/served_test.go
@@ -91,3 +91,53 @@
 	}
 	require.Zero(t, unlimited.Load(), "writes without a deadline")
 }
+
+// TestAnswerIsWrittenBeforeItsConnectionYields guards against the loss of the answer to a request that has
+// run: short answers are written after the handler has returned, and the connection was then the one that
+// was quiet the longest.
+func TestAnswerIsWrittenBeforeItsConnectionYields(t *testing.T) {
+	const limit = 2
+	writing, proceed := make(chan struct{}, 1), make(chan struct{})
+	l := startHooked(t, limit, func(time.Time) {
+		writing <- struct{}{}
+		<-proceed
+	}, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "answer") })
+	served := dialTo(t, l)
+	_, err := io.WriteString(served, getRequest)
+	require.NoError(t, err)
+	<-writing
+	for range 2 * limit {
+		dialTo(t, l)
+	}
+	require.Eventually(t, func() bool { return l.Counts().Evicted > limit }, 10*time.Second, time.Millisecond)
+	close(proceed)
+	status, _ := answer(served)
+	require.Equal(t, http.StatusOK, status)
+}
+
+// TestQuietTimeBeginsWithTheAnswer guards against a connection that is closed as the one that was quiet the
+// longest just after a long request on it was answered.
+func TestQuietTimeBeginsWithTheAnswer(t *testing.T) {
+	const limit = 2
+	proceed := make(chan struct{})
+	l := startHooked(t, limit, func(time.Time) {}, func(w http.ResponseWriter, _ *http.Request) {
+		<-proceed
+		fmt.Fprint(w, "answer")
+	})
+	served := dialTo(t, l)
+	_, err := io.WriteString(served, getRequest)
+	require.NoError(t, err)
+	time.Sleep(50 * time.Millisecond) // the request has been read
+	dialTo(t, l)
+	require.Eventually(t, func() bool { return l.Counts().Open == limit }, 10*time.Second, time.Millisecond)
+	close(proceed)
+	status, _ := answer(served)
+	require.Equal(t, http.StatusOK, status)
+	time.Sleep(50 * time.Millisecond) // the connection is idle
+	dialTo(t, l)
+	require.Eventually(t, func() bool { return l.Counts().Evicted == 1 }, 10*time.Second, time.Millisecond)
+	_, err = io.WriteString(served, getRequest)
+	require.NoError(t, err)
+	status, _ = answer(served)
+	require.Equal(t, http.StatusOK, status)
+}
