ingress, holding: a body that was evicted as its last byte came is refused

Under overload, a host could keep more of clients' bodies than its limit, and end a request that it was about to send: a body was used although its memory had been given to others.

Cause: a hold is looked at when it grows. A last segment may take longer than StallTime to arrive; if the hold was evicted before Settle, nobody noticed. The read deadline that evict had set then ended the server's background read, which cancels the request as if its client had left.

Evidence: ingress/TestEvictedWhenAllHasArrived; before, ReadBody returned the body and no error. holding/TestStalledHoldsYield checks Settle.

Fix: Settle reports the eviction. ReadBody then refuses the request as not run, and a request without a body ends its connection, like any head that does not fit.

--- a/fleet/holding/holding.go
+++ b/fleet/holding/holding.go
@@ -169,6 +169,7 @@
 	// then on the lock of the budget guards the other fields.
 	shared  bool
 	grownAt fleet.Instant
+	kept    fleet.Bytes // with the free part, as last recorded
 	evicted bool
 }
 
@@ -238,7 +239,7 @@
 	case want < h.taken:
 		b.used.Add(want - h.taken)
 	}
-	h.taken = want
+	h.taken, h.kept = want, fleet.Bytes(n)
 	if want > 0 && b.Clock != nil {
 		if b.arriving == nil {
 			b.arriving = make(map[*Hold]struct{})
@@ -248,14 +249,19 @@
 	return nil
 }
 
-// Settle records that all has arrived: the hold can't be evicted until it is released.
-func (h *Hold) Settle() {
+// Settle records that all has arrived: the hold can't be evicted until it is released. It returns an
+// *EvictedError if the hold has been evicted since the last call of Keep.
+func (h *Hold) Settle() error {
 	if !h.shared {
-		return
+		return nil
 	}
 	h.Budget.mu.Lock()
 	defer h.Budget.mu.Unlock()
+	if h.evicted {
+		return &EvictedError{h.kept}
+	}
 	delete(h.Budget.arriving, h)
+	return nil
 }
 
 // Release gives back what the owner has.
--- a/fleet/holding/holding_test.go
+++ b/fleet/holding/holding_test.go
@@ -80,7 +80,7 @@
 	newHold := func() *holding.Hold { return &holding.Hold{Budget: &budget, Free: 5, Evict: func() { evicted++ }} }
 	first, second, late, settled := newHold(), newHold(), newHold(), newHold()
 	require.NoError(t, settled.Keep(25))
-	settled.Settle()
+	require.NoError(t, settled.Settle())
 	require.NoError(t, first.Keep(45))
 	now = now.Add(time.Millisecond)
 	require.NoError(t, second.Keep(45))
@@ -93,6 +93,7 @@
 	require.ErrorAs(t, late.Fits(86), new(*holding.SpentError), "what has arrived whole stays")
 	require.NoError(t, late.Keep(30))
 	require.Equal(t, 1, evicted, "one is enough")
+	require.ErrorAs(t, first.Settle(), new(*holding.EvictedError), "its bytes are counted no more")
 	require.ErrorAs(t, first.Keep(46), new(*holding.EvictedError), "the one that stood still the longest")
 	require.NoError(t, second.Keep(46), "it goes on")
 
@@ -129,7 +130,9 @@
 					t.Errorf("%d bytes are in use, want %d at most", used, limit)
 				}
 				if random.IntN(3) == 0 {
-					h.Settle()
+					if errors.As(h.Settle(), new(*holding.EvictedError)) && !evicted.Load() {
+						t.Error("Settle reports an eviction without a call of Evict")
+					}
 				}
 				if err != nil || random.IntN(5) == 0 {
 					h.Release()
@@ -154,7 +157,7 @@
 	for b.Loop() {
 		_ = h.Keep(2 << 10)
 		_ = h.Keep(14 << 10)
-		h.Settle()
+		_ = h.Settle()
 		h.Release()
 	}
 }
--- a/hibiscusfront/internal/ingress/body.go
+++ b/hibiscusfront/internal/ingress/body.go
@@ -48,8 +48,10 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		c.begin(r)
 		defer c.end()
+		if c.begin(r) != nil {
+			panic(http.ErrAbortHandler) // ends the connection without an answer
+		}
 		if r.ContentLength != 0 {
 			// The server reads the rest of a body before it answers, which may never come.
 			_ = c.SetReadDeadline(time.Now().Add(dropTimeout))
@@ -83,13 +85,13 @@
 		}
 		return c.hold.Keep(c.headCost() + size)
 	})
+	if err == nil && c != nil {
+		err = c.arrived()
+	}
 	if err != nil {
 		return nil, c.cause(err)
 	}
 	_ = control.SetReadDeadline(time.Time{})
-	if c != nil {
-		c.arrived()
-	}
 	return body, nil
 }
 
--- a/hibiscusfront/internal/ingress/conn.go
+++ b/hibiscusfront/internal/ingress/conn.go
@@ -148,19 +148,23 @@
 	return nil
 }
 
-// begin records that the head of a request has arrived.
-func (c *Conn) begin(r *http.Request) {
+// begin records that the head of a request has arrived. It returns an error if the head can't be kept.
+func (c *Conn) begin(r *http.Request) error {
 	if r.ContentLength == 0 {
-		c.arrived()
-		return
+		return c.arrived()
 	}
 	c.phase.Store(int32(inBody))
+	return nil
 }
 
-// arrived records that the request has arrived whole.
-func (c *Conn) arrived() {
-	c.hold.Settle()
+// arrived records that the request has arrived whole. It returns a *holding.EvictedError if its memory was given to
+// others before.
+func (c *Conn) arrived() error {
+	if err := c.hold.Settle(); err != nil {
+		return err
+	}
 	c.phase.Store(int32(serving))
+	return nil
 }
 
 // end releases what the request held. The phase stays until the server has read the rest of the body and written
--- a/hibiscusfront/internal/ingress/served_test.go
+++ b/hibiscusfront/internal/ingress/served_test.go
@@ -6,12 +6,15 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"hibiscuslb/fleet/holding"
+	"hibiscuslb/hibiscusfront/internal/clock"
 	"hibiscuslb/hibiscusfront/internal/ingress"
 )
 
@@ -141,3 +144,50 @@
 	status, _ = answer(served)
 	require.Equal(t, http.StatusOK, status)
 }
+
+// TestEvictedWhenAllHasArrived guards against a body that is used although its memory was given to others
+// between its last byte and the end of its reading.
+func TestEvictedWhenAllHasArrived(t *testing.T) {
+	const length = 256 << 10
+	budget := holding.Budget{Clock: clock.BootTime()}
+	budget.SetLimit(length)
+	l, err := ingress.Listen(context.Background(), "127.0.0.1:0", 0, &budget)
+	require.NoError(t, err)
+	errs := make(chan error, 1)
+	web := &http.Server{ConnState: ingress.Record, ConnContext: ingress.ConnContext, Handler: ingress.Handler(http.HandlerFunc(
+		func(w http.ResponseWriter, r *http.Request) {
+			r.Body = &atEnd{ReadCloser: r.Body, left: length, do: func() {
+				time.Sleep(holding.StallTime)
+				other := holding.Hold{Budget: &budget, Evict: func() {}}
+				errs <- other.Keep(length)
+			}}
+			_, err := ingress.ReadBody(w, r, length)
+			errs <- err
+			w.Header().Set("Connection", "close")
+		}))}
+	ended := make(chan error, 1)
+	go func() { ended <- web.Serve(l) }()
+	defer func() {
+		_ = web.Close()
+		<-ended
+	}()
+	_, err = io.WriteString(dialTo(t, l), post("/", fmt.Sprintf("Content-Length: %d\r\n", length))+strings.Repeat("x", length))
+	require.NoError(t, err)
+	require.NoError(t, <-errs)
+	require.ErrorAs(t, <-errs, new(*holding.EvictedError))
+}
+
+// atEnd calls a function when its last byte has been read.
+type atEnd struct {
+	io.ReadCloser
+	left int
+	do   func()
+}
+
+func (r *atEnd) Read(p []byte) (int, error) {
+	n, err := r.ReadCloser.Read(p)
+	if r.left -= n; r.left == 0 {
+		r.do()
+	}
+	return n, err
+}
