ingress: what the server reads ahead counts for the request that it belongs to

Clients that sent a request and, behind it in the same segment, a head of 1,300 short lines made the host keep some 330 KB for each connection beyond its budget. Ordinary clients whose bodies have many lines, such as indented JSON, drew on the budget with a body of a few KB, and had their connections closed without an answer when it was spent.

Cause: all bytes of a read counted for the head that was arriving. The server reads 4 KB ahead: what came behind the head was the body, whose lines cost nothing, or the next head, which was released with the request before.

Evidence: TestPipelinedHeadsShareTheBudget; before, nothing was charged in any of its cases. TestRequestsInTurnDrawOnNothing; before, an ordinary request of 12 KB drew 1,023,744 bytes.

Fix: a head ends at its empty line. What is behind it counts for the body as far as its length says, and else for the next request. A head that was received whole with the request before is counted when it has been decoded.

--- a/hibiscusfront/internal/ingress/conn.go
+++ b/hibiscusfront/internal/ingress/conn.go
@@ -1,13 +1,13 @@
 package ingress
 
 import (
-	"bytes"
 	"context"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/holding"
 )
 
@@ -54,8 +54,9 @@
 	evicted  atomic.Bool  // its hold was taken back
 
 	// Used by the goroutine that reads the connection.
-	headBytes, headLines int
-	hold                 holding.Hold // of the head and the body of the current request
+	head section      // of the current request
+	rest rest         // received behind it
+	hold holding.Hold // of the head and the body of the current request
 
 	writeUntil time.Time // the write deadline; used by the goroutine that writes
 }
@@ -91,16 +92,17 @@
 	c.active.Store(time.Now().UnixNano())
 	// While a handler runs, the server reads a single byte in another goroutine to see whether the client
 	// leaves.
-	if p := phase(c.phase.Load()); len(buffer) == 1 || p != waiting && p != inHead {
+	if len(buffer) == 1 {
+		return n, err
+	}
+	if p := phase(c.phase.Load()); p != waiting && p != inHead {
+		c.rest.addToBody(buffer[:n], len(buffer))
 		return n, err
 	}
 	c.phase.Store(int32(inHead))
-	c.headBytes += n
-	c.headLines += bytes.Count(buffer[:n], []byte{'\n'})
-	if spent := c.hold.Keep(c.headCost()); spent != nil {
-		c.listener.headsRefused.Add(1)
-		_ = c.Close() // else the server may take the head for a malformed one, and answer that
-		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: spent}
+	c.rest.addToHead(&c.head, buffer[:n])
+	if c.hold.Keep(c.headCost()) != nil {
+		return 0, c.refuseHead()
 	}
 	return n, err
 }
@@ -131,7 +133,15 @@
 }
 
 // headCost returns the memory that the head of the current request takes.
-func (c *Conn) headCost() int { return headCopies*c.headBytes + lineBytes*c.headLines }
+func (c *Conn) headCost() int { return headCopies*c.head.bytes + lineBytes*c.head.lines }
+
+// refuseHead closes the connection, since the budget left no room for a head. Otherwise the server may take the
+// head for a malformed one, and answer that.
+func (c *Conn) refuseHead() error {
+	c.listener.headsRefused.Add(1)
+	_ = c.Close()
+	return &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: &holding.SpentError{Limit: c.listener.Budget.Limit(), Wanted: fleet.Bytes(c.headCost())}}
+}
 
 // Close implements net.Conn.
 func (c *Conn) Close() error {
@@ -150,6 +160,14 @@
 
 // begin records that the head of a request has arrived. It returns an error if the head can't be kept.
 func (c *Conn) begin(r *http.Request) error {
+	if c.head.bytes == 0 {
+		// It was received together with the request before, which has released it.
+		c.head = decoded(r)
+		if c.hold.Keep(c.headCost()) != nil {
+			return c.refuseHead()
+		}
+	}
+	c.rest.begin(r.ContentLength)
 	if r.ContentLength == 0 {
 		return c.arrived()
 	}
@@ -171,7 +189,7 @@
 // the answer.
 func (c *Conn) end() {
 	c.hold.Release()
-	c.headBytes, c.headLines = 0, 0
+	c.head = section{}
 }
 
 // quietSince returns since when nothing has come from the client, or, while it is being served, since when it
--- a/hibiscusfront/internal/ingress/served_test.go
+++ b/hibiscusfront/internal/ingress/served_test.go
@@ -145,6 +145,59 @@
 	require.Equal(t, http.StatusOK, status)
 }
 
+// TestPipelinedHeadsShareTheBudget guards against heads that are received together with an earlier
+// request: their lines were charged to that request only, and released with it.
+func TestPipelinedHeadsShareTheBudget(t *testing.T) {
+	lines := strings.Repeat("a:\n", 1100)
+	for _, test := range []struct{ name, first, second string }{
+		{"whole head", getRequest, post("/", lines+"Content-Length: 10\r\n")},
+		{"head that goes on later", getRequest, "GET / HTTP/1.1\r\nHost: h\r\n" + lines},
+		{"after a body", post("/", "Content-Length: 4\r\n") + "body", post("/", lines+"Content-Length: 10\r\n")},
+		{"after a body in chunks that ends like one", post("/", "Transfer-Encoding: chunked\r\n") + "4\r\nbody\r\n0\r\n\r\n", post("/", lines+"Content-Length: 10\r\nA: 0\r\n")},
+		{"after a body in chunks", post("/", "Transfer-Encoding: chunked\r\n") + "4\r\nbody\r\n0\r\n\r\n", post("/", lines+"Content-Length: 10\r\n")},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			s := startServer(t, 0, 8<<20)
+			conn := s.dial(t)
+			_, err := io.WriteString(conn, test.first+test.second)
+			require.NoError(t, err)
+			status, _ := answer(conn)
+			require.Equal(t, http.StatusOK, status)
+			time.Sleep(50 * time.Millisecond)
+			if strings.HasPrefix(test.second, "GET") {
+				_, err = io.WriteString(conn, "b:\n")
+				require.NoError(t, err)
+			}
+			require.Eventually(t, func() bool { return s.budget.Used() > 200<<10 }, time.Second, time.Millisecond,
+				"the head of the second request is in memory")
+		})
+	}
+}
+
+// TestRequestsInTurnDrawOnNothing guards against ordinary requests that are refused when long ones have spent
+// the budget: lines of a body that came with its head counted as lines of the head. What was sent before must not
+// count for the next request either.
+func TestRequestsInTurnDrawOnNothing(t *testing.T) {
+	s := startServer(t, 0, 8<<20)
+	conn := s.dial(t)
+	body, lines := strings.Repeat("\n", 12<<10), strings.Repeat("A: b\r\n", 10)
+	for _, request := range []string{
+		post("/", lines+"Content-Length: 12288\r\n") + body,
+		post("/", lines+"Content-Length: 100\r\n") + body[:100],
+		post("/", lines+"Transfer-Encoding: chunked\r\n") + "400\r\n" + body[:1<<10] + "\r\n0\r\n\r\n",
+		"GET / HTTP/1.1\r\nHost: h\r\n" + lines + "\r\n",
+	} {
+		for range 3 {
+			_, err := io.WriteString(conn, request)
+			require.NoError(t, err)
+			status, _ := answer(conn)
+			require.Equal(t, http.StatusOK, status)
+		}
+	}
+	require.Zero(t, s.budget.Highest())
+}
+
 // TestEvictedWhenAllHasArrived guards against a body that is used although its memory was given to others
 // between its last byte and the end of its reading.
 func TestEvictedWhenAllHasArrived(t *testing.T) {
