prompt, plan: long IDs of parts no longer fill the planner's memory

The host that selects targets grew beyond its memory when callers sent prompts with one part whose ID filled a head of legal size.

Cause: the estimate of an engine's cache is bounded in parts, not in bytes: 4,096 IDs of 16 KB are 64 MB for each engine. An ID of few bytes also kept the whole header that it was cut from.

Fix: a part with an ID of 256 bytes or more ends the chain that can be shared; what follows is folded into it, as behind the 64th part. IDs are copied. What an engine reports of parts with longer IDs is ignored.

--- a/fleet/plan/cache.go
+++ b/fleet/plan/cache.go
@@ -5,6 +5,7 @@
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/cachestore"
+	"hibiscuslb/fleet/prompt"
 )
 
 // cache is the planner's estimate of an engine's cache: the parts of the prompts
@@ -122,11 +123,11 @@
 }
 
 // SetCachedTokens records how many tokens of a part an engine holds; zero if it
-// has evicted the part.
+// has evicted the part. A part with a longer ID than one that can be shared is ignored.
 func (f *Fleet) SetCachedTokens(id fleet.TargetID, p cachestore.Part, tokens fleet.Tokens) {
 	t, ok := f.targets[id]
 	switch {
-	case !ok:
+	case !ok, len(p.ID) >= prompt.MaxPartIDBytes:
 	case tokens == 0:
 		t.cache.remove(t, p)
 	default:
--- a/fleet/plan/cache_test.go
+++ b/fleet/plan/cache_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/cachestore"
 	"hibiscuslb/fleet/prompt"
 )
@@ -28,3 +30,14 @@
 	engine.cache.clear(engine)
 	require.Empty(t, index.engines)
 }
+
+// TestReportedLongIDsAreIgnored guards against parts with IDs of thousands of bytes that an engine reports.
+func TestReportedLongIDsAreIgnored(t *testing.T) {
+	var f Fleet
+	engine := newTarget(new(engineIndex))
+	f.targets = map[fleet.TargetID]*target{"e": engine}
+	for _, length := range []int{prompt.MaxPartIDBytes - 1, prompt.MaxPartIDBytes} {
+		f.SetCachedTokens("e", cachestore.Part{Salt: "m@1", ID: prompt.PartID(strings.Repeat("x", length))}, 10)
+	}
+	require.Len(t, engine.cache.parts, 1)
+}
--- a/fleet/prompt/prompt.go
+++ b/fleet/prompt/prompt.go
@@ -8,7 +8,11 @@
 // length, see package cache.
 package prompt
 
-import "hibiscuslb/fleet"
+import (
+	"strings"
+
+	"hibiscuslb/fleet"
+)
 
 // A PartID identifies a part by its content.
 type PartID string
@@ -27,7 +31,7 @@
 	Input  fleet.Tokens // tokens of the whole prompt
 	Output fleet.Tokens // maximum number of tokens to generate
 	// Folded is how many parts of the caller's chain the last part stands for, besides itself. Only
-	// the first MaxParts-1 parts of a chain can be shared.
+	// the first MaxParts-1 parts of a chain can be shared, and none whose ID is too long.
 	Folded int `cbor:",omitempty"`
 }
 
@@ -35,13 +39,20 @@
 // part of one takes time and memory on the host that selects targets; prompts have a handful.
 const MaxParts = 64
 
-// Append appends a part to the chain. Beyond MaxParts, it is folded into the last part.
+// MaxPartIDBytes is the length that the ID of a part which can be shared stays below. The host that selects
+// targets keeps thousands of IDs; those of engines have some tens of bytes.
+const MaxPartIDBytes = 256
+
+// Append appends a part to the chain. Beyond MaxParts, and behind a part whose ID is too long, it is folded into
+// the last part. The ID is copied, so that the text it was found in is not kept with it.
 func (p *Prompt) Append(part Part) {
-	if len(p.Parts) < MaxParts {
+	part.ID = PartID(strings.Clone(string(part.ID[:min(len(part.ID), MaxPartIDBytes)])))
+	n := len(p.Parts)
+	if n == 0 || n < MaxParts && p.Folded == 0 && len(p.Parts[n-1].ID) < MaxPartIDBytes {
 		p.Parts = append(p.Parts, part)
 		return
 	}
-	last := &p.Parts[MaxParts-1]
+	last := &p.Parts[n-1]
 	last.ID, last.Tokens = part.ID, last.Tokens+part.Tokens
 	p.Folded++
 }
--- a/fleet/prompt/prompt_test.go
+++ b/fleet/prompt/prompt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -35,3 +36,32 @@
 	}
 	require.EqualValues(t, 2*parts, total)
 }
+
+// TestLongIDsAreFolded guards against parts with IDs of thousands of bytes, of which the planner keeps as many as
+// of others.
+func TestLongIDsAreFolded(t *testing.T) {
+	long := prompt.PartID(strings.Repeat("x", prompt.MaxPartIDBytes))
+	longest := long[1:]
+	for _, test := range []struct {
+		chain, want []prompt.PartID
+		folded      int
+	}{
+		{[]prompt.PartID{longest, "own"}, []prompt.PartID{longest, "own"}, 0},
+		{[]prompt.PartID{"a", long + "y", "b", "own"}, []prompt.PartID{"a", "own"}, 2},
+		{[]prompt.PartID{"a", long, long + "y"}, []prompt.PartID{"a", long}, 1},
+		{[]prompt.PartID{long + "y"}, []prompt.PartID{long}, 0},
+	} {
+		var p prompt.Prompt
+		for _, id := range test.chain {
+			p.Append(prompt.Part{ID: id, Tokens: 1})
+		}
+		var got []prompt.PartID
+		total := fleet.Tokens(0)
+		for _, part := range p.Parts {
+			got, total = append(got, part.ID), total+part.Tokens
+		}
+		require.Equal(t, test.want, got)
+		require.Equal(t, test.folded, p.Folded)
+		require.EqualValues(t, len(test.chain), total)
+	}
+}
--- a/hibiscusfront/internal/soak/crowd_test.go
+++ b/hibiscusfront/internal/soak/crowd_test.go
@@ -299,6 +299,29 @@
 	}
 }
 
+// longParts is like prompts, with parts of their own: a shared one and the last one, one of which has the longest
+// legal ID.
+func longParts(requests int) func(int) []byte {
+	return func(n int) []byte {
+		if n > requests {
+			return nil
+		}
+		number := promptNumber.Add(1)
+		head := startTo("/talk/x", int(number), "key-w") + fmt.Sprintf("X-Hibiscuslb-Model: %s\r\nX-Hibiscuslb-Token-Usage: 100,2\r\nX-Hibiscuslb-Prefix-Hash: %x", model, number)
+		const end = ":1\r\nContent-Length: 0\r\n\r\n"
+		long := strings.Repeat("p", crowdHead-len(head)-len(end)-len(":1,f"))
+		if n%2 == 0 {
+			head += long + ":1,f" + end
+		} else {
+			head += ":1,f" + long + end
+		}
+		if n == requests {
+			return []byte(head)[:len(head)-shortOfEnd]
+		}
+		return []byte(head)
+	}
+}
+
 // oneChunk returns a body that is one chunk but for its end.
 func oneChunk(length, piece int) func(int) []byte {
 	rest := inPieces(length, piece)
@@ -334,6 +357,7 @@
 	{name: "answers that nobody reads", clients: 200, address: toCallers,
 		head: func(client int) string { return startTo("/long/x", client, "key-w") + "Content-Length: 0\r\n\r\n" }},
 	{name: "prompts of thousands of parts", clients: 90, address: toCallers, body: prompts(300), reads: true},
+	{name: "prompts of long parts", clients: 90, address: toCallers, body: longParts(300), reads: true},
 	{name: "small bodies", clients: 1200, address: toCallers, head: withLength(1 << 10), body: inPieces(1<<10, 1<<10)},
 	{name: "small bodies without a valid key", clients: 1200, address: toCallers, body: inPieces(1<<10, 1<<10),
 		head: func(client int) string { return startOf(client, "none") + "Content-Length: 1024\r\n\r\n" }},
