gateway, planner, chooser: log lines are short, whatever callers send

A host whose log was read slowly could be made to keep up to 190 MB of log lines, also by clients without a valid key.

Cause: the buffer of the log is bounded in lines, 2,048. A line had the whole ID of its request, which may fill a head of 16 KB and takes six times as much where its bytes are escaped, and all parts of its prompt.

Evidence: gateway/TestLogLinesAreShort; before, the line of a refused request had 40,750 bytes as decoded, of 8,192 allowed by the test.

Fix: log lines contain the first 64 bytes of an ID, of a part and of a path, and 16 parts at most.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -54,6 +54,13 @@
 // RequestID identifies one attempt of a caller at a request.
 type RequestID string
 
+// maxLoggedID bounds what log lines contain of an ID. Callers choose IDs, of up to the length of a head, and the
+// log keeps thousands of lines while its reader is slow.
+const maxLoggedID = 64 // bytes
+
+// ForLog returns the ID, or its start if it is long.
+func (id RequestID) ForLog() string { return string(id[:min(len(id), maxLoggedID)]) }
+
 // Address is an IP address and a port, as in "127.0.0.1:7000".
 type Address string
 
--- a/hibiscusfront/internal/chooser/chooser.go
+++ b/hibiscusfront/internal/chooser/chooser.go
@@ -112,7 +112,7 @@
 		default:
 			return decision
 		}
-		c.Log.Info().Str("Request", string(req.ID)).Str("Target", string(decision.Grant.Target)).Str("Planner", string(decision.Grant.By)).
+		c.Log.Info().Str("Request", req.ID.ForLog()).Str("Target", string(decision.Grant.Target)).Str("Planner", string(decision.Grant.By)).
 			Msg("grant given back: " + reason)
 		c.Report(decision.Grant, plan.Rejected)
 		again := *req
@@ -137,7 +137,7 @@
 	refusal := *decision.Refusal
 	refusal.RetryAfter = soonest + time.Duration(rand.Int64N(int64(min(soonest, pauseSpread))))
 	decision.Refusal = &refusal
-	c.Log.Info().Str("Request", string(decision.Request.ID)).Str("Service", string(decision.Request.Service)).Dur("RetryAfter", refusal.RetryAfter).
+	c.Log.Info().Str("Request", decision.Request.ID.ForLog()).Str("Service", string(decision.Request.Service)).Dur("RetryAfter", refusal.RetryAfter).
 		Msg("refused a request: all targets that could serve it have asked this host for a pause")
 	return decision
 }
--- a/hibiscusfront/internal/gateway/log_test.go
+++ b/hibiscusfront/internal/gateway/log_test.go
@@ -1,11 +1,15 @@
 package gateway_test
 
 import (
+	"encoding/json"
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"hibiscuslb/fleet/prompt"
 	"hibiscuslb/fleet/route"
 	"hibiscuslb/hibiscusfront/internal/testlog"
 )
@@ -66,3 +70,33 @@
 		})
 	}
 }
+
+// TestLogLinesAreShort guards against headers of legal size that fill the memory while the reader of the log is
+// slow: its buffer is bounded in lines.
+func TestLogLinesAreShort(t *testing.T) {
+	const maxLine = 8 << 10
+	long := strings.Repeat("\xff", 900) // six bytes each in a log line
+	var chain strings.Builder
+	for i := range prompt.MaxParts {
+		fmt.Fprintf(&chain, "%d%s:1,", i, long[:200])
+	}
+	for _, test := range []struct {
+		key     string
+		headers map[string]string
+	}{
+		{"other", map[string]string{"X-Hibiscuslb-Request-Id": strings.Repeat(long, 15)}},
+		{"k", map[string]string{"X-Hibiscuslb-Request-Id": strings.Repeat(long, 15)}},
+		{"k", map[string]string{"X-Hibiscuslb-Model": "m", "X-Hibiscuslb-Prefix-Hash": chain.String() + "own:1"}},
+	} {
+		b := startGateway(t, route.Route{Name: "r", Kind: route.NonIdempotent}, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+		_, _, _, err := b.tryCallWith(t, test.key, test.headers)
+		require.NoError(t, err)
+		lines := append(b.log.WithMessage("request ended"), b.log.WithMessage("no complete response from the target")...)
+		require.NotEmpty(t, lines)
+		for _, line := range lines {
+			text, err := json.Marshal(line)
+			require.NoError(t, err)
+			require.Less(t, len(text), maxLine)
+		}
+	}
+}
--- a/hibiscusfront/internal/gateway/record.go
+++ b/hibiscusfront/internal/gateway/record.go
@@ -12,20 +12,22 @@
 // parts of its prompt, whether its answer had begun, and the fingerprint by which it is
 // known when it comes again tell which request ended a target.
 func (c *call) logFailedAttempt(g *plan.Grant, message string, err error) {
-	c.Log.Info().Str("Request", string(c.ID)).Str("Target", string(g.Target)).Str("Service", string(g.Service)).
+	c.Log.Info().Str("Request", c.ID.ForLog()).Str("Target", string(g.Target)).Str("Service", string(g.Service)).
 		Uint64("Grant", uint64(g.Number)).Int("Tried", len(c.tried)).Stringer("Outcome", c.outcome).Stringer("Framing", c.framing).
 		Strs("Parts", c.sharedParts()).Str("Fingerprint", string(c.fingerprint)).
 		Str("Software", string(g.Software)).Str("LastEvent", cutForLog(c.LastEvent)).Dur("First", c.firstByte).AnErr("Cause", err).Msg(message)
 }
 
-// sharedParts returns the IDs of the prompt's shared parts, for logs.
+// sharedParts returns the IDs of the prompt's first shared parts, for logs.
 func (c *call) sharedParts() []string {
 	if c.Prompt == nil {
 		return nil
 	}
+	const maxLogged = 16 // prompts have a handful
 	var ids []string
-	for _, part := range c.Prompt.Shared() {
-		ids = append(ids, string(part.ID))
+	shared := c.Prompt.Shared()
+	for _, part := range shared[:min(len(shared), maxLogged)] {
+		ids = append(ids, cutForLog(string(part.ID)))
 	}
 	return ids
 }
@@ -66,9 +68,9 @@
 		grant = *c.grant
 	}
 	if c.LastEvent != "" {
-		event.Str("Resumes", cutForLog(string(c.Resumes))).Str("LastEvent", cutForLog(c.LastEvent))
+		event.Str("Resumes", c.Resumes.ForLog()).Str("LastEvent", cutForLog(c.LastEvent))
 	}
-	event.Str("Software", string(grant.Software)).Str("Request", string(c.ID)).Str("Route", name).Str("Workspace", string(workspace)).
+	event.Str("Software", string(grant.Software)).Str("Request", c.ID.ForLog()).Str("Route", name).Str("Workspace", string(workspace)).
 		Str("Target", string(grant.Target)).Uint64("Grant", uint64(grant.Number)).Int("Status", c.status).
 		Str("Reason", string(c.reason)).Stringer("Outcome", c.outcome).Int("Tried", len(c.tried)).
 		Uint64("Configuration", uint64(number)).Stringer("Framing", c.framing).Dur("First", c.firstByte).Dur("Total", total).Msg("request ended")
--- a/hibiscusfront/internal/gateway/relay.go
+++ b/hibiscusfront/internal/gateway/relay.go
@@ -29,7 +29,7 @@
 	}
 	if c.headerSent {
 		// The target that should resume the stream answered with an error.
-		return c.targetFailed(g, &platform.StatusError{Address: g.Address, Path: c.r.URL.Path, Status: exchange.Status})
+		return c.targetFailed(g, &platform.StatusError{Address: g.Address, Path: cutForLog(c.r.URL.Path), Status: exchange.Status})
 	}
 	hold := holding.Hold{Budget: c.Pool.Budget, Free: relayBufferSize}
 	defer hold.Release()
--- a/hibiscusfront/internal/planner/planner.go
+++ b/hibiscusfront/internal/planner/planner.go
@@ -313,7 +313,7 @@
 // which the plan does not know.
 func (p *Planner) finishDecision(now fleet.Instant, decision plan.Decision) plan.Decision {
 	if decision.Refusal != nil {
-		p.Log.Info().Str("Request", string(decision.Request.ID)).Str("Service", string(decision.Request.Service)).Str("Reason", string(decision.Refusal.Reason)).
+		p.Log.Info().Str("Request", decision.Request.ID.ForLog()).Str("Service", string(decision.Request.Service)).Str("Reason", string(decision.Refusal.Reason)).
 			Dur("RetryAfter", decision.Refusal.RetryAfter).Int("Waiting", p.fleet.QueueLen()).Int("Usable", p.fleet.UsableTargets(now, decision.Request.Service)).
 			Dur("Objective", decision.Request.Objective).Int("Rank", decision.Request.Rank).Uint64("Epoch", uint64(p.epoch)).Msg("refused a request")
 	}
