host: connections at the addresses for hosts and metrics are limited

A crowd that opened connections to the address for other hosts and sent nothing took all descriptors of a host. Connections on which a path was not found were kept without an end.

Cause: the two servers used listeners without a limit, and that for hosts had no idle timeout.

Fix: both use ingress.Listener, with a limit of their own. A connection between hosts counts as being served once its handshake is done, so that it does not yield.

--- a/hibiscusfront/internal/host/host.go
+++ b/hibiscusfront/internal/host/host.go
@@ -58,6 +58,11 @@
 	// directoryShare divides the limit of connections of callers to give that of each other
 	// listener for clients.
 	directoryShare = 4
+	// minPeerConnections is the least limit of connections from other hosts, each of which has one. Once one
+	// carries messages it is being served, and does not yield.
+	minPeerConnections = 64
+	// maxMetricsConnections is the limit of connections at the metrics.
+	maxMetricsConnections = 16
 	// sweepInterval is the time between two sweeps of idle connections.
 	sweepInterval = time.Second
 )
@@ -185,15 +190,17 @@
 // of the metrics.
 const listenerCount = 5
 
+// newServer returns a server for connections that an ingress.Listener accepts.
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: ingress.Handler(handler), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: ingress.Record, ConnContext: ingress.ConnContext,
+	}
+}
+
 func (h *Host) listen(ctx context.Context) ([]*http.Server, error) {
 	callersCtx, cut := context.WithCancelCause(ctx)
 	h.cut = cut
-	newServer := func(handler http.Handler) *http.Server {
-		return &http.Server{
-			Handler: ingress.Handler(handler), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-			ConnState: ingress.Record, ConnContext: ingress.ConnContext,
-		}
-	}
 	callers := newServer(h.departure.CallersHandler(announcedIdle, h.gateway))
 	callers.ConnState = func(conn net.Conn, state http.ConnState) {
 		ingress.Record(conn, state)
@@ -220,15 +227,17 @@
 		servers, h.listeners = append(servers, l.server), append(h.listeners, listener)
 		h.serve(ctx, l.server, listener)
 	}
-	peers := &http.Server{
-		Handler: &peer.Server{Handler: h}, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
-		BaseContext: func(net.Listener) context.Context { return ctx },
+	peers := newServer(&peer.Server{Handler: h})
+	peers.BaseContext = func(net.Listener) context.Context { return ctx }
+	limit := others.Connections
+	if limit > 0 {
+		limit = max(limit, minPeerConnections)
 	}
-	listener, err := net.Listen("tcp", string(h.settings.Peers))
+	listener, err := ingress.Listen(ctx, string(h.settings.Peers), limit, nil)
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen on %s", h.settings.Peers)
 	}
-	servers = append(servers, peers)
+	servers, h.listeners = append(servers, peers), append(h.listeners, listener)
 	h.serve(ctx, peers, listener)
 	if metrics := h.listenMetrics(ctx); metrics != nil {
 		servers = append(servers, metrics)
@@ -248,15 +257,19 @@
 // not available it returns nil, and the host runs without metrics.
 func (h *Host) listenMetrics(ctx context.Context) *http.Server {
 	address := net.JoinHostPort(h.settings.IP, strconv.Itoa(h.MetricsPort))
-	listener, err := net.Listen("tcp", address)
+	limit := 0
+	if h.limits.Connections > 0 {
+		limit = maxMetricsConnections
+	}
+	listener, err := ingress.Listen(ctx, address, limit, &h.requests)
 	if err != nil {
 		h.log.Error().Err(err).Str("Address", address).Msg("cannot listen on the metrics address; running without metrics")
 		return nil
 	}
-	server := &http.Server{
-		Handler: h.meter.handler(), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		BaseContext: func(net.Listener) context.Context { return ctx },
-	}
+	h.listeners = append(h.listeners, listener)
+	server := newServer(h.meter.handler())
+	server.ReadTimeout = readHeaderTimeout
+	server.BaseContext = func(net.Listener) context.Context { return ctx }
 	h.serve(ctx, server, listener)
 	return server
 }
--- a/hibiscusfront/internal/soak/crowd_test.go
+++ b/hibiscusfront/internal/soak/crowd_test.go
@@ -198,6 +198,18 @@
 
 func toDirectory(h *host) string { return h.directory }
 
+// toPeers returns the address for other hosts, which has the first port of the range in the settings.
+func toPeers(h *host) string {
+	text, err := os.ReadFile(h.settings)
+	if err != nil {
+		return ""
+	}
+	_, text, _ = bytes.Cut(text, []byte("portRange: ["))
+	port, _, _ := bytes.Cut(text, []byte(","))
+	ip, _, _ := net.SplitHostPort(h.callers)
+	return net.JoinHostPort(ip, string(port))
+}
+
 // startOf returns the start of the head of a request.
 func startOf(client int, key string) string { return startTo("/order/x", client, key) }
 
@@ -361,6 +373,7 @@
 	{name: "small bodies", clients: 1200, address: toCallers, head: withLength(1 << 10), body: inPieces(1<<10, 1<<10)},
 	{name: "small bodies without a valid key", clients: 1200, address: toCallers, body: inPieces(1<<10, 1<<10),
 		head: func(client int) string { return startOf(client, "none") + "Content-Length: 1024\r\n\r\n" }},
+	{name: "silent connections at the address for hosts", clients: 1200, address: toPeers},
 	{name: "bodies at the directory", clients: 1200, address: toDirectory, body: inPieces(64<<10, 64<<10),
 		head: func(int) string {
 			return "GET /-/lookup?region=r&zone=z HTTP/1.1\r\nHost: h\r\nContent-Length: 65536\r\n\r\n"
