--- a/hibiscusfront/internal/ingress/conn.go
+++ b/hibiscusfront/internal/ingress/conn.go
@@ -1,13 +1,13 @@
 package ingress
 
 import (
-	"bytes"
 	"context"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/holding"
 )
 
@@ -40,7 +40,7 @@
 	// inBody: the handler runs, and the body of the request is arriving, or what is left of it
 	// is read and dropped.
 	inBody
-	// serving: the request has arrived whole and runs.
+	// serving: the request has arrived whole and runs, or its answer is written.
 	serving
 )
 
@@ -49,13 +49,14 @@
 	net.Conn
 	listener *Listener
 	phase    atomic.Int32
-	active   atomic.Int64 // time of the last byte that was received, in Unix nanoseconds
+	active   atomic.Int64 // time of the last byte that was received or the last answer, in Unix nanoseconds
 	blocked  atomic.Int64 // since when a write has waited for the client; zero if none does
 	evicted  atomic.Bool  // its hold was taken back
 
 	// Used by the goroutine that reads the connection.
-	headBytes, headLines int
-	hold                 holding.Hold // of the head and the body of the current request
+	head section      // of the current request
+	rest rest         // received behind it
+	hold holding.Hold // of the head and the body of the current request
 
 	writeUntil time.Time // the write deadline; used by the goroutine that writes
 }
@@ -91,16 +92,17 @@
 	c.active.Store(time.Now().UnixNano())
 	// While a handler runs, the server reads a single byte in another goroutine to see whether the client
 	// leaves.
-	if p := phase(c.phase.Load()); len(buffer) == 1 || p != waiting && p != inHead {
+	if len(buffer) == 1 {
+		return n, err
+	}
+	if p := phase(c.phase.Load()); p != waiting && p != inHead {
+		c.rest.addToBody(buffer[:n], len(buffer))
 		return n, err
 	}
 	c.phase.Store(int32(inHead))
-	c.headBytes += n
-	c.headLines += bytes.Count(buffer[:n], []byte{'\n'})
-	if spent := c.hold.Keep(c.headCost()); spent != nil {
-		c.listener.headsRefused.Add(1)
-		_ = c.Close() // else the server may take the head for a malformed one, and answer that
-		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: spent}
+	c.rest.addToHead(&c.head, buffer[:n])
+	if c.hold.Keep(c.headCost()) != nil {
+		return 0, c.refuseHead()
 	}
 	return n, err
 }
@@ -111,8 +113,7 @@
 	for {
 		now := time.Now()
 		if c.writeUntil.Sub(now) < writeTimeout-time.Second {
-			c.writeUntil = now.Add(writeTimeout)
-			if err := c.Conn.SetWriteDeadline(c.writeUntil); err != nil {
+			if err := c.SetWriteDeadline(now.Add(writeTimeout)); err != nil {
 				return written, err
 			}
 		}
@@ -125,8 +126,22 @@
 	}
 }
 
+// SetWriteDeadline sets the write deadline. The server clears it after each answer.
+func (c *Conn) SetWriteDeadline(t time.Time) error {
+	c.writeUntil = t
+	return c.Conn.SetWriteDeadline(t)
+}
+
 // headCost returns the memory that the head of the current request takes.
-func (c *Conn) headCost() int { return headCopies*c.headBytes + lineBytes*c.headLines }
+func (c *Conn) headCost() int { return headCopies*c.head.bytes + lineBytes*c.head.lines }
+
+// refuseHead closes the connection, since the budget left no room for a head. Otherwise the server may take the
+// head for a malformed one, and answer that.
+func (c *Conn) refuseHead() error {
+	c.listener.headsRefused.Add(1)
+	_ = c.Close()
+	return &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: &holding.SpentError{Limit: c.listener.Budget.Limit(), Wanted: fleet.Bytes(c.headCost())}}
+}
 
 // Close implements net.Conn.
 func (c *Conn) Close() error {
@@ -143,26 +158,38 @@
 	return nil
 }
 
-// begin records that the head of a request has arrived.
-func (c *Conn) begin(r *http.Request) {
+// begin records that the head of a request has arrived. It returns an error if the head can't be kept.
+func (c *Conn) begin(r *http.Request) error {
+	if c.head.bytes == 0 {
+		// It was received together with the request before, which has released it.
+		c.head = decoded(r)
+		if c.hold.Keep(c.headCost()) != nil {
+			return c.refuseHead()
+		}
+	}
+	c.rest.begin(r.ContentLength)
 	if r.ContentLength == 0 {
-		c.arrived()
-		return
+		return c.arrived()
 	}
 	c.phase.Store(int32(inBody))
+	return nil
 }
 
-// arrived records that the request has arrived whole.
-func (c *Conn) arrived() {
-	c.hold.Settle()
+// arrived records that the request has arrived whole. It returns a *holding.EvictedError if its memory was given to
+// others before.
+func (c *Conn) arrived() error {
+	if err := c.hold.Settle(); err != nil {
+		return err
+	}
 	c.phase.Store(int32(serving))
+	return nil
 }
 
-// end releases what the request held. What is left of its body is read and dropped.
+// end releases what the request held. The phase stays until the server has read the rest of the body and written
+// the answer.
 func (c *Conn) end() {
 	c.hold.Release()
-	c.headBytes, c.headLines = 0, 0
-	c.phase.Store(int32(inBody))
+	c.head = section{}
 }
 
 // quietSince returns since when nothing has come from the client, or, while it is being served, since when it
@@ -178,6 +205,7 @@
 // Record is the ConnState hook of the server: the next request may come.
 func Record(conn net.Conn, state http.ConnState) {
 	if c, ok := conn.(*Conn); ok && state == http.StateIdle {
+		c.active.Store(time.Now().UnixNano())
 		c.phase.Store(int32(waiting))
 	}
 }
