--- a/hibiscusfront/internal/host/host.go
+++ b/hibiscusfront/internal/host/host.go
@@ -58,8 +58,8 @@
 	// directoryShare divides the limit of connections of callers to give that of each other
 	// listener for clients.
 	directoryShare = 4
-	// minPeerConnections is the least limit of connections from other hosts, each of which has one. Once one
-	// carries messages it is being served, and does not yield.
+	// minPeerConnections is the least limit of connections from other hosts, which is that of callers: each host
+	// of the fleet has one to the planner. Once one carries messages it is being served, and does not yield.
 	minPeerConnections = 64
 	// maxMetricsConnections is the limit of connections at the metrics.
 	maxMetricsConnections = 16
@@ -229,7 +229,7 @@
 	}
 	peers := newServer(&peer.Server{Handler: h})
 	peers.BaseContext = func(net.Listener) context.Context { return ctx }
-	limit := others.Connections
+	limit := h.limits.Connections
 	if limit > 0 {
 		limit = max(limit, minPeerConnections)
 	}
