rollout: keep streams of a completed version, whatever its responses are

Once the version of a completed roll-out had had 40 bad responses, hosts got no grant for a stream of it that a caller took up again, until the order was deleted: the request waited in the planner's queue and was refused. Responses were counted as evidence after the completion, and at badLimit they stopped the version until a verdict that is never made then. The counts by target also grew with each target that the service ever had.

TestCompletedVersionKeepsItsStreams failed on AllowStream after 60 bad responses. Responses after the completion are no evidence now, and a completed version gets its streams.

--- a/fleet/rollout/evidence.go
+++ b/fleet/rollout/evidence.go
@@ -111,8 +111,12 @@
 	return e
 }
 
-// Record records a response. First is the time to its first chunk, if it did not fail.
+// Record records a response. First is the time to its first chunk, if it did not fail. Responses after
+// the completion are no evidence.
 func (r *Rollout) Record(now fleet.Instant, route string, target fleet.TargetID, version fleet.Software, result Result, first time.Duration) {
+	if r.stored.Stage == Completed {
+		return
+	}
 	e := r.route(route)
 	bad := result == Bad || e.slow > 0 && first > e.slow
 	one := tally{n: 1}
--- a/fleet/rollout/exposure.go
+++ b/fleet/rollout/exposure.go
@@ -57,6 +57,8 @@
 		return false
 	case Canary:
 		return !r.stopped() && r.used < r.stored.Reserved
+	case Completed:
+		return true
 	}
 	return !r.stopped()
 }
--- a/fleet/rollout/exposure_test.go
+++ b/fleet/rollout/exposure_test.go
@@ -173,3 +173,21 @@
 	running.Withdraw()
 	require.Equal(t, rollout.RolledBack, running.Tick(at(3*second), 0).Record.Stage)
 }
+
+// bad records bad responses of both new targets.
+func bad(r *rollout.Rollout, now time.Duration, n int) {
+	for i := range n {
+		r.Record(at(now), "a", []fleet.TargetID{"n1", "n2"}[i%2], order.To, rollout.Bad, 0)
+	}
+}
+
+// TestCompletedVersionKeepsItsStreams guards against streams that can't be taken up any more once the version of a
+// completed roll-out has had badLimit bad responses, however long ago.
+func TestCompletedVersionKeepsItsStreams(t *testing.T) {
+	r := rollout.Begin(at(0), order, bounds, 2, 0, &rollout.Record{Order: order, Sequence: 9, Stage: rollout.Completed})
+	r.SetTargets(nil, []fleet.TargetID{"n1", "n2"})
+	bad(r, 0, 60)
+	r.Tick(at(second), 0)
+	require.True(t, r.AllowStream())
+	require.Zero(t, r.BadResponses(), "they are no evidence any more")
+}
