rollout: do not roll back after the store has the completion

If bad responses led to a verdict while the record of the completion was being written, or while the planner before had completed the roll-out, the record was replaced by a roll-back and the status went from completed to rolled_back. Old targets stop at once after completed, so the service had no targets that it could use. The verdict stayed due although the roll-out had ended.

TestCompletionIsFinal failed with a record of stage RolledBack that follows the completion. A completion that the store holds, written by this planner or another, now drops the change that is due.

--- a/fleet/rollout/exposure_test.go
+++ b/fleet/rollout/exposure_test.go
@@ -191,3 +191,26 @@
 	require.True(t, r.AllowStream())
 	require.Zero(t, r.BadResponses(), "they are no evidence any more")
 }
+
+// TestCompletionIsFinal guards against a version that is rolled back after the store has its completion: the
+// platform may have stopped the old targets.
+func TestCompletionIsFinal(t *testing.T) {
+	r := rollout.Begin(at(0), order, bounds, 2, 0, &rollout.Record{Order: order, Sequence: 9, Stage: rollout.Promoted, Elapsed: 11500 * time.Millisecond})
+	r.SetTargets([]fleet.TargetID{"o1"}, []fleet.TargetID{"n1", "n2"})
+	completion := r.Tick(at(0), 0).Record
+	require.Equal(t, rollout.Completed, completion.Stage)
+	bad(r, 0, 30)
+	require.Nil(t, r.Tick(at(0), 0).Record, "while the completion is written")
+	r.Written(at(0), *completion)
+	require.Nil(t, r.Tick(at(second), 0).Record)
+	require.Equal(t, rollout.Completed, r.Stage())
+	require.True(t, r.AllowStream())
+
+	late := rollout.Begin(at(0), order, bounds, 3, 0, &rollout.Record{Order: order, Sequence: 9, Stage: rollout.Promoted, Elapsed: 8 * second})
+	late.SetTargets([]fleet.TargetID{"o1"}, []fleet.TargetID{"n1", "n2"})
+	bad(late, 0, 30)
+	require.Equal(t, rollout.RolledBack, late.Tick(at(0), 1).Record.Stage)
+	late.WriteFailed(at(0), completion)
+	require.Nil(t, late.Tick(at(second), 1).Record, "the planner before it has completed the roll-out")
+	require.True(t, late.AllowStream())
+}
--- a/fleet/rollout/rollout.go
+++ b/fleet/rollout/rollout.go
@@ -242,13 +242,14 @@
 	return Actions{Record: &record}
 }
 
-// Written records that the store holds the record, which is in effect from now on.
+// Written records that the store holds the record, which is in effect from now on. A completion
+// is not followed by a roll-back, since the platform may have stopped the old targets.
 func (r *Rollout) Written(now fleet.Instant, record Record) {
 	r.writing, r.confirmed = false, true
 	if record.Stage == Promoted && r.stored.Stage == Canary {
 		r.promotedAt = now
 	}
-	if r.next != nil && r.next.stage == record.Stage {
+	if r.next != nil && (r.next.stage == record.Stage || record.Stage == Completed) {
 		r.next = nil
 	}
 	r.stored = record
@@ -266,7 +267,7 @@
 		// Another planner may have used what it had reserved, beside what this one has used.
 		r.used += max(0, found.Reserved-r.stored.Reserved)
 		r.stored, r.confirmed = *found, false
-		if found.Stage != Canary && !r.bad {
+		if found.Stage == Completed || found.Stage != Canary && !r.bad {
 			r.next = nil
 		}
 	}
