rollout: mark the record as withdrawn if the order is deleted while its verdict is written

An order that was deleted while the verdict on it, or its completion, was being written left a record that was not marked as withdrawn. An order like it had then ended before it began, with the verdict on the earlier one: the end of that write also dropped the withdrawal.

TestWithdrawalDuringVerdictIsWritten failed: no record followed the verdict. The end of a write now makes the withdrawal due again if the record that was written lacks it.

--- a/fleet/rollout/exposure_test.go
+++ b/fleet/rollout/exposure_test.go
@@ -214,3 +214,28 @@
 	require.Nil(t, late.Tick(at(second), 1).Record, "the planner before it has completed the roll-out")
 	require.True(t, late.AllowStream())
 }
+
+// TestWithdrawalDuringVerdictIsWritten guards against an order that is deleted while its verdict is written, after
+// which an order like it would have ended already.
+func TestWithdrawalDuringVerdictIsWritten(t *testing.T) {
+	r := rollout.Begin(at(0), order, bounds, 1, 0, nil)
+	r.SetTargets([]fleet.TargetID{"o1"}, []fleet.TargetID{"n1", "n2"})
+	r.Written(at(0), *r.Tick(at(0), 0).Record)
+	bad(r, 0, 20)
+	verdict := r.Tick(at(second), 0).Record
+	r.Withdraw()
+	r.Written(at(second), *verdict)
+	withdrawn := r.Tick(at(second), 0).Record
+	require.NotNil(t, withdrawn)
+	require.True(t, withdrawn.Withdrawn)
+	require.Equal(t, rollout.RolledBack, withdrawn.Stage)
+
+	late := rollout.Begin(at(0), order, bounds, 2, 0, &rollout.Record{Order: order, Sequence: 9, Stage: rollout.Promoted, Elapsed: 8 * second})
+	late.Withdraw()
+	require.Equal(t, rollout.RolledBack, late.Tick(at(0), 1).Record.Stage)
+	late.WriteFailed(at(0), &rollout.Record{Order: order, Epoch: 1, Sequence: 10, Stage: rollout.Completed})
+	withdrawn = late.Tick(at(second), 0).Record
+	require.NotNil(t, withdrawn, "the planner before it has completed the roll-out")
+	require.True(t, withdrawn.Withdrawn)
+	require.Equal(t, rollout.Completed, withdrawn.Stage)
+}
--- a/fleet/rollout/rollout.go
+++ b/fleet/rollout/rollout.go
@@ -253,6 +253,14 @@
 		r.next = nil
 	}
 	r.stored = record
+	r.rewriteWithdrawal()
+}
+
+// rewriteWithdrawal makes the withdrawal due if the store has a record of the end without it.
+func (r *Rollout) rewriteWithdrawal() {
+	if r.withdrawn && r.next == nil && r.stored.Stage.Final() && !r.stored.Withdrawn {
+		r.setNext(r.stored.Stage, withdrawnReason)
+	}
 }
 
 // WriteFailed records that a record was not written, or that this is not known. If the store is
@@ -269,6 +277,7 @@
 		r.stored, r.confirmed = *found, false
 		if found.Stage == Completed || found.Stage != Canary && !r.bad {
 			r.next = nil
+			r.rewriteWithdrawal()
 		}
 	}
 }
@@ -293,17 +302,18 @@
 // Last returns the last record that the store is known to have held.
 func (r *Rollout) Last() Record { return r.stored }
 
+const withdrawnReason = "the order was deleted"
+
 // Withdraw records that the order was deleted. A roll-out that has not ended does so in favour of
 // the old version.
 func (r *Rollout) Withdraw() {
-	const reason = "the order was deleted"
 	switch {
 	case r.withdrawn:
 		return
 	case !r.stored.Stage.Final():
-		r.reject(reason)
+		r.reject(withdrawnReason)
 	case r.next == nil && !r.stored.Withdrawn:
-		r.setNext(r.stored.Stage, reason)
+		r.setNext(r.stored.Stage, withdrawnReason)
 	}
 	r.withdrawn = true
 }
