plan: do not complete a roll-out while a lost host may still run requests on old targets

The status completed, after which old targets stop at once, could be written while a host that the planner had lost for 1.1 s still ran requests on old targets. The grants of a lost host are released at once, so the planner counted no requests on old targets, although the host may only be cut off from the planner and go on.

TestLostHostMayStillRunRequests failed: Completed half a second after the host of a request on an old target was lost. From the loss on, the completion waits as it does after the promotion: for the longest request known and a quarter, and at least a tenth of the duration, but not beyond the end.

--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -409,6 +409,7 @@
 	for number, ag := range f.active {
 		if ag.req.Host == host {
 			delete(f.active, number)
+			f.recordLostGrant(now, ag)
 			ag.target.endGrant(now, ag, Abandoned)
 		}
 	}
--- a/fleet/plan/rollouts.go
+++ b/fleet/plan/rollouts.go
@@ -268,6 +268,14 @@
 	}
 }
 
+// recordLostGrant tells the roll-out of the service that the host of a grant is lost. The host may be cut off
+// from the planner alone, and go on with its requests.
+func (f *Fleet) recordLostGrant(now fleet.Instant, ag *activeGrant) {
+	if m := f.rolloutOf(ag.req.Service); m != nil && ag.software != m.Order.To {
+		m.OldLost(now)
+	}
+}
+
 // A RolloutWrite is a record that the planner has to write in place of the object's revision.
 type RolloutWrite struct {
 	Record   rollout.Record
--- a/fleet/plan/rollouts_test.go
+++ b/fleet/plan/rollouts_test.go
@@ -464,3 +464,18 @@
 		require.Equal(t, stage, due[0].Record.Stage)
 	}
 }
+
+// TestLostHostMayStillRunRequests guards against a completion while a host that the planner has lost still runs
+// requests on old targets.
+func TestLostHostMayStillRunRequests(t *testing.T) {
+	s := newSite(t, plainService, plainTargets(6, 6), 1)
+	s.play(0, 8*second, 120, never)
+	require.Equal(t, fleet.Software("v1"), s.request(8*second, "desk", 3500*time.Millisecond).Software)
+	s.play(8*second, 10500*time.Millisecond, 120, never)
+	require.Equal(t, rollout.Promoted, s.stage())
+	s.f.ReleaseHost(at(10500*time.Millisecond), "h")
+	s.play(10500*time.Millisecond, 11*second, 120, never)
+	require.Equal(t, rollout.Promoted, s.stage())
+	s.play(11*second, 12*second, 120, never)
+	require.Equal(t, rollout.Completed, s.stage())
+}
--- a/fleet/rollout/exposure.go
+++ b/fleet/rollout/exposure.go
@@ -198,6 +198,9 @@
 // OldEnded records how long a request on an old target took.
 func (r *Rollout) OldEnded(took time.Duration) { r.longest = max(r.longest, took) }
 
+// OldLost records that the planner has lost sight of requests on old targets, which may still run.
+func (r *Rollout) OldLost(now fleet.Instant) { r.oldLostAt = now }
+
 // window counts events of the last second.
 type window struct{ times []fleet.Instant }
 
--- a/fleet/rollout/rollout.go
+++ b/fleet/rollout/rollout.go
@@ -159,8 +159,9 @@
 	longest    time.Duration // that a request on an old target took
 	arrivals   window
 	promotedAt fleet.Instant
-	withdrawn  bool // the order was deleted
-	inherited  bool // the version was promoted by another planner, whose requests this one does not know
+	oldLostAt  fleet.Instant // when requests on old targets were last lost sight of
+	withdrawn  bool          // the order was deleted
+	inherited  bool          // the version was promoted by another planner, whose requests this one does not know
 	checkedAt  fleet.Instant
 	dirty      bool // a bad response came since the last verdict
 }
@@ -353,7 +354,7 @@
 	case Promoted:
 		// Requests that others sent to old targets take no longer than the longest known.
 		wait := max(r.part(promotedFor), r.longest+r.longest/4)
-		idle := oldActive == 0 && !r.inherited && now.Sub(r.promotedAt) >= wait
+		idle := oldActive == 0 && !r.inherited && now.Sub(max(r.promotedAt, r.oldLostAt)) >= wait
 		if idle || now >= r.end().Add(-endMargin) {
 			r.setNext(Completed, "old targets have finished: "+r.Evidence())
 		}
