plan: serve on the only version at once

An order to the version of all targets of a service is completed at once, but the service got nothing until the store had acknowledged the record: for as long as the store failed or was not reached.

TestOnlyVersionServesAtOnce failed: no grant before the first write. The planner now sends requests and streams to the version while the completion is due, since nothing else could serve them.

--- a/fleet/plan/rollouts.go
+++ b/fleet/plan/rollouts.go
@@ -139,7 +139,7 @@
 	ordered := s.known.Order != nil
 	switch {
 	case software != nil && *software == *to:
-		if m.Stage() == rollout.RolledBack && !ordered && !f.hasTargets(req.Service, *to, false) || m.AllowStream() {
+		if m.Stage() == rollout.RolledBack && !ordered && !f.hasTargets(req.Service, *to, false) || m.AllowStream() || m.Completing() {
 			return list, 1, false
 		}
 		return list, 0, m.Undecided()
@@ -149,6 +149,9 @@
 	list[0], list[1] = versions{only: to}, versions{except: to}
 	switch m.Stage() {
 	case rollout.Canary:
+		if m.Completing() {
+			return list, 1, false
+		}
 		if !req.Repeat && !trial && m.Allow(now, req.Route) {
 			list[0].among, list[0].limited = m.Taking(now), true
 			return list, 2, false
--- a/fleet/plan/rollouts_test.go
+++ b/fleet/plan/rollouts_test.go
@@ -479,3 +479,10 @@
 	s.play(11*second, 12*second, 120, never)
 	require.Equal(t, rollout.Completed, s.stage())
 }
+
+// TestOnlyVersionServesAtOnce guards against a service that gets nothing until the store has the completion of an
+// order to the version of all of its targets.
+func TestOnlyVersionServesAtOnce(t *testing.T) {
+	s := newSite(t, plainService, plainTargets(0, 3), 1)
+	require.NotNil(t, s.request(0, "desk", second))
+}
--- a/fleet/rollout/rollout.go
+++ b/fleet/rollout/rollout.go
@@ -293,6 +293,12 @@
 	}
 }
 
+// Completing reports whether the version replaces the old one although the store does not have the completion yet,
+// since there was nothing to compare it with.
+func (r *Rollout) Completing() bool {
+	return r.stored.Stage == Canary && r.next != nil && r.next.stage == Completed
+}
+
 // Rewrite writes what is known again, since the store has lost it.
 func (r *Rollout) Rewrite() {
 	if r.next == nil {
