rollout: bar the version of an earlier order that did not replace the old one

An order that followed a rejected one, or replaced one that was running, gave the version of the earlier order the traffic of old targets: all targets that were not of the ordered version counted as old. After an order back to the version before, the version that had been on trial even got all requests until the completion was written, and all of those that the planner did not send to the ordered version. This exceeded the exposure, also later than rollbackMs after the 50th bad response. Streams were taken up there, too.

TestVersionOfEarlierOrderStaysOut failed in all four cases with requests on v2, and TestHostAloneKeepsToTheStage in the cases 'second order' and 'back'. The record now names the versions of earlier orders that were not completed. They get nothing from the planner, a deputy or a host alone while the service has other targets; the record of the earlier order tells so until the planner has written its own. A deputy and a host alone serve on the ordered version if it alone is left and the order has not begun, as after an order back.

--- a/fleet/plan/rollouts.go
+++ b/fleet/plan/rollouts.go
@@ -83,7 +83,7 @@
 		case recorded:
 		case k.Settled:
 			s.machine.Settle(k.Final, "the status of the order")
-		case !f.hasTargets(id, k.Order.To, false) && f.hasTargets(id, k.Order.To, true):
+		case s.machine.Alone(f.has(id)):
 			s.machine.Settle(rollout.Completed, "there are no targets of another version")
 		}
 	}
@@ -97,15 +97,22 @@
 	}
 }
 
+// has returns whether the roster has targets of the service with a version for which a condition holds.
+func (f *Fleet) has(id route.ServiceID) rollout.Has {
+	return func(condition func(fleet.Software) bool) bool {
+		for _, t := range f.targets {
+			if t.Service == id && !t.leaves() && condition(t.Software) {
+				return true
+			}
+		}
+		return false
+	}
+}
+
 // hasTargets reports whether the roster has targets of the service with the version, or with
 // another one.
 func (f *Fleet) hasTargets(id route.ServiceID, software fleet.Software, same bool) bool {
-	for _, t := range f.targets {
-		if t.Service == id && !t.leaves() && (t.Software == software) == same {
-			return true
-		}
-	}
-	return false
+	return f.has(id)(func(s fleet.Software) bool { return (s == software) == same })
 }
 
 // versions limits the targets that a request may be sent to by their version. The zero value
@@ -113,13 +120,14 @@
 type versions struct {
 	only   *fleet.Software
 	except *fleet.Software
+	barred []fleet.Software
 	among  []fleet.TargetID // if limited
 	// limited is set if only the targets in among may get the request.
 	limited bool
 }
 
 func (v *versions) admits(t *target) bool {
-	return t.has(v.only) && (v.except == nil || t.Software != *v.except) && (!v.limited || slices.Contains(v.among, t.ID))
+	return t.has(v.only) && (v.except == nil || t.Software != *v.except) && !slices.Contains(v.barred, t.Software) && (!v.limited || slices.Contains(v.among, t.ID))
 }
 
 // choices returns the versions that a request may be sent to, in the order of preference, and
@@ -143,10 +151,12 @@
 			return list, 1, false
 		}
 		return list, 0, m.Undecided()
+	case software != nil && slices.Contains(m.Barred(f.has(req.Service)), *software):
+		return list, 0, false
 	case software != nil:
 		return list, 1, false // the targets of the version are gone once it is completed
 	}
-	list[0], list[1] = versions{only: to}, versions{except: to}
+	list[0], list[1] = versions{only: to}, versions{except: to, barred: m.Barred(f.has(req.Service))}
 	switch m.Stage() {
 	case rollout.Canary:
 		if m.Completing() {
@@ -179,21 +189,23 @@
 
 // choicesWithout returns the versions on a host that is not the planner.
 func (f *Fleet) choicesWithout(known rollout.Known, service route.ServiceID, software *fleet.Software) (list [2]versions, n int, wait bool) {
-	others := func(to fleet.Software, isNew bool) bool { return f.hasTargets(service, to, isNew) }
+	has := f.has(service)
+	barred := known.Barred(has)
 	if software != nil {
 		list[0] = versions{only: software}
-		if known.Excludes(*software, others) && known.New(*software) {
+		if known.Excludes(*software, has) && (known.New(*software) || slices.Contains(barred, *software)) {
 			return list, 0, false
 		}
 		return list, 1, false
 	}
+	list[0].barred = barred
 	to, found := known.To()
 	switch {
 	case !found:
 		return list, 1, false
-	case known.Excludes(to, others):
+	case known.Excludes(to, has):
 		list[0].except = &to
-	case known.Excludes(to+"?", others): // any other version
+	case known.Excludes(to+"?", has): // any other version
 		list[0].only = &to
 	}
 	return list, 1, false
--- a/fleet/plan/rollouts_test.go
+++ b/fleet/plan/rollouts_test.go
@@ -480,6 +480,82 @@
 	require.Equal(t, rollout.Completed, s.stage())
 }
 
+// versionsUsed returns the versions of the targets that get n requests.
+func (s *site) versionsUsed(now time.Duration, n int) map[fleet.Software]int {
+	counts := make(map[fleet.Software]int)
+	for i := range n {
+		at := now + time.Duration(i)*5*time.Millisecond
+		if g := s.request(at, "desk", second); g != nil {
+			counts[g.Software]++
+			delete(s.running, g.Number)
+			reportDone(s.f, fleet.Instant(time.Hour+at), g)
+		}
+		s.tick(at)
+	}
+	return counts
+}
+
+// TestVersionOfEarlierOrderStaysOut guards against a version that was rejected, or was still on trial, and gets the
+// traffic of old targets once there is an order to another version.
+func TestVersionOfEarlierOrderStaysOut(t *testing.T) {
+	for name, c := range map[string]struct {
+		fails   func(*plan.Grant) bool
+		during  time.Duration // of the first order
+		deleted bool
+		next    fleet.Software
+		want    []fleet.Software
+		stage   rollout.Stage
+	}{
+		"rejected":             {func(g *plan.Grant) bool { return g.Software == "v2" }, 8 * second, false, "v3", []fleet.Software{"v1", "v3"}, rollout.Canary},
+		"rejected and deleted": {func(g *plan.Grant) bool { return g.Software == "v2" }, 8 * second, true, "v3", []fleet.Software{"v1", "v3"}, rollout.Canary},
+		"on trial":             {never, 3 * second, false, "v3", []fleet.Software{"v1", "v3"}, rollout.Canary},
+		"back":                 {never, 3 * second, false, "v1", []fleet.Software{"v1"}, rollout.Completed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			entries := plainTargets(4, 8)
+			for i := range entries[8:] {
+				entries[8+i].Software = "v3"
+			}
+			if c.next == "v1" {
+				entries = entries[:8]
+			}
+			s := newSite(t, plainService, entries, 1)
+			s.play(0, c.during, 120, c.fails)
+			s.publish(c.during, !c.deleted)
+			s.tick(c.during)
+			s.order.To = c.next
+			first := s.record
+			s.publish(c.during, true)
+			for software := range s.versionsUsed(c.during, 100) {
+				require.Contains(t, c.want, software)
+			}
+			require.Equal(t, c.stage, s.stage())
+
+			deputy := newFleet(t, entries)
+			deputy.RolloutBounds, deputy.Deputy = s.f.RolloutBounds, true
+			for _, record := range []*rollout.Record{first, s.record} {
+				deputy.SetRollouts(at(0), map[route.ServiceID]rollout.Known{plainService: {Order: &s.order, Record: record}})
+				for i := range 20 {
+					g := mustGrant(t, deputy, at(0), &plan.Request{ID: fleet.RequestID(fmt.Sprint(i)), Service: plainService, Objective: second, Deadline: second})
+					require.Equal(t, fleet.Software("v1"), g.Software, "a deputy")
+					reportDone(deputy, at(0), g)
+				}
+			}
+		})
+	}
+}
+
+// TestVersionOfEarlierOrderServesAlone guards against a service that gets nothing since the only targets that are
+// left are of a version that an earlier order had on trial.
+func TestVersionOfEarlierOrderServesAlone(t *testing.T) {
+	s := newSite(t, plainService, plainTargets(4, 4), 1)
+	s.play(0, 3*second, 120, never)
+	s.order.To = "v3"
+	s.publish(3*second, true)
+	s.f.SetTargets(at(3*second), s.entries[4:], nil)
+	require.NotNil(t, s.request(3*second, "desk", second))
+}
+
 // TestOnlyVersionServesAtOnce guards against a service that gets nothing until the store has the completion of an
 // order to the version of all of its targets.
 func TestOnlyVersionServesAtOnce(t *testing.T) {
--- a/fleet/rollout/rollout.go
+++ b/fleet/rollout/rollout.go
@@ -17,6 +17,7 @@
 //   - A stage is in effect once its record is written, but a version that was found to be bad gets
 //     nothing from that moment on.
 //   - RolledBack is final until there is a new order. Too little evidence ends in RolledBack.
+//   - A version that did not replace the old one is barred under later orders to other versions.
 //
 // Load patterns: a version is bad at once, after some seconds, under load only, on one route only,
 // by failures of a part of its responses or by slowness; one of its targets is bad while the version
@@ -171,11 +172,14 @@
 func Begin(now fleet.Instant, order Order, bounds Bounds, epoch fleet.Epoch, age time.Duration, stored *Record) *Rollout {
 	r := &Rollout{Order: order, Bounds: bounds, epoch: epoch, badCheck: badLimit, routes: make(map[string]*evidence), targets: make(map[fleet.TargetID]tally), sentTo: make(map[fleet.TargetID]int)}
 	r.stored.Order = order
-	if stored != nil && stored.Order == order {
-		r.stored.Sequence = stored.Sequence
-		if !stored.Withdrawn {
-			r.stored = *stored
-		}
+	switch {
+	case stored == nil:
+	case stored.Order != order:
+		r.stored.Barred = stored.barredUnder(order.To)
+	case stored.Withdrawn:
+		r.stored.Sequence, r.stored.Barred = stored.Sequence, stored.Barred
+	default:
+		r.stored = *stored
 	}
 	r.began = now.Add(-max(age, r.stored.Elapsed))
 	r.used, r.seen, r.badTotal = r.stored.Reserved, r.stored.Seen, r.stored.Bad
@@ -269,6 +273,8 @@
 func (r *Rollout) WriteFailed(now fleet.Instant, found *Record) {
 	r.writing = false
 	switch {
+	case found != nil && found.Order != r.Order:
+		r.stored.Barred = found.barredUnder(r.Order.To) // the record was not known at the begin
 	case found == nil || !found.Newer(r.stored):
 	case found.Epoch == r.epoch:
 		r.Written(now, *found) // the answer to an earlier write was lost
@@ -283,6 +289,16 @@
 	}
 }
 
+// Barred returns the versions of earlier orders that must get no new request or stream now.
+func (r *Rollout) Barred(has Has) []fleet.Software {
+	return barredWhile(r.stored.Stage, r.Order.To, r.stored.Barred, has)
+}
+
+// Alone reports whether the service has targets of the ordered version, and none that it could replace.
+func (r *Rollout) Alone(has Has) bool {
+	return has(func(s fleet.Software) bool { return s == r.Order.To }) && !has(established(r.Order.To, r.stored.Barred))
+}
+
 // Idle reports whether the roll-out has ended and there is nothing to write.
 func (r *Rollout) Idle() bool { return r.stored.Stage.Final() && r.next == nil && !r.writing }
 
--- a/hibiscusfront/internal/chooser/local.go
+++ b/hibiscusfront/internal/chooser/local.go
@@ -44,8 +44,8 @@
 		if software != nil && t.Software != *software {
 			continue
 		}
-		if v.OutOfRollout(t) && (software == nil || v.Rollouts[t.Service].New(t.Software)) {
-			continue // a stream of the version before may go on there
+		if v.OutOfRollout(t, software != nil) {
+			continue
 		}
 		if t.Service != req.Service || !v.Usable(t) || t.ColdFor > 0 || slices.Contains(req.Avoid, t.ID) {
 			continue
--- a/hibiscusfront/internal/chooser/rollout_test.go
+++ b/hibiscusfront/internal/chooser/rollout_test.go
@@ -20,6 +20,8 @@
 // to a version on trial or a rejected one, or to old targets that stop.
 func TestHostAloneKeepsToTheStage(t *testing.T) {
 	order := rollout.Order{Service: "s", To: "v2", Duration: 12 * time.Second}
+	third, back := order, order
+	third.To, back.To = "v3", "v1"
 	for name, c := range map[string]struct {
 		known        rollout.Known
 		onlyNew      bool // no old targets
@@ -33,6 +35,8 @@
 		"order deleted":      {rollout.Known{Record: &rollout.Record{Order: order, Stage: rollout.RolledBack, Withdrawn: true}}, false, "v1", ""},
 		"deleted, new alone": {rollout.Known{Record: &rollout.Record{Order: order, Stage: rollout.RolledBack, Withdrawn: true}}, true, "v2", "v2"},
 		"another order":      {rollout.Known{Order: &order, Record: &rollout.Record{Order: rollout.Order{Service: "s", To: "v0"}, Stage: rollout.Completed}}, false, "v1", ""},
+		"second order":       {rollout.Known{Order: &third, Record: &rollout.Record{Order: order}}, false, "v1", ""},
+		"back":               {rollout.Known{Order: &back, Record: &rollout.Record{Order: order, Stage: rollout.RolledBack}}, false, "v1", ""},
 		"ended before":       {rollout.Known{Order: &order, Settled: true, Final: rollout.Completed}, false, "v2", "v2"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/hibiscusfront/internal/view/view.go
+++ b/hibiscusfront/internal/view/view.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -85,19 +86,23 @@
 	return t != nil && !v.Usable(t)
 }
 
-// OutOfRollout reports whether a host that decides without the planner must send nothing new to the
-// target because of its version.
-func (v *View) OutOfRollout(t *roster.Target) bool {
+// OutOfRollout reports whether a host that decides without the planner must send nothing to the
+// target because of its version: nothing new, or no stream of its version either.
+func (v *View) OutOfRollout(t *roster.Target, stream bool) bool {
 	known, ok := v.Rollouts[t.Service]
-	return ok && known.Excludes(t.Software, func(to fleet.Software, isNew bool) bool {
-		for i := range v.Targets {
-			other := &v.Targets[i]
-			if other.Service == t.Service && (other.Software == to) == isNew && v.Usable(other) && other.ColdFor <= 0 {
-				return true
-			}
-		}
+	if !ok {
 		return false
-	})
+	}
+	has := func(condition func(fleet.Software) bool) bool {
+		return slices.ContainsFunc(v.Targets, func(other roster.Target) bool {
+			return other.Service == t.Service && condition(other.Software) && v.Usable(&other) && other.ColdFor <= 0
+		})
+	}
+	if stream && !known.New(t.Software) {
+		// A stream of the version before may go on there.
+		return slices.Contains(known.Barred(has), t.Software)
+	}
+	return known.Excludes(t.Software, has)
 }
 
 // Usable reports whether the target may receive new work: it is not leaving, and
