rollout: do not accept a version whose fault under load hit one target first

The promotion was wrong. By chance 9 or 10 of 11 or 12 bad responses came from one of the two new targets. That target was taken out as bad by itself, and the exposure that was left was too small to load another one. At the last chance two or three bad responses of 60 refuted a quarter, though most of these 60 came without load.

If the last step shows a fault, the responses of the other targets under load have to refute it.

--- a/fleet/rollout/evidence.go
+++ b/fleet/rollout/evidence.go
@@ -269,7 +269,7 @@
 }
 
 // limitRatio is the logarithm of the likelihood ratio above which the version is rejected
-// at badLimit. Two versions that are equally bad are above zero half of the time.
+// at badLimit, and the last step shows a fault. Two versions that are equally bad are above zero half of the time.
 const limitRatio = 3.5
 
 // others returns the responses without the worst target, or all if the version has one target.
@@ -339,12 +339,9 @@
 		}
 		fraction := r.provable(len(routes), base)
 		if lastChance {
-			fraction = max(fraction, maxFraction)
-			if base >= highRate {
-				fraction = fractions[len(fractions)-1]
-			}
+			fraction = max(fraction, largestProvable(base))
 		}
-		if ratio(all, base, fraction) > threshold && ratio(without, base, fraction) > threshold {
+		if ratio(all, base, fraction) > threshold && ratio(without, base, fraction) > threshold || r.faultyUnderLoad(e) {
 			return false
 		}
 		evident = true
@@ -352,6 +349,48 @@
 	return evident
 }
 
+// loadedShare times the load of an old target without the new ones is that from which the responses of a new
+// one are evidence under load.
+const loadedShare = 0.6
+
+// faultyUnderLoad reports whether the last step shows a fault on a route, and the responses under load do not refute
+// that it is the version's. Such a fault may by chance hit one target first, which then takes no more
+// part. What is left of the exposure is too small to load another target as much, so that
+// many responses without load would hide the few bad ones.
+func (r *Rollout) faultyUnderLoad(e *evidence) bool {
+	var step, loaded []*slice
+	for _, s := range e.slices {
+		if s.start < r.loadedAt {
+			continue
+		}
+		requests := s.old.n
+		for _, t := range s.new {
+			requests += t.n
+		}
+		under := &slice{start: s.start, old: s.old, new: make(map[fleet.TargetID]tally)}
+		for id, t := range s.new {
+			if float64(t.n*max(1, len(r.old))) >= loadedShare*float64(requests) {
+				under.new[id] = t
+			}
+		}
+		step, loaded = append(step, s), append(loaded, under)
+	}
+	all, _, base := e.sums(step)
+	if !slices.ContainsFunc(fractions, func(f float64) bool { return ratio(all, base, f) > limitRatio }) {
+		return false
+	}
+	all, without, base := e.sums(loaded)
+	return ratio(r.others(all, without), base, largestProvable(base)) > math.Log(errorRate)
+}
+
+// largestProvable returns the fraction that has to be refuted, however small the exposure is.
+func largestProvable(base float64) float64 {
+	if base >= highRate {
+		return fractions[len(fractions)-1]
+	}
+	return maxFraction
+}
+
 // provable returns the smallest fraction that the exposure of a route can refute.
 func (r *Rollout) provable(routes int, base float64) float64 {
 	const spare = 1.3 // since responses vary, and some routes have fewer
--- a/fleet/rollout/replay_test.go
+++ b/fleet/rollout/replay_test.go
@@ -31,6 +31,7 @@
 	respond func(random *rand.Rand, s sent) (fails bool, first time.Duration)
 	chance  int                              // plays of a good version that may end in a roll-back, since its responses look worse by chance
 	mostBad int                              // bad responses of the new version in a play, most of them after the promotion; zero for any number
+	faulty  []uint64                         // seeds whose plays once exceeded the exposure, played in addition
 	late    bool                             // the version becomes bad after its promotion
 	lost    map[fleet.TargetID]time.Duration // targets that crash, and when
 }
@@ -212,6 +213,15 @@
 // seeds is the number of plays of each scene.
 const seeds = 20
 
+// seeds returns the seeds of the plays.
+func (s *scene) seeds() []uint64 {
+	list := s.faulty
+	for seed := range uint64(seeds) {
+		list = append(list, seed)
+	}
+	return list
+}
+
 // TestBadVersionIsRolledBack guards against bad versions that are promoted, or that get more
 // than their exposure before they are found.
 func TestBadVersionIsRolledBack(t *testing.T) {
@@ -224,7 +234,7 @@
 		"later":             {old: 9, new: 9, rates: threeRoutes, respond: badIf(0.4, func(s sent) bool { return s.at > 5*second })},
 		"after promotion":   {late: true, old: 9, new: 9, rates: threeRoutes, respond: badIf(0.4, func(s sent) bool { return s.at > 9500*time.Millisecond })},
 		"under load":        {old: 9, new: 9, rates: threeRoutes, respond: badIf(0.5, func(s sent) bool { return s.load > 14 })},
-		"load, few targets": {old: 3, new: 3, rates: map[string]float64{"a": 60}, respond: badIf(0.6, func(s sent) bool { return s.load > 14 })},
+		"load, few targets": {old: 3, new: 3, rates: map[string]float64{"a": 60}, respond: badIf(0.6, func(s sent) bool { return s.load > 14 }), faulty: []uint64{3024, 3136, 3184}},
 		"one route":         {old: 9, new: 9, rates: threeRoutes, respond: badIf(0.4, func(s sent) bool { return s.route == "c" })},
 		"one rare route":    {old: 9, new: 9, rates: map[string]float64{"a": 200, "c": 2}, respond: badIf(1, func(s sent) bool { return s.route == "c" })},
 		"slow":              {old: 9, new: 9, rates: threeRoutes, respond: slowIf(1)},
@@ -232,7 +242,7 @@
 		"one target":        {old: 2, new: 1, rates: map[string]float64{"a": 60}, respond: badIf(0.5, always)},
 	} {
 		t.Run(name, func(t *testing.T) {
-			for seed := range uint64(seeds) {
+			for _, seed := range s.seeds() {
 				o := play(s, seed)
 				require.Equal(t, rollout.RolledBack, o.stage, "seed %d: %+v", seed, o)
 				require.True(t, s.late || float64(o.exposed) <= bounds.Share*float64(o.arrived)+float64(bounds.Slack), "exposure, seed %d: %+v", seed, o)
--- a/fleet/rollout/rollout.go
+++ b/fleet/rollout/rollout.go
@@ -159,6 +159,7 @@
 	nextSend   fleet.Instant // to the new version, at the pace of the step
 	longest    time.Duration // that a request on an old target took
 	arrivals   window
+	loadedAt   fleet.Instant // when the last step began
 	promotedAt fleet.Instant
 	oldLostAt  fleet.Instant // when requests on old targets were last lost sight of
 	withdrawn  bool          // the order was deleted
@@ -366,6 +367,7 @@
 	case Canary:
 		for r.step < len(steps)-1 && age >= r.part(steps[r.step+1].from) && (r.sampled(now, steps[r.step+1].least) || r.step == len(steps)-2) {
 			r.step++
+			r.loadedAt = now
 		}
 		switch {
 		case now >= r.promotion() && r.step == len(steps)-1 && r.checkDue(now) && r.accepted(now, age >= r.part(promoteUntil-0.05)):
