control: do not serve or plan before the orders of roll-outs are read

A host that started while the store did not answer for the kinds rollouts or rolloutstates served as soon as it knew a configuration and targets, and could become the planner. It took the versions on trial, or rejected ones, for ordinary ones and sent them their full share. The same held for some milliseconds of each start, until the last of the lists was read.

TestHostWaitsForOrders failed at once: a view with a configuration before the list of orders. Views have no configuration now until both kinds are read, so the host is not ready and refuses requests, and it does not try to become the planner. Without exposeShare nothing changes.

--- a/hibiscusfront/internal/control/control.go
+++ b/hibiscusfront/internal/control/control.go
@@ -331,16 +331,26 @@
 	c.enqueue(ctx, func(fleet.Instant) { c.bounds = bounds })
 }
 
-// publish builds and publishes a new view.
+// rolloutsRead reports whether the host knows which versions are on trial: it has read the orders and the
+// planner's records, or its settings allow no roll-outs.
+func (c *Control) rolloutsRead() bool {
+	return c.Settings.Bounds.ExposeShare <= 0 || !c.replicas[platform.KindRollouts].Revision().IsZero() && !c.replicas[platform.KindRolloutStates].Revision().IsZero()
+}
+
+// publish builds and publishes a new view. Without what is on trial, it has no configuration, so that
+// the host does not serve yet.
 func (c *Control) publish() {
 	hosts := c.callerHosts()
 	if c.planning {
 		c.live.set(hosts)
 	}
 	v := &view.View{
-		Table: c.table, Targets: c.targets.list(), Removed: c.targets.removedIDs(), Evacuated: c.evacuations.list(), Weights: maps.Clone(c.announcements),
+		Targets: c.targets.list(), Removed: c.targets.removedIDs(), Evacuated: c.evacuations.list(), Weights: maps.Clone(c.announcements),
 		Hosts: hosts, Duty: c.duty.Record(), Leaving: c.leaving,
 	}
+	if c.rolloutsRead() {
+		v.Table = c.table
+	}
 	if c.Settings.Bounds.ExposeShare > 0 {
 		v.Rollouts = c.rollouts.list()
 	}
--- a/hibiscusfront/internal/control/rollouts_test.go
+++ b/hibiscusfront/internal/control/rollouts_test.go
@@ -3,6 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -122,3 +125,25 @@
 		require.Eventually(t, has(stage), 2*time.Second, 5*time.Millisecond, "%v", stage)
 	}
 }
+
+// TestHostWaitsForOrders guards against a host that serves, or plans, before it has read which versions are on trial,
+// and treats them like the others.
+func TestHostWaitsForOrders(t *testing.T) {
+	for _, kind := range rolloutKinds {
+		store := newConfiguredStore()
+		putTarget(store, "i-1", "ready")
+		var fails atomic.Bool
+		fails.Store(true)
+		c, _ := startControl(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if fails.Load() && strings.HasSuffix(r.URL.Path, "/"+kind) {
+				http.Error(w, "", http.StatusServiceUnavailable)
+				return
+			}
+			store.ServeHTTP(w, r)
+		}), func(c *Control) { c.Settings.Bounds.ExposeShare = 0.1 })
+		require.Eventually(t, func() bool { return len(c.View().Targets) > 0 }, 5*time.Second, 5*time.Millisecond)
+		require.Never(t, func() bool { return c.View().Table != nil || c.MayPlan() }, 2*time.Second, 10*time.Millisecond, kind)
+		fails.Store(false)
+		require.Eventually(t, func() bool { return c.View().Table != nil && c.MayPlan() }, 10*time.Second, 10*time.Millisecond, kind)
+	}
+}
