planner: keep roll-outs when the settings are read again

Settings that were read again without exposeShare ended the roll-outs on the planner only: it forgot the orders, so the version on trial counted as an ordinary one, while other hosts went on.

TestReloadedSettingsKeepRollouts failed: the planner ran no roll-out after the reload. The bounds of roll-outs are now set at the start alone, like the kinds that hosts replicate; the tests of the planner set them directly.

--- a/hibiscusfront/internal/planner/planner.go
+++ b/hibiscusfront/internal/planner/planner.go
@@ -121,10 +121,12 @@
 		WeightOrders: meter.Counter{Name: "WeightOrders", Labels: []string{"Result"}},
 	}
 	p.setBounds(bounds)
+	p.fleet.RolloutBounds = rollout.Bounds{Share: bounds.ExposeShare, Slack: bounds.ExposeSlack, Rollback: bounds.Rollback}
 	return p
 }
 
-// SetBounds applies the bounds of reloaded settings.
+// SetBounds applies the bounds of reloaded settings, other than those of roll-outs: hosts replicate the kinds of objects
+// of roll-outs from their start, or not at all.
 func (p *Planner) SetBounds(ctx context.Context, bounds platform.Bounds) {
 	p.enqueue(ctx, func(fleet.Instant) { p.setBounds(bounds) })
 }
@@ -133,7 +135,6 @@
 	p.Bounds = bounds
 	p.fleet.RetryRatio, p.fleet.RetryWindow, p.fleet.RetryReserve = bounds.RetryRatio, bounds.RetryWindow, bounds.RetryReserve
 	p.fleet.WeightsBound = bounds.Weights
-	p.fleet.RolloutBounds = rollout.Bounds{Share: bounds.ExposeShare, Slack: bounds.ExposeSlack, Rollback: bounds.Rollback}
 }
 
 // Run owns the plan until the context ends. The ticker runs only while the host plans:
--- a/hibiscusfront/internal/planner/rollouts_test.go
+++ b/hibiscusfront/internal/planner/rollouts_test.go
@@ -45,10 +45,10 @@
 	begun := make(chan fleet.Instant)
 	s.p.enqueue(s.ctx, func(now fleet.Instant) {
 		s.p.Rollouts = client
+		s.p.fleet.RolloutBounds = rollout.Bounds{Share: 0.1, Slack: 50, Rollback: 5 * time.Second}
 		begun <- now
 	})
 	s.since = <-begun
-	s.p.SetBounds(s.ctx, platform.Bounds{ExposeShare: 0.1, ExposeSlack: 50, Rollback: 5 * time.Second})
 	store.Put("rollouts", "s", map[string]any{"service": "s", "to": "v2", "durationS": durationS})
 	s.publish()
 	s.d.holds.Store(true)
@@ -209,3 +209,16 @@
 	s.publish()
 	s.send(done, func() bool { return s.record().Withdrawn })
 }
+
+// TestReloadedSettingsKeepRollouts guards against a planner that ends its roll-outs when the settings are read again
+// without exposeShare, and sends requests to the version on trial like to any other. Other hosts would go on.
+func TestReloadedSettingsKeepRollouts(t *testing.T) {
+	s := startRollout(t, 60)
+	s.send(done, func() bool { return s.status() == `{"state":"running","to":"v2"}` })
+	s.p.SetBounds(s.ctx, platform.Bounds{})
+	s.publish()
+	n := 0
+	counts := s.send(done, func() bool { n++; return n > 200 })
+	require.Less(t, counts[`"v2"`], 60, "%v", counts)
+	require.NotEmpty(t, s.p.RolloutList())
+}
