rollout: move the evidence and its test to a package of their own

Package evidence has the responses by route and by target, and the sequential test; verdicts, stages and exposure stay.

--- a/fleet/rollout/exposure.go
+++ b/fleet/rollout/exposure.go
@@ -13,7 +13,7 @@
 // Arrived records that a request has reached the service. Only first attempts count.
 func (r *Rollout) Arrived(now fleet.Instant, route string) {
 	r.seen++
-	r.arrivals.add(now)
+	r.arrivals.Add(now)
 	e := r.route(route)
 	e.seen, e.lastSeen = e.seen+1, now
 }
@@ -113,7 +113,7 @@
 	if len(r.old) == 0 {
 		return 0
 	}
-	return float64(r.arrivals.count(now)) / float64(len(r.old))
+	return float64(r.arrivals.Count(now)) / float64(len(r.old))
 }
 
 // Taking returns the new targets that take part: the fewest that bear the share at the load of
@@ -129,7 +129,7 @@
 // sound returns the new targets that do not fail by themselves.
 func (r *Rollout) sound() (list []fleet.TargetID) {
 	for _, id := range r.new {
-		if !r.suspect(id) {
+		if !r.targets.Suspect(id) {
 			list = append(list, id)
 		}
 	}
@@ -166,7 +166,7 @@
 // rate returns the requests per second that the step gives the new version. The last step uses
 // what is left until the promotion.
 func (r *Rollout) rate(now fleet.Instant) float64 {
-	share := steps[r.step].share * r.Bounds.Share * float64(r.arrivals.count(now))
+	share := steps[r.step].share * r.Bounds.Share * float64(r.arrivals.Count(now))
 	if r.step < len(steps)-1 {
 		return share
 	}
@@ -201,22 +201,5 @@
 // OldLost records that the planner has lost sight of requests on old targets, which may still run.
 func (r *Rollout) OldLost(now fleet.Instant) { r.oldLostAt = now }
 
-// window counts events of the last second.
-type window struct{ times []fleet.Instant }
-
-func (w *window) add(now fleet.Instant) {
-	w.count(now)
-	w.times = append(w.times, now)
-}
-
-func (w *window) count(now fleet.Instant) int {
-	old := 0
-	for old < len(w.times) && now.Sub(w.times[old]) > time.Second {
-		old++
-	}
-	w.times = w.times[old:]
-	return len(w.times)
-}
-
 // Undecided reports whether the version may get more requests later.
 func (r *Rollout) Undecided() bool { return r.stored.Stage != RolledBack && !r.bad }
--- a/fleet/rollout/rollout.go
+++ b/fleet/rollout/rollout.go
@@ -24,8 +24,8 @@
 // is good; an outage fails requests of both versions; old targets fail as often as new ones;
 // there is little traffic, or none on some routes.
 //
-// A Rollout has no clock and does no I/O. It is not safe for concurrent use. Evidence and the
-// verdict are in evidence.go.
+// A Rollout has no clock and does no I/O. It is not safe for concurrent use. The verdict is in verdict.go, its
+// statistics are in package evidence.
 package rollout
 
 import (
@@ -34,6 +34,7 @@
 	"time"
 
 	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/rollout/evidence"
 	"hibiscuslb/fleet/route"
 )
 
@@ -152,13 +153,13 @@
 	badCheck int  // bad responses at which the verdict is due
 	bad      bool // found to be bad, maybe not yet written
 
-	routes     map[string]*evidence
-	targets    map[fleet.TargetID]tally // new ones
-	sentTo     map[fleet.TargetID]int   // requests on new ones
+	routes     map[string]*routeState
+	targets    evidence.Targets       // new ones
+	sentTo     map[fleet.TargetID]int // requests on new ones
 	old, new   []fleet.TargetID
 	nextSend   fleet.Instant // to the new version, at the pace of the step
 	longest    time.Duration // that a request on an old target took
-	arrivals   window
+	arrivals   evidence.Window
 	loadedAt   fleet.Instant // when the last step began
 	promotedAt fleet.Instant
 	oldLostAt  fleet.Instant // when requests on old targets were last lost sight of
@@ -171,7 +172,7 @@
 // Begin returns the roll-out of an order that was written age ago. Stored is the last record of
 // the order, or nil.
 func Begin(now fleet.Instant, order Order, bounds Bounds, epoch fleet.Epoch, age time.Duration, stored *Record) *Rollout {
-	r := &Rollout{Order: order, Bounds: bounds, epoch: epoch, badCheck: badLimit, routes: make(map[string]*evidence), targets: make(map[fleet.TargetID]tally), sentTo: make(map[fleet.TargetID]int)}
+	r := &Rollout{Order: order, Bounds: bounds, epoch: epoch, badCheck: badLimit, routes: make(map[string]*routeState), targets: make(evidence.Targets), sentTo: make(map[fleet.TargetID]int)}
 	r.stored.Order = order
 	switch {
 	case stored == nil:
