--- a/hibiscusfront/internal/backend/backend.go
+++ b/hibiscusfront/internal/backend/backend.go
@@ -67,33 +67,6 @@
 // Unwrap returns the cause.
 func (e *NoResponseError) Unwrap() error { return e.Cause }
 
-// A Request is a request to a target. URI is the path and query as the caller
-// sent them.
-type Request struct {
-	ID      fleet.RequestID
-	Target  fleet.TargetID
-	Address fleet.Address
-	Method  string
-	URI     string
-	Host    string
-	Header  http.Header
-	Body    [][]byte // in segments
-	// SendOnce marks a request that may not be repeated. It is sent only on a
-	// connection that is new or was idle for at most sendOnceMaxIdle: if the
-	// target closes an idle connection just then, the request is lost.
-	SendOnce bool
-	// Check is called immediately before the first byte is written; an error prevents that.
-	Check func() error // may be nil
-}
-
-func (r *Request) bodyLen() int {
-	n := 0
-	for _, segment := range r.Body {
-		n += len(segment)
-	}
-	return n
-}
-
 const (
 	// dialTimeout limits a dial. A target that is up accepts a connection
 	// within milliseconds.
