Read how brittle targets say that they are, and log it

An answer may say Server-Brittle: N, the requests a second that its target can turn away for want of room before it falls over. The adapter threw it away, so neither logs nor the planner could tell such a target from another. Hosts that choose alone leave out brittle targets of which they know, as they do limited ones.

--- a/fleet/intake/intake.go
+++ b/fleet/intake/intake.go
@@ -9,6 +9,10 @@
 // a request away may ask the host that sent it for a pause, which concerns no other host and
 // ends after its time.
 //
+// A brittle target names how often in a second it can turn requests away for want of room,
+// whichever host sent them. If it has to do so more often it falls over. It may also let fewer
+// requests wait than usual. Like a limit this holds until an answer doesn't name it any more.
+//
 // All this belongs to one life of a target: the next one starts with none.
 package intake
 
@@ -28,12 +32,20 @@
 	Rate  Rate
 }
 
+// Brittle is what an answer says of how brittle its target is. The zero value is an answer that
+// says nothing of it.
+type Brittle struct {
+	Named      bool `cbor:",omitempty"`
+	Rejections int  `cbor:",omitempty"` // within a second, that the target withstands
+}
+
 // A Notice is what an answer says of the work that its target takes. The zero value is an
 // answer that says nothing of it.
 type Notice struct {
 	Limit   Limit
 	Leaving bool          // the target takes no new work and will end
 	Pause   time.Duration // for which the host must send the target nothing; zero for none
+	Brittle Brittle
 }
 
 // Known is what a host has read from an answer and what concerns all hosts.
@@ -42,4 +54,5 @@
 	Limit   Limit
 	Leaving bool
 	Age     time.Duration // since the answer
+	Brittle Brittle
 }
--- a/fleet/intake/ledger.go
+++ b/fleet/intake/ledger.go
@@ -34,6 +34,7 @@
 	life    Life
 	limit   Limit
 	leaving bool
+	brittle Brittle
 	heard   fleet.Instant // last answer
 	resume  fleet.Instant // end of the pause; zero if there was none
 }
@@ -45,8 +46,8 @@
 	if !ok || !life.StartTime.IsZero() && !life.StartTime.Equal(r.life.StartTime) {
 		r = record{life: life}
 	}
-	before = Notice{Limit: r.limit, Leaving: r.leaving, Pause: max(0, r.resume.Sub(now))}
-	r.heard, r.limit, r.leaving = now, notice.Limit, r.leaving || notice.Leaving
+	before = Notice{Limit: r.limit, Leaving: r.leaving, Pause: max(0, r.resume.Sub(now)), Brittle: r.brittle}
+	r.heard, r.limit, r.leaving, r.brittle = now, notice.Limit, r.leaving || notice.Leaving, notice.Brittle
 	if notice.Pause > 0 {
 		pause := notice.Pause
 		if l.MaxPause > 0 {
@@ -54,7 +55,7 @@
 		}
 		r.resume = max(r.resume, now.Add(pause))
 	}
-	if !r.limit.Named && !r.leaving && r.resume <= now {
+	if !r.limit.Named && !r.leaving && !r.brittle.Named && r.resume <= now {
 		delete(l.records, life.Target)
 		return before
 	}
@@ -65,12 +66,12 @@
 	return before
 }
 
-// Known returns the limits and the leaving of a service's targets.
+// Known returns the limits of a service's targets, and which of them leave or are brittle.
 func (l *Ledger) Known(now fleet.Instant, service route.ServiceID, roster Roster) []Known {
 	var known []Known
 	for id, r := range l.current(now, service, roster) {
-		if r.limit.Named || r.leaving {
-			known = append(known, Known{id, r.limit, r.leaving, now.Sub(r.heard)})
+		if r.limit.Named || r.leaving || r.brittle.Named {
+			known = append(known, Known{id, r.limit, r.leaving, now.Sub(r.heard), r.brittle})
 		}
 	}
 	slices.SortFunc(known, func(a, b Known) int { return cmp.Compare(a.Target, b.Target) })
--- a/fleet/intake/ledger_test.go
+++ b/fleet/intake/ledger_test.go
@@ -37,6 +37,22 @@
 	require.Empty(t, l.Known(3602*second, "s", listed(born)))
 }
 
+func TestBrittleLastsUntilAnAnswerNamesNone(t *testing.T) {
+	born := time.Unix(1, 0)
+	roster := func(fleet.TargetID) (time.Time, bool) { return born, true }
+	life := intake.Life{Target: "t", Service: "s", StartTime: born}
+	brittle := intake.Brittle{Named: true}
+	var l intake.Ledger
+	require.Zero(t, l.Observe(second, life, intake.Notice{Brittle: brittle}))
+	require.Equal(t, []intake.Known{{Target: "t", Brittle: brittle, Age: time.Hour}}, l.Known(3601*second, "s", roster))
+	closed, _ := l.Closed(second, "s", roster)
+	require.Empty(t, closed, "it takes what finds room")
+	require.Equal(t, brittle, l.Observe(3601*second, life, intake.Notice{}).Brittle)
+	require.Empty(t, l.Known(3601*second, "s", roster))
+	l.Observe(3602*second, life, intake.Notice{Brittle: brittle})
+	require.Empty(t, l.Known(3602*second, "s", func(fleet.TargetID) (time.Time, bool) { return born.Add(time.Second), true }), "its next life has said nothing")
+}
+
 func TestPauseEndsAfterItsTimeAndLeavingNever(t *testing.T) {
 	born := time.Unix(1, 0)
 	roster := func(fleet.TargetID) (time.Time, bool) { return born, true }
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -129,7 +129,8 @@
 	// passed.
 	Abandoned
 	// Answered means that the header of an answer was received that names a limit, none
-	// after an earlier one did, or that the target leaves. It is not the end of the grant.
+	// after an earlier one did, that the target leaves, or that it is brittle or no longer so. It is
+	// not the end of the grant.
 	Answered
 	// ServerError means that the target answered with an internal error.
 	ServerError
--- a/hibiscusfront/internal/chooser/chooser.go
+++ b/hibiscusfront/internal/chooser/chooser.go
@@ -248,8 +248,8 @@
 }
 
 // ObserveNotice implements gateway.Chooser. It queues a report if the answer says something
-// that concerns all hosts, or if it names no limit and this host or the one that made the
-// grant believes in one.
+// that concerns all hosts, or if it no longer says what this host or the one that made the
+// grant believes.
 func (c *Chooser) ObserveNotice(v *view.View, g *plan.Grant, notice intake.Notice) {
 	life := intake.Life{Target: g.Target, Service: g.Service}
 	if t := v.Target(g.Target); t != nil {
@@ -258,13 +258,13 @@
 	c.mu.Lock()
 	before := c.ledger.Observe(c.Clock(), life, notice)
 	c.mu.Unlock()
-	if notice.Limit != before.Limit || notice.Leaving && !before.Leaving || notice.Pause > before.Pause {
+	if notice.Limit != before.Limit || notice.Brittle != before.Brittle || notice.Leaving && !before.Leaving || notice.Pause > before.Pause {
 		c.Log.Info().Str("Target", string(g.Target)).Str("Service", string(g.Service)).Uint64("Grant", uint64(g.Number)).
 			Bool("Limited", notice.Limit.Named).Float64("RequestsPerSecond", float64(notice.Limit.Rate)).Float64("Before", float64(before.Limit.Rate)).
-			Bool("Leaving", notice.Leaving).Dur("Pause", notice.Pause).
+			Bool("Leaving", notice.Leaving).Dur("Pause", notice.Pause).Bool("Brittle", notice.Brittle.Named).Int("Rejections", notice.Brittle.Rejections).
 			Msg("target changed what it says of the work that it takes")
 	}
-	if notice.Limit.Named || before.Limit.Named || g.Limited || notice.Leaving && !before.Leaving {
+	if notice.Limit.Named || before.Limit.Named || notice.Brittle.Named || before.Brittle.Named || g.Limited || notice.Leaving && !before.Leaving {
 		c.enqueue(report{to: g.By, Report: plan.Report{Number: g.Number, Progress: plan.Answered, Notice: notice}})
 	}
 }
--- a/hibiscusfront/internal/chooser/chooser_test.go
+++ b/hibiscusfront/internal/chooser/chooser_test.go
@@ -218,6 +218,25 @@
 	require.Equal(t, map[fleet.TargetID]int{"limited": 40}, chosen(), "its answers name no limit any more")
 }
 
+// Load pattern: no planner answers, and some targets are brittle. Requests that other hosts send
+// there can't be counted, so the host that was told sends none, until an answer no longer says so.
+func TestHostThatChoosesAloneSparesBrittleTarget(t *testing.T) {
+	ctx, c, v := startChooser(t)
+	v.Targets = append(v.Targets, roster.Target{ID: "brittle", Service: "s", Address: "127.0.0.1:4"})
+	v.Freeze()
+	for _, notice := range []intake.Notice{{Brittle: intake.Brittle{Named: true, Rejections: 9}}, {}} {
+		c.ObserveNotice(v, &plan.Grant{Target: "brittle", Service: "s"}, notice)
+		chosen := make(map[fleet.TargetID]bool)
+		for i := range 40 {
+			req := newRequest()
+			req.ID = fleet.RequestID(fmt.Sprint(i))
+			chosen[c.Choose(ctx, v, req).Grant.Target] = true
+		}
+		require.True(t, chosen["t"])
+		require.Equal(t, !notice.Brittle.Named, chosen["brittle"])
+	}
+}
+
 // Load pattern: a target turns requests of one host away and asks it for a pause, or says in
 // its answers that it leaves. Neither the planner nor this host alone may choose it.
 func TestTargetThatClosedItselfIsNotChosen(t *testing.T) {
--- a/hibiscusfront/internal/chooser/local.go
+++ b/hibiscusfront/internal/chooser/local.go
@@ -18,7 +18,7 @@
 // targets that the host knows. Hosts that choose locally therefore agree on the
 // target that has a prompt's parts in its cache. Local requests no fetch or save
 // of cache parts, since it does not know what the cache stores hold, and skips cold
-// targets and those that have named a limit to this host, since the load that all hosts
+// targets and those that have named a limit to this host or told it that they are brittle, since the load that all hosts
 // together send them is not limited without a planner. The zero value is ready for use.
 type Local struct {
 	// WeightsBound has the meaning of plan.Fleet.WeightsBound.
