Planner sends brittle targets only what finds room

Cause: nobody counted what brittle targets turn away. Engines got what their cache attracts, up to their slots by the planner's count, plain targets one more than their slots so that one waits; a successor, a deputy and requests that run on after their callers have gone add to both. While targets let none wait, each of these is a rejection, and more than N in a second make a target fall over.

fleet/plan/brittle.go: a brittle target gets what can run at once. After a takeover or a rejection its room is what it surely holds and a little more with time; what was turned away in the last 1.2 s and what is on the way stay under 0.6 of N together (a deputy 0.15 of it, so none if N is under 7). All targets of a service are taken for brittle from the first answer on, until their own answers differ; grants ask for these. Nothing is stored.

--- a/fleet/plan/admission.go
+++ b/fleet/plan/admission.go
@@ -220,7 +220,7 @@
 	t := c.target
 	g := &Grant{
 		Number: f.lastNumber, Target: t.ID, Address: t.Address, Service: req.Service, Rank: min(req.Rank, MaxRank),
-		Limited: t.limit.Named, Software: t.Software,
+		Limited: t.limit.Named || t.brittleness().Named, Software: t.Software,
 	}
 	ag := &activeGrant{req: req, target: t, software: t.Software, grantedAt: now, readTokens: c.readTokens, firstPiece: c.firstPiece, fetchTime: c.fetchTime, transfer: c.transferTime, slowdown: 1}
 	if p := req.Prompt; p != nil && t.isEngine() {
@@ -353,7 +353,7 @@
 
 // retryAfter returns the time until a refused request should find capacity: until
 // the least loaded target of the service has read the prompts granted to it, or
-// until the limit of one allows a request if all have named limits.
+// until one allows a request if all have named limits or, brittle, have turned too many away.
 // Requests with different affinity hashes are spread over as much time again, so
 // that they are not repeated all at once. Prompts with the same last shared part
 // get the same time.
--- a/fleet/plan/cache.go
+++ b/fleet/plan/cache.go
@@ -158,6 +158,9 @@
 	Crashes        uint64 // of targets with requests on them
 	Withheld       uint64 // requests refused because they or a part of their prompt are withheld
 	UnknownOrigins uint64 // requests refused because the version that began their stream is not known
+
+	BrittleRejections uint64 // requests that brittle targets turned away
+	BrittleFalls      uint64 // times that a brittle target turned more away within a second than it withstands
 }
 
 // String formats the statistics for logs.
--- a/fleet/plan/limit.go
+++ b/fleet/plan/limit.go
@@ -68,6 +68,7 @@
 	for _, known := range req.Known {
 		if t, ok := f.targets[known.Target]; ok {
 			t.learn(now.Add(-known.Age), known.Limit, known.Leaving)
+			f.learnBrittle(now.Add(-known.Age), t, known.Brittle)
 		}
 	}
 }
@@ -84,15 +85,15 @@
 	return t.limit.bucket.Wait(now, max(minLimitedRate, intake.Rate(share)*t.limit.Rate))
 }
 
-// soonestWithinLimit returns how long it takes until a usable target's limit allows one
-// more request of the service. It is zero if none is usable: that is no matter of limits.
+// soonestWithinLimit returns how long it takes until a usable target's limit, and what it turned
+// away if it is brittle, allow one more request of the service. It is zero if none is usable: that is no matter of limits.
 func (f *Fleet) soonestWithinLimit(now fleet.Instant, req *Request) time.Duration {
 	soonest, found := time.Duration(0), false
 	for _, t := range f.targets {
 		if t.Service != req.Service || !t.usable(now) {
 			continue
 		}
-		wait := f.limitWait(now, t)
+		wait := max(f.limitWait(now, t), f.brittleWait(now, t))
 		if wait == 0 {
 			return 0
 		}
--- a/fleet/plan/placement.go
+++ b/fleet/plan/placement.go
@@ -102,7 +102,7 @@
 			continue
 		}
 		eligible = true
-		if t.reservation.excludes(now, req) || !f.withinColdRate(now, t) || f.limitWait(now, t) > 0 || !t.hasCapacity(req) {
+		if t.reservation.excludes(now, req) || !f.withinColdRate(now, t) || f.limitWait(now, t) > 0 || !t.hasCapacity(req) || !f.hasBrittleRoom(now, t, req) {
 			continue
 		}
 		c := candidate{target: t}
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -17,7 +17,7 @@
 // after its start, in which it serves requests only at a limited rate.
 //
 // Roll-outs of versions are described in rollouts.go, placement in placement.go, admission (queueing and refusal) in
-// admission.go, requests and prompts that crash targets in crash.go, streams that
+// admission.go, requests and prompts that crash targets in crash.go, brittle targets in brittle.go, streams that
 // go on in origin.go, and which workspaces share cached parts in isolation.go, each with the
 // load pattern that it handles.
 //
@@ -84,7 +84,7 @@
 	Until    time.Time       // end of the time for fetches, on the engines' clock
 	Rank     int
 	Software fleet.Software // of the target
-	Limited  bool           // the target has named a limit; its answer tells whether the limit still holds
+	Limited  bool           // the target has named a limit or may be brittle; its answer tells whether that still holds
 	// StartWithin is the time from the grant in which the run has to start, since newer
 	// weights than Version were announced; zero for no limit.
 	StartWithin time.Duration `cbor:",omitempty"`
@@ -160,6 +160,7 @@
 	fetchStores []*store          // cache stores from which parts are fetched
 	memory      fleet.Tokens      // tokens of cache memory that the run occupies
 	software    fleet.Software    // of the target when the grant was made
+	answered    bool              // its target has answered, or it has ended
 	onTrial     bool              // software is on trial: its pace is not that of the service
 }
 
@@ -235,6 +236,7 @@
 	firstAttempts slidingWindow
 	repeats       slidingWindow
 	pace          pace // of its engines
+	brittle       brittleService
 }
 
 // BeginTenure starts a tenure, in which grants get numbers greater than base. The
@@ -382,18 +384,22 @@
 	switch report.Progress {
 	case Started:
 		f.recordProgress(now, ag, Started, ag.started)
+		ag.answered = true
 		ag.target.startGrant(now, ag)
 		if ag.req.Resumable {
 			f.origins.RecordStart(now, ag.req.Start(ag.software))
 		}
 		return
 	case Answered:
+		ag.answered = true
 		ag.target.learn(now, report.Notice.Limit, report.Notice.Leaving)
+		f.learnBrittle(now, ag.target, report.Notice.Brittle)
 		return
 	}
 	delete(f.active, report.Number)
 	f.recordProgress(now, ag, report.Progress, ag.started)
 	ag.target.endGrant(now, ag, report.Progress)
+	f.recordBrittleEnd(now, ag, report.Progress)
 	switch {
 	case report.Progress == Failed:
 		f.recordEarlyEnd(now, ag)
@@ -412,6 +418,7 @@
 			delete(f.active, number)
 			f.recordLostGrant(now, ag)
 			ag.target.endGrant(now, ag, Abandoned)
+			f.recordBrittleEnd(now, ag, Abandoned)
 		}
 	}
 }
@@ -424,6 +431,7 @@
 		if now.Sub(ag.grantedAt) > ag.req.Deadline+endReportGrace {
 			delete(f.active, number)
 			ag.target.endGrant(now, ag, Abandoned)
+			f.recordBrittleEnd(now, ag, Abandoned)
 		}
 	}
 }
--- a/fleet/plan/target.go
+++ b/fleet/plan/target.go
@@ -17,6 +17,7 @@
 	coldUntil    fleet.Instant
 	recentGrants slidingWindow // grants, counted while the target may be cold
 	limit        targetLimit
+	brittle      brittleState
 	saysLeaving  bool // in its answers, maybe before its entry does
 	evacuated    bool // its data centre is evacuated
 	removed      bool // no longer on the roster
@@ -86,6 +87,7 @@
 func (t *target) resetGrants(now fleet.Instant) {
 	t.activeGrants, t.pending, t.unreadTokens, t.memory, t.readyAt = 0, 0, 0, 0, now
 	t.limit.bucket = intake.Bucket{}
+	t.brittle.limitRoom(now, 0)
 }
 
 // version returns the version of the model's weights at the target, or zero.
@@ -162,6 +164,7 @@
 	}
 	t.recentGrants.add(now, coldWindow)
 	t.limit.recordGrant()
+	t.recordBrittleGrant(now, ag)
 	t.cache.markGranted(t, ag.parts...)
 }
 
--- a/hibiscusfront/internal/host/meters.go
+++ b/hibiscusfront/internal/host/meters.go
@@ -139,6 +139,7 @@
 		"TokensRead": int64(counts.ReadTokens), "TokensReadAgain": int64(counts.RereadTokens), "TokensFetched": int64(counts.FetchedTokens),
 		"TokensKept": int64(counts.CachedTokens), "PartsUnsaved": int64(counts.UnsavedParts),
 		"Crashes": int64(counts.Crashes), "Withheld": int64(counts.Withheld), "UnknownOrigins": int64(counts.UnknownOrigins),
+		"BrittleRejections": int64(counts.BrittleRejections), "BrittleFalls": int64(counts.BrittleFalls),
 	} {
 		h.meter.planned.Set(n, what)
 	}
