--- a/hibiscusfront/internal/soak/callers_test.go
+++ b/hibiscusfront/internal/soak/callers_test.go
@@ -42,10 +42,15 @@
 const callerCount = 8
 
 func (s *site) startCallers(seed uint64) *callers {
+	return s.startCallersOf(seed, 0, callerCount, "order", "order", "read", "talk", "resume")
+}
+
+// startCallersOf starts callers that are numbered from first on and send requests of some kinds.
+func (s *site) startCallersOf(seed uint64, first, count int, kinds ...string) *callers {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &callers{site: s, cancel: cancel}
-	for i := range callerCount {
-		c.group.Go(ctx, func(ctx context.Context) { c.sendRequests(ctx, seed, i) })
+	for i := range count {
+		c.group.Go(ctx, func(ctx context.Context) { c.sendRequests(ctx, seed, first+i, kinds) })
 	}
 	return c
 }
@@ -60,11 +65,10 @@
 
 // sendRequests sends requests one after the other until ctx ends. Connections
 // are kept open for reuse.
-func (c *callers) sendRequests(ctx context.Context, seed uint64, number int) {
+func (c *callers) sendRequests(ctx context.Context, seed uint64, number int, kinds []string) {
 	random := rand.New(rand.NewPCG(seed, uint64(number)+1))
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}, Timeout: 5 * time.Second}
 	defer client.CloseIdleConnections()
-	kinds := []string{"order", "order", "read", "talk", "resume"}
 	for i := 0; ctx.Err() == nil; i++ {
 		address := c.lookup(client, random)
 		if address == "" {
--- a/hibiscusfront/internal/soak/site_test.go
+++ b/hibiscusfront/internal/soak/site_test.go
@@ -24,6 +24,7 @@
 	hostCount   = 4
 	engineCount = 4
 	plainCount  = 2 // targets that are not engines
+	targetSlots = 8
 	model       = "m"
 )
 
@@ -220,7 +221,7 @@
 		models = []map[string]any{{"name": model, "version": t.Version()}}
 	}
 	s.store.PutIfChanged("servers", t.ID, map[string]any{
-		"service": service, "address": string(t.path.Listen), "zone": "z", "slots": 8, "state": "ready",
+		"service": service, "address": string(t.path.Listen), "zone": "z", "slots": targetSlots, "state": "ready",
 		"coldRemainingMs": 0, "models": models, "version": t.Software(),
 	})
 }
--- a/hibiscusfront/internal/soak/soak_test.go
+++ b/hibiscusfront/internal/soak/soak_test.go
@@ -113,6 +113,56 @@
 	}
 }
 
+// TestBrittleTargetsDoNotFallOver lets all targets be brittle while callers send about twice
+// what they can serve, and kills the hosts one after the other. From stableWindow on, targets let no
+// request wait and fall over once they turn away more than they withstand.
+func TestBrittleTargetsDoNotFallOver(t *testing.T) {
+	const (
+		stableWindow = 3 * time.Second // stableWindowMs of the settings
+		withstands   = 3
+	)
+	s := newSite(t, build(t), 0)
+	s.awaitReady(t, 10*time.Second)
+	for _, target := range s.targets {
+		target.SetWorkTime(40 * time.Millisecond)
+		if target.Model == "" {
+			target.SetWorkTime(300 * time.Millisecond)
+		}
+	}
+	callers := s.startCallers(0)
+	crowd := s.startCallersOf(0, callerCount, 2*targetSlots*engineCount, "talk")
+	crowdOfPlain := s.startCallersOf(0, callerCount+2*targetSlots*engineCount, 2*targetSlots*plainCount, "read")
+	for _, target := range s.targets {
+		target.SetBrittle(withstands, 0)
+	}
+	time.Sleep(stableWindow)
+	for _, target := range s.targets {
+		target.SetBrittle(withstands, targetSlots)
+	}
+	time.Sleep(stableWindow)
+	for _, h := range s.hosts {
+		h.kill(syscall.SIGKILL)
+		time.Sleep(stableWindow)
+	}
+	falls, arrivals := make(map[string]int), 0
+	for _, target := range s.targets {
+		falls[target.Model] += target.Falls()
+		arrivals += len(target.Arrivals())
+		target.EndBrittle()
+		target.SetWorkTime(10 * time.Millisecond)
+	}
+	crowd.stop()
+	crowdOfPlain.stop()
+	time.Sleep(stableWindow)
+	callers.markRecovered()
+	time.Sleep(time.Second)
+	callers.stop()
+	s.checkResults(t, callers)
+	t.Log("falls", falls, "arrivals", arrivals)
+	require.LessOrEqual(t, 10*falls[model], 20+engineCount, "engines")
+	require.LessOrEqual(t, 10*falls[""], 20+plainCount, "plain targets")
+}
+
 // TestClosedEngineGetsNoRequests lets one engine say that it leaves, and another turn requests
 // away and ask for a pause. Later than drainTime after it was told, no host may send the first
 // one anything; the second one may get two requests of each host until the pause ends.
--- a/standin/fakeplatform/target.go
+++ b/standin/fakeplatform/target.go
@@ -43,6 +43,7 @@
 	leaving  bool          // all answers say that the target leaves
 	pause    time.Duration // for which requests are turned away; zero if they are not
 	arrivals []time.Time   // of requests, other than those for another target
+	brittle  brittle
 }
 
 // SetWorkTime sets the time per event of a stream.
@@ -137,6 +138,9 @@
 	if t.limit > 0 {
 		header.Set("Server-Limit", strconv.FormatFloat(t.limit, 'f', -1, 64))
 	}
+	if t.brittle.named {
+		header.Set("Server-Brittle", strconv.Itoa(t.brittle.withstands))
+	}
 	if t.leaving {
 		header.Set("Server-Leaving", "1")
 	}
@@ -292,6 +296,9 @@
 			return http.StatusServiceUnavailable
 		}
 	}
+	if !t.enter() {
+		return http.StatusServiceUnavailable
+	}
 	if t.runs == nil {
 		t.runs, t.tenants = make(map[string]int), make(map[string]string)
 	}
@@ -315,6 +322,7 @@
 		w.WriteHeader(status)
 		return
 	}
+	defer t.leave()
 	w.Header().Set("X-Hibiscuslb-Response-Signature", "by "+t.ID)
 	if t.fails() {
 		w.WriteHeader(http.StatusInternalServerError)
