--- a/fleet/intake/intake.go
+++ b/fleet/intake/intake.go
@@ -35,8 +35,8 @@
 // Brittle is what an answer says of how brittle its target is. The zero value is an answer that
 // says nothing of it.
 type Brittle struct {
-	Named      bool `cbor:",omitempty"`
-	Rejections int  `cbor:",omitempty"` // within a second, that the target withstands
+	Named      bool
+	Rejections int // within a second, that the target withstands
 }
 
 // A Notice is what an answer says of the work that its target takes. The zero value is an
@@ -45,7 +45,7 @@
 	Limit   Limit
 	Leaving bool          // the target takes no new work and will end
 	Pause   time.Duration // for which the host must send the target nothing; zero for none
-	Brittle Brittle
+	Brittle Brittle       `cbor:",omitzero"`
 }
 
 // Known is what a host has read from an answer and what concerns all hosts.
@@ -54,5 +54,5 @@
 	Limit   Limit
 	Leaving bool
 	Age     time.Duration // since the answer
-	Brittle Brittle
+	Brittle Brittle       `cbor:",omitzero"`
 }
