A deputy tries brittle targets if they withstand three rejections a second; docs

Without a share for N under 7 a service whose targets are all brittle gets nothing while a deputy acts for a planner that is gone. The planner risks at least one rejection at a time, two deputies one each.

--- a/fleet/plan/brittle.go
+++ b/fleet/plan/brittle.go
@@ -120,10 +120,12 @@
 
 // risk returns how many requests may be turned away within a second, or be on the way to a
 // target whose room isn't sure. A planner tries one at a time at least, else it would
-// never learn that there is room; a deputy needn't.
+// never learn that there is room. A deputy tries one if the target withstands that two
+// deputies and the planner do so at once.
 func (f *Fleet) risk(brittle intake.Brittle) int {
 	if f.Deputy {
-		return int(deputyBrittleShare * float64(brittle.Rejections))
+		const planners = 3
+		return max(min(1, brittle.Rejections/planners), int(deputyBrittleShare*float64(brittle.Rejections)))
 	}
 	return max(1, int(brittleShare*float64(brittle.Rejections)))
 }
