A rejection is counted without a gap between its two reports

The header of a rejection and its end are two reports, which may come in two batches. Between them the request counted neither as on the way nor as turned away, so another could follow. A request now counts as on the way until its first piece or its end.

--- a/fleet/plan/brittle.go
+++ b/fleet/plan/brittle.go
@@ -182,7 +182,7 @@
 // recordBrittleEnd records the end of a grant at a target that may be brittle.
 func (f *Fleet) recordBrittleEnd(now fleet.Instant, ag *activeGrant, progress Progress) {
 	turnedAway := ag.answered && progress == Rejected
-	ag.answered = true
+	ag.ended = true
 	t := ag.target
 	brittle := t.brittleness()
 	if !brittle.Named {
@@ -247,6 +247,6 @@
 
 // countRisked returns how many requests are on the way and may be turned away.
 func (b *brittleState) countRisked(now fleet.Instant) int {
-	b.risked = slices.DeleteFunc(b.risked, func(ag *activeGrant) bool { return ag.answered || now.Sub(ag.grantedAt) > rejectionTime })
+	b.risked = slices.DeleteFunc(b.risked, func(ag *activeGrant) bool { return ag.started || ag.ended || now.Sub(ag.grantedAt) > rejectionTime })
 	return len(b.risked)
 }
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -160,8 +160,9 @@
 	fetchStores []*store          // cache stores from which parts are fetched
 	memory      fleet.Tokens      // tokens of cache memory that the run occupies
 	software    fleet.Software    // of the target when the grant was made
-	answered    bool              // its target has answered, or it has ended
-	onTrial     bool              // software is on trial: its pace is not that of the service
+	answered    bool              // with a header that says something, see Answered
+	ended       bool
+	onTrial     bool // software is on trial: its pace is not that of the service
 }
 
 // model is the state of a model's weights.
@@ -384,7 +385,6 @@
 	switch report.Progress {
 	case Started:
 		f.recordProgress(now, ag, Started, ag.started)
-		ag.answered = true
 		ag.target.startGrant(now, ag)
 		if ag.req.Resumable {
 			f.origins.RecordStart(now, ag.req.Start(ag.software))
