--- a/hibiscusfront/internal/control/objects.go
+++ b/hibiscusfront/internal/control/objects.go
@@ -279,7 +279,8 @@
 		if w.Version > c.announcements[w.Model].Newest() {
 			c.announcements[w.Model] = c.announcements[w.Model].Add(w.Version, now)
 			c.Log.Info().Str("Model", string(w.Model)).Uint64("Version", w.Version).
-				Uint64("Revision", uint64(o.Revision.Number)).Msg("weights announced")
+				Uint64("Revision", uint64(o.Revision.Number)).Dur("PlannerReplyAgo", now.Sub(c.lastPlannerReply)).
+				Dur("StoreAnswerAgo", now.Sub(c.lastStoreAnswer)).Msg("weights announced")
 		}
 	})
 }
--- a/hibiscusfront/internal/gateway/attempt.go
+++ b/hibiscusfront/internal/gateway/attempt.go
@@ -24,6 +24,7 @@
 	c.sends++
 	before := c.outcome
 	c.outcome = fleet.OutcomeUnknown
+	c.sentAt = time.Now()
 	limit := c.limitStart(g)
 	defer limit.end()
 	exchange, err := c.Pool.Send(limit.ctx, request)
--- a/hibiscusfront/internal/gateway/gateway.go
+++ b/hibiscusfront/internal/gateway/gateway.go
@@ -79,6 +79,9 @@
 	// RecordUnsigned counts a response that was not accepted because it has a success
 	// status and no signature, by the service of its target.
 	RecordUnsigned(service route.ServiceID)
+	// RecordReplacedStart records that a run began on weights that had been replaced for the
+	// given time, as far as this host knows.
+	RecordReplacedStart(workspace fleet.WorkspaceID, route string, replacedFor time.Duration)
 	// RecordEnd records the result of a request, with the time to the first part
 	// of the response and the total time. The first part of a stream is its first
 	// event or bytes, that of another response its body, or the start of a long
@@ -116,6 +119,7 @@
 	expiresAt   time.Time // the earlier of the ends of the caller's Deadline and the route's Timeout
 
 	tried   []fleet.TargetID
+	sentAt  time.Time     // when the current attempt began, its connection included
 	sends   int           // number of targets that may have run the request
 	outcome fleet.Outcome // Unknown once a target may have run the request
 	// firstByte is, for streams, the time until the first event or bytes arrived,
--- a/hibiscusfront/internal/gateway/gateway_test.go
+++ b/hibiscusfront/internal/gateway/gateway_test.go
@@ -31,6 +31,8 @@
 func (discardMeter) RecordSend(bool, bool)                                 {}
 func (discardMeter) RecordResponse(backend.Framing)                        {}
 func (discardMeter) RecordUnsigned(route.ServiceID)                        {}
+func (discardMeter) RecordReplacedStart(fleet.WorkspaceID, string, time.Duration) {
+}
 
 func (discardMeter) RecordEnd(fleet.WorkspaceID, string, int, fleet.Reason, time.Duration, time.Duration) {
 }
--- a/hibiscusfront/internal/gateway/relay.go
+++ b/hibiscusfront/internal/gateway/relay.go
@@ -148,6 +148,7 @@
 	if c.firstByte == 0 {
 		c.firstByte = time.Since(c.start)
 		c.report(plan.Started)
+		c.recordReplacedStart()
 	}
 }
 
--- a/hibiscusfront/internal/host/meters.go
+++ b/hibiscusfront/internal/host/meters.go
@@ -20,6 +20,7 @@
 // those that other parts record are copied by refresh on each read.
 type meters struct {
 	first, total, choice       meter.Histograms // by workspace and route
+	replacedStart              meter.Histograms // likewise
 	ended, refused             meter.Counter
 	sent, responses, unsigned  meter.Counter
 	orders                     *meter.Counter // of the planner
@@ -65,7 +66,7 @@
 }
 
 func (m *meters) histograms() map[string]*meter.Histograms {
-	return map[string]*meter.Histograms{"FirstPiece": &m.first, "Total": &m.total, "Choice": &m.choice}
+	return map[string]*meter.Histograms{"FirstPiece": &m.first, "Total": &m.total, "Choice": &m.choice, "ReplacedStart": &m.replacedStart}
 }
 
 // RecordEnd implements gateway.Meter.
@@ -105,6 +106,11 @@
 // RecordUnsigned implements gateway.Meter.
 func (m *meters) RecordUnsigned(service route.ServiceID) { m.unsigned.Add(1, string(service)) }
 
+// RecordReplacedStart implements gateway.Meter.
+func (m *meters) RecordReplacedStart(workspace fleet.WorkspaceID, route string, replacedFor time.Duration) {
+	m.replacedStart.Record(meter.Series{Workspace: workspace, Class: fleet.Class(route)}, replacedFor)
+}
+
 // handler serves the metrics as text on /metrics and as JSON on /debug/vars, the
 // path of package expvar.
 func (m *meters) handler() http.Handler {
