control: count from before weights were announced, not from when a host learned of them

What callers saw: a request began on replaced weights 6.08 s after the new ones were acknowledged, 6.0 s are allowed (VERSION). Cause: the store's entry does not say when it was acknowledged, so a host counted from when it learned of it, and allowed 0.6 s for that and for the way to the engine. Nothing bounds how late it learns: with a planner that stands still, a host learned of it after 0.75 s. Ruled out as the only cause: the way (0.17 s in the record). Change: package storeclock dates a change by revisions. An answer of the store with a lower revision shows that the change was made after that call began. Planners sight the store with each renewal of their tenure; replies to heartbeats pass the last sighting on with its age. A limit that counts from the last sighting before the announcement is never late, and at most an interval of renewals and heartbeats early. Sightings older than 3.5 s do not count: the store does not answer then, and the bound does not count either.

--- a/hibiscusfront/internal/control/control.go
+++ b/hibiscusfront/internal/control/control.go
@@ -29,6 +29,7 @@
 	"hibiscuslb/fleet/peer"
 	"hibiscuslb/fleet/quarantine"
 	"hibiscuslb/fleet/route"
+	"hibiscuslb/fleet/storeclock"
 	"hibiscuslb/fleet/task"
 	"hibiscuslb/fleet/weightupdate"
 	"hibiscuslb/hibiscusfront/internal/replica"
@@ -140,6 +141,7 @@
 
 	// State derived from them.
 	table         *route.Table
+	storeClock    storeclock.Clock
 	weightsRead   bool // the announced weights have been read at least once
 	announcements map[fleet.ModelID]weightupdate.Announcements
 	targets       targets
--- a/hibiscusfront/internal/control/duty.go
+++ b/hibiscusfront/internal/control/duty.go
@@ -8,6 +8,7 @@
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/election"
+	"hibiscuslb/fleet/storeclock"
 	"hibiscuslb/hibiscusfront/internal/wire"
 	"hibiscuslb/platform"
 )
@@ -249,6 +250,7 @@
 	var conflict *platform.ConflictError
 	switch {
 	case err == nil:
+		c.storeClock.Observe(storeclock.Sighting{At: c.lastDutyWrite, Revision: o.Revision})
 		c.duty.WriteSucceeded(now, w, o.Revision, c.bounds.Lease)
 	case errors.As(err, &conflict):
 		var record election.Record
--- a/hibiscusfront/internal/control/heartbeats.go
+++ b/hibiscusfront/internal/control/heartbeats.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/storeclock"
 	"hibiscuslb/hibiscusfront/internal/replica"
 	"hibiscuslb/hibiscusfront/internal/wire"
 	"hibiscuslb/platform"
@@ -32,6 +33,9 @@
 			Revisions: c.revisions(), Follows: c.follows(now), Followed: now.Sub(c.lastFollower) < watcherTimeout,
 			Duty: c.duty.Record(), Revision: c.duty.Revision(), Planning: c.planning,
 		}
+		if sighting := c.storeClock.Last(); sighting.At > 0 {
+			reply.Sighted, reply.SightedAgo = sighting.Revision, now.Sub(sighting.At)
+		}
 		reply.Live = c.membershipUpdate(now, heartbeat.Roll)
 		if heartbeat.Revision.Number > 0 {
 			c.duty.Observe(now, heartbeat.Revision, heartbeat.Duty)
@@ -192,11 +196,15 @@
 func (c *Control) sendHeartbeat(ctx context.Context, address fleet.Address, heartbeat wire.Heartbeat) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
+	called := c.Clock()
 	var reply wire.HeartbeatReply
 	if err := c.Peers.Call(ctx, address, wire.KindHeartbeat, heartbeat, &reply); err != nil {
 		return // the receiver detects missing heartbeats by its own timeout
 	}
-	c.enqueue(ctx, func(now fleet.Instant) { c.handleReply(now, address, reply) })
+	c.enqueue(ctx, func(now fleet.Instant) {
+		c.storeClock.Observe(storeclock.Sighting{At: called.Add(-reply.SightedAgo), Revision: reply.Sighted})
+		c.handleReply(now, address, reply)
+	})
 }
 
 // handleReply applies the reply to a heartbeat.
--- a/hibiscusfront/internal/control/objects.go
+++ b/hibiscusfront/internal/control/objects.go
@@ -8,6 +8,7 @@
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/roster"
 	"hibiscuslb/fleet/route"
+	"hibiscuslb/fleet/storeclock"
 	"hibiscuslb/fleet/task"
 	"hibiscuslb/platform"
 )
@@ -102,12 +103,14 @@
 
 // list reads all objects of a kind from the store.
 func (c *Control) list(ctx context.Context, kind string) error {
+	called := c.Clock()
 	listing, err := c.Store.List(ctx, kind)
 	if err != nil {
 		return err
 	}
 	c.enqueueAndWait(ctx, func(now fleet.Instant) {
 		c.recordStoreAnswer(now)
+		c.storeClock.Observe(storeclock.Sighting{At: called, Revision: listing.Revision})
 		before := c.replicas[kind].Revision()
 		c.applyListing(now, kind, listing, c.targets.uncertainFor(now))
 		if !before.IsZero() && c.replicas[kind].Revision().After(before) {
@@ -260,16 +263,24 @@
 	c.Log.Info().Interface("DataCentres", c.evacuations.list()).Msg("evacuations changed")
 }
 
-// applyWeights applies the weights that the operator has announced. The time of
-// announcements that the host finds at its start is unknown; they count as made
-// long ago, which restricts the use of older weights most.
-func (c *Control) applyWeights(now fleet.Instant) {
-	if c.weightsRead {
-		now = max(now, 1)
-	} else {
-		now = 0
+// maxAnnouncementAge is how long ago an announcement counts as made that this host learns of now. It
+// covers the time until a planner that stands still has a successor. If the store was not sighted
+// for longer, it does not answer, and the bound of weights does not count meanwhile.
+const maxAnnouncementAge = 3500 * time.Millisecond
+
+// announcedAfter returns the last instant at which the announcement in an object of the given revision
+// had not been made. That of announcements that the host finds at its start is unknown; they count
+// as made long ago, which restricts the use of older weights most.
+func (c *Control) announcedAfter(now fleet.Instant, revision fleet.Revision) fleet.Instant {
+	if !c.weightsRead {
+		return 0
 	}
-	c.weightsRead = true
+	at, _ := c.storeClock.MadeAfter(revision)
+	return max(1, at, now.Add(-maxAnnouncementAge))
+}
+
+// applyWeights applies the weights that the operator has announced.
+func (c *Control) applyWeights(now fleet.Instant) {
 	c.replicas[platform.KindWeights].ForEach(func(o platform.Object) {
 		w, err := platform.DecodeWeights(o)
 		if err != nil {
@@ -277,10 +288,16 @@
 			return
 		}
 		if w.Version > c.announcements[w.Model].Newest() {
-			c.announcements[w.Model] = c.announcements[w.Model].Add(w.Version, now)
-			c.Log.Info().Str("Model", string(w.Model)).Uint64("Version", w.Version).
+			at := c.announcedAfter(now, o.Revision)
+			c.announcements[w.Model] = c.announcements[w.Model].Add(w.Version, at)
+			line := c.Log.Info().Str("Model", string(w.Model)).Uint64("Version", w.Version).
 				Uint64("Revision", uint64(o.Revision.Number)).Dur("PlannerReplyAgo", now.Sub(c.lastPlannerReply)).
-				Dur("StoreAnswerAgo", now.Sub(c.lastStoreAnswer)).Msg("weights announced")
+				Dur("StoreAnswerAgo", now.Sub(c.lastStoreAnswer))
+			if at > 0 {
+				line.Dur("CountsFromAgo", now.Sub(at))
+			}
+			line.Msg("weights announced")
 		}
 	})
+	c.weightsRead = true
 }
--- a/hibiscusfront/internal/wire/wire.go
+++ b/hibiscusfront/internal/wire/wire.go
@@ -65,6 +65,10 @@
 	Duty      election.Record // last record of the planner's duty that the replying host knows
 	Revision  fleet.Revision  // of the object that holds Duty
 	Planning  bool            // the replying host is the planner
+	// Sighted is the revision after which the object store had made no change SightedAgo before the
+	// reply; zero if the replying host knows none.
+	Sighted    fleet.Revision
+	SightedAgo time.Duration
 	// Live is set if the replying host is the planner and its list of live hosts is
 	// another than the sender's.
 	Live *MembershipUpdate
