plan: expect runs on replaced weights to start while a silent second still fits

Cause: a request was granted if its engine was expected to start it 0.6 s before the bound, and a withdrawal at that time made up for all that lasted longer. A withdrawal is a closed connection; an engine that is silent for a second, or keeps what was closed, starts the run all the same. Only what is not sent surely does not start. Change: the expected start has to lie 1.2 s before the bound, as the sending already had to. The withdrawal stays as it was. TestBusyEngineWithOldWeightsGetsNothingThatStartsLate asks at times that lie 0.6 s earlier, as the limit does; it now demands a refusal at 3.8 s, where 4.4 s were enough.

--- a/fleet/plan/start_test.go
+++ b/fleet/plan/start_test.go
@@ -26,13 +26,13 @@
 		requestCount++
 		return f.Submit(at(now), newRequest(800*time.Millisecond, prompt.Part{ID: prompt.PartID(newStream().ID), Tokens: 30_000}))
 	}
-	for _, now := range []time.Duration{4100 * time.Millisecond, 4200 * time.Millisecond} {
+	for _, now := range []time.Duration{3500 * time.Millisecond, 3600 * time.Millisecond} {
 		decision, ok := submit(now)
 		require.True(t, ok)
 		require.NotNil(t, decision.Grant, "the engine starts it in time")
 		require.Equal(t, latest.Sub(at(now)), decision.Grant.StartWithin)
 	}
-	decision, ok := submit(4400 * time.Millisecond)
+	decision, ok := submit(3800 * time.Millisecond)
 	require.True(t, !ok || decision.Grant == nil, "the engine would start it late")
 }
 
--- a/fleet/plan/weights.go
+++ b/fleet/plan/weights.go
@@ -132,9 +132,5 @@
 // engine has: a request that waits at a busy engine may start long after it was sent.
 func (f *Fleet) startsInTime(now fleet.Instant, c *candidate, req *Request) bool {
 	id := req.modelID()
-	if id == "" {
-		return true
-	}
-	latest, limited := f.model(id).announced.LatestStart(c.target.version(id), f.WeightsBound)
-	return !limited || now.Add(c.firstPiece) < latest
+	return id == "" || f.model(id).announced.Allows(now.Add(c.firstPiece), c.target.version(id), f.WeightsBound)
 }
--- a/fleet/weightupdate/announcements.go
+++ b/fleet/weightupdate/announcements.go
@@ -37,18 +37,19 @@
 	return append(append(Announcements(nil), a[from:]...), Announcement{version, at})
 }
 
-// startMargin is how long a run may wait at an engine before it starts.
+// startMargin is how much later than expected a run may start: a sound engine may be silent for a
+// second. Closing the connection of a request withdraws it only if the engine notices that in time.
 const startMargin = 1200 * time.Millisecond
 
 // Allows reports whether a request may be sent to an engine that has the given
-// version. A run may start on older weights until bound after the first newer
-// version was announced; a zero bound means without limit. Since a run may wait at the
-// engine for up to startMargin (1.2 s) before it starts, no request is allowed in that
-// last part of the bound.
-func (a Announcements) Allows(now fleet.Instant, version uint64, bound time.Duration) bool {
+// version and is expected to start a run on them at the given instant. A run may start on older weights
+// until bound after the first newer version was announced; a zero bound means without limit. Since
+// a run may start up to startMargin (1.2 s) later than expected, no request is allowed that would start
+// in that last part of the bound.
+func (a Announcements) Allows(start fleet.Instant, version uint64, bound time.Duration) bool {
 	for _, announcement := range a {
 		if announcement.Version > version {
-			return bound == 0 || now.Sub(announcement.At) < bound-startMargin
+			return bound == 0 || start.Sub(announcement.At) < bound-startMargin
 		}
 	}
 	return true
