gateway: withdraw in time what waits when a host learns of weights late

An announcement now counts from before the host learned of it, so it can set a limit that is over before the next check of a waiting request, which was due when an announcement of that moment could set one. The check is due earlier by the greatest age of an announcement.

--- a/fleet/weightupdate/announcements.go
+++ b/fleet/weightupdate/announcements.go
@@ -6,9 +6,9 @@
 	"hibiscuslb/fleet"
 )
 
-// An Announcement records when this host learned of a version of the weights.
-// At is zero if the version was announced before the host started, at an unknown
-// time; it then counts as announced long ago.
+// An Announcement records the last instant at which, as this host knows, a version of the weights
+// had not been announced. At is zero if the version was announced before the host started,
+// at an unknown time; it then counts as announced long ago.
 type Announcement struct {
 	Version uint64
 	At      fleet.Instant
@@ -55,10 +55,13 @@
 	return true
 }
 
-// startLateness is how much later than the bound counts from its announcement this host may have
-// learned of a version, with the way of a request to the engine.
+// startLateness is how long a request and its withdrawal may be under way to the engine.
 const startLateness = 600 * time.Millisecond
 
+// MaxAge is how long ago an announcement counts as made that a host learns of now. It covers the
+// time until a planner that stands still has a successor.
+const MaxAge = 3500 * time.Millisecond
+
 // LatestStart returns until when a run that this host has sent may start on the given version,
 // and whether there is a limit: only once a newer version was announced, and with a bound. If
 // that was at an unknown time, the limit is unknown to this host.
@@ -67,12 +70,13 @@
 	if !superseded || at == 0 || bound == 0 {
 		return 0, false
 	}
-	return EarliestLimit(at, bound), true
+	return at.Add(bound - startLateness), true
 }
 
-// EarliestLimit returns the earliest latest start that an announcement from now on can set.
+// EarliestLimit returns the earliest latest start that an announcement can set of which a host
+// learns from now on.
 func EarliestLimit(now fleet.Instant, bound time.Duration) fleet.Instant {
-	return now.Add(bound - startLateness)
+	return now.Add(bound - startLateness - MaxAge)
 }
 
 // SupersededAt returns when the first version newer than the given one was
--- a/hibiscusfront/internal/control/objects.go
+++ b/hibiscusfront/internal/control/objects.go
@@ -10,6 +10,7 @@
 	"hibiscuslb/fleet/route"
 	"hibiscuslb/fleet/storeclock"
 	"hibiscuslb/fleet/task"
+	"hibiscuslb/fleet/weightupdate"
 	"hibiscuslb/platform"
 )
 
@@ -263,20 +264,17 @@
 	c.Log.Info().Interface("DataCentres", c.evacuations.list()).Msg("evacuations changed")
 }
 
-// maxAnnouncementAge is how long ago an announcement counts as made that this host learns of now. It
-// covers the time until a planner that stands still has a successor. If the store was not sighted
-// for longer, it does not answer, and the bound of weights does not count meanwhile.
-const maxAnnouncementAge = 3500 * time.Millisecond
-
 // announcedAfter returns the last instant at which the announcement in an object of the given revision
-// had not been made. That of announcements that the host finds at its start is unknown; they count
-// as made long ago, which restricts the use of older weights most.
+// had not been made, but none before weightupdate.MaxAge: if the store was not sighted for longer, it
+// does not answer, and the bound of weights does not count meanwhile. The time of announcements that
+// the host finds at its start is unknown; they count as made long ago, which restricts the use of older
+// weights most.
 func (c *Control) announcedAfter(now fleet.Instant, revision fleet.Revision) fleet.Instant {
 	if !c.weightsRead {
 		return 0
 	}
 	at, _ := c.storeClock.MadeAfter(revision)
-	return max(1, at, now.Add(-maxAnnouncementAge))
+	return max(1, at, now.Add(-weightupdate.MaxAge))
 }
 
 // applyWeights applies the weights that the operator has announced.
--- a/hibiscusfront/internal/gateway/withdraw.go
+++ b/hibiscusfront/internal/gateway/withdraw.go
@@ -57,26 +57,31 @@
 	return l
 }
 
+// minCheckInterval is the shortest time between two checks whether weights were announced. It applies
+// only if the bound is hardly longer than the age that an announcement may have.
+const minCheckInterval = 100 * time.Millisecond
+
 // check withdraws the request if its time is over, and else runs again when it may be.
 func (l *startLimit) check() {
 	now := l.clock()
 	latest, limited := l.view().Weights[l.model].LatestStart(l.grant.Version, l.bound)
-	if !limited {
-		// New weights may be announced from now on.
-		latest = weightupdate.EarliestLimit(now, l.bound)
+	if l.until > 0 && (!limited || l.until < latest) {
+		latest, limited = l.until, true
 	}
-	if l.until > 0 {
-		latest = min(latest, l.until)
+	// Announcements of which the host learns from now on may set an earlier limit.
+	next := max(weightupdate.EarliestLimit(now, l.bound), now.Add(minCheckInterval))
+	if limited {
+		next = min(next, latest)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
 	case l.done:
-	case now >= latest:
+	case limited && now >= latest:
 		l.done = true
 		l.cancel(&LateStartError{l.grant.Target, l.grant.Version})
 	default:
-		l.timer = time.AfterFunc(latest.Sub(now), l.check)
+		l.timer = time.AfterFunc(next.Sub(now), l.check)
 	}
 }
 
--- a/hibiscusfront/internal/gateway/withdraw_test.go
+++ b/hibiscusfront/internal/gateway/withdraw_test.go
@@ -25,23 +25,28 @@
 // TestRequestIsWithdrawnBeforeItBeginsOnOldWeights guards against requests that wait at a busy
 // engine until long after newer weights were announced, and then begin on the old ones.
 func TestRequestIsWithdrawnBeforeItBeginsOnOldWeights(t *testing.T) {
-	const bound = 1600 * time.Millisecond // LatestStart leaves 1 s of it
+	const (
+		bound   = 1600 * time.Millisecond // LatestStart leaves 1 s of it
+		unknown = -time.Hour
+	)
 	for _, test := range []struct {
 		name      string
-		announced time.Duration // of version 2, from the begin; negative if the host does not know when
+		announced time.Duration // of version 2, from the begin; unknown if the host does not know when
+		learned   time.Duration // by the host; with announced if zero
 		grant     plan.Grant
 		repeat    bool
 		waits     time.Duration // at the first engine
 		want      int
 		soonest   time.Duration
 	}{
-		{"no newer weights", time.Hour, plan.Grant{Version: 1}, true, 1500 * time.Millisecond, http.StatusOK, 1400 * time.Millisecond},
-		{"engine has the newest", 0, plan.Grant{Version: 2}, true, 1500 * time.Millisecond, http.StatusOK, 1400 * time.Millisecond},
-		{"begins in time", 0, plan.Grant{Version: 1}, true, 300 * time.Millisecond, http.StatusOK, 200 * time.Millisecond},
-		{"announced before it was sent", 0, plan.Grant{Version: 1}, true, 5 * time.Second, http.StatusOK, 800 * time.Millisecond},
-		{"announced while it waits", 500 * time.Millisecond, plan.Grant{Version: 1}, true, 5 * time.Second, http.StatusOK, 1300 * time.Millisecond},
-		{"may not be repeated", 0, plan.Grant{Version: 1}, false, 5 * time.Second, http.StatusBadGateway, 800 * time.Millisecond},
-		{"only the planner knows", -1, plan.Grant{Version: 1, StartWithin: 400 * time.Millisecond}, true, 5 * time.Second, http.StatusOK, 300 * time.Millisecond},
+		{"no newer weights", time.Hour, 0, plan.Grant{Version: 1}, true, 1500 * time.Millisecond, http.StatusOK, 1400 * time.Millisecond},
+		{"engine has the newest", 0, 0, plan.Grant{Version: 2}, true, 1500 * time.Millisecond, http.StatusOK, 1400 * time.Millisecond},
+		{"begins in time", 0, 0, plan.Grant{Version: 1}, true, 300 * time.Millisecond, http.StatusOK, 200 * time.Millisecond},
+		{"announced before it was sent", 0, 0, plan.Grant{Version: 1}, true, 5 * time.Second, http.StatusOK, 800 * time.Millisecond},
+		{"announced while it waits", 500 * time.Millisecond, 0, plan.Grant{Version: 1}, true, 5 * time.Second, http.StatusOK, 1300 * time.Millisecond},
+		{"may not be repeated", 0, 0, plan.Grant{Version: 1}, false, 5 * time.Second, http.StatusBadGateway, 800 * time.Millisecond},
+		{"only the planner knows", unknown, 0, plan.Grant{Version: 1, StartWithin: 400 * time.Millisecond}, true, 5 * time.Second, http.StatusOK, 300 * time.Millisecond},
+		{"learned of late", -700 * time.Millisecond, 200 * time.Millisecond, plan.Grant{Version: 1}, true, 5 * time.Second, http.StatusOK, 200 * time.Millisecond},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
@@ -81,9 +86,9 @@
 			current := func() *view.View {
 				announced := weightupdate.Announcements(nil).Add(1, 0)
 				switch {
-				case test.announced < 0:
+				case test.announced == unknown:
 					announced = announced.Add(2, 0)
-				case time.Since(begin) >= test.announced:
+				case time.Since(begin) >= max(test.announced, test.learned):
 					announced = announced.Add(2, fleet.Instant(time.Hour+test.announced))
 				}
 				return &view.View{Table: table, Weights: map[fleet.ModelID]weightupdate.Announcements{"m": announced}}
@@ -112,7 +117,11 @@
 				require.Equal(t, plan.Done, chooser.lastReport(1))
 				return
 			}
-			require.Less(t, time.Since(begin), test.announced+bound, "the run would have begun late")
+			end := bound
+			if test.announced != unknown {
+				end += test.announced
+			}
+			require.Less(t, time.Since(begin), end, "the run would have begun late")
 			require.Eventually(t, withdrawn.Load, time.Second, 5*time.Millisecond)
 			require.Equal(t, plan.Abandoned, chooser.lastReport(1))
 		})
