control: count weights that a host missed from before the first of them

What callers would see: a request begins on replaced weights later than the bound (VERSION). Cause: the store's object holds only the newest version. A host that reads version 3 without having read version 2 counted from the announcement of 3 for engines with version 1, too. The planner's watch may bring both at once while its renewals go on, and peers pass on only the last change of an object. Change: if the versions that a host knows have a gap, the first missed one counts from the last sighting of the store before anything that followed the host's last reading of the weights, and as any, from 3.5 s before the host learned of it at most. Versions that do not follow each other by one look like a gap; they then count early, never late. Measured: TestWeightsThatAHostMissedCountFromTheirAnnouncement failed before (counted from 1.5 s, announced at 1.1 s) and passes.

--- a/hibiscusfront/internal/control/control.go
+++ b/hibiscusfront/internal/control/control.go
@@ -140,17 +140,17 @@
 	era                uint64 // of the store, as last logged
 
 	// State derived from them.
-	table         *route.Table
-	storeClock    storeclock.Clock
-	weightsRead   bool // the announced weights have been read at least once
-	announcements map[fleet.ModelID]weightupdate.Announcements
-	targets       targets
-	members       members
-	evacuations   evacuations
-	rollouts      rollouts
-	bounds        platform.Bounds
-	leaving       bool
-	registeredIn  uint64 // era of the store in which this host's entry was written; zero while it is not
+	table           *route.Table
+	storeClock      storeclock.Clock
+	weightsRevision fleet.Revision // as of which the announced weights are known; zero before they have been read
+	announcements   map[fleet.ModelID]weightupdate.Announcements
+	targets         targets
+	members         members
+	evacuations     evacuations
+	rollouts        rollouts
+	bounds          platform.Bounds
+	leaving         bool
+	registeredIn    uint64 // era of the store in which this host's entry was written; zero while it is not
 
 	// The planner's duty.
 	duty          election.Duty
--- a/hibiscusfront/internal/control/objects.go
+++ b/hibiscusfront/internal/control/objects.go
@@ -270,14 +270,15 @@
 // the host finds at its start is unknown; they count as made long ago, which restricts the use of older
 // weights most.
 func (c *Control) announcedAfter(now fleet.Instant, revision fleet.Revision) fleet.Instant {
-	if !c.weightsRead {
+	if c.weightsRevision.IsZero() {
 		return 0
 	}
 	at, _ := c.storeClock.MadeAfter(revision)
 	return max(1, at, now.Add(-weightupdate.MaxAge))
 }
 
-// applyWeights applies the weights that the operator has announced.
+// applyWeights applies the weights that the operator has announced. An object holds only the newest version.
+// Versions that this host has missed were announced after it last read the weights.
 func (c *Control) applyWeights(now fleet.Instant) {
 	c.replicas[platform.KindWeights].ForEach(func(o platform.Object) {
 		w, err := platform.DecodeWeights(o)
@@ -285,10 +286,17 @@
 			c.logMalformed(o, err)
 			return
 		}
-		if w.Version > c.announcements[w.Model].Newest() {
+		known := c.announcements[w.Model]
+		if w.Version > known.Newest() {
 			at := c.announcedAfter(now, o.Revision)
-			c.announcements[w.Model] = c.announcements[w.Model].Add(w.Version, at)
-			line := c.Log.Info().Str("Model", string(w.Model)).Uint64("Version", w.Version).
+			missed := max(known.Newest(), firstWeights) + 1
+			if missed < w.Version {
+				earliest := c.weightsRevision
+				earliest.Number++
+				known = known.Add(missed, c.announcedAfter(now, earliest))
+			}
+			c.announcements[w.Model] = known.Add(w.Version, at)
+			line := c.Log.Info().Str("Model", string(w.Model)).Uint64("Version", w.Version).Bool("Missed", missed < w.Version).
 				Uint64("Revision", uint64(o.Revision.Number)).Dur("PlannerReplyAgo", now.Sub(c.lastPlannerReply)).
 				Dur("StoreAnswerAgo", now.Sub(c.lastStoreAnswer))
 			if at > 0 {
@@ -297,5 +305,8 @@
 			line.Msg("weights announced")
 		}
 	})
-	c.weightsRead = true
+	c.weightsRevision = c.replicas[platform.KindWeights].Revision()
 }
+
+// firstWeights is the version of a model's weights before any are announced.
+const firstWeights = 1
--- a/hibiscusfront/internal/control/weights_test.go
+++ b/hibiscusfront/internal/control/weights_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/election"
+	"hibiscuslb/fleet/storeclock"
+	"hibiscuslb/fleet/weightupdate"
+	"hibiscuslb/platform"
 )
 
 // TestWeightsThatHostsLearnOfLateCountFromTheirAnnouncement guards against runs that begin on replaced
@@ -42,3 +47,38 @@
 		require.Greater(t, at, announced.Add(-1500*time.Millisecond), "host %d counts from long before", i)
 	}
 }
+
+// TestWeightsThatAHostMissedCountFromTheirAnnouncement guards against runs that begin on weights that were
+// replaced twice: a host that reads only the second announcement must not count from that one for
+// engines that the first one concerns, too.
+//
+// Load pattern: versions 2 and 3 are announced in quick succession, while the planner renews its tenure.
+func TestWeightsThatAHostMissedCountFromTheirAnnouncement(t *testing.T) {
+	c := newObserver(at(0), 1, election.Record{})
+	c.announcements = make(map[fleet.ModelID]weightupdate.Announcements)
+	read := func(now time.Duration, number fleet.Version, version int) {
+		revision := revision(number)
+		c.applyListing(at(now), platform.KindWeights, platform.Listing{Revision: revision, Objects: []platform.Object{
+			{Kind: platform.KindWeights, Name: "m", Revision: revision, Spec: []byte(fmt.Sprintf(`{"model":"m","version":%d}`, version))},
+		}}, 0)
+	}
+	read(0, 10, 1)
+	c.storeClock.Observe(storeclock.Sighting{At: at(time.Second), Revision: revision(10)})
+	// Version 2 is announced after 1.1 s, with revision 11, and version 3 after 1.7 s, with 13.
+	c.storeClock.Observe(storeclock.Sighting{At: at(1500 * time.Millisecond), Revision: revision(12)})
+	read(1800*time.Millisecond, 13, 3)
+
+	first, replaced := c.announcements["m"].SupersededAt(1)
+	require.True(t, replaced)
+	require.LessOrEqual(t, first, at(1100*time.Millisecond), "version 2 was announced before")
+	require.GreaterOrEqual(t, first, at(time.Second))
+	second, replaced := c.announcements["m"].SupersededAt(2)
+	require.True(t, replaced)
+	require.Equal(t, at(1500*time.Millisecond), second, "version 3 replaces version 2")
+	require.EqualValues(t, 3, c.announcements["m"].Newest())
+
+	read(3*time.Second, 20, 4)
+	third, replaced := c.announcements["m"].SupersededAt(3)
+	require.True(t, replaced)
+	require.Equal(t, at(1500*time.Millisecond), third, "no version was missed since the last sighting")
+}
