storeclock: date a change that a copy of the store kept by its number

Cause: revisions were compared by era first, so any sighting of an earlier era counted as before all changes that show the new era. Those that the copy kept were made before it, under the same number. Change: a sighting counts only as before revisions of its era or a later one with a higher number.

--- a/fleet/storeclock/storeclock.go
+++ b/fleet/storeclock/storeclock.go
@@ -10,6 +10,9 @@
 // of a revision before its own, so a limit that counts from that sighting ends in time, and by how much it is
 // early depends on how often the store is sighted, not on how late the host learns of the change.
 //
+// A store that comes back from a copy gives out numbers again, and shows the changes that the copy kept under
+// their old numbers in the new era. A sighting of an earlier era therefore says something only of higher numbers.
+//
 // The planner sights the store whenever it renews its tenure. Other hosts pass a sighting on with its
 // age. The time for which the message travels only makes the sighting count as older.
 package storeclock
@@ -68,7 +71,7 @@
 // It reports false if there is none.
 func (c *Clock) MadeAfter(revision fleet.Revision) (fleet.Instant, bool) {
 	for _, s := range slices.Backward(c.sightings) {
-		if revision.After(s.Revision) {
+		if s.Revision.Era <= revision.Era && s.Revision.Number < revision.Number {
 			return s.At, true
 		}
 	}
