gateway: choose by what the host knows when the body has arrived

What callers would see: a request reaches an engine later than the drain time after the engine was announced to leave (DRAIN), or one in an evacuated data centre (EVAC), if its body arrives slowly. Cause: the view of the fleet was taken when the head of a request arrived, and used for the choice of a target after the body had. Nothing bounds that but the request's deadline. The planner goes by its own view, but a host that chooses alone, or checks a grant, goes by that one. Change: the view is taken before each choice, as it was already for repeats. Route, key and limits stay those of the head's arrival.

--- a/hibiscusfront/internal/gateway/gateway.go
+++ b/hibiscusfront/internal/gateway/gateway.go
@@ -288,6 +288,8 @@
 		if refusal := c.contextRefusal(); refusal != nil {
 			return refusal
 		}
+		// The body may have taken long to arrive, or an attempt to fail.
+		c.view = c.View()
 		choiceStart := time.Now()
 		decision := c.Chooser.Choose(c.ctx, c.view, c.planRequest())
 		c.Meter.RecordChoice(c.workspaceID(), c.route.Name, time.Since(choiceStart))
@@ -305,7 +307,6 @@
 		if c.outcome != fleet.OutcomeNotRun && !c.mayRepeat() {
 			return &fleet.RefusalError{Reason: fleet.ReasonTargetFailed, Outcome: fleet.OutcomeUnknown}
 		}
-		c.view = c.View()
 	}
 }
 
