gateway: give back a grant of a target that has left while it was made

What callers would see: a request reaches an engine later than the drain time after the engine was announced to leave (DRAIN). Cause: a grant was checked against the view from before the choice. A choice lasts until a planner and a deputy have not answered, each an eighth of the objective and 60 ms, half of it for a stream that is taken up. Change: the gateway asks once more, by the view that it has then, and chooses again. The request was not sent, so this is no repeat. Measured: TestGrantOfTargetThatHasLeftMeanwhileIsGivenBack was answered by the target that leaves before, and passes.

--- a/hibiscusfront/internal/gateway/gateway.go
+++ b/hibiscusfront/internal/gateway/gateway.go
@@ -297,6 +297,13 @@
 			decision.Refusal.Outcome = c.outcome
 			return decision.Refusal
 		}
+		if target := decision.Grant.Target; c.View().Excludes(target) {
+			// A choice takes long if neither a planner nor a deputy answers.
+			c.Chooser.Report(decision.Grant, plan.Rejected)
+			c.Log.Info().Str("Request", c.ID.ForLog()).Str("Target", string(target)).Str("Planner", string(decision.Grant.By)).
+				Msg("grant given back: the target has left or its data centre was evacuated since the choice began")
+			continue
+		}
 		retry, refusal := c.try(decision.Grant)
 		if !retry {
 			return refusal
--- a/hibiscusfront/internal/gateway/slowbody_test.go
+++ b/hibiscusfront/internal/gateway/roster_test.go
@@ -31,10 +31,11 @@
 	return chooser.Local{}.Choose(0, v, req)
 }
 
-// TestRequestWithSlowBodyGoesByTheViewOfItsEnd guards against requests that reach a target long after it has
-// announced that it leaves, since the host chose by what it knew when the request's head arrived.
-func TestRequestWithSlowBodyGoesByTheViewOfItsEnd(t *testing.T) {
-	target := func(name string) roster.Target {
+// startRoster runs a gateway with two targets, which answer with their names, and returns its URL. The host
+// learns that the first one leaves when leave is called, and of the second one then.
+func startRoster(t *testing.T, c gateway.Chooser) (url string, targets []roster.Target, leave func()) {
+	t.Helper()
+	for _, name := range []string{"leaving", "staying"} {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			_, _ = io.Copy(io.Discard, r.Body)
 			w.Header().Set("X-Hibiscuslb-Request-Id", r.Header.Get("X-Hibiscuslb-Request-Id"))
@@ -42,39 +43,66 @@
 			_, _ = io.WriteString(w, name)
 		}))
 		t.Cleanup(server.Close)
-		return roster.Target{ID: fleet.TargetID(name), Service: "s", Address: fleet.Address(strings.TrimPrefix(server.URL, "http://"))}
+		targets = append(targets, roster.Target{ID: fleet.TargetID(name), Service: "s", Address: fleet.Address(strings.TrimPrefix(server.URL, "http://"))})
 	}
-	leaving, staying := target("leaving"), target("staying")
 	table := route.NewTable(route.Config{
 		Number: 1, Limits: route.Limits{Body: 1000}, Workspaces: []route.Workspace{{ID: "w", Keys: []route.Key{"k"}}},
 		Routes: []route.Route{{Host: "127.0.0.1", Prefix: "/", Kind: route.NonIdempotent, Attempts: 1, Splits: []route.Split{{Service: "s", Weight: 1}}}},
 	})
+	before := (&view.View{Table: table, Targets: targets[:1]}).Freeze()
+	left := targets[0]
+	left.Leaving = true
+	after := (&view.View{Table: table, Targets: []roster.Target{left, targets[1]}}).Freeze()
 	var current atomic.Pointer[view.View]
-	current.Store((&view.View{Table: table, Targets: []roster.Target{leaving}}).Freeze())
+	current.Store(before)
 	var log testlog.Lines
 	front := httptest.NewServer(&gateway.Gateway{
-		View: current.Load, Chooser: new(localChooser), Pool: new(backend.Pool), Meter: discardMeter{}, Log: log.Logger(), Departure: new(departure.Departure),
+		View: current.Load, Chooser: c, Pool: new(backend.Pool), Meter: discardMeter{}, Log: log.Logger(), Departure: new(departure.Departure),
 	})
 	t.Cleanup(front.Close)
+	return front.URL, targets, func() { current.Store(after) }
+}
 
-	body, writer := io.Pipe()
-	request, err := http.NewRequest(http.MethodPost, front.URL+"/x", body)
+// answerTo sends a request with the body and returns the body of the answer.
+func answerTo(t *testing.T, url string, body io.Reader) string {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodPost, url+"/x", body)
 	require.NoError(t, err)
 	request.Header.Set("X-Hibiscuslb-Request-Id", "1")
 	request.Header.Set("Authorization", "Token k")
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	return string(answer)
+}
+
+// TestRequestWithSlowBodyGoesByTheViewOfItsEnd guards against requests that reach a target long after it has
+// announced that it leaves, since the host chose by what it knew when the request's head arrived.
+func TestRequestWithSlowBodyGoesByTheViewOfItsEnd(t *testing.T) {
+	url, _, leave := startRoster(t, new(localChooser))
+	body, writer := io.Pipe()
 	go func() {
 		_, _ = writer.Write([]byte("begin"))
 		time.Sleep(100 * time.Millisecond) // in which the host reads the head
-		leaving := leaving
-		leaving.Leaving = true
-		current.Store((&view.View{Table: table, Targets: []roster.Target{leaving, staying}}).Freeze())
+		leave()
 		_, _ = writer.Write([]byte("end"))
 		_ = writer.Close()
 	}()
-	response, err := http.DefaultClient.Do(request)
-	require.NoError(t, err)
-	defer response.Body.Close()
-	answer, err := io.ReadAll(response.Body)
-	require.NoError(t, err)
-	require.Equal(t, "staying", string(answer))
+	require.Equal(t, "staying", answerTo(t, url, body))
+}
+
+// TestGrantOfTargetThatHasLeftMeanwhileIsGivenBack guards against requests that reach a target long after it has
+// announced that it leaves, since a choice took long: a planner and a deputy did not answer.
+func TestGrantOfTargetThatHasLeftMeanwhileIsGivenBack(t *testing.T) {
+	chooser := new(scriptedChooser)
+	url, targets, leave := startRoster(t, chooser)
+	for i, target := range targets {
+		chooser.grants = append(chooser.grants, plan.Grant{Number: plan.GrantNumber(i + 1), Target: target.ID, Address: target.Address})
+	}
+	chooser.chosen = func(int) { leave() }
+	require.Equal(t, "staying", answerTo(t, url, strings.NewReader("body")))
+	require.Equal(t, plan.Rejected, chooser.lastReport(1))
+	require.False(t, chooser.requests[1].Repeat, "the request was not sent before")
 }
