control: share no reply with a call that has given up

Cause: a call of another host that ends before the control goroutine has handled it returned its reply, while that goroutine may still write it: a data race. The reply came with an error, so that nothing of it was sent. Found with the race detector in TestStartOfLargeFleetCostsFewCalls, on a busy machine. Change: such calls return nothing; nor does a watch take a revision that may still be written.

--- a/hibiscusfront/internal/control/control_test.go
+++ b/hibiscusfront/internal/control/control_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -12,8 +13,10 @@
 	"hibiscuslb/fleet/election"
 	"hibiscuslb/fleet/roster"
 	"hibiscuslb/fleet/route"
+	"hibiscuslb/fleet/task"
 	"hibiscuslb/hibiscusfront/internal/replica"
 	"hibiscuslb/hibiscusfront/internal/wire"
+	"hibiscuslb/platform"
 )
 
 func at(d time.Duration) fleet.Instant { return fleet.Instant(time.Hour + d) }
@@ -280,3 +283,33 @@
 		})
 	}
 }
+
+// TestHostThatIsTooBusyForItsPeersSharesNothing guards against replies that are still written after the call that asked
+// for them has given up. It fails with the race detector.
+func TestHostThatIsTooBusyForItsPeersSharesNothing(t *testing.T) {
+	c := newObserver(at(0), 1, election.Record{})
+	c.packed = make(map[string]packedReply)
+	c.initInbox()
+	var busy task.Group
+	busy.Go(t.Context(), func(context.Context) {
+		for range 2 {
+			f := <-c.inbox
+			time.Sleep(50 * time.Millisecond)
+			f(at(0))
+		}
+	})
+	call := func(f func(context.Context) error) {
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		require.ErrorIs(t, f(ctx), context.DeadlineExceeded)
+	}
+	call(func(ctx context.Context) error {
+		_, err := c.HandleHeartbeat(ctx, wire.Heartbeat{Host: host("a", 1)})
+		return err
+	})
+	call(func(ctx context.Context) error {
+		_, err := c.HandleChanges(ctx, wire.ChangesRequest{Kind: platform.KindWeights})
+		return err
+	})
+	busy.Wait()
+}
--- a/hibiscusfront/internal/control/heartbeats.go
+++ b/hibiscusfront/internal/control/heartbeats.go
@@ -43,7 +43,7 @@
 		}
 		c.fetchNewer(heartbeat.Host.Peers, heartbeat.Revisions)
 	}) {
-		return reply, ctx.Err()
+		return wire.HeartbeatReply{}, ctx.Err() // the reply may still be written
 	}
 	return reply, nil
 }
@@ -83,7 +83,7 @@
 		}
 		reply.All, reply.Content = packed.all, packed.content
 	}) {
-		return reply, ctx.Err()
+		return wire.ChangesReply{}, ctx.Err() // the reply may still be written
 	}
 	return reply, err
 }
--- a/hibiscusfront/internal/control/objects.go
+++ b/hibiscusfront/internal/control/objects.go
@@ -41,7 +41,9 @@
 // follow keeps the replica of a kind up to date from the store.
 func (c *Control) follow(ctx context.Context, kind string) {
 	since := func() (revision fleet.Revision) {
-		c.enqueueAndWait(ctx, func(fleet.Instant) { revision = c.replicas[kind].Revision() })
+		if !c.enqueueAndWait(ctx, func(fleet.Instant) { revision = c.replicas[kind].Revision() }) {
+			return fleet.Revision{} // revision may still be written
+		}
 		return revision
 	}
 	list, watched := true, true // watched: a watch has succeeded since the last one that did not
