--- a/hibiscusfront/internal/gateway/gateway.go
+++ b/hibiscusfront/internal/gateway/gateway.go
@@ -288,6 +288,8 @@
 		if refusal := c.contextRefusal(); refusal != nil {
 			return refusal
 		}
+		// The body may have taken long to arrive, or an attempt to fail.
+		c.view = c.View()
 		choiceStart := time.Now()
 		decision := c.Chooser.Choose(c.ctx, c.view, c.planRequest())
 		c.Meter.RecordChoice(c.workspaceID(), c.route.Name, time.Since(choiceStart))
@@ -295,6 +297,13 @@
 			decision.Refusal.Outcome = c.outcome
 			return decision.Refusal
 		}
+		if target := decision.Grant.Target; c.View().Excludes(target) {
+			// A choice takes long if neither a planner nor a deputy answers.
+			c.Chooser.Report(decision.Grant, plan.Rejected)
+			c.Log.Info().Str("Request", c.ID.ForLog()).Str("Target", string(target)).Str("Planner", string(decision.Grant.By)).
+				Msg("grant given back: the target has left or its data centre was evacuated since the choice began")
+			continue
+		}
 		retry, refusal := c.try(decision.Grant)
 		if !retry {
 			return refusal
@@ -305,7 +314,6 @@
 		if c.outcome != fleet.OutcomeNotRun && !c.mayRepeat() {
 			return &fleet.RefusalError{Reason: fleet.ReasonTargetFailed, Outcome: fleet.OutcomeUnknown}
 		}
-		c.view = c.View()
 	}
 }
 
