plan: failures of who is cut off from the targets say nothing of them

What one observer met at a target, a host by its reports or the planner by its polls, was taken for the state of the target for all hosts: pauses, failureShare, suspected crashes, and no work for an engine whose poll failed.

The plan now notes per observer at which targets it failed without a success since, while it fails. It is cut off if these are three or more, twice as many as it reached meanwhile, and others reached two of them after it failed. From then on its failures do not count, and what the latest ones caused is taken back. Targets that nobody reaches are excluded as before. Suspects of crashes are awaited for 0.5 s instead of 0.2 s while three or more polls fail.

Ruled out: dropping the reports of each host that fails at three targets. If a third of the engines end at once, all hosts do.

TestDeadEnginesAreExcludedForAllHosts passes either way. In withhold_test.go crashing engines fail the planner's poll by RecordFailedPoll, which the planner calls now.

--- a/fleet/plan/admission.go
+++ b/fleet/plan/admission.go
@@ -291,6 +291,7 @@
 // no target had capacity for a request, none has for others that need as much.
 func (f *Fleet) Tick(now fleet.Instant) []Decision {
 	f.expireGrants(now)
+	f.forgetObservers(now)
 	f.settleCrashes(now)
 	slices.SortStableFunc(f.queue, func(a, b *queuedRequest) int {
 		return cmp.Or(cmp.Compare(a.req.Rank, b.req.Rank), cmp.Compare(a.order(), b.order()), cmp.Compare(a.expires, b.expires))
--- a/fleet/plan/cache.go
+++ b/fleet/plan/cache.go
@@ -158,6 +158,7 @@
 	Crashes        uint64 // of targets with requests on them
 	Withheld       uint64 // requests refused because they or a part of their prompt are withheld
 	UnknownOrigins uint64 // requests refused because the version that began their stream is not known
+	Uncounted      uint64 // failures that say nothing of a target: who met them is cut off
 }
 
 // String formats the statistics for logs.
--- a/fleet/plan/crash.go
+++ b/fleet/plan/crash.go
@@ -37,7 +37,8 @@
 // earlyEnd is a request whose answer ended early.
 type earlyEnd struct {
 	quarantine.Suspect
-	suspect bool // its answer had not begun, or had just begun
+	suspect bool         // its answer had not begun, or had just begun
+	host    fleet.HostID // that reported it
 }
 
 // crash is an engine's crash whose suspects are to be recorded.
@@ -52,7 +53,7 @@
 	t.earlyEnds = slices.DeleteFunc(t.earlyEnds, func(e earlyEnd) bool { return now.Sub(e.Ended) > crashWindow })
 	t.earlyEnds = append(t.earlyEnds, earlyEnd{
 		quarantine.Suspect{Prompt: req.Prompt, Request: req.Fingerprint, Workspace: req.Workspace, Sent: ag.grantedAt, Ended: now},
-		!ag.started || now.Sub(ag.startedAt) < soundAfter,
+		!ag.started || now.Sub(ag.startedAt) < soundAfter, req.Host,
 	})
 	if t.service != nil && !t.isEngine() {
 		t.probeDue, f.probesDue = true, true
@@ -103,7 +104,8 @@
 	case !ok:
 	case accepted:
 		t.crashed = false
-	default:
+		f.recordReached(now, polls, t)
+	case f.recordFailed(now, polls, t):
 		t.pause(now)
 		f.recordRefusal(now, t)
 	}
@@ -119,6 +121,7 @@
 func (f *Fleet) noteCrash(now fleet.Instant, t *target) {
 	if !t.crashed {
 		f.recordLoss(now, t)
+		f.confirmFailures(t)
 		t.crashed, t.crashedAt = true, now
 		f.crashes = append(f.crashes, crash{t, now})
 	}
@@ -130,8 +133,9 @@
 		return
 	}
 	var unsettled []crash
+	settle := f.crashSettle()
 	for _, c := range f.crashes {
-		if now.Sub(c.at) < crashSettleTime {
+		if now.Sub(c.at) < settle {
 			unsettled = append(unsettled, c)
 			continue
 		}
--- /dev/null
+++ b/fleet/plan/observer.go
@@ -0,0 +1,248 @@
+package plan
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"hibiscuslb/fleet"
+)
+
+// Observers.
+//
+// Some hosts may be parted from the targets, while the others, callers and the object store still
+// reach them. What such a host meets at a target says nothing of the target. The plan therefore
+// notes who failed at a target: a host, by its reports, or the planner itself, by its polls. An
+// observer is cut off if it fails at several targets, at most of those that it tries, and others
+// reach them meanwhile. From then on its failures do not count, and what the latest of them caused
+// is taken back: pauses, targets that get no new work, and suspected crashes.
+//
+// Load patterns:
+//   - One host of many is cut off. Its failures pause some targets, for the time until it is known.
+//   - Half of the hosts are cut off. The same, as long as another host or the planner reaches the
+//     targets.
+//   - The planner is cut off. All its polls fail, while other hosts report pieces of answers.
+//   - All targets are gone, or all hosts are cut off. Nobody reaches them, so each failure counts.
+//   - Engines crash in a burst. The planner's polls find that they are gone; the hosts that failed
+//     at them reach the others.
+const (
+	// polls is the observer whose failures are the planner's own polls and probes.
+	polls fleet.HostID = ""
+	// cutOffTargets is the least number of targets at which an observer fails if it is cut off.
+	cutOffTargets = 3
+	// cutOffRatio is the least ratio of these to the targets that it has reached meanwhile.
+	cutOffRatio = 2
+	// minContradicted is at how many of these targets others must have succeeded.
+	minContradicted = 2
+	// observerMemory is how long failures and successes count. It exceeds the time between two
+	// failed polls of an engine.
+	observerMemory = 2 * time.Second
+	// minCheckInterval is the least time between two checks of an observer that goes on failing,
+	// since a check takes a time that grows with the targets. maxCheckInterval is that of one which
+	// does not.
+	minCheckInterval = 10 * time.Millisecond
+	maxCheckInterval = 100 * time.Millisecond
+	// doubtfulSettleTime is longer than the polls of all engines need to fail after the first.
+	doubtfulSettleTime = 500 * time.Millisecond
+	// reportSpread is how late a report of an earlier success may arrive after one of a
+	// failure.
+	reportSpread = 100 * time.Millisecond
+)
+
+// failure is what an observer met at a target, without a success since.
+type failure struct {
+	first, last fleet.Instant
+	share       float64 // added to the failureShare of the target
+}
+
+// observer is what one observer that fails at targets has met.
+type observer struct {
+	failed  map[*target]failure
+	reached map[*target]fleet.Instant // since it first failed at some target
+	checked fleet.Instant             // when cutOff was found
+	cutOff  bool
+}
+
+// witness is a success of an observer at a target.
+type witness struct {
+	observer fleet.HostID
+	at       fleet.Instant
+}
+
+// addWitness notes a success at the target. The latest ones of two observers are kept, so
+// that one of them is of another than any given observer.
+func (t *target) addWitness(now fleet.Instant, id fleet.HostID) {
+	if t.witnesses[0].observer != id || t.witnesses[0].at == 0 {
+		t.witnesses[1] = t.witnesses[0]
+	}
+	t.witnesses[0] = witness{id, now}
+}
+
+// reachedByOthers reports whether another observer has reached the target lately, after the
+// instant.
+func (t *target) reachedByOthers(now fleet.Instant, id fleet.HostID, after fleet.Instant) bool {
+	return slices.ContainsFunc(t.witnesses[:], func(w witness) bool {
+		return w.at > 0 && w.observer != id && w.at.Sub(after) > reportSpread && now.Sub(w.at) <= observerMemory
+	})
+}
+
+// recordReached records a success of an observer at a target.
+func (f *Fleet) recordReached(now fleet.Instant, id fleet.HostID, t *target) {
+	t.addWitness(now, id)
+	if o := f.observers[id]; o != nil {
+		delete(o.failed, t)
+		o.reached[t] = now
+	}
+}
+
+// recordFailed records that an observer failed at a target, and reports whether that counts
+// for the state of the target.
+func (f *Fleet) recordFailed(now fleet.Instant, id fleet.HostID, t *target) bool {
+	o := f.observers[id]
+	if o == nil {
+		o = &observer{failed: make(map[*target]failure), reached: make(map[*target]fleet.Instant)}
+		if f.observers == nil {
+			f.observers = make(map[fleet.HostID]*observer)
+		}
+		f.observers[id] = o
+	}
+	fl, ok := o.failed[t]
+	if !ok {
+		fl.first = now
+	}
+	fl.last = now
+	o.failed[t] = fl
+	delete(o.reached, t)
+	if now.Sub(o.checked) >= minCheckInterval {
+		f.checkObserver(now, id, o)
+	}
+	if o.cutOff {
+		f.stats.Uncounted++
+	}
+	return !o.cutOff
+}
+
+// noteShare notes by how much a failure of an observer raised the failureShare of a target.
+func (f *Fleet) noteShare(id fleet.HostID, t *target, share float64) {
+	if o := f.observers[id]; o != nil {
+		if fl, ok := o.failed[t]; ok {
+			fl.share += share
+			o.failed[t] = fl
+		}
+	}
+}
+
+// checkObserver finds out whether an observer is cut off.
+func (f *Fleet) checkObserver(now fleet.Instant, id fleet.HostID, o *observer) {
+	maps.DeleteFunc(o.failed, func(t *target, fl failure) bool { return t.removed || now.Sub(fl.last) > observerMemory })
+	maps.DeleteFunc(o.reached, func(t *target, at fleet.Instant) bool { return t.removed || now.Sub(at) > observerMemory })
+	before := o.cutOff
+	o.checked, o.cutOff = now, false
+	if len(o.failed) >= cutOffTargets && len(o.failed) >= cutOffRatio*len(o.reached) {
+		contradicted := 0
+		for t, fl := range o.failed {
+			if t.reachedByOthers(now, id, fl.first) {
+				contradicted++
+			}
+		}
+		o.cutOff = contradicted >= minContradicted
+	}
+	if o.cutOff != before {
+		f.cutOffChanges = append(f.cutOffChanges, CutOffChange{Host: id, CutOff: o.cutOff, Targets: len(o.failed)})
+	}
+	if o.cutOff && !before {
+		f.takeBack(now, id, o)
+	}
+}
+
+// takeBack undoes what the latest failures of an observer caused.
+func (f *Fleet) takeBack(now fleet.Instant, id fleet.HostID, o *observer) {
+	for t, fl := range o.failed {
+		t.failureShare = max(0, t.failureShare-fl.share)
+		if id == polls {
+			t.unresponsive, t.refused = false, false
+		}
+		t.earlyEnds = slices.DeleteFunc(t.earlyEnds, func(e earlyEnd) bool { return e.host == id })
+		if t.crashed && t.crashedAt >= fl.first && (id == polls || len(t.earlyEnds) == 0) {
+			t.crashed = false
+			f.crashes = slices.DeleteFunc(f.crashes, func(c crash) bool { return c.target == t })
+		}
+		if !f.failsForOthers(id, t) {
+			t.markReachable(now)
+		}
+	}
+}
+
+// failsForOthers reports whether another observer whose failures count has failed at the
+// target.
+func (f *Fleet) failsForOthers(id fleet.HostID, t *target) bool {
+	for other, o := range f.observers {
+		if _, failed := o.failed[t]; failed && other != id && !o.cutOff {
+			return true
+		}
+	}
+	return false
+}
+
+// confirmFailures records that the planner found a target gone: hosts that failed at it are no
+// more likely to be cut off for that.
+func (f *Fleet) confirmFailures(t *target) {
+	for id, o := range f.observers {
+		if id != polls && !o.cutOff {
+			delete(o.failed, t)
+		}
+	}
+}
+
+// forgetObservers forgets observers that have not failed for a while.
+func (f *Fleet) forgetObservers(now fleet.Instant) {
+	for id, o := range f.observers {
+		if now.Sub(o.checked) < maxCheckInterval {
+			continue
+		}
+		if f.checkObserver(now, id, o); len(o.failed) == 0 {
+			delete(f.observers, id)
+		}
+	}
+}
+
+// A CutOffChange tells that an observer has been found to be cut off from the targets, or no
+// longer.
+type CutOffChange struct {
+	Host    fleet.HostID // empty for the planner's own polls
+	CutOff  bool
+	Targets int // at which it fails
+}
+
+// CutOffChanges returns the changes since the last call.
+func (f *Fleet) CutOffChanges() []CutOffChange {
+	changes := f.cutOffChanges
+	f.cutOffChanges = nil
+	return changes
+}
+
+// crashSettle returns how long the suspects of a crash are awaited: longer while so many polls
+// fail that the planner may be found to be cut off.
+func (f *Fleet) crashSettle() time.Duration {
+	if o := f.observers[polls]; o != nil && len(o.failed) >= cutOffTargets {
+		return doubtfulSettleTime
+	}
+	return crashSettleTime
+}
+
+// PollsCutOff reports whether the planner's own polls fail while other hosts reach the engines.
+func (f *Fleet) PollsCutOff() bool {
+	o := f.observers[polls]
+	return o != nil && o.cutOff
+}
+
+// RecordFailedPoll records that an engine has not answered a long poll for events, and reports
+// whether that counts: it gets no new requests until it answers, unless the planner is cut off.
+func (f *Fleet) RecordFailedPoll(now fleet.Instant, id fleet.TargetID) bool {
+	t, ok := f.targets[id]
+	if !ok || !f.recordFailed(now, polls, t) {
+		return false
+	}
+	f.MarkUnresponsive(now, id)
+	return true
+}
--- /dev/null
+++ b/fleet/plan/observer_test.go
@@ -0,0 +1,171 @@
+package plan_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/plan"
+)
+
+// cutFleet plays hosts that ask a planner for engines, and the planner's polls. A host that is
+// parted from an engine reports after dialLimit that it found no connection, and a poll fails
+// after pollLimit. Other answers begin after 30 ms and take 200 ms.
+type cutFleet struct {
+	*crashingFleet
+	parted func(now time.Duration, host fleet.HostID, engine int) bool // host is empty for the polls
+	refused,
+	served, failed map[fleet.HostID]int
+}
+
+const (
+	dialLimit = 400 * time.Millisecond
+	pollLimit = 450 * time.Millisecond
+)
+
+func newCutFleet(t *testing.T, parted func(now time.Duration, host fleet.HostID, engine int) bool) *cutFleet {
+	c := &cutFleet{
+		crashingFleet: newCrashingFleet(t, 1), parted: parted,
+		refused: make(map[fleet.HostID]int), served: make(map[fleet.HostID]int), failed: make(map[fleet.HostID]int),
+	}
+	for i := range c.entries {
+		c.after(0, time.Duration(i)*20*time.Millisecond, func(now time.Duration) { c.poll(now, i) })
+	}
+	return c
+}
+
+func (c *cutFleet) poll(now time.Duration, engine int) {
+	id := c.entries[engine].ID
+	if c.parted(now, "", engine) {
+		c.after(now, pollLimit, func(now time.Duration) {
+			c.plan.RecordFailedPoll(at(now), id)
+			c.after(now, 200*time.Millisecond, func(now time.Duration) { c.poll(now, engine) })
+		})
+		return
+	}
+	c.after(now, 100*time.Millisecond, func(now time.Duration) {
+		if !c.parted(now, "", engine) {
+			c.plan.MarkResponsive(at(now), id)
+		}
+		c.poll(now, engine)
+	})
+}
+
+func (c *cutFleet) ask(now time.Duration, host fleet.HostID) {
+	requestCount++
+	req := newRequest(800*time.Millisecond, filePrompt(fmt.Sprint("f", requestCount%100))...)
+	req.Host = host
+	decision, ok := c.plan.Submit(at(now), req)
+	if !ok {
+		return
+	}
+	if decision.Grant == nil {
+		c.refused[host]++
+		return
+	}
+	g, engine := decision.Grant, 0
+	for i, e := range c.entries {
+		if e.ID == g.Target {
+			engine = i
+		}
+	}
+	report := func(progress plan.Progress) func(time.Duration) {
+		return func(now time.Duration) { c.plan.Report(at(now), plan.Report{Number: g.Number, Progress: progress}) }
+	}
+	if c.parted(now, host, engine) {
+		c.failed[host]++
+		c.after(now, dialLimit, report(plan.Unreachable))
+		return
+	}
+	c.served[host]++
+	c.after(now, 30*time.Millisecond, report(plan.Started))
+	c.after(now, 230*time.Millisecond, func(now time.Duration) {
+		if c.parted(now, host, engine) {
+			report(plan.Failed)(now)
+			return
+		}
+		report(plan.Done)(now)
+	})
+}
+
+// run plays nine hosts of which each asks every 40 ms, and calls see every 10 ms.
+func (c *cutFleet) run(end time.Duration, see func(now time.Duration)) {
+	c.play(end, func(now time.Duration) {
+		for i := range 9 {
+			if now%(40*time.Millisecond) == time.Duration(i%4)*10*time.Millisecond {
+				c.ask(now, fleet.HostID(fmt.Sprint("h", i)))
+			}
+		}
+		see(now)
+	})
+}
+
+func hostIndex(host fleet.HostID) int {
+	i := -1
+	_, _ = fmt.Sscanf(string(host), "h%d", &i)
+	return i
+}
+
+// Load pattern: some hosts are parted from all engines for 8 s, and report failures at each engine
+// that they are given. The others reach the engines, and so does the planner, or it doesn't.
+func TestHostThatIsCutOffPausesNoTargetForOthers(t *testing.T) {
+	const begin, end = 2 * time.Second, 10 * time.Second
+	for name, test := range map[string]struct {
+		hosts   int
+		planner bool // is cut off as well
+	}{
+		"one host":                   {1, false},
+		"half of the hosts":          {4, false},
+		"one host and the planner":   {1, true},
+		"the planner alone":          {0, true},
+		"most hosts and the planner": {7, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCutFleet(t, func(now time.Duration, host fleet.HostID, _ int) bool {
+				return now >= begin && now < end && (host == "" && test.planner || host != "" && hostIndex(host) < test.hosts)
+			})
+			least, most := 18, 18
+			c.run(end+2*time.Second, func(now time.Duration) {
+				usable := c.plan.UsableTargets(at(now), engineService)
+				switch {
+				case now > begin+time.Second && now < end:
+					least = min(least, usable)
+				case now > end+1500*time.Millisecond:
+					most = min(most, usable)
+				}
+			})
+			require.GreaterOrEqual(t, least, 15, "usable engines while the hosts are cut off")
+			require.Equal(t, 18, most, "usable engines afterwards")
+			require.Zero(t, c.plan.Stats().Crashes)
+			for host, n := range c.refused {
+				require.Less(t, n, 25, "host %s", host)
+			}
+		})
+	}
+}
+
+// Load pattern: engines end for good, some of them or all, and each host fails at them.
+func TestDeadEnginesAreExcludedForAllHosts(t *testing.T) {
+	const begin = 2 * time.Second
+	for _, dead := range []int{1, 6, 16, 18} {
+		t.Run(fmt.Sprint(dead), func(t *testing.T) {
+			c := newCutFleet(t, func(now time.Duration, _ fleet.HostID, engine int) bool { return now >= begin && engine < dead })
+			excludedAt := time.Duration(0)
+			c.run(8*time.Second, func(now time.Duration) {
+				usable := c.plan.UsableTargets(at(now), engineService)
+				if usable <= 18-dead && excludedAt == 0 {
+					excludedAt = now
+				}
+				if excludedAt > 0 {
+					require.LessOrEqual(t, usable, 18-dead, "at %v", now)
+				}
+			})
+			require.Positive(t, excludedAt)
+			require.LessOrEqual(t, excludedAt, begin+pollLimit+110*time.Millisecond)
+			require.False(t, c.plan.PollsCutOff())
+		})
+	}
+}
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -221,9 +221,11 @@
 	tenureStart   fleet.Instant
 	quarantine    quarantine.Ledger
 	origins       origin.Ledger
-	table         *route.Table // the newest configuration; nil if none was set
-	crashes       []crash      // not settled yet
-	probesDue     bool         // of some target
+	table         *route.Table               // the newest configuration; nil if none was set
+	crashes       []crash                    // not settled yet
+	observers     map[fleet.HostID]*observer // that fail at targets
+	cutOffChanges []CutOffChange             // since CutOffChanges was called
+	probesDue     bool                       // of some target
 	rollouts      map[route.ServiceID]*serviceRollout
 	planning      bool // a tenure has begun and not ended
 }
@@ -243,6 +245,7 @@
 	f.tenureStart, f.lastNumber = now, base
 	f.stats = Stats{}
 	f.queue, f.crashes = nil, nil
+	f.observers, f.cutOffChanges = nil, nil
 	f.origins.BeginTenure()
 	f.planning = true
 	for id, s := range f.rollouts {
@@ -379,6 +382,10 @@
 		return // granted by another planner, or already ended
 	}
 	switch report.Progress {
+	case Started, Done, Answered, ServerError:
+		f.recordReached(now, ag.req.Host, ag.target)
+	}
+	switch report.Progress {
 	case Started:
 		f.recordProgress(now, ag, Started, ag.started)
 		ag.target.startGrant(now, ag)
@@ -392,9 +399,15 @@
 	}
 	delete(f.active, report.Number)
 	f.recordProgress(now, ag, report.Progress, ag.started)
+	if (report.Progress == Failed || report.Progress == Unreachable) && !f.recordFailed(now, ag.req.Host, ag.target) {
+		ag.target.endGrant(now, ag, Abandoned)
+		return
+	}
+	share := ag.target.failureShare
 	ag.target.endGrant(now, ag, report.Progress)
 	switch {
 	case report.Progress == Failed:
+		f.noteShare(ag.req.Host, ag.target, ag.target.failureShare-share)
 		f.recordEarlyEnd(now, ag)
 	case report.Progress == Unreachable:
 		f.recordRefusal(now, ag.target)
--- a/fleet/plan/target.go
+++ b/fleet/plan/target.go
@@ -42,6 +42,7 @@
 	refusedAt         fleet.Instant
 	lastFirstPiece    fleet.Instant            // when the last first piece was reported
 	earlyEnds         []earlyEnd               // of requests, within crashWindow
+	witnesses         [2]witness               // its latest successes with two observers
 	loadedVersions    map[fleet.ModelID]uint64 // weights that it is known to have before its roster entry shows them
 
 	acceptedOrders  uint64        // number of load orders that the engine has accepted since its start
@@ -258,6 +259,7 @@
 	if t, ok := f.targets[id]; ok {
 		t.unresponsive, t.crashed = false, false
 		t.markReachable(now)
+		f.recordReached(now, polls, t)
 	}
 }
 
@@ -270,6 +272,7 @@
 	}
 	t.unresponsive, t.unresponsiveSince = true, now
 	f.recordLoss(now, t)
+	f.confirmFailures(t)
 	if t.endedEarly(now) {
 		f.noteCrash(now, t)
 	}
--- a/fleet/plan/withhold_test.go
+++ b/fleet/plan/withhold_test.go
@@ -192,7 +192,7 @@
 		r.ended = true
 		c.after(now, c.between(0, 40*time.Millisecond), func(now time.Duration) { c.end(now, r, plan.Failed) })
 	}
-	c.after(now, c.between(0, 40*time.Millisecond), func(now time.Duration) { c.plan.MarkUnresponsive(at(now), id) })
+	c.after(now, c.between(0, 40*time.Millisecond), func(now time.Duration) { c.plan.RecordFailedPoll(at(now), id) })
 	var address fleet.Address
 	for _, entry := range c.entries {
 		if entry.ID == id {
