planner: a planner that is cut off sends nothing to targets, a deputy declines

Failed polls go through plan.RecordFailedPoll, so that a planner whose polls fail while other hosts reach the engines goes on to grant them. Polls are told to Ways, what this host knows of its ways to targets. While the host is cut off, by Ways or by its polls, the planner sends no probes, orders, queries, frees and lists, and asks for no right to order. A deputy that is cut off answers that it does not plan, so that the asking host goes on to the next. A line tells when this host or another one is found to be cut off.

TestPlannerCutOffFromEnginesRefusesNothingForOthers failed before: from a second after the engines stopped to answer the planner, none of the requests of other hosts was granted.

--- a/hibiscusfront/internal/planner/calls.go
+++ b/hibiscusfront/internal/planner/calls.go
@@ -26,7 +26,11 @@
 	}
 	p.noteQuarantine()
 	p.dispatchOrigins(ctx, now)
+	cutOff := p.CutOff()
 	for _, probe := range p.fleet.DueProbes() {
+		if cutOff {
+			continue // it would fail, and say nothing of the target
+		}
 		p.tasks.Go(ctx, func(ctx context.Context) { p.probe(ctx, probe) })
 	}
 	p.fleet.StoresAllowed = p.active && p.engineClock.known && p.Permissions.MayPlan()
@@ -35,9 +39,12 @@
 	}
 	p.weightsOutdated.Store(p.fleet.HasOutdatedEngines())
 	epoch := p.epoch // copied: the tasks run concurrently with the goroutine that owns p.epoch
-	for _, order := range p.fleet.DueOrders(now, p.Permissions.MayOrder()) {
+	for _, order := range p.fleet.DueOrders(now, !cutOff && p.Permissions.MayOrder()) {
 		p.tasks.Go(ctx, func(ctx context.Context) { p.sendOrder(ctx, epoch, order) })
 	}
+	if cutOff {
+		return // no call would be answered
+	}
 	for id, address := range p.fleet.EnginesToQuery(now) {
 		p.tasks.Go(ctx, func(ctx context.Context) { p.queryEngineState(ctx, id, address) })
 	}
--- a/hibiscusfront/internal/planner/planner.go
+++ b/hibiscusfront/internal/planner/planner.go
@@ -73,6 +73,9 @@
 	Origins OriginStore
 	// Rollouts stores the state of roll-outs; nil stores nothing, and no version is promoted.
 	Rollouts RolloutStore
+	// Ways is told what polls show of the ways to engines, and tells whether this host is cut off from the
+	// targets; nil if nobody knows.
+	Ways Ways
 
 	inbox             chan func(now fleet.Instant)
 	tasks             task.Group
@@ -100,6 +103,7 @@
 
 	lastStatsLog    fleet.Instant
 	weightsOutdated outdatedFlag
+	pollsCutOff     atomic.Bool // as of the last tick
 	stats           atomic.Pointer[plan.Stats]
 
 	// WeightOrders counts the orders to load weights, by result.
@@ -209,6 +213,7 @@
 func (p *Planner) stop() {
 	p.active, p.deputy, p.fleet.Deputy, p.followsRecord = false, false, false, false
 	p.plans.Store(false)
+	p.pollsCutOff.Store(false)
 	p.fleet.EndTenure()
 	p.rollouts.stop()
 	for address, w := range p.watchers {
@@ -260,8 +265,9 @@
 }
 
 // WeightsOutdated reports whether some engine has older weights than those announced
-// for its model, so that the planner has orders to send.
-func (p *Planner) WeightsOutdated() bool { return p.weightsOutdated.Load() }
+// for its model, so that the planner has orders to send. A planner that is cut off sends none, and must not
+// make its successor wait for the time of the last one.
+func (p *Planner) WeightsOutdated() bool { return p.weightsOutdated.Load() && !p.CutOff() }
 
 // Plan decides on a request and blocks for as long as the plan queues it. Deputy is
 // set if the asking host cannot reach the planner; this host then plans as a deputy
@@ -273,6 +279,10 @@
 			return // the asking host has given up, and asks another one
 		}
 		if deputy && !p.active {
+			if p.CutOff() {
+				answer <- plan.Decision{Request: request, Refusal: fleet.Refuse(fleet.ReasonNotHolder, "this host is cut off from the targets")}
+				return
+			}
 			p.startDeputy(now)
 		} else if !p.active || !p.Permissions.MayPlan() {
 			answer <- plan.Decision{Request: request, Refusal: fleet.Refuse(fleet.ReasonNotHolder, "this host is not the planner")}
@@ -351,6 +361,7 @@
 			answer(p.finishDecision(now, decision))
 		}
 	}
+	p.noteCutOffs()
 	p.dispatchRollouts(ctx, now)
 	if now.Sub(p.lastDispatch) >= dispatchInterval {
 		p.dispatch(ctx, now)
--- a/hibiscusfront/internal/planner/watch.go
+++ b/hibiscusfront/internal/planner/watch.go
@@ -144,7 +144,9 @@
 
 func (p *Planner) watchEngine(ctx context.Context, id fleet.TargetID, address fleet.Address) {
 	unresponsive := false
+	ways := p.ways()
 	p.poll(ctx, address, func(now fleet.Instant, events platform.CacheEvents, restarted bool) {
+		ways.Answered(id)
 		if unresponsive {
 			unresponsive = false
 			p.Log.Info().Str("Target", string(id)).Msg("engine answers again")
@@ -157,11 +159,11 @@
 			p.fleet.SetCachedTokens(id, cachestore.Part{Salt: e.Salt, ID: e.Part}, e.Tokens)
 		}
 	}, func(now fleet.Instant, err error) {
-		if !unresponsive {
+		ways.Failed(id)
+		if counts := p.fleet.RecordFailedPoll(now, id); counts && !unresponsive {
 			unresponsive = true
 			p.Log.Warn().Err(err).Str("Target", string(id)).Msg("engine does not answer; it gets no new work")
 		}
-		p.fleet.MarkUnresponsive(now, id)
 	})
 }
 
