control: a planner cut off from the targets hands its duty over

A planner that has been cut off for 0.35 s, in which heartbeats tell it which hosts are, too (one flag, omitted if false), resigns and names the first host in touch in the record, which it tells at once. That host takes over without a race; others leave the duty to it for 0.7 s. No hand-over within 2 s of the begin of a tenure, while the store does not answer, or if all hosts are cut off. A host that is cut off takes a vacant duty 3 s later than others would, and hosts that are cut off do not count as larger ones.

With it the only host in touch, no standby, holds it within 1 s, and no two hosts ever do. State has CutOff and DutyHandOvers, Planned FailuresNotCounted.

--- a/fleet/election/election.go
+++ b/fleet/election/election.go
@@ -85,12 +85,14 @@
 	Quarantine quarantine.List `json:",omitempty"`
 	// Versions is passed on in the same way.
 	Versions origin.Versions `json:",omitempty"`
+	// Successor is the host to which the last holder wants to hand the duty over, if it resigned for that.
+	Successor fleet.HostID `json:",omitempty"`
 }
 
 // Equal reports whether two records are equal.
 func (r Record) Equal(other Record) bool {
 	return r.Holder == other.Holder && r.Address == other.Address && r.Epoch == other.Epoch && r.Renewal == other.Renewal &&
-		r.Ordering == other.Ordering && r.Era == other.Era && slices.Equal(r.Quarantine, other.Quarantine) && slices.Equal(r.Versions, other.Versions)
+		r.Ordering == other.Ordering && r.Era == other.Era && r.Successor == other.Successor && slices.Equal(r.Quarantine, other.Quarantine) && slices.Equal(r.Versions, other.Versions)
 }
 
 // newer reports whether the record is of a later tenure or renewal than other.
--- a/hibiscusfront/internal/control/control.go
+++ b/hibiscusfront/internal/control/control.go
@@ -86,7 +86,7 @@
 }
 
 // A Control owns the control state of a host. Set the exported fields before calling
-// Run; OnPlanningChange, OnPublish, OnHostLost, WantsOrders, Quarantine and Versions may be nil.
+// Run; OnPlanningChange, OnPublish, OnHostLost, CutOff, WantsOrders, Quarantine and Versions may be nil.
 type Control struct {
 	Settings platform.Settings
 	Store    *platform.Store
@@ -103,6 +103,8 @@
 	// OnHostLost is called on the control goroutine when a host has missed its
 	// heartbeats.
 	OnHostLost func(fleet.HostID)
+	// CutOff reports whether the host is cut off from the targets. It may be nil.
+	CutOff func() bool
 	// WantsOrders reports whether the host has orders to send to targets.
 	WantsOrders func() bool
 	// Quarantine returns the suspected and withheld parts of prompts that the host knows
@@ -163,6 +165,9 @@
 	// vacantRevision is the revision of the duty's object at vacantSince.
 	vacantRevision fleet.Revision
 
+	cutOffSince fleet.Instant // when this host was found to be cut off; zero while it is not
+	handOvers   atomic.Int64  // of the duty, since this host was cut off
+
 	// Heartbeats.
 	sent             sentHeartbeats
 	lastFollower     fleet.Instant          // last heartbeat of a host that watches the store and reaches it
@@ -282,6 +287,7 @@
 	c.rosterCertainFrom.Store(int64(c.targets.uncertainUntil))
 	c.rosterEra.Store(c.targets.era)
 	c.logRestore()
+	c.noteCutOff(now)
 	c.readDuty(ctx, now)
 	c.writeDutyIfDue(ctx, now)
 	c.sendHeartbeats(ctx, now)
@@ -322,7 +328,7 @@
 	c.enqueueAndWait(ctx, func(now fleet.Instant) {
 		c.leaving = true
 		c.publish()
-		c.resign(ctx, now)
+		c.resign(ctx, now, wire.Host{})
 	})
 }
 
--- a/hibiscusfront/internal/control/duty.go
+++ b/hibiscusfront/internal/control/duty.go
@@ -85,6 +85,9 @@
 	if c.storeOutage && now.Sub(c.lastDutyWrite) < dutyReadInterval {
 		return
 	}
+	if c.handOverIfCutOff(ctx, now) {
+		return
+	}
 	ordering := c.WantsOrders != nil && c.WantsOrders()
 	holds := c.duty.Holds(now)
 	wantsOrderRight := holds && ordering && !c.duty.Record().Ordering
@@ -97,7 +100,7 @@
 	}
 	if holds && c.mustHandOver(now) {
 		c.Log.Info().Msgf("resigning the planner's duty: %d or more live hosts have more cores or a faster link", standbyCount)
-		c.resign(ctx, now)
+		c.resign(ctx, now, wire.Host{})
 		return
 	}
 	if c.planning && c.Quarantine != nil {
@@ -163,7 +166,7 @@
 	if revision := c.duty.Revision(); c.vacantSince == 0 || c.vacantRevision != revision {
 		c.vacantSince, c.vacantRevision = now, revision
 	}
-	return now.Sub(c.vacantSince) >= c.standbyDelay()
+	return now.Sub(c.vacantSince) >= c.takeoverDelay()
 }
 
 const (
@@ -348,22 +351,28 @@
 // resignTimeout bounds the write by which a host resigns the duty.
 const resignTimeout = 500 * time.Millisecond
 
-// resign ends the tenure at once and writes to the store that the duty is vacant.
-func (c *Control) resign(ctx context.Context, now fleet.Instant) {
+// resign ends the tenure at once and writes to the store that the duty is vacant. If successor is set,
+// that host is to take the duty over, and is told.
+func (c *Control) resign(ctx context.Context, now fleet.Instant, successor wire.Host) {
 	w, ok := c.duty.ResignWrite(now)
 	c.duty.Release()
 	c.updateTenure(now)
 	if !ok {
 		return
 	}
+	w.Record.Successor = successor.ID
 	c.tasks.Go(ctx, func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, resignTimeout)
 		defer cancel()
-		if _, err := c.Store.Replace(ctx, platform.KindDuties, DutyName, w.Expected, w.Record); err != nil {
+		o, err := c.Store.Replace(ctx, platform.KindDuties, DutyName, w.Expected, w.Record)
+		if err != nil {
 			c.Log.Warn().Err(err).Msg("resigned the planner's duty, but could not record that in the object store; a successor waits for the end of the lease")
 			return
 		}
 		c.Log.Info().Msg("resigned the planner's duty")
+		if successor.ID != "" {
+			c.tellSuccessor(o.Revision, w.Record, successor)
+		}
 	})
 }
 
--- /dev/null
+++ b/hibiscusfront/internal/control/handover.go
@@ -0,0 +1,110 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/election"
+	"hibiscuslb/hibiscusfront/internal/wire"
+)
+
+// A planner whose host is cut off from the targets knows nothing new of them and can send them no orders.
+// It hands its duty over to a host in touch: it resigns, names that host in the record, and tells it.
+// Others wait for it, so that it needs no race. A host that is cut off takes a vacant duty only after
+// others had the time to. If all hosts are cut off, the planner keeps the duty: another one would do no better.
+const (
+	// handOverConfirm is how long a planner must have been cut off. Within it the other hosts find
+	// out whether they are, too, and their heartbeats say so.
+	handOverConfirm = heartbeatInterval + 50*time.Millisecond
+	// minTenure is the least time for which a host has planned before it hands over for this reason,
+	// so that the duty does not go to and fro while cuts change.
+	minTenure = 2 * time.Second
+	// successorDelay is how long other hosts leave a vacant duty to the successor that is named.
+	successorDelay = 700 * time.Millisecond
+	// cutOffDelay is how long a host that is cut off leaves a vacant duty to others.
+	cutOffDelay = 3 * time.Second
+)
+
+// cutOff reports whether this host is cut off from the targets.
+func (c *Control) cutOff() bool { return c.CutOff != nil && c.CutOff() }
+
+// noteCutOff notes since when this host has been cut off.
+func (c *Control) noteCutOff(now fleet.Instant) {
+	switch cutOff := c.cutOff(); {
+	case cutOff && c.cutOffSince == 0:
+		c.cutOffSince = now
+		c.Log.Warn().Bool("Planning", c.planning).Msg("this host is cut off from the targets")
+	case !cutOff && c.cutOffSince != 0:
+		c.Log.Info().Bool("Planning", c.planning).Dur("For", now.Sub(c.cutOffSince)).Msg("this host reaches targets again")
+		c.cutOffSince = 0
+	}
+}
+
+// handOverIfCutOff hands the duty over if this host holds it, has been cut off for long enough, and
+// knows a host that is not. It reports whether it did.
+func (c *Control) handOverIfCutOff(ctx context.Context, now fleet.Instant) bool {
+	if c.cutOffSince == 0 || now.Sub(c.cutOffSince) < handOverConfirm || now.Sub(c.planningSince) < minTenure ||
+		c.storeOutage || !c.duty.Holds(now) {
+		return false
+	}
+	successor, ok := c.members.successor(now, c.Self.ID)
+	if !ok {
+		return false
+	}
+	c.handOvers.Add(1)
+	c.Log.Warn().Str("Successor", string(successor.ID)).Dur("For", now.Sub(c.cutOffSince)).Uint64("Epoch", uint64(c.duty.Record().Epoch)).
+		Msg("handing the planner's duty over: this host is cut off from the targets, another one is not")
+	c.resign(ctx, now, successor)
+	return true
+}
+
+// HandOvers returns how often this host has handed the duty over since it was cut off.
+func (c *Control) HandOvers() int64 { return c.handOvers.Load() }
+
+// tellSuccessor sends the vacant record to the host that is to take the duty over.
+func (c *Control) tellSuccessor(revision fleet.Revision, record election.Record, successor wire.Host) {
+	c.enqueue(c.runCtx, func(now fleet.Instant) {
+		c.duty.Observe(now, revision, record)
+		c.updateTenure(now)
+		heartbeat := c.heartbeat(now)
+		c.tasks.Go(c.runCtx, func(ctx context.Context) { c.sendHeartbeat(ctx, successor.Peers, heartbeat) })
+	})
+}
+
+// takeoverDelay returns how long this host leaves a vacant duty to others.
+func (c *Control) takeoverDelay() time.Duration {
+	delay := c.standbyDelay()
+	if record := c.duty.Record(); record.Holder == "" && record.Successor != "" {
+		delay += successorDelay
+		if record.Successor == c.Self.ID {
+			delay = 0
+		}
+	}
+	if c.cutOff() {
+		delay += cutOffDelay
+	}
+	return delay
+}
+
+// setCutOff records whether a host says that it is cut off from the targets.
+func (m *members) setCutOff(id fleet.HostID, cutOff bool) {
+	status := m.heartbeats[id]
+	status.cutOff = cutOff
+	m.heartbeats[id] = status
+}
+
+// successor returns the first host in the order of rank that is not cut off, as its heartbeats say.
+func (m *members) successor(now fleet.Instant, self fleet.HostID) (wire.Host, bool) {
+	var first wire.Host
+	for id, h := range m.hosts {
+		status := m.heartbeats[id]
+		if id == self || !status.alive || status.leaving || status.cutOff || now.Sub(status.at) >= recentHeartbeat {
+			continue
+		}
+		if first.ID == "" || precedes(h, first) {
+			first = h
+		}
+	}
+	return first, first.ID != ""
+}
--- /dev/null
+++ b/hibiscusfront/internal/control/handover_test.go
@@ -0,0 +1,106 @@
+package control
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslb/hibiscusfront/internal/wire"
+)
+
+// startCutFleet starts a fleet of hosts that are cut off from the targets as the flags say.
+func startCutFleet(t *testing.T, hosts int) ([]*Control, []*atomic.Bool) {
+	t.Helper()
+	store := newConfiguredStore()
+	store.Remove("hosts", "other")
+	store.Put("servers", "i-1", map[string]any{"service": "s", "address": "10.0.0.1:80", "zone": "z", "slots": 4, "state": "ready"})
+	var cut []*atomic.Bool
+	controls, _ := startFleet(t, store, hosts, func(c *Control) {
+		flag := new(atomic.Bool)
+		cut = append(cut, flag)
+		c.CutOff = flag.Load
+	})
+	return controls, cut
+}
+
+// holders returns the hosts that may plan.
+func holders(controls []*Control) []int {
+	var result []int
+	for i, c := range controls {
+		if c.HoldsDuty() {
+			result = append(result, i)
+		}
+	}
+	return result
+}
+
+// TestPlannerCutOffFromTargetsHandsOver guards against second1: the planner, and most of the hosts, were cut off from all
+// targets for twelve seconds, and it kept its duty. Of nine hosts all but the last are cut off, which is no standby.
+func TestPlannerCutOffFromTargetsHandsOver(t *testing.T) {
+	const hosts = 9
+	controls, cut := startCutFleet(t, hosts)
+	planner := awaitPlanner(t, controls)
+	time.Sleep(minTenure) // for which the planner has to plan, and until heartbeats have told it of all hosts
+	inTouch := hosts - 1
+	if planner == inTouch {
+		inTouch--
+	}
+	for i, flag := range cut {
+		flag.Store(i != inTouch)
+	}
+	began := time.Now()
+	for {
+		now := holders(controls)
+		require.LessOrEqual(t, len(now), 1, "hosts that hold the duty")
+		if len(now) == 1 && now[0] == inTouch {
+			break
+		}
+		require.Less(t, time.Since(began), time.Second, "holders: %v", now)
+		time.Sleep(2 * time.Millisecond)
+	}
+	require.Equal(t, int64(1), controls[planner].HandOvers())
+	// The cut heals for some, and passes to the new planner: no hand-over within the least tenure.
+	for i, flag := range cut {
+		flag.Store(i == inTouch)
+	}
+	require.Never(t, func() bool { return !controls[inTouch].HoldsDuty() }, minTenure/2, 5*time.Millisecond)
+	require.Eventually(t, func() bool {
+		now := holders(controls)
+		return len(now) == 1 && now[0] != inTouch
+	}, minTenure, 5*time.Millisecond)
+}
+
+// With all hosts cut off, no other one would do better.
+func TestPlannerKeepsDutyIfAllHostsAreCutOff(t *testing.T) {
+	controls, cut := startCutFleet(t, 4)
+	planner := awaitPlanner(t, controls)
+	for _, flag := range cut {
+		flag.Store(true)
+	}
+	require.Never(t, func() bool { return !controls[planner].HoldsDuty() }, minTenure+time.Second, 5*time.Millisecond)
+	// Hosts that are cut off take a vacant duty, but leave it to others first.
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	controls[planner].Leave(ctx)
+	vacant := time.Now()
+	require.Eventually(t, func() bool { return len(holders(controls)) == 1 }, cutOffDelay+watcherTimeout+2*time.Second, 5*time.Millisecond)
+	require.Greater(t, time.Since(vacant), cutOffDelay)
+}
+
+func TestSuccessorIsInTouch(t *testing.T) {
+	m := newMembers(host("a", 4), host("b", 2), host("c", 2), host("d", 1), host("e", 8), host("f", 8))
+	m.setCutOff("a", true)
+	m.recordHeartbeat(at(0), "e", true)
+	f := m.heartbeats["f"]
+	f.alive = false
+	m.heartbeats["f"] = f
+	got, ok := m.successor(at(100*time.Millisecond), "b")
+	require.True(t, ok)
+	require.Equal(t, host("c", 2), got, "a is cut off, e leaves, f is dead")
+	_, ok = m.successor(at(time.Second), "b")
+	require.False(t, ok, "no heartbeats lately")
+	require.Equal(t, 1, m.larger(wire.Host{ID: "b", Cores: 3}), "only e counts; a is cut off")
+}
--- a/hibiscusfront/internal/control/heartbeats.go
+++ b/hibiscusfront/internal/control/heartbeats.go
@@ -25,6 +25,7 @@
 		if c.members.recordHeartbeat(now, heartbeat.Host.ID, heartbeat.Leaving) {
 			c.publish()
 		}
+		c.members.setCutOff(heartbeat.Host.ID, heartbeat.CutOff)
 		if heartbeat.Follows {
 			c.lastFollower = now
 		}
@@ -154,7 +155,7 @@
 func (c *Control) heartbeat(now fleet.Instant) wire.Heartbeat {
 	return wire.Heartbeat{
 		Host: c.Self, Leaving: c.leaving, Follows: c.follows(now), Revisions: c.revisions(), Duty: c.duty.Record(), Revision: c.duty.Revision(),
-		Roll: c.members.plannerVersion,
+		Roll: c.members.plannerVersion, CutOff: c.cutOff(),
 	}
 }
 
--- a/hibiscusfront/internal/control/members.go
+++ b/hibiscusfront/internal/control/members.go
@@ -34,6 +34,7 @@
 	at      fleet.Instant
 	leaving bool
 	alive   bool
+	cutOff  bool // from the targets
 }
 
 // sentHeartbeats records the heartbeats that this host has sent.
@@ -253,9 +254,9 @@
 // the same order.
 func (m *members) rank(self wire.Host) int { return m.count(self, precedes) }
 
-// larger returns the number of live hosts that are larger than this one.
+// larger returns the number of live hosts that are larger than this one and not cut off from the targets.
 func (m *members) larger(self wire.Host) int {
-	return m.count(self, func(a, b wire.Host) bool { return compareSize(a, b) > 0 })
+	return m.count(self, func(a, b wire.Host) bool { return !m.heartbeats[a.ID].cutOff && compareSize(a, b) > 0 })
 }
 
 // count returns the number of other live hosts for which is, called with the host and this
--- a/hibiscusfront/internal/host/meters.go
+++ b/hibiscusfront/internal/host/meters.go
@@ -145,6 +145,7 @@
 		"TokensRead": int64(counts.ReadTokens), "TokensReadAgain": int64(counts.RereadTokens), "TokensFetched": int64(counts.FetchedTokens),
 		"TokensKept": int64(counts.CachedTokens), "PartsUnsaved": int64(counts.UnsavedParts),
 		"Crashes": int64(counts.Crashes), "Withheld": int64(counts.Withheld), "UnknownOrigins": int64(counts.UnknownOrigins),
+		"FailuresNotCounted": int64(counts.Uncounted),
 	} {
 		h.meter.planned.Set(n, what)
 	}
@@ -167,10 +168,14 @@
 		"ConnectionsEvicted": clients.Evicted, "ConnectionsRefused": clients.Refused, "HeadsRefused": clients.HeadsRefused,
 		"BodiesRefused": clients.bodiesRefused, "StalledEvicted": clients.stalled,
 		"ListBytesKept": int64(h.lists.Used()), "ListsOverBudget": h.lists.Refused(),
+		"CutOff": 0, "DutyHandOvers": h.control.HandOvers(),
 	}
 	if v.Table != nil {
 		state["Configuration"] = int64(v.Table.Number)
 	}
+	if h.planner.CutOff() {
+		state["CutOff"] = 1
+	}
 	if h.control.MayPlan() {
 		state["Plans"] = 1
 	}
--- a/hibiscusfront/internal/planner/cutoff.go
+++ b/hibiscusfront/internal/planner/cutoff.go
@@ -7,15 +7,15 @@
 	Answered(fleet.TargetID) // a poll was answered
 	Failed(fleet.TargetID)   // a poll was not answered
 	// CutOff reports whether the host has no way to nearly all targets.
-	CutOff() bool
+	CutOff(now fleet.Instant) bool
 }
 
 // unknownWays is the Ways of a planner that has none.
 type unknownWays struct{}
 
-func (unknownWays) Answered(fleet.TargetID) {}
-func (unknownWays) Failed(fleet.TargetID)   {}
-func (unknownWays) CutOff() bool            { return false }
+func (unknownWays) Answered(fleet.TargetID)   {}
+func (unknownWays) Failed(fleet.TargetID)     {}
+func (unknownWays) CutOff(fleet.Instant) bool { return false }
 
 func (p *Planner) ways() Ways {
 	if p.Ways == nil {
@@ -30,7 +30,7 @@
 // A planner that is cut off goes on to plan until another host has taken its duty over: the hosts that are
 // not cut off need it. It sends nothing to targets meanwhile. Orders to load weights above all have to come
 // from the host that holds the duty, so no other host may pass them on.
-func (p *Planner) CutOff() bool { return p.pollsCutOff.Load() || p.ways().CutOff() }
+func (p *Planner) CutOff() bool { return p.pollsCutOff.Load() || p.ways().CutOff(p.Clock()) }
 
 // noteCutOffs logs which hosts have been found to be cut off since the last call, and publishes whether
 // this one is.
--- a/hibiscusfront/internal/wire/wire.go
+++ b/hibiscusfront/internal/wire/wire.go
@@ -47,6 +47,7 @@
 	Duty      election.Record   // last record of the planner's duty that the sender knows
 	Revision  fleet.Revision    // of the object that holds Duty
 	Roll      MembershipVersion // of the last list of live hosts that the sender received
+	CutOff    bool              `cbor:",omitempty"` // the sender has no way to nearly all targets
 }
 
 // A MembershipVersion identifies a list of live hosts that a planner sent to other
