chooser: go on to the next deputy if one declines

A deputy that is cut off from the targets declines. The asking host then chose alone, although other deputies were in touch.

TestDeputyThatDeclinesIsPassedOver failed before: the request was granted by the asking host itself.

--- a/hibiscusfront/internal/chooser/chooser.go
+++ b/hibiscusfront/internal/chooser/chooser.go
@@ -149,6 +149,10 @@
 // alone can't tell its version.
 const maxDeputies = 2
 
+// maxDeclining is how many deputies are asked in addition, if others decline since they are cut off from
+// the targets.
+const maxDeclining = 3
+
 // ask asks the planner, then a deputy, and then chooses locally.
 func (c *Chooser) ask(ctx context.Context, v *view.View, req *plan.Request) plan.Decision {
 	planner := wire.Host{ID: v.Duty.Holder, Peers: v.Duty.Address}
@@ -159,17 +163,24 @@
 	if req.Resumption.Resumes && !req.Resumption.Known {
 		deputies = maxDeputies
 	}
-	for range deputies {
+	for declined := 0; deputies > 0 && declined <= maxDeclining; {
 		deputy := v.Deputy(func(h wire.Host) bool { return h.ID != v.Duty.Holder && !c.inBackoff(h.Peers) })
-		if decision, ok := c.requestDecision(ctx, deputy, req, true); ok {
+		decision, ok := c.requestDecision(ctx, deputy, req, true)
+		switch {
+		case ok:
 			return decision
+		case decision.Refusal != nil:
+			declined++
+		default:
+			deputies--
 		}
 	}
 	return c.Local.Choose(c.Clock(), v, req)
 }
 
 // requestDecision asks a host for a decision, unless the host is in backoff. It
-// reports whether there is a decision; if ctx has ended, it is a refusal.
+// reports whether there is a decision; if ctx has ended, it is a refusal. If the host has declined to
+// decide, the refusal says so.
 func (c *Chooser) requestDecision(ctx context.Context, host wire.Host, req *plan.Request, deputy bool) (plan.Decision, bool) {
 	if host.ID == "" || c.inBackoff(host.Peers) {
 		return plan.Decision{}, false
@@ -190,7 +201,10 @@
 		c.startBackoff(host.Peers, err)
 		return plan.Decision{}, false
 	case decision.Refusal != nil && decision.Refusal.Reason == fleet.ReasonNotHolder:
-		return plan.Decision{}, false
+		if deputy {
+			c.startBackoff(host.Peers, decision.Refusal)
+		}
+		return decision, false
 	case decision.Grant != nil:
 		decision.Grant.By = host.Peers
 	}
