plan: try engines that answer no poll if nothing tells whether they are up

A host that is cut off and begins to plan fails at all polls at once, and knows no grant of its predecessor that could end.

While polls fail at nearly all engines and it is not known whether others reach them, a host that has not failed lately may try engines that are out of work for that, two in 2 s. InTouch names the hosts that succeed.

With 16 or 18 of 18 engines dead, at most six requests of a host reach dead ones in the five seconds that begin a second after their end.

--- a/fleet/plan/admission.go
+++ b/fleet/plan/admission.go
@@ -261,6 +261,9 @@
 	f.stats.RereadTokens += c.rereadTokens
 	f.stats.FetchedTokens += c.fetchedTokens
 	f.stats.CachedTokens += c.cachedTokens
+	if t.unresponsive {
+		f.recordTrial(now, req.Host)
+	}
 	t.addGrant(now, ag)
 	if f.active == nil {
 		f.active = make(map[GrantNumber]*activeGrant)
--- a/fleet/plan/observer.go
+++ b/fleet/plan/observer.go
@@ -22,6 +22,8 @@
 //   - Half of the hosts are cut off. The same, as long as another host or the planner reaches the
 //     targets.
 //   - The planner is cut off. All its polls fail, while other hosts report pieces of answers.
+//   - The planner is cut off, and nothing is under way that could tell. A host at a time tries the
+//     engines, a few requests each.
 //   - All targets are gone, or all hosts are cut off. Nobody reaches them, so each failure counts.
 //   - Engines crash in a burst. The planner's polls find that they are gone; the hosts that failed
 //     at them reach the others.
@@ -59,8 +61,12 @@
 type observer struct {
 	failed  map[*target]failure
 	reached map[*target]fleet.Instant // since it first failed at some target
-	checked fleet.Instant             // when cutOff was found
+	checked fleet.Instant             // when cutOff and undecided were found
 	cutOff  bool
+	// undecided is set if it fails like one that is cut off, and it is not known whether others
+	// reach the targets.
+	undecided bool
+	inTouch   map[fleet.HostID]bool // the others that reach them, if it is cut off
 }
 
 // witness is a success of an observer at a target.
@@ -78,12 +84,16 @@
 	t.witnesses[0] = witness{id, now}
 }
 
-// reachedByOthers reports whether another observer has reached the target lately, after the
-// instant.
-func (t *target) reachedByOthers(now fleet.Instant, id fleet.HostID, after fleet.Instant) bool {
-	return slices.ContainsFunc(t.witnesses[:], func(w witness) bool {
-		return w.at > 0 && w.observer != id && w.at.Sub(after) > reportSpread && now.Sub(w.at) <= observerMemory
-	})
+// reachedByOthers returns the other observers that have reached the target lately, after the
+// instant, as far as the witnesses tell.
+func (t *target) reachedByOthers(now fleet.Instant, id fleet.HostID, after fleet.Instant) []fleet.HostID {
+	var others []fleet.HostID
+	for _, w := range t.witnesses {
+		if w.at > 0 && w.observer != id && w.at.Sub(after) > reportSpread && now.Sub(w.at) <= observerMemory {
+			others = append(others, w.observer)
+		}
+	}
+	return others
 }
 
 // recordReached records a success of an observer at a target.
@@ -137,15 +147,23 @@
 	maps.DeleteFunc(o.failed, func(t *target, fl failure) bool { return t.removed || now.Sub(fl.last) > observerMemory })
 	maps.DeleteFunc(o.reached, func(t *target, at fleet.Instant) bool { return t.removed || now.Sub(at) > observerMemory })
 	before := o.cutOff
-	o.checked, o.cutOff = now, false
+	o.checked, o.cutOff, o.undecided, o.inTouch = now, false, false, nil
 	if len(o.failed) >= cutOffTargets && len(o.failed) >= cutOffRatio*len(o.reached) {
 		contradicted := 0
 		for t, fl := range o.failed {
-			if t.reachedByOthers(now, id, fl.first) {
+			others := t.reachedByOthers(now, id, fl.first)
+			if len(others) > 0 {
 				contradicted++
 			}
+			for _, other := range others {
+				if o.inTouch == nil {
+					o.inTouch = make(map[fleet.HostID]bool)
+				}
+				o.inTouch[other] = true
+			}
 		}
 		o.cutOff = contradicted >= minContradicted
+		o.undecided = !o.cutOff
 	}
 	if o.cutOff != before {
 		f.cutOffChanges = append(f.cutOffChanges, CutOffChange{Host: id, CutOff: o.cutOff, Targets: len(o.failed)})
@@ -204,6 +222,7 @@
 			delete(f.observers, id)
 		}
 	}
+	maps.DeleteFunc(f.trials, func(_ fleet.HostID, w *slidingWindow) bool { return w.count(now, observerMemory) == 0 })
 }
 
 // A CutOffChange tells that an observer has been found to be cut off from the targets, or no
@@ -236,6 +255,55 @@
 	return o != nil && o.cutOff
 }
 
+// InTouch returns the hosts that reach engines which do not answer the planner's polls, if it is cut
+// off, except those that are known to be cut off themselves.
+func (f *Fleet) InTouch() map[fleet.HostID]bool {
+	if !f.PollsCutOff() {
+		return nil
+	}
+	hosts := make(map[fleet.HostID]bool)
+	for id := range f.observers[polls].inTouch {
+		if o := f.observers[id]; o == nil || !o.cutOff {
+			hosts[id] = true
+		}
+	}
+	return hosts
+}
+
+const (
+	// trialCost is the cost of an engine that does not answer the planner's polls: it is tried if there
+	// is no other one.
+	trialCost = 10 * time.Second
+	// maxTrials is how many of them a host tries within observerMemory.
+	maxTrials = minContradicted
+)
+
+// mayTry reports whether a request of the host may be sent to an engine that does not answer the
+// planner's polls: they fail at nearly all engines, and it is not known whether the engines or the
+// planner's ways are the cause. A host that fails there itself tries no more.
+func (f *Fleet) mayTry(now fleet.Instant, t *target, host fleet.HostID) bool {
+	o := f.observers[polls]
+	if o == nil || !o.undecided || !t.unresponsive || !t.open(now) {
+		return false
+	}
+	if _, failed := o.failed[t]; !failed || f.observers[host] != nil {
+		return false
+	}
+	trials := f.trials[host]
+	return trials == nil || trials.count(now, observerMemory) < maxTrials
+}
+
+// recordTrial records a grant of an engine that does not answer the planner's polls.
+func (f *Fleet) recordTrial(now fleet.Instant, host fleet.HostID) {
+	if f.trials == nil {
+		f.trials = make(map[fleet.HostID]*slidingWindow)
+	}
+	if f.trials[host] == nil {
+		f.trials[host] = new(slidingWindow)
+	}
+	f.trials[host].add(now, observerMemory)
+}
+
 // RecordFailedPoll records that an engine has not answered a long poll for events, and reports
 // whether that counts: it gets no new requests until it answers, unless the planner is cut off.
 func (f *Fleet) RecordFailedPoll(now fleet.Instant, id fleet.TargetID) bool {
--- a/fleet/plan/observer_test.go
+++ b/fleet/plan/observer_test.go
@@ -58,10 +58,13 @@
 	requestCount++
 	req := newRequest(800*time.Millisecond, filePrompt(fmt.Sprint("f", requestCount%100))...)
 	req.Host = host
-	decision, ok := c.plan.Submit(at(now), req)
-	if !ok {
-		return
+	if decision, ok := c.plan.Submit(at(now), req); ok {
+		c.answer(now, decision)
 	}
+}
+
+func (c *cutFleet) answer(now time.Duration, decision plan.Decision) {
+	host := decision.Request.Host
 	if decision.Grant == nil {
 		c.refused[host]++
 		return
@@ -93,14 +96,26 @@
 
 // run plays nine hosts of which each asks every 40 ms, and calls see every 10 ms.
 func (c *cutFleet) run(end time.Duration, see func(now time.Duration)) {
-	c.play(end, func(now time.Duration) {
+	for now := time.Duration(0); now < end; now += 10 * time.Millisecond {
+		due := c.events
+		c.events = nil
+		for _, e := range due {
+			if e.at <= now {
+				e.do(now)
+			} else {
+				c.events = append(c.events, e)
+			}
+		}
 		for i := range 9 {
 			if now%(40*time.Millisecond) == time.Duration(i%4)*10*time.Millisecond {
 				c.ask(now, fleet.HostID(fmt.Sprint("h", i)))
 			}
 		}
+		for _, decision := range c.plan.Tick(at(now)) {
+			c.answer(now, decision)
+		}
 		see(now)
-	})
+	}
 }
 
 func hostIndex(host fleet.HostID) int {
@@ -162,10 +177,39 @@
 				if excludedAt > 0 {
 					require.LessOrEqual(t, usable, 18-dead, "at %v", now)
 				}
+				if now == begin+time.Second {
+					c.failed = make(map[fleet.HostID]int)
+				}
 			})
 			require.Positive(t, excludedAt)
 			require.LessOrEqual(t, excludedAt, begin+pollLimit+110*time.Millisecond)
 			require.False(t, c.plan.PollsCutOff())
+			for host, n := range c.failed {
+				require.LessOrEqual(t, n, 6, "requests of host %s that were sent to dead engines later than a second after the end", host)
+			}
 		})
 	}
 }
+
+// Load pattern: a host that is cut off begins to plan. Its polls are refused at once, and it knows nothing of what
+// its predecessor granted. Five of nine hosts are cut off.
+func TestNewPlannerThatIsCutOffFindsHostsInTouch(t *testing.T) {
+	const end = 6 * time.Second
+	c := newCutFleet(t, func(_ time.Duration, host fleet.HostID, _ int) bool { return host == "" || hostIndex(host) < 5 })
+	for _, e := range c.entries {
+		c.plan.RecordFailedPoll(at(0), e.ID)
+	}
+	least := 18
+	c.run(end, func(now time.Duration) {
+		if now > time.Second {
+			least = min(least, c.plan.UsableTargets(at(now), engineService))
+		}
+	})
+	require.GreaterOrEqual(t, least, 15)
+	require.True(t, c.plan.PollsCutOff())
+	inTouch := c.plan.InTouch()
+	require.NotEmpty(t, inTouch)
+	for host := range inTouch {
+		require.GreaterOrEqual(t, hostIndex(host), 5, "host %s", host)
+	}
+}
--- a/fleet/plan/placement.go
+++ b/fleet/plan/placement.go
@@ -95,7 +95,7 @@
 	affinity := req.AffinityHash()
 	chains := make(map[uint64]*chain) // by version of the weights
 	for _, t := range f.targets {
-		if t.Service != req.Service || !allowed.admits(t) || !t.usable(now) || slices.Contains(req.Avoid, t.ID) {
+		if t.Service != req.Service || !allowed.admits(t) || !t.usable(now) && !f.mayTry(now, t, req.Host) || slices.Contains(req.Avoid, t.ID) {
 			continue
 		}
 		if req.Prompt != nil && !f.canStartRun(now, t, req.Prompt.Model) {
@@ -118,6 +118,9 @@
 			continue
 		}
 		c.cost += hashCost(affinity, t.ID)
+		if t.unresponsive {
+			c.cost += trialCost
+		}
 		if best.target == nil || c.cost < best.cost || c.cost == best.cost && t.ID < best.target.ID {
 			best = c
 		}
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -221,11 +221,12 @@
 	tenureStart   fleet.Instant
 	quarantine    quarantine.Ledger
 	origins       origin.Ledger
-	table         *route.Table               // the newest configuration; nil if none was set
-	crashes       []crash                    // not settled yet
-	observers     map[fleet.HostID]*observer // that fail at targets
-	cutOffChanges []CutOffChange             // since CutOffChanges was called
-	probesDue     bool                       // of some target
+	table         *route.Table                    // the newest configuration; nil if none was set
+	crashes       []crash                         // not settled yet
+	observers     map[fleet.HostID]*observer      // that fail at targets
+	trials        map[fleet.HostID]*slidingWindow // of engines that do not answer polls
+	cutOffChanges []CutOffChange                  // since CutOffChanges was called
+	probesDue     bool                            // of some target
 	rollouts      map[route.ServiceID]*serviceRollout
 	planning      bool // a tenure has begun and not ended
 }
@@ -245,7 +246,7 @@
 	f.tenureStart, f.lastNumber = now, base
 	f.stats = Stats{}
 	f.queue, f.crashes = nil, nil
-	f.observers, f.cutOffChanges = nil, nil
+	f.observers, f.trials, f.cutOffChanges = nil, nil, nil
 	f.origins.BeginTenure()
 	f.planning = true
 	for id, s := range f.rollouts {
--- a/fleet/plan/target.go
+++ b/fleet/plan/target.go
@@ -94,7 +94,12 @@
 
 // usable reports whether the target may be given new requests.
 func (t *target) usable(now fleet.Instant) bool {
-	return !t.leaves() && !t.evacuated && !t.removed && !t.unresponsive && now >= t.pausedUntil && t.service != nil && t.service.spec != nil
+	return !t.unresponsive && t.open(now)
+}
+
+// open reports whether the target may be given new requests, as far as is known but from polls.
+func (t *target) open(now fleet.Instant) bool {
+	return !t.leaves() && !t.evacuated && !t.removed && now >= t.pausedUntil && t.service != nil && t.service.spec != nil
 }
 
 // leaves reports whether the target leaves, as its entry or its answers say.
