control: hand the duty over to a host that is known to reach the engines

The planner took the first host that had not said that it is cut off. A host without work of its own, or whose connections have not failed yet, has not said so either. The plan knows hosts that reach engines which do not answer the planner; the first of these is taken, and any other one only without them. A host that stopped to plan while its polls showed that it was cut off counts as cut off for 5 s, since it polls no more.

--- a/hibiscusfront/internal/control/control.go
+++ b/hibiscusfront/internal/control/control.go
@@ -86,7 +86,7 @@
 }
 
 // A Control owns the control state of a host. Set the exported fields before calling
-// Run; OnPlanningChange, OnPublish, OnHostLost, CutOff, WantsOrders, Quarantine and Versions may be nil.
+// Run; OnPlanningChange, OnPublish, OnHostLost, CutOff, InTouch, WantsOrders, Quarantine and Versions may be nil.
 type Control struct {
 	Settings platform.Settings
 	Store    *platform.Store
@@ -105,6 +105,8 @@
 	OnHostLost func(fleet.HostID)
 	// CutOff reports whether the host is cut off from the targets. It may be nil.
 	CutOff func() bool
+	// InTouch reports whether another host is known to reach targets that this one, the planner, does not. It may be nil.
+	InTouch func(fleet.HostID) bool
 	// WantsOrders reports whether the host has orders to send to targets.
 	WantsOrders func() bool
 	// Quarantine returns the suspected and withheld parts of prompts that the host knows
--- a/hibiscusfront/internal/control/handover.go
+++ b/hibiscusfront/internal/control/handover.go
@@ -48,7 +48,7 @@
 		c.storeOutage || !c.duty.Holds(now) {
 		return false
 	}
-	successor, ok := c.members.successor(now, c.Self.ID)
+	successor, ok := c.members.successor(now, c.Self.ID, c.InTouch)
 	if !ok {
 		return false
 	}
@@ -94,16 +94,19 @@
 	m.heartbeats[id] = status
 }
 
-// successor returns the first host in the order of rank that is not cut off, as its heartbeats say.
-func (m *members) successor(now fleet.Instant, self fleet.HostID) (wire.Host, bool) {
+// successor returns the first host in the order of rank that is not cut off, as its heartbeats say, of those
+// that are known to be in touch, if there are any. InTouch may be nil.
+func (m *members) successor(now fleet.Instant, self fleet.HostID, inTouch func(fleet.HostID) bool) (wire.Host, bool) {
 	var first wire.Host
+	firstInTouch := false
 	for id, h := range m.hosts {
 		status := m.heartbeats[id]
 		if id == self || !status.alive || status.leaving || status.cutOff || now.Sub(status.at) >= recentHeartbeat {
 			continue
 		}
-		if first.ID == "" || precedes(h, first) {
-			first = h
+		known := inTouch != nil && inTouch(id)
+		if first.ID == "" || known && !firstInTouch || known == firstInTouch && precedes(h, first) {
+			first, firstInTouch = h, known
 		}
 	}
 	return first, first.ID != ""
--- a/hibiscusfront/internal/control/handover_test.go
+++ b/hibiscusfront/internal/control/handover_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"hibiscuslb/fleet"
 	"hibiscuslb/hibiscusfront/internal/wire"
 )
 
@@ -97,10 +98,13 @@
 	f := m.heartbeats["f"]
 	f.alive = false
 	m.heartbeats["f"] = f
-	got, ok := m.successor(at(100*time.Millisecond), "b")
+	got, ok := m.successor(at(100*time.Millisecond), "b", nil)
 	require.True(t, ok)
 	require.Equal(t, host("c", 2), got, "a is cut off, e leaves, f is dead")
-	_, ok = m.successor(at(time.Second), "b")
+	inTouch := func(id fleet.HostID) bool { return id == "a" || id == "d" }
+	got, _ = m.successor(at(100*time.Millisecond), "b", inTouch)
+	require.Equal(t, host("d", 1), got, "a says that it is cut off")
+	_, ok = m.successor(at(time.Second), "b", inTouch)
 	require.False(t, ok, "no heartbeats lately")
 	require.Equal(t, 1, m.larger(wire.Host{ID: "b", Cores: 3}), "only e counts; a is cut off")
 }
--- a/hibiscusfront/internal/host/host.go
+++ b/hibiscusfront/internal/host/host.go
@@ -155,7 +155,7 @@
 	h.control.OnPlanningChange = func(epoch fleet.Epoch, planning bool) { h.planner.SetPlanning(runCtx, epoch, planning) }
 	h.control.OnPublish = func(v *view.View) { h.planner.SetView(runCtx, v) }
 	h.control.OnHostLost = func(id fleet.HostID) { h.planner.ReleaseHost(runCtx, id) }
-	h.control.CutOff = h.planner.CutOff
+	h.control.CutOff, h.control.InTouch = h.planner.CutOff, h.planner.InTouch
 	h.control.WantsOrders = h.planner.WeightsOutdated
 	h.control.Quarantine = h.planner.Quarantine
 	h.control.Versions = h.planner.Versions
--- a/hibiscusfront/internal/planner/cutoff.go
+++ b/hibiscusfront/internal/planner/cutoff.go
@@ -1,6 +1,14 @@
 package planner
 
-import "hibiscuslb/fleet"
+import (
+	"time"
+
+	"hibiscuslb/fleet"
+)
+
+// cutOffMemory is how long a host that stopped to plan while its polls showed that it was cut off counts as cut
+// off: it polls no more.
+const cutOffMemory = 5 * time.Second
 
 // Ways knows the ways from this host to targets. Its methods may be called concurrently.
 type Ways interface {
@@ -30,12 +38,23 @@
 // A planner that is cut off goes on to plan until another host has taken its duty over: the hosts that are
 // not cut off need it. It sends nothing to targets meanwhile. Orders to load weights above all have to come
 // from the host that holds the duty, so no other host may pass them on.
-func (p *Planner) CutOff() bool { return p.pollsCutOff.Load() || p.ways().CutOff(p.Clock()) }
+func (p *Planner) CutOff() bool {
+	now := p.Clock()
+	return p.pollsCutOff.Load() || int64(now) < p.cutOffUntil.Load() || p.ways().CutOff(now)
+}
+
+// InTouch reports whether the host is known to reach engines that do not answer this one, the planner.
+func (p *Planner) InTouch(host fleet.HostID) bool {
+	hosts := p.inTouch.Load()
+	return hosts != nil && (*hosts)[host]
+}
 
 // noteCutOffs logs which hosts have been found to be cut off since the last call, and publishes whether
 // this one is.
 func (p *Planner) noteCutOffs() {
 	p.pollsCutOff.Store(p.fleet.PollsCutOff())
+	inTouch := p.fleet.InTouch()
+	p.inTouch.Store(&inTouch)
 	for _, change := range p.fleet.CutOffChanges() {
 		line := p.Log.Info()
 		if change.CutOff {
--- a/hibiscusfront/internal/planner/planner.go
+++ b/hibiscusfront/internal/planner/planner.go
@@ -103,7 +103,9 @@
 
 	lastStatsLog    fleet.Instant
 	weightsOutdated outdatedFlag
-	pollsCutOff     atomic.Bool // as of the last tick
+	pollsCutOff     atomic.Bool                           // as of the last tick
+	cutOffUntil     atomic.Int64                          // the host was cut off when it stopped to plan, and counts as such until then
+	inTouch         atomic.Pointer[map[fleet.HostID]bool] // as of the last tick
 	stats           atomic.Pointer[plan.Stats]
 
 	// WeightOrders counts the orders to load weights, by result.
@@ -213,7 +215,9 @@
 func (p *Planner) stop() {
 	p.active, p.deputy, p.fleet.Deputy, p.followsRecord = false, false, false, false
 	p.plans.Store(false)
-	p.pollsCutOff.Store(false)
+	if p.pollsCutOff.Swap(false) {
+		p.cutOffUntil.Store(int64(p.Clock().Add(cutOffMemory)))
+	}
 	p.fleet.EndTenure()
 	p.rollouts.stop()
 	for address, w := range p.watchers {
