--- a/hibiscusfront/internal/planner/cutoff.go
+++ b/hibiscusfront/internal/planner/cutoff.go
@@ -15,15 +15,15 @@
 	Answered(fleet.TargetID) // a poll was answered
 	Failed(fleet.TargetID)   // a poll was not answered
 	// CutOff reports whether the host has no way to nearly all targets.
-	CutOff(now fleet.Instant) bool
+	CutOff() bool
 }
 
 // unknownWays is the Ways of a planner that has none.
 type unknownWays struct{}
 
-func (unknownWays) Answered(fleet.TargetID)   {}
-func (unknownWays) Failed(fleet.TargetID)     {}
-func (unknownWays) CutOff(fleet.Instant) bool { return false }
+func (unknownWays) Answered(fleet.TargetID) {}
+func (unknownWays) Failed(fleet.TargetID)   {}
+func (unknownWays) CutOff() bool            { return false }
 
 func (p *Planner) ways() Ways {
 	if p.Ways == nil {
@@ -39,8 +39,7 @@
 // not cut off need it. It sends nothing to targets meanwhile. Orders to load weights above all have to come
 // from the host that holds the duty, so no other host may pass them on.
 func (p *Planner) CutOff() bool {
-	now := p.Clock()
-	return p.pollsCutOff.Load() || int64(now) < p.cutOffUntil.Load() || p.ways().CutOff(now)
+	return p.pollsCutOff.Load() || int64(p.Clock()) < p.cutOffUntil.Load() || p.ways().CutOff()
 }
 
 // InTouch reports whether the host is known to reach engines that do not answer this one, the planner.
--- a/hibiscusfront/internal/planner/cutoff_test.go
+++ b/hibiscusfront/internal/planner/cutoff_test.go
@@ -25,9 +25,9 @@
 	answered, failed atomic.Int64
 }
 
-func (w *testWays) Answered(fleet.TargetID)   { w.answered.Add(1) }
-func (w *testWays) Failed(fleet.TargetID)     { w.failed.Add(1) }
-func (w *testWays) CutOff(fleet.Instant) bool { return w.cutOff.Load() }
+func (w *testWays) Answered(fleet.TargetID) { w.answered.Add(1) }
+func (w *testWays) Failed(fleet.TargetID)   { w.failed.Add(1) }
+func (w *testWays) CutOff() bool            { return w.cutOff.Load() }
 
 // startHangingEngines starts engines that do not answer while hang is set.
 func startHangingEngines(t *testing.T, count int, hang *atomic.Bool) []roster.Target {
