plan: compare failures of a host with what it reaches of the same services

A host that is parted from the engines of one service alone goes on to reach targets of others, and had to fail at twice as many engines as it reached of these. In a play with 7 of 9 hosts cut off, the planner one of them, 5 to 13 of 18 engines were usable until it handed its duty over.

TestHostThatIsCutOffPausesNoTargetForOthers, now with a service that all hosts reach, failed before: 13 usable engines, with 15 wanted.

--- a/fleet/plan/observer.go
+++ b/fleet/plan/observer.go
@@ -148,7 +148,7 @@
 	maps.DeleteFunc(o.reached, func(t *target, at fleet.Instant) bool { return t.removed || now.Sub(at) > observerMemory })
 	before := o.cutOff
 	o.checked, o.cutOff, o.undecided, o.inTouch = now, false, false, nil
-	if len(o.failed) >= cutOffTargets && len(o.failed) >= cutOffRatio*len(o.reached) {
+	if len(o.failed) >= cutOffTargets && len(o.failed) >= cutOffRatio*o.reachedBeside() {
 		contradicted := 0
 		for t, fl := range o.failed {
 			others := t.reachedByOthers(now, id, fl.first)
@@ -173,6 +173,22 @@
 	}
 }
 
+// reachedBeside returns how many targets the observer has reached meanwhile, of the services of those at
+// which it fails. It may be parted from the targets of some services only.
+func (o *observer) reachedBeside() int {
+	services := make(map[*service]bool)
+	for t := range o.failed {
+		services[t.service] = true
+	}
+	n := 0
+	for t := range o.reached {
+		if services[t.service] {
+			n++
+		}
+	}
+	return n
+}
+
 // takeBack undoes what the latest failures of an observer caused.
 func (f *Fleet) takeBack(now fleet.Instant, id fleet.HostID, o *observer) {
 	for t, fl := range o.failed {
--- a/fleet/plan/observer_test.go
+++ b/fleet/plan/observer_test.go
@@ -9,6 +9,7 @@
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/plan"
+	"hibiscuslb/fleet/roster"
 )
 
 // cutFleet plays hosts that ask a planner for engines, and the planner's polls. A host that is
@@ -34,6 +35,10 @@
 	for i := range c.entries {
 		c.after(0, time.Duration(i)*20*time.Millisecond, func(now time.Duration) { c.poll(now, i) })
 	}
+	for i := range 4 {
+		c.entries = append(c.entries, roster.Target{ID: fleet.TargetID(fmt.Sprint("desk", i)), Service: plainService, Address: "10.0.1.1:1", DataCentre: "a", Slots: 8})
+	}
+	c.plan.SetTargets(at(0), c.entries, nil)
 	return c
 }
 
@@ -94,6 +99,19 @@
 	})
 }
 
+// askPlain asks for a target of another service, which all hosts reach.
+func (c *cutFleet) askPlain(now time.Duration, host fleet.HostID) {
+	requestCount++
+	decision, ok := c.plan.Submit(at(now), &plan.Request{
+		ID: fleet.RequestID(fmt.Sprint(requestCount)), Host: host, Near: "a", Service: plainService, Objective: second, Deadline: second,
+	})
+	if ok && decision.Grant != nil {
+		c.after(now, 30*time.Millisecond, func(now time.Duration) {
+			c.plan.Report(at(now), plan.Report{Number: decision.Grant.Number, Progress: plan.Done})
+		})
+	}
+}
+
 // run plays nine hosts of which each asks every 40 ms, and calls see every 10 ms.
 func (c *cutFleet) run(end time.Duration, see func(now time.Duration)) {
 	for now := time.Duration(0); now < end; now += 10 * time.Millisecond {
@@ -109,6 +127,7 @@
 		for i := range 9 {
 			if now%(40*time.Millisecond) == time.Duration(i%4)*10*time.Millisecond {
 				c.ask(now, fleet.HostID(fmt.Sprint("h", i)))
+				c.askPlain(now, fleet.HostID(fmt.Sprint("h", i)))
 			}
 		}
 		for _, decision := range c.plan.Tick(at(now)) {
