plan: find sooner that a host is cut off

What a host had reached in the two seconds before it was cut off counted against that. Only what it reached since it failed at three targets counts now, and a success of another host 50 ms after the failure, instead of 100 ms, contradicts it: reports take some ten milliseconds.

--- a/fleet/plan/observer.go
+++ b/fleet/plan/observer.go
@@ -48,7 +48,7 @@
 	doubtfulSettleTime = 500 * time.Millisecond
 	// reportSpread is how late a report of an earlier success may arrive after one of a
 	// failure.
-	reportSpread = 100 * time.Millisecond
+	reportSpread = 50 * time.Millisecond
 )
 
 // failure is what an observer met at a target, without a success since.
@@ -173,16 +173,20 @@
 	}
 }
 
-// reachedBeside returns how many targets the observer has reached meanwhile, of the services of those at
-// which it fails. It may be parted from the targets of some services only.
+// reachedBeside returns how many targets the observer has reached since it fails at cutOffTargets or more, of
+// the services of these. It may be parted from the targets of some services only.
 func (o *observer) reachedBeside() int {
 	services := make(map[*service]bool)
-	for t := range o.failed {
+	var firsts []fleet.Instant
+	for t, fl := range o.failed {
 		services[t.service] = true
+		firsts = append(firsts, fl.first)
 	}
+	slices.Sort(firsts)
+	since := firsts[cutOffTargets-1]
 	n := 0
-	for t := range o.reached {
-		if services[t.service] {
+	for t, at := range o.reached {
+		if services[t.service] && at > since {
 			n++
 		}
 	}
--- a/fleet/plan/observer_test.go
+++ b/fleet/plan/observer_test.go
@@ -17,9 +17,9 @@
 // after pollLimit. Other answers begin after 30 ms and take 200 ms.
 type cutFleet struct {
 	*crashingFleet
-	parted func(now time.Duration, host fleet.HostID, engine int) bool // host is empty for the polls
-	refused,
-	served, failed map[fleet.HostID]int
+	parted                  func(now time.Duration, host fleet.HostID, engine int) bool // host is empty for the polls
+	requests                int                                                         // that reached an engine
+	refused, served, failed map[fleet.HostID]int
 }
 
 const (
@@ -88,6 +88,10 @@
 		c.after(now, dialLimit, report(plan.Unreachable))
 		return
 	}
+	if c.requests++; c.requests%40 == 0 {
+		c.after(now, 20*time.Millisecond, report(plan.Failed)) // a fault of the answer
+		return
+	}
 	c.served[host]++
 	c.after(now, 30*time.Millisecond, report(plan.Started))
 	c.after(now, 230*time.Millisecond, func(now time.Duration) {
@@ -165,7 +169,7 @@
 			c.run(end+2*time.Second, func(now time.Duration) {
 				usable := c.plan.UsableTargets(at(now), engineService)
 				switch {
-				case now > begin+time.Second && now < end:
+				case now > begin+pollLimit+250*time.Millisecond && now < end:
 					least = min(least, usable)
 				case now > end+1500*time.Millisecond:
 					most = min(most, usable)
