--- a/fleet/plan/admission.go
+++ b/fleet/plan/admission.go
@@ -261,6 +261,9 @@
 	f.stats.RereadTokens += c.rereadTokens
 	f.stats.FetchedTokens += c.fetchedTokens
 	f.stats.CachedTokens += c.cachedTokens
+	if t.unresponsive {
+		f.recordTrial(now, req.Host)
+	}
 	t.addGrant(now, ag)
 	if f.active == nil {
 		f.active = make(map[GrantNumber]*activeGrant)
@@ -291,6 +294,7 @@
 // no target had capacity for a request, none has for others that need as much.
 func (f *Fleet) Tick(now fleet.Instant) []Decision {
 	f.expireGrants(now)
+	f.forgetObservers(now)
 	f.settleCrashes(now)
 	slices.SortStableFunc(f.queue, func(a, b *queuedRequest) int {
 		return cmp.Or(cmp.Compare(a.req.Rank, b.req.Rank), cmp.Compare(a.order(), b.order()), cmp.Compare(a.expires, b.expires))
