--- a/hibiscusfront/internal/gateway/gateway.go
+++ b/hibiscusfront/internal/gateway/gateway.go
@@ -79,6 +79,9 @@
 	// RecordUnsigned counts a response that was not accepted because it has a success
 	// status and no signature, by the service of its target.
 	RecordUnsigned(service route.ServiceID)
+	// RecordReplacedStart records that a run began on weights that had been replaced for the
+	// given time, as far as this host knows.
+	RecordReplacedStart(workspace fleet.WorkspaceID, route string, replacedFor time.Duration)
 	// RecordEnd records the result of a request, with the time to the first part
 	// of the response and the total time. The first part of a stream is its first
 	// event or bytes, that of another response its body, or the start of a long
@@ -116,6 +119,7 @@
 	expiresAt   time.Time // the earlier of the ends of the caller's Deadline and the route's Timeout
 
 	tried   []fleet.TargetID
+	sentAt  time.Time     // when the current attempt began, its connection included
 	sends   int           // number of targets that may have run the request
 	outcome fleet.Outcome // Unknown once a target may have run the request
 	// firstByte is, for streams, the time until the first event or bytes arrived,
@@ -284,6 +288,8 @@
 		if refusal := c.contextRefusal(); refusal != nil {
 			return refusal
 		}
+		// The body may have taken long to arrive, or an attempt to fail.
+		c.view = c.View()
 		choiceStart := time.Now()
 		decision := c.Chooser.Choose(c.ctx, c.view, c.planRequest())
 		c.Meter.RecordChoice(c.workspaceID(), c.route.Name, time.Since(choiceStart))
@@ -291,6 +297,13 @@
 			decision.Refusal.Outcome = c.outcome
 			return decision.Refusal
 		}
+		if target := decision.Grant.Target; c.View().Excludes(target) {
+			// A choice takes long if neither a planner nor a deputy answers.
+			c.Chooser.Report(decision.Grant, plan.Rejected)
+			c.Log.Info().Str("Request", c.ID.ForLog()).Str("Target", string(target)).Str("Planner", string(decision.Grant.By)).
+				Msg("grant given back: the target has left or its data centre was evacuated since the choice began")
+			continue
+		}
 		retry, refusal := c.try(decision.Grant)
 		if !retry {
 			return refusal
@@ -301,7 +314,6 @@
 		if c.outcome != fleet.OutcomeNotRun && !c.mayRepeat() {
 			return &fleet.RefusalError{Reason: fleet.ReasonTargetFailed, Outcome: fleet.OutcomeUnknown}
 		}
-		c.view = c.View()
 	}
 }
 
