Ingress: a connection that ends inside a head releases its memory

The hold of a head was released at the end of its handler. A head that is refused, that its client leaves, or that does not end in time never has one: its bytes stayed in the budget, and the connection in the list of those that can be evicted, until another head or body needed the room and the hold had stood still for a second. For that second, later heads were refused for bytes that nobody held, and a host that is not short of memory kept the closed connections for good.

The connection releases the hold when it refuses the head, and when the server says that it is closed; both happen in the goroutine that reads it.

TestHeadsThatEndReleaseTheirMemory failed before in all three cases (closed by the client, refused, not ended in time: the budget was still in use 2 s later), and passes now; ingress and host pass with -race.

--- a/hibiscusfront/internal/ingress/conn.go
+++ b/hibiscusfront/internal/ingress/conn.go
@@ -139,6 +139,7 @@
 // head for a malformed one, and answer that.
 func (c *Conn) refuseHead() error {
 	c.listener.headsRefused.Add(1)
+	c.hold.Release()
 	_ = c.Close()
 	return &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: &holding.SpentError{Limit: c.listener.Budget.Limit(), Wanted: fleet.Bytes(c.headCost())}}
 }
@@ -202,11 +203,16 @@
 	return blocked, blocked > 0 && now.Sub(time.Unix(0, blocked)) >= slowReadTime
 }
 
-// Record is the ConnState hook of the server: the next request may come.
+// Record is the ConnState hook of the server: the next request may come, or none.
 func Record(conn net.Conn, state http.ConnState) {
-	if c, ok := conn.(*Conn); ok && state == http.StateIdle {
+	c, ok := conn.(*Conn)
+	switch {
+	case !ok:
+	case state == http.StateIdle:
 		c.active.Store(time.Now().UnixNano())
 		c.phase.Store(int32(waiting))
+	case state == http.StateClosed:
+		c.hold.Release() // of a head that did not end
 	}
 }
 
--- a/hibiscusfront/internal/ingress/served_test.go
+++ b/hibiscusfront/internal/ingress/served_test.go
@@ -175,6 +175,39 @@
 	}
 }
 
+// TestHeadsThatEndReleaseTheirMemory guards against a budget that stays spent by connections that are closed:
+// heads that came later were refused for those that had been refused, or that their clients had left half sent.
+func TestHeadsThatEndReleaseTheirMemory(t *testing.T) {
+	const limit = 1 << 20
+	half := "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\n", 3000)
+	for _, test := range []struct {
+		name string
+		end  func(t *testing.T, s *server, conn net.Conn)
+	}{
+		{"closed by the client", func(_ *testing.T, _ *server, conn net.Conn) { _ = conn.Close() }},
+		{"refused", func(t *testing.T, s *server, conn net.Conn) {
+			_, err := io.WriteString(conn, strings.Repeat("a:\n", 2000))
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return s.Counts().HeadsRefused == 1 }, 10*time.Second, time.Millisecond)
+		}},
+		{"not ended in time", func(t *testing.T, _ *server, conn net.Conn) {
+			status, _ := answer(conn)
+			require.Zero(t, status)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			s := startServer(t, 0, limit)
+			conn := s.dial(t)
+			_, err := io.WriteString(conn, half)
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return s.budget.Used() > limit/2 }, 2*time.Second, time.Millisecond)
+			test.end(t, s, conn)
+			require.Eventually(t, func() bool { return s.budget.Used() == 0 }, 2*time.Second, time.Millisecond)
+		})
+	}
+}
+
 // TestRequestsInTurnDrawOnNothing guards against ordinary requests that are refused when long ones have spent
 // the budget: lines of a body that came with its head counted as lines of the head. What was sent before must not
 // count for the next request either.
