--- a/hibiscusfront/internal/gateway/gateway_test.go
+++ b/hibiscusfront/internal/gateway/gateway_test.go
@@ -19,6 +19,7 @@
 	"hibiscuslb/hibiscusfront/internal/backend"
 	"hibiscuslb/hibiscusfront/internal/departure"
 	"hibiscuslb/hibiscusfront/internal/gateway"
+	"hibiscuslb/hibiscusfront/internal/ingress"
 	"hibiscuslb/hibiscusfront/internal/testlog"
 	"hibiscuslb/hibiscusfront/internal/view"
 )
@@ -73,10 +74,13 @@
 		Workspaces: []route.Workspace{{ID: "w", Keys: []route.Key{"k"}}},
 	})
 	b.table.Store(table)
-	front := httptest.NewServer(&gateway.Gateway{
+	front := httptest.NewUnstartedServer(ingress.Handler(&gateway.Gateway{
 		View: func() *view.View { return &view.View{Table: b.table.Load()} }, Chooser: b.scriptedChooser, Pool: new(backend.Pool),
 		Meter: &b.meter, Log: b.log.Logger(), Departure: new(departure.Departure),
-	})
+	}))
+	front.Listener = &ingress.Listener{Listener: front.Listener}
+	front.Config.ConnState, front.Config.ConnContext = ingress.Record, ingress.ConnContext
+	front.Start()
 	t.Cleanup(front.Close)
 	b.url = front.URL
 	return b
