Gateway: a broken answer ends with a reset for callers of HTTP/1.0

A caller of HTTP/1.0 gets answers without chunks, and a stream without a length: the close of its connection ends it. The gateway closes the connection to mark an answer as truncated, which such a caller takes for the end of a whole answer.

The connection of such a caller is now reset in this case. A caller of HTTP/1.1 sees that the last chunk is missing, and gets the orderly close as before, which can't take bytes back that are on their way.

The tests of answers that break off now run for both versions.

--- a/hibiscusfront/internal/gateway/broken_test.go
+++ b/hibiscusfront/internal/gateway/broken_test.go
@@ -117,7 +117,7 @@
 				}
 				begins := answerRaw(cut, reset)
 				for answer, text := range next {
-					for _, version := range []string{"1.1"} {
+					for _, version := range []string{"1.1", "1.0"} {
 						t.Run(fmt.Sprintf("%s/%s/reset %t/%s/%s", framing, name, reset, answer, version), func(t *testing.T) {
 							t.Parallel()
 							b := startGateway(t, route.Route{Kind: route.Streaming, Resumable: true, Attempts: 2}, begins, answerRaw(text, reset))
@@ -183,7 +183,7 @@
 				if test.resetOnly && !reset {
 					continue // a whole answer
 				}
-				for _, version := range []string{"1.1"} {
+				for _, version := range []string{"1.1", "1.0"} {
 					t.Run(fmt.Sprintf("%s/%v %t %d/reset %t/%s", name, r.Kind, r.Resumable, r.Attempts, reset, version), func(t *testing.T) {
 						t.Parallel()
 						b := startGateway(t, r.Route, answerRaw(test.text, reset), r.next)
--- a/hibiscusfront/internal/gateway/refusal.go
+++ b/hibiscusfront/internal/gateway/refusal.go
@@ -33,7 +33,11 @@
 	c.outcome = refusal.Outcome
 	if c.headerSent || refusal.Reason == fleet.ReasonCallerDisconnected {
 		// The caller has received part of a response, or has disconnected. Aborting
-		// the connection is the only way to mark the response as truncated.
+		// the connection is the only way to mark the response as truncated. To a caller
+		// without chunks, an orderly close is the end of a complete response.
+		if !c.r.ProtoAtLeast(1, 1) {
+			ingress.ResetAtEnd(c.r)
+		}
 		c.recordEnd()
 		panic(http.ErrAbortHandler)
 	}
--- a/hibiscusfront/internal/ingress/conn.go
+++ b/hibiscusfront/internal/ingress/conn.go
@@ -216,6 +216,18 @@
 	}
 }
 
+// ResetAtEnd makes the connection of a request end with a reset, and not with an orderly close, if it came through
+// a Listener.
+func ResetAtEnd(r *http.Request) {
+	c := connOf(r)
+	if c == nil {
+		return
+	}
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails if the client has reset it
+	}
+}
+
 type connKey struct{}
 
 // ConnContext is the ConnContext hook of the server.
