Gateway: the fixture of the tests has a client of its own

TestUnsignedSuccessIsNotRelayed runs its cases side by side. One of them failed in 2 calls of go test with 40 and 60 runs each under -race, of 9 such calls: "http: CloseIdleConnections called". httptest.Server.Close closes the idle connections of the default client, that of a case beside it at times just as a request is about to use it. The message of the first failure was not kept.

Each fixture has a client now. Seen too rarely to be shown mended: 480 runs failed in none, before (after the failures) and after.

--- a/hibiscusfront/internal/gateway/gateway_test.go
+++ b/hibiscusfront/internal/gateway/gateway_test.go
@@ -40,6 +40,7 @@
 type fixture struct {
 	*scriptedChooser
 	url      string
+	client   http.Client
 	log      testlog.Lines
 	received chan http.Header // request headers that targets received
 	meter    unsignedCounter
@@ -83,6 +84,10 @@
 	front.Start()
 	t.Cleanup(front.Close)
 	b.url = front.URL
+	// A server that is closed by a test beside this one closes the idle connections of the default client.
+	transport := new(http.Transport)
+	b.client.Transport = transport
+	t.Cleanup(transport.CloseIdleConnections)
 	return b
 }
 
@@ -111,7 +116,7 @@
 	for name, value := range headers {
 		request.Header.Set(name, value)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := b.client.Do(request)
 	if err != nil {
 		return 0, nil, "", err
 	}
