Planner: an engine that was silent gets work again sooner

An engine that falls silent for 1.2 s misses a poll for events and gets no new work, as it should. When it goes on it has no events, so it answers the waiting poll only after the 400 ms that the poll asks for, and polls of 800 ms begin every second: the one under way may end just before. A sound engine thus stayed without work for up to 1.0 s after its silence.

A poll after one that failed asks for 200 ms (the shortest that is not priced as a probe). By the times of the polls, the engine has work 0.6 s later at most.

--- a/hibiscusfront/internal/planner/watch.go
+++ b/hibiscusfront/internal/planner/watch.go
@@ -21,6 +21,9 @@
 	// answered by then, plus the margin that TargetClient.WatchCache adds, gets no
 	// new work.
 	eventPollTimeout = 400 * time.Millisecond
+	// repeatedPollTimeout is the same for a call after one that failed. An engine that was silent for a moment
+	// and goes on has no events, and answers after that time.
+	repeatedPollTimeout = 200 * time.Millisecond
 	// retryPause is the pause after a call for events that failed.
 	retryPause = 200 * time.Millisecond
 	// maxClockStep is how far one reading may lower the estimated offset of the
@@ -112,12 +115,15 @@
 func (p *Planner) poll(ctx context.Context, address fleet.Address, handle func(now fleet.Instant, e platform.CacheEvents, restarted bool), fail func(now fleet.Instant, err error)) {
 	var since, incarnation uint64
 	first := true
+	wait := eventPollTimeout
 	for ctx.Err() == nil {
-		events, err := p.Targets.WatchCache(ctx, address, since, eventPollTimeout)
+		events, err := p.Targets.WatchCache(ctx, address, since, wait)
 		if ctx.Err() != nil {
 			return
 		}
+		wait = eventPollTimeout
 		if err != nil {
+			wait = repeatedPollTimeout
 			p.enqueue(ctx, func(now fleet.Instant) { fail(now, err) })
 			if !task.Sleep(ctx, retryPause) {
 				return
