Plan: an answer shows that a silent engine goes on

An engine that has not answered a poll for events got no new work until it answered one, although hosts reported pieces of its answers meanwhile. Any piece or end of an answer that is reported later than 100 ms after the poll failed now ends that; an earlier one may have crossed the poll. An engine that counts as crashed is not revived by an answer to a request from before.

TestSilentEngineGoesOn: before, the engine had no work after a first piece and after the end of an answer 1.2 s later (2 of 4 cases failed); now all pass. In each case no crash was counted and no request withheld, before and after: silence alone is none. TestReportOfCrashedEngineDoesNotReviveIt passed from the start.

--- a/fleet/plan/target.go
+++ b/fleet/plan/target.go
@@ -33,7 +33,7 @@
 	failureShare      float64       // moving average of the share of answers that failed
 	pausedUntil       fleet.Instant // gets no requests before
 	pauseTime         time.Duration // the last pause; the next is twice as long
-	unresponsive      bool          // does not answer long polls for events
+	unresponsive      bool          // has not answered a long poll for events, nor a request since
 	unresponsiveSince fleet.Instant // first failed poll since the last answer
 	crashed           bool          // has crashed since it last answered, at crashedAt
 	crashedAt         fleet.Instant
@@ -66,6 +66,8 @@
 	// requests; the pause doubles up to maxPause.
 	minPause = 200 * time.Millisecond
 	maxPause = 2 * time.Second
+	// reportTime is the time within which hosts usually report a piece of an answer.
+	reportTime = 100 * time.Millisecond
 )
 
 // update sets the target's roster entry.
@@ -238,10 +240,14 @@
 	}
 }
 
-// markReachable ends a pause, since the target has answered.
+// markReachable ends a pause, since the target has answered. An answer also shows that an engine goes on that
+// was silent for a while, unless its report may have crossed the poll that failed.
 func (t *target) markReachable(now fleet.Instant) {
 	t.pauseTime = 0
 	t.pausedUntil = min(t.pausedUntil, now)
+	if !t.crashed && now.Sub(t.unresponsiveSince) > reportTime {
+		t.unresponsive = false
+	}
 }
 
 // pause excludes a target that could not be reached from new requests for a while.
@@ -262,7 +268,7 @@
 }
 
 // MarkUnresponsive records that a target has not answered a long poll for events.
-// It gets no new requests until it answers.
+// It gets no new requests until it answers a poll or a request.
 func (f *Fleet) MarkUnresponsive(now fleet.Instant, id fleet.TargetID) {
 	t, ok := f.targets[id]
 	if !ok || t.unresponsive {
