Plan: an engine that falls silent after a broken answer has not crashed

An engine counted as crashed if one of its answers ended early within a second of a poll that it left unanswered. A sound engine may fall silent for a second, and one of its answers may be cut by a fault of its own; the requests that were at it then became suspects, and sound ones come nearer to being withheld. Silence alone was never a crash.

The planner now tries a connection to an engine that shows both signs, as it does to targets of plain services, and notes the crash when the engine refuses it. A silent engine accepts connections, one that has crashed does not. The crash is noted some milliseconds later than before.

TestSilentEngineHasNotCrashed, with real sockets: before, the silent engine counted as crashed in 3 of 3 runs; now 0 of 5 with -race, and the crashed one counts in all. TestSilenceAfterEarlyEndIsNoCrash failed in its 4 cases, now in none.

Tests changed: crashingFleet of withhold_test.go answers the probes as crashingService does (its engines that ended refuse them), and TestAnswerUnderWayForLongIsNotChargedWithCrash has its engine refuse the probe. What they demand is the same.

--- a/fleet/plan/crash.go
+++ b/fleet/plan/crash.go
@@ -16,11 +16,10 @@
 // crashed, and withholds what comes again, see package quarantine.
 //
 // A crash shows in two ways, in any order: answers of the target end early, as hosts report,
-// and the target is gone. An engine that is gone no longer answers the planner's poll for
-// events; a target of a plain service, which is not polled, refuses connections. Requests
-// may avoid it, so the planner tries a connection itself, once after an early end. An early end
-// alone may be a fault of the answer or of a link, and a target that stops to answer may be
-// slow or cut off.
+// and the target is gone: it refuses connections. Requests may avoid it, so the planner tries a
+// connection itself, once after an early end. An engine, which is polled for events, must have
+// left a poll unanswered, too. An early end alone may be a fault of the answer or of a link, and
+// a target that stops to answer may be slow, silent for a moment or cut off.
 const (
 	// crashWindow is the longest time between the early end of an answer and the first
 	// poll or connection that fails. A poll fails at once if its connection is closed; a new one
@@ -43,7 +42,7 @@
 // crash is an engine's crash whose suspects are to be recorded.
 type crash struct {
 	target *target
-	at     fleet.Instant // when it was noticed
+	at     fleet.Instant // when it was noticed, or suspected
 }
 
 // recordEarlyEnd notes that the answer to a grant's request ended early.
@@ -57,14 +56,39 @@
 	if t.service != nil && !t.isEngine() {
 		t.probeDue, f.probesDue = true, true
 	}
-	if t.unresponsive && now.Sub(t.unresponsiveSince) <= crashWindow || t.refused && now.Sub(t.refusedAt) <= crashWindow {
+	if t.refused && now.Sub(t.refusedAt) <= crashWindow {
 		f.noteCrash(now, t)
 	}
+	f.probeSuspect(t)
 }
 
-// recordRefusal notes that a target of a plain service refused a connection.
+// probeSuspect has a connection tried to an engine that may have crashed.
+func (f *Fleet) probeSuspect(t *target) {
+	if _, suspect := t.suspectSince(); suspect && !t.crashed {
+		t.probeDue, f.probesDue = true, true
+	}
+}
+
+// suspectSince reports whether an engine has left a poll unanswered and broken an answer off within
+// crashWindow, and the later of both instants.
+func (t *target) suspectSince() (since fleet.Instant, suspect bool) {
+	if !t.unresponsive || len(t.earlyEnds) == 0 {
+		return 0, false
+	}
+	ended := t.earlyEnds[len(t.earlyEnds)-1].Ended
+	since = max(ended, t.unresponsiveSince)
+	return since, since.Sub(min(ended, t.unresponsiveSince)) <= crashWindow
+}
+
+// recordRefusal notes that a target refused a connection.
 func (f *Fleet) recordRefusal(now fleet.Instant, t *target) {
-	if t.service == nil || t.isEngine() {
+	if t.service == nil {
+		return
+	}
+	if t.isEngine() {
+		if since, suspect := t.suspectSince(); suspect {
+			f.noteCrash(since, t)
+		}
 		return
 	}
 	t.refused, t.refusedAt = true, now
--- a/fleet/plan/silent_test.go
+++ b/fleet/plan/silent_test.go
@@ -1,6 +1,7 @@
 package plan_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -64,6 +65,42 @@
 	const crashed = 500 * time.Millisecond
 	f.Report(at(crashed), plan.Report{Number: grants[0].Number, Progress: plan.Failed})
 	f.MarkUnresponsive(at(crashed), engines(1)[0].ID)
+	f.RecordProbe(at(crashed), engines(1)[0].ID, false)
 	f.Report(at(crashed+second), plan.Report{Number: grants[1].Number, Progress: plan.Started})
 	require.Zero(t, f.UsableTargets(at(crashed+second), engineService))
 }
+
+// TestSilenceAfterEarlyEndIsNoCrash guards against an engine that falls silent just after one of its answers ended
+// early by a fault of its own, and counts as crashed. It accepts connections; an engine that has crashed does not.
+func TestSilenceAfterEarlyEndIsNoCrash(t *testing.T) {
+	for name, accepts := range map[string]bool{"silent": true, "crashed": false} {
+		for _, pollFirst := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/poll first %t", name, pollFirst), func(t *testing.T) {
+				f := newFleet(t, engines(1))
+				id := engines(1)[0].ID
+				g := mustGrant(t, f, at(0), newRequest(second, filePrompt("a")...))
+				const first, next = 500 * time.Millisecond, 900 * time.Millisecond
+				fail := func() { f.Report(at(first), plan.Report{Number: g.Number, Progress: plan.Failed}) }
+				if pollFirst {
+					f.MarkUnresponsive(at(first), id)
+					fail()
+				} else {
+					fail()
+					require.Empty(t, f.DueProbes(), "an early end alone needs no probe of an engine")
+					f.MarkUnresponsive(at(next), id)
+				}
+				probes := f.DueProbes()
+				require.Len(t, probes, 1)
+				require.Equal(t, id, probes[0].Target)
+				require.Empty(t, f.DueProbes())
+				f.RecordProbe(at(next), id, accepts)
+				f.Tick(at(next + second))
+				want := uint64(1)
+				if accepts {
+					want = 0
+				}
+				require.EqualValues(t, want, f.Stats().Crashes)
+			})
+		}
+	}
+}
--- a/fleet/plan/target.go
+++ b/fleet/plan/target.go
@@ -276,9 +276,7 @@
 	}
 	t.unresponsive, t.unresponsiveSince = true, now
 	f.recordLoss(now, t)
-	if t.endedEarly(now) {
-		f.noteCrash(now, t)
-	}
+	f.probeSuspect(t)
 }
 
 // slidingWindow counts events within a time span that ends now.
--- a/fleet/plan/withhold_test.go
+++ b/fleet/plan/withhold_test.go
@@ -20,8 +20,8 @@
 
 // crashingFleet plays callers and engines against a plan. An engine crashes a moment
 // after it begins to write an answer to a prompt with a bad part. All its answers then
-// end early, it stops to answer the planner, its entry goes three heartbeats later, and
-// another engine starts at its address.
+// end early, it stops to answer the planner and refuses connections, its entry goes three
+// heartbeats later, and another engine starts at its address.
 type crashingFleet struct {
 	t       *testing.T
 	random  *rand.Rand
@@ -99,6 +99,9 @@
 				c.events = append(c.events, e)
 			}
 		}
+		for _, probe := range c.plan.DueProbes() {
+			c.after(now, 5*time.Millisecond, func(now time.Duration) { c.plan.RecordProbe(at(now), probe.Target, !c.ended[probe.Target]) })
+		}
 		arrive(now)
 		for _, decision := range c.plan.Tick(at(now)) {
 			c.decided(now, decision)
@@ -372,6 +375,8 @@
 		now += second
 		f.Report(at(now), plan.Report{Number: g.Number, Progress: plan.Failed})
 		f.MarkUnresponsive(at(now), "i")
+		require.Len(t, f.DueProbes(), 1)
+		f.RecordProbe(at(now), "i", false)
 		f.Tick(at(now + second))
 		f.MarkResponsive(at(now+second), "i")
 	}
--- a/hibiscusfront/internal/planner/calls.go
+++ b/hibiscusfront/internal/planner/calls.go
@@ -54,7 +54,7 @@
 	}
 }
 
-// probe tries a connection to a target of a plain service on which an answer ended early.
+// probe tries a connection to a target that may have crashed, since an answer ended early.
 func (p *Planner) probe(ctx context.Context, probe plan.Probe) {
 	err := p.Targets.Probe(ctx, probe.Address)
 	p.Log.Info().AnErr("Cause", err).Str("Target", string(probe.Target)).Str("Address", string(probe.Address)).Bool("Accepted", err == nil).
--- a/hibiscusfront/internal/planner/silent_test.go
+++ b/hibiscusfront/internal/planner/silent_test.go
@@ -12,7 +12,10 @@
 	"github.com/stretchr/testify/require"
 
 	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/plan"
+	"hibiscuslb/fleet/prompt"
 	"hibiscuslb/fleet/roster"
+	"hibiscuslb/hibiscusfront/internal/testlog"
 )
 
 // A pausingEngine answers calls for events after their wait, and not while it is silent.
@@ -84,3 +87,46 @@
 	require.Zero(t, p.Stats().Crashes)
 	require.Empty(t, p.Quarantine())
 }
+
+// TestSilentEngineHasNotCrashed has an answer of an engine end early just before the engine falls silent, or crashes.
+func TestSilentEngineHasNotCrashed(t *testing.T) {
+	for name, crashed := range map[string]bool{"silent": false, "crashed": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var engine pausingEngine
+			server := httptest.NewServer(&engine)
+			t.Cleanup(server.Close)
+			target := roster.Target{
+				ID: "e", Address: fleet.Address(strings.TrimPrefix(server.URL, "http://")), Models: []roster.Model{{ID: "m", Version: 1}},
+			}
+			d := new(testPermissions)
+			d.holds.Store(true)
+			ctx, p, lines := startPlanner(t, d)
+			p.SetPlanning(ctx, 7, true)
+			p.SetView(ctx, engineView(target))
+			decision, err := p.Plan(ctx, &plan.Request{
+				ID: "1", Host: "other", Service: "lm", Objective: time.Second, Deadline: 5 * time.Second,
+				Prompt: &prompt.Prompt{Model: "m", Parts: []prompt.Part{{ID: "own", Tokens: 10}}, Input: 10, Output: 1},
+			}, false)
+			require.NoError(t, err)
+			require.NotNil(t, decision.Grant, "%v", decision.Refusal)
+			if crashed {
+				server.CloseClientConnections()
+				server.Listener.Close()
+			} else {
+				engine.mu.Lock()
+				engine.silentUntil = time.Now().Add(1200 * time.Millisecond)
+				engine.mu.Unlock()
+				time.Sleep(200 * time.Millisecond)
+			}
+			p.Report(ctx, []plan.Report{{Number: decision.Grant.Number, Progress: plan.Failed}})
+			lines.Require(t, "tried a connection to a target, since an answer ended early", testlog.Line{"Target": "e", "Accepted": !crashed})
+			time.Sleep(500 * time.Millisecond)
+			want := 0
+			if crashed {
+				want = 1
+			}
+			require.EqualValues(t, want, p.Stats().Crashes)
+		})
+	}
+}
