--- a/fleet/plan/target.go
+++ b/fleet/plan/target.go
@@ -42,6 +42,7 @@
 	refusedAt         fleet.Instant
 	lastFirstPiece    fleet.Instant            // when the last first piece was reported
 	earlyEnds         []earlyEnd               // of requests, within crashWindow
+	witnesses         [2]witness               // its latest successes with two observers
 	loadedVersions    map[fleet.ModelID]uint64 // weights that it is known to have before its roster entry shows them
 
 	acceptedOrders  uint64        // number of load orders that the engine has accepted since its start
@@ -66,8 +67,6 @@
 	// requests; the pause doubles up to maxPause.
 	minPause = 200 * time.Millisecond
 	maxPause = 2 * time.Second
-	// reportTime is the time within which hosts usually report a piece of an answer.
-	reportTime = 100 * time.Millisecond
 )
 
 // update sets the target's roster entry.
@@ -95,7 +94,12 @@
 
 // usable reports whether the target may be given new requests.
 func (t *target) usable(now fleet.Instant) bool {
-	return !t.leaves() && !t.evacuated && !t.removed && !t.unresponsive && now >= t.pausedUntil && t.service != nil && t.service.spec != nil
+	return !t.unresponsive && t.open(now)
+}
+
+// open reports whether the target may be given new requests, as far as is known but from polls.
+func (t *target) open(now fleet.Instant) bool {
+	return !t.leaves() && !t.evacuated && !t.removed && now >= t.pausedUntil && t.service != nil && t.service.spec != nil
 }
 
 // leaves reports whether the target leaves, as its entry or its answers say.
@@ -240,14 +244,10 @@
 	}
 }
 
-// markReachable ends a pause, since the target has answered. An answer also shows that an engine goes on that
-// was silent for a while, unless its report may have crossed the poll that failed.
+// markReachable ends a pause, since the target has answered.
 func (t *target) markReachable(now fleet.Instant) {
 	t.pauseTime = 0
 	t.pausedUntil = min(t.pausedUntil, now)
-	if !t.crashed && now.Sub(t.unresponsiveSince) > reportTime {
-		t.unresponsive = false
-	}
 }
 
 // pause excludes a target that could not be reached from new requests for a while.
@@ -264,6 +264,19 @@
 	if t, ok := f.targets[id]; ok {
 		t.unresponsive, t.crashed = false, false
 		t.markReachable(now)
+		f.recordReached(now, polls, t)
+	}
+}
+
+// recordAnswered records that an engine has answered a request. If it was silent it goes on, unless the
+// report may have crossed the poll that failed. Of an engine among many that do not answer polls,
+// observers decide.
+func (f *Fleet) recordAnswered(now fleet.Instant, t *target) {
+	if !t.unresponsive || t.crashed || now.Sub(t.unresponsiveSince) <= reportSpread {
+		return
+	}
+	if o := f.observers[polls]; o == nil || len(o.failed) < cutOffTargets {
+		t.unresponsive = false
 	}
 }
 
@@ -276,6 +289,7 @@
 	}
 	t.unresponsive, t.unresponsiveSince = true, now
 	f.recordLoss(now, t)
+	f.confirmFailures(t)
 	f.probeSuspect(t)
 }
 
--- a/hibiscusfront/internal/control/heartbeats.go
+++ b/hibiscusfront/internal/control/heartbeats.go
@@ -26,6 +26,7 @@
 		if c.members.recordHeartbeat(now, heartbeat.Host.ID, heartbeat.Leaving) {
 			c.publish()
 		}
+		c.members.setCutOff(heartbeat.Host.ID, heartbeat.CutOff)
 		if heartbeat.Follows {
 			c.lastFollower = now
 		}
@@ -43,7 +44,7 @@
 		}
 		c.fetchNewer(heartbeat.Host.Peers, heartbeat.Revisions)
 	}) {
-		return reply, ctx.Err()
+		return wire.HeartbeatReply{}, ctx.Err() // the reply may still be written
 	}
 	return reply, nil
 }
@@ -83,7 +84,7 @@
 		}
 		reply.All, reply.Content = packed.all, packed.content
 	}) {
-		return reply, ctx.Err()
+		return wire.ChangesReply{}, ctx.Err() // the reply may still be written
 	}
 	return reply, err
 }
@@ -158,7 +159,7 @@
 func (c *Control) heartbeat(now fleet.Instant) wire.Heartbeat {
 	return wire.Heartbeat{
 		Host: c.Self, Leaving: c.leaving, Follows: c.follows(now), Revisions: c.revisions(), Duty: c.duty.Record(), Revision: c.duty.Revision(),
-		Roll: c.members.plannerVersion,
+		Roll: c.members.plannerVersion, CutOff: c.cutOff(),
 	}
 }
 
