--- a/fleet/plan/observer_test.go
+++ b/fleet/plan/observer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -128,6 +129,7 @@
 				c.events = append(c.events, e)
 			}
 		}
+		c.probe(now)
 		for i := range 9 {
 			if now%(40*time.Millisecond) == time.Duration(i%4)*10*time.Millisecond {
 				c.ask(now, fleet.HostID(fmt.Sprint("h", i)))
@@ -141,6 +143,18 @@
 	}
 }
 
+// probe answers the planner's probes of engines. A planner that is cut off makes none.
+func (c *cutFleet) probe(now time.Duration) {
+	for _, probe := range c.plan.DueProbes() {
+		engine := slices.IndexFunc(c.entries, func(e roster.Target) bool { return e.ID == probe.Target })
+		if c.plan.PollsCutOff() || c.entries[engine].Service != engineService {
+			continue
+		}
+		accepted := !c.parted(now, "", engine)
+		c.after(now, 5*time.Millisecond, func(now time.Duration) { c.plan.RecordProbe(at(now), probe.Target, accepted) })
+	}
+}
+
 func hostIndex(host fleet.HostID) int {
 	i := -1
 	_, _ = fmt.Sscanf(string(host), "h%d", &i)
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -389,6 +389,7 @@
 	switch report.Progress {
 	case Started, Done, Answered, ServerError:
 		f.recordReached(now, ag.req.Host, ag.target)
+		f.recordAnswered(now, ag.target)
 	}
 	switch report.Progress {
 	case Started:
--- a/fleet/plan/target.go
+++ b/fleet/plan/target.go
@@ -34,7 +34,7 @@
 	failureShare      float64       // moving average of the share of answers that failed
 	pausedUntil       fleet.Instant // gets no requests before
 	pauseTime         time.Duration // the last pause; the next is twice as long
-	unresponsive      bool          // does not answer long polls for events
+	unresponsive      bool          // has not answered a long poll for events, nor a request since
 	unresponsiveSince fleet.Instant // first failed poll since the last answer
 	crashed           bool          // has crashed since it last answered, at crashedAt
 	crashedAt         fleet.Instant
@@ -271,8 +271,20 @@
 	}
 }
 
+// recordAnswered records that an engine has answered a request. If it was silent it goes on, unless the
+// report may have crossed the poll that failed. Of an engine among many that do not answer polls,
+// observers decide.
+func (f *Fleet) recordAnswered(now fleet.Instant, t *target) {
+	if !t.unresponsive || t.crashed || now.Sub(t.unresponsiveSince) <= reportSpread {
+		return
+	}
+	if o := f.observers[polls]; o == nil || len(o.failed) < cutOffTargets {
+		t.unresponsive = false
+	}
+}
+
 // MarkUnresponsive records that a target has not answered a long poll for events.
-// It gets no new requests until it answers.
+// It gets no new requests until it answers a poll or a request.
 func (f *Fleet) MarkUnresponsive(now fleet.Instant, id fleet.TargetID) {
 	t, ok := f.targets[id]
 	if !ok || t.unresponsive {
@@ -281,9 +293,7 @@
 	t.unresponsive, t.unresponsiveSince = true, now
 	f.recordLoss(now, t)
 	f.confirmFailures(t)
-	if t.endedEarly(now) {
-		f.noteCrash(now, t)
-	}
+	f.probeSuspect(t)
 }
 
 // slidingWindow counts events within a time span that ends now.
--- a/hibiscusfront/internal/gateway/gateway_test.go
+++ b/hibiscusfront/internal/gateway/gateway_test.go
@@ -19,6 +19,7 @@
 	"hibiscuslb/hibiscusfront/internal/backend"
 	"hibiscuslb/hibiscusfront/internal/departure"
 	"hibiscuslb/hibiscusfront/internal/gateway"
+	"hibiscuslb/hibiscusfront/internal/ingress"
 	"hibiscuslb/hibiscusfront/internal/testlog"
 	"hibiscuslb/hibiscusfront/internal/view"
 )
@@ -41,6 +42,7 @@
 type fixture struct {
 	*scriptedChooser
 	url      string
+	client   http.Client
 	log      testlog.Lines
 	received chan http.Header // request headers that targets received
 	meter    unsignedCounter
@@ -75,12 +77,19 @@
 		Workspaces: []route.Workspace{{ID: "w", Keys: []route.Key{"k"}}},
 	})
 	b.table.Store(table)
-	front := httptest.NewServer(&gateway.Gateway{
+	front := httptest.NewUnstartedServer(ingress.Handler(&gateway.Gateway{
 		View: func() *view.View { return &view.View{Table: b.table.Load()} }, Chooser: b.scriptedChooser, Pool: new(backend.Pool),
 		Meter: &b.meter, Log: b.log.Logger(), Departure: new(departure.Departure),
-	})
+	}))
+	front.Listener = &ingress.Listener{Listener: front.Listener}
+	front.Config.ConnState, front.Config.ConnContext = ingress.Record, ingress.ConnContext
+	front.Start()
 	t.Cleanup(front.Close)
 	b.url = front.URL
+	// A server that is closed by a test beside this one closes the idle connections of the default client.
+	transport := new(http.Transport)
+	b.client.Transport = transport
+	t.Cleanup(transport.CloseIdleConnections)
 	return b
 }
 
@@ -109,7 +118,7 @@
 	for name, value := range headers {
 		request.Header.Set(name, value)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := b.client.Do(request)
 	if err != nil {
 		return 0, nil, "", err
 	}
