--- a/hibiscusfront/internal/control/objects.go
+++ b/hibiscusfront/internal/control/objects.go
@@ -291,14 +291,15 @@
 		known := c.announcements[w.Model]
 		if w.Version > known.Newest() {
 			at := c.announcedAfter(now, o.Revision)
-			missed := max(known.Newest(), firstWeights) + 1
-			if missed < w.Version {
+			first := max(known.Newest(), firstWeights) + 1
+			missed := first < w.Version && !c.weightsRevision.IsZero()
+			if missed {
 				earliest := c.weightsRevision
 				earliest.Number++
-				known = known.Add(missed, c.announcedAfter(now, earliest))
+				known = known.Add(first, c.announcedAfter(now, earliest))
 			}
 			c.announcements[w.Model] = known.Add(w.Version, at)
-			line := c.Log.Info().Str("Model", string(w.Model)).Uint64("Version", w.Version).Bool("Missed", missed < w.Version).
+			line := c.Log.Info().Str("Model", string(w.Model)).Uint64("Version", w.Version).Bool("Missed", missed).
 				Uint64("Revision", uint64(o.Revision.Number)).Dur("PlannerReplyAgo", now.Sub(c.lastPlannerReply)).
 				Dur("StoreAnswerAgo", now.Sub(c.lastStoreAnswer))
 			if at > 0 {
