relay, backend: show to which targets a host has no way

Logs and metrics of a host did not tell "no way to the target from here" from "the target is gone": both were "request not sent: no connection to the target". Each host now keeps what its connections show (fleet/reach), tries lost ways again, counts targets without a way in its State metrics, and logs when it finds itself cut off and when that ends. A connection is opened by backend.Pool.Open, which a test can replace. Nothing is decided by it yet.

--- a/fleet/reach/reach.go
+++ b/fleet/reach/reach.go
@@ -125,6 +125,22 @@
 	return w == nil || !w.lost
 }
 
+// Doubtful reports whether what the host meets at the target says nothing of the target's state: the
+// host seems to be cut off, or it has lost the way while another host reaches the target.
+func (l *Ledger) Doubtful(now fleet.Instant, target fleet.TargetID) bool {
+	if l.Suspects(now) {
+		return true
+	}
+	w := l.ways[target]
+	return w != nil && w.lost && w.relayed >= w.lostAt
+}
+
+// Silent reports whether the way to the target is lost and nothing has come from it since.
+func (l *Ledger) Silent(target fleet.TargetID) bool {
+	w := l.ways[target]
+	return w != nil && w.lost && w.answered < w.lostAt
+}
+
 // Lost returns the number of targets without a direct way, and how many of these another
 // host has reached since the way was lost.
 func (l *Ledger) Lost() (lost, witnessed int) {
@@ -139,6 +155,22 @@
 	return lost, witnessed
 }
 
+// Suspects reports whether the host seems to be cut off, though it may not have tried all targets yet.
+func (l *Ledger) Suspects(now fleet.Instant) bool {
+	suspected, _ := l.suspected(now)
+	return suspected
+}
+
+// AnsweredSince reports whether any target has answered or accepted a connection since the instant.
+func (l *Ledger) AnsweredSince(since fleet.Instant) bool {
+	for _, w := range l.ways {
+		if w.answered >= since {
+			return true
+		}
+	}
+	return false
+}
+
 // CutOff reports whether the host has no way to nearly all targets that it tried lately.
 func (l *Ledger) CutOff(now fleet.Instant) bool {
 	suspected, since := l.suspected(now)
--- a/hibiscusfront/internal/backend/backend.go
+++ b/hibiscusfront/internal/backend/backend.go
@@ -18,7 +18,6 @@
 package backend
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -26,16 +25,12 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
-	"sync"
-	"syscall"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"hibiscuslb/fleet"
-	"hibiscuslb/fleet/holding"
-	"hibiscuslb/hibiscusfront/internal/socket"
 	"hibiscuslb/platform"
 )
 
@@ -97,33 +92,6 @@
 	writeResultTimeout = 5 * time.Millisecond
 )
 
-// A poolKey identifies the connections of one target. It includes the target's
-// ID because the address of an ended target may be reassigned to another one.
-type poolKey struct {
-	target  fleet.TargetID
-	address fleet.Address
-}
-
-// A Pool keeps idle connections to targets. The zero value is empty. It is safe
-// for concurrent use.
-type Pool struct {
-	// Budget bounds what all exchanges keep of answers that are too long; nil for no bound.
-	Budget *holding.Budget
-
-	mu    sync.Mutex
-	idle  map[poolKey][]*conn // the most recently used is the last
-	Dials uint64              // guarded by mu
-}
-
-type conn struct {
-	net.Conn
-	reader    *bufio.Reader // reads from head
-	head      headLimiter
-	sent      []uint64 // hashes of the IDs of all requests sent on the connection
-	idleSince time.Time
-	idleUntil time.Time // when to stop using the idle connection
-}
-
 // An Exchange is a request whose response header was received. Read returns the
 // response body. Close must be called; it closes the connection unless the
 // response was read to its end and passes CheckSignature.
@@ -139,6 +107,19 @@
 	cancelAutoClose func() bool // after it returns true, the end of the context no longer closes conn
 	complete        bool        // the response was read to its end
 	writeResult     chan error
+	sendOnce        bool
+	lastRead        atomic.Int64  // time of the sending or of the latest bytes, in nanoseconds since 1970
+	hung            atomic.Bool   // EndHanging has closed conn
+	relayed         io.ReadCloser // the body, if another host has sent the request; then there is no conn
+}
+
+// RelayedExchange returns the exchange of a request that another host has sent. Closing it closes
+// the body.
+func RelayedExchange(target fleet.TargetID, status int, header http.Header, framing Framing, body io.ReadCloser) *Exchange {
+	return &Exchange{
+		Status: status, Header: header, Answer: platform.DecodeResponseHeaders(status, header), Framing: framing,
+		key: poolKey{target: target}, relayed: body,
+	}
 }
 
 // Send sends the request and returns when the response header was received. The
@@ -156,7 +137,9 @@
 		return nil, &NotSentError{r.Target, err}
 	}
 	c.sent = append(c.sent, idHash(r.ID))
-	e := &Exchange{pool: p, key: k, conn: c, writeResult: make(chan error, 1)}
+	e := &Exchange{pool: p, key: k, conn: c, writeResult: make(chan error, 1), sendOnce: r.SendOnce}
+	e.lastRead.Store(time.Now().UnixNano())
+	p.begin(e)
 	e.cancelAutoClose = context.AfterFunc(ctx, func() { _ = c.Close() }) // closing twice is harmless
 	if r.bodyLen() <= maxInlineBody {
 		e.write(ctx, r)
@@ -164,15 +147,28 @@
 		go e.write(ctx, r)
 	}
 	if err := e.readHeader(r); err != nil {
+		err = e.explain(err)
 		e.Close()
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
 		return nil, &NoResponseError{r.Target, err}
 	}
+	e.lastRead.Store(time.Now().UnixNano())
+	if p.Ways != nil {
+		p.Ways.Answered(k.target)
+	}
 	return e, nil
 }
 
+// explain returns the reason why reading failed.
+func (e *Exchange) explain(err error) error {
+	if e.hung.Load() {
+		return &HangingError{e.key.target}
+	}
+	return err
+}
+
 // write writes the request and sends the result to e.writeResult. With a long body
 // it runs concurrently with the reading, since a target may respond before it
 // has read the body.
@@ -246,15 +242,29 @@
 // Read reads the response body. It returns io.EOF only at the end of a complete
 // response, or, if Framing is FramedByClose, when the target has closed the connection.
 func (e *Exchange) Read(buffer []byte) (int, error) {
+	if e.relayed != nil {
+		return e.relayed.Read(buffer)
+	}
 	n, err := e.response.Body.Read(buffer)
-	if errors.Is(err, io.EOF) {
+	if n > 0 {
+		e.lastRead.Store(time.Now().UnixNano())
+	}
+	switch {
+	case errors.Is(err, io.EOF):
 		e.complete = true
+	case err != nil:
+		err = e.explain(err)
 	}
 	return n, err
 }
 
 // Close ends the exchange and returns the connection to the pool if it can be reused.
 func (e *Exchange) Close() {
+	if e.relayed != nil {
+		_ = e.relayed.Close() // its error is that of the exchange with the other host
+		return
+	}
+	e.pool.end(e)
 	e.conn.head.hold.Release()
 	if !e.cancelAutoClose() || !e.complete || len(e.conn.sent) >= maxConnRequests || e.CheckSignature() != nil || e.response.Close || e.Answer.Close || e.conn.reader.Buffered() > 0 || !e.requestSent() {
 		_ = e.conn.Close() // no more data is expected on it
@@ -281,104 +291,3 @@
 		return false
 	}
 }
-
-func (p *Pool) putIdle(k poolKey, c *conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.idle == nil {
-		p.idle = make(map[poolKey][]*conn)
-	}
-	p.idle[k] = append(p.idle[k], c)
-}
-
-func (p *Pool) connect(ctx context.Context, k poolKey, r *Request) (*conn, error) {
-	for {
-		c := p.takeIdle(k, r.SendOnce)
-		if c == nil {
-			break
-		}
-		if c.usable() && !slices.Contains(c.sent, idHash(r.ID)) {
-			return c, nil
-		}
-		_ = c.Close() // the target has closed it or sent unrequested data, or the ID was sent on it
-	}
-	p.mu.Lock()
-	p.Dials++
-	p.mu.Unlock()
-	dialer := net.Dialer{Timeout: dialTimeout, Control: socket.BoundBuffers}
-	raw, err := dialer.DialContext(ctx, "tcp", string(k.address))
-	if err != nil {
-		return nil, err
-	}
-	c := &conn{Conn: raw, head: headLimiter{conn: raw, hold: holding.Hold{Budget: p.Budget, Free: freeHeadBytes}}}
-	c.reader = bufio.NewReaderSize(&c.head, readBufferSize)
-	return c, nil
-}
-
-// takeIdle removes and returns the most recently used idle connection, or returns
-// nil if the request needs a new one.
-func (p *Pool) takeIdle(k poolKey, sendOnce bool) *conn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := p.idle[k]
-	if len(list) == 0 {
-		return nil
-	}
-	c := list[len(list)-1]
-	now := time.Now()
-	if now.After(c.idleUntil) || sendOnce && now.Sub(c.idleSince) > sendOnceMaxIdle {
-		if !now.After(c.idleUntil) {
-			return nil // still usable for requests that may be repeated
-		}
-		for _, old := range list {
-			_ = old.Close()
-		}
-		delete(p.idle, k)
-		return nil
-	}
-	p.idle[k] = list[:len(list)-1]
-	return c
-}
-
-// usable reports whether an idle connection is open and has no unread data.
-func (c *conn) usable() bool {
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	empty := false
-	err = control.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		empty = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && empty
-}
-
-// Sweep closes connections that have been idle for too long and those of targets
-// that are no longer in use.
-func (p *Pool) Sweep(inUse func(fleet.TargetID) bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := time.Now()
-	for k, list := range p.idle {
-		kept := list[:0]
-		for _, c := range list {
-			if now.After(c.idleUntil) || !inUse(k.target) {
-				_ = c.Close() // idle: no request is lost
-				continue
-			}
-			kept = append(kept, c)
-		}
-		if len(kept) == 0 {
-			delete(p.idle, k)
-			continue
-		}
-		p.idle[k] = kept
-	}
-}
--- a/hibiscusfront/internal/backend/request.go
+++ b/hibiscusfront/internal/backend/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"hibiscuslb/fleet"
 )
@@ -21,6 +22,10 @@
 	// connection that is new or was idle for at most sendOnceMaxIdle: if the
 	// target closes an idle connection just then, the request is lost.
 	SendOnce bool
+	// DialLimit, if set, limits the opening of a connection instead of dialTimeout.
+	DialLimit time.Duration
+	// ExpiresAt is when the request's deadline ends; zero for none.
+	ExpiresAt time.Time
 	// Check is called immediately before the first byte is written; an error prevents that.
 	Check func() error // may be nil
 }
--- a/hibiscusfront/internal/host/host.go
+++ b/hibiscusfront/internal/host/host.go
@@ -28,6 +28,7 @@
 	"hibiscuslb/hibiscusfront/internal/gateway"
 	"hibiscuslb/hibiscusfront/internal/ingress"
 	"hibiscuslb/hibiscusfront/internal/planner"
+	"hibiscuslb/hibiscusfront/internal/relay"
 	"hibiscuslb/hibiscusfront/internal/view"
 	"hibiscuslb/hibiscusfront/internal/wire"
 	"hibiscuslb/platform"
@@ -78,6 +79,7 @@
 	planner  *planner.Planner
 	chooser  *chooser.Chooser
 	gateway  *gateway.Gateway
+	ways     *relay.Ways
 	meter    *meters
 	serving  task.Group
 	// answers bounds what targets' answers to callers' requests make the host keep, and
@@ -133,6 +135,7 @@
 		Meter: h.meter, Log: log, Departure: &h.departure,
 		Clock: h.clock, WeightsBound: settings.Bounds.Weights,
 	}
+	h.newRelays()
 	return h
 }
 
@@ -162,6 +165,7 @@
 	parts.Go(runCtx, h.peers.Run)
 	parts.Go(runCtx, h.planner.Run)
 	parts.Go(runCtx, h.chooser.Run)
+	parts.Go(runCtx, h.ways.Run)
 	parts.Go(runCtx, h.control.Run)
 	parts.Go(runCtx, h.watchSettings)
 	servers, err := h.listen(runCtx)
--- a/hibiscusfront/internal/host/meters.go
+++ b/hibiscusfront/internal/host/meters.go
@@ -150,6 +150,7 @@
 		}
 	}
 	clients := h.countClients()
+	lost, reachedByOthers := h.ways.Lost()
 	v := h.control.View()
 	state := map[string]int64{
 		"Hosts": int64(len(v.Hosts)), "Targets": int64(len(v.Targets)), "Epoch": int64(v.Duty.Epoch),
@@ -160,6 +161,7 @@
 		"RequestBytesLimit": int64(h.requests.Limit()), "ConnectionsLimit": int64(h.limits.Connections),
 		"ConnectionsEvicted": clients.Evicted, "ConnectionsRefused": clients.Refused, "HeadsRefused": clients.HeadsRefused,
 		"BodiesRefused": clients.bodiesRefused, "StalledEvicted": clients.stalled,
+		"TargetsWithoutWay": int64(lost), "TargetsReachedByOthers": int64(reachedByOthers),
 		"ListBytesKept": int64(h.lists.Used()), "ListsOverBudget": h.lists.Refused(),
 	}
 	if v.Table != nil {
