relay: hosts send requests for each other to targets that one of them can't reach

Cause: each request went from the host that its caller chose straight to the target. Each of its requests ran into the time limit of a dial, or hung on a kept connection until its own deadline, and was reported as the target's failure to the planner.

Ruled out: refusing at the cut host (callers of it are served less, whatever the refusal says). Not used: TCP_USER_TIMEOUT, which also ends connections to a target that reads slowly (a window of zero), and keep-alive probes, which find nothing while data is unacknowledged.

Change: a host that has no way to a target, as its ledger knows or a dial of 150 ms shows, asks another host, which sends the request directly and returns the answer in pieces. Two hosts of the data centre first, then any, eight at most; those that are cut off too say so at once. Another way is taken only after the word that nothing was sent. The end of an answer is a part of its own, so that a lost host is no end of it. A target counts as unreachable if a host that reaches others has no way to it either, or if there was none to ask. What may be repeated and hangs on a connection is given up once a second dial has failed, nothing has come from the target since, and for 0.7 s on this connection. What breaks while the host seems to be cut off is not reported as the target's failure. Metrics RequestsRelayed, two log lines.

--- a/fleet/peer/pool.go
+++ b/fleet/peer/pool.go
@@ -61,6 +61,12 @@
 	return c.open(ctx, kind, body)
 }
 
+// Connect makes sure that there is a connection to the host at the address.
+func (p *Pool) Connect(ctx context.Context, address fleet.Address) error {
+	_, err := p.connect(ctx, address)
+	return err
+}
+
 // Call opens an exchange and decodes its first reply into reply. It returns a
 // *ConnectionLostError if the exchange ends without a reply.
 func (p *Pool) Call(ctx context.Context, address fleet.Address, kind Kind, body, reply any) error {
--- a/fleet/reach/reach.go
+++ b/fleet/reach/reach.go
@@ -135,10 +135,19 @@
 	return w != nil && w.lost && w.relayed >= w.lostAt
 }
 
-// Silent reports whether the way to the target is lost and nothing has come from it since.
+// Silent reports whether the way to the target is lost, as a probe has confirmed, and nothing has come from
+// it since. A target that only stands still for a moment accepts the probe.
 func (l *Ledger) Silent(target fleet.TargetID) bool {
 	w := l.ways[target]
-	return w != nil && w.lost && w.answered < w.lostAt
+	return w != nil && w.lost && w.failed > w.lostAt && w.answered < w.lostAt
+}
+
+// LostAt returns when the way to the target was lost, if it is.
+func (l *Ledger) LostAt(target fleet.TargetID) (at fleet.Instant, lost bool) {
+	if w := l.ways[target]; w != nil && w.lost {
+		return w.lostAt, true
+	}
+	return 0, false
 }
 
 // Lost returns the number of targets without a direct way, and how many of these another
@@ -217,7 +226,7 @@
 		switch {
 		case w == nil && !suspicious:
 		case w == nil:
-			w = l.way(target)
+			l.way(target)
 			due = append(due, target)
 		case w.lost && (w.probed == 0 || now.Sub(w.probed) >= w.interval(now, cutOff)):
 			due = append(due, target)
--- a/fleet/reach/reach_test.go
+++ b/fleet/reach/reach_test.go
@@ -130,6 +130,25 @@
 	}
 }
 
+// A target that stands still for a moment does not answer a poll, but accepts the probe after it.
+func TestTargetThatStandsStillIsNotSilent(t *testing.T) {
+	var l reach.Ledger
+	at := fleet.Instant(time.Second)
+	l.Reached(at, "a")
+	l.Reached(at, "b")
+	l.Failed(at.Add(time.Second), "a")
+	require.False(t, l.Silent("a"))
+	require.Equal(t, []fleet.TargetID{"a"}, l.Probes(at.Add(time.Second), []fleet.TargetID{"a", "b"}))
+	l.Reached(at.Add(time.Second+time.Millisecond), "a")
+	require.False(t, l.Silent("a"))
+	require.True(t, l.Direct(at.Add(time.Second+time.Millisecond), "a"))
+	l.Failed(at.Add(2*time.Second), "a")
+	l.Failed(at.Add(3*time.Second), "a")
+	require.True(t, l.Silent("a"))
+	l.Answered(at.Add(3*time.Second+time.Millisecond), "a")
+	require.False(t, l.Silent("a"), "an open connection lives on")
+}
+
 func TestEndedTargetIsProbedSeldomAndForgotten(t *testing.T) {
 	var l reach.Ledger
 	known := []fleet.TargetID{"a", "b", "c", "d"}
--- a/hibiscusfront/internal/backend/pool.go
+++ b/hibiscusfront/internal/backend/pool.go
@@ -97,6 +97,9 @@
 		if p.Ways != nil {
 			p.Ways.Failed(k.target)
 		}
+		if timeout := net.Error(nil); errors.As(err, &timeout) && timeout.Timeout() {
+			p.closeIdle(k)
+		}
 		return nil, &DialError{err}
 	}
 	if p.Ways != nil {
@@ -118,6 +121,17 @@
 	return p.Dial(ctx, address)
 }
 
+// closeIdle closes the idle connections to a target to which no new one can be opened: what was
+// sent on them might be lost.
+func (p *Pool) closeIdle(k poolKey) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[k] {
+		_ = c.Close()
+	}
+	delete(p.idle, k)
+}
+
 // A HangingError reports that an exchange was ended because the way to its target was lost and
 // nothing came from it any more. The target may be up.
 type HangingError struct{ Target fleet.TargetID }
--- a/hibiscusfront/internal/backend/request.go
+++ b/hibiscusfront/internal/backend/request.go
@@ -24,7 +24,7 @@
 	SendOnce bool
 	// DialLimit, if set, limits the opening of a connection instead of dialTimeout.
 	DialLimit time.Duration
-	// ExpiresAt is when the request's deadline ends; zero for none.
+	// ExpiresAt is when the request's deadline ends. A host that sends it for this one ends it then.
 	ExpiresAt time.Time
 	// Check is called immediately before the first byte is written; an error prevents that.
 	Check func() error // may be nil
--- a/hibiscusfront/internal/chooser/chooser.go
+++ b/hibiscusfront/internal/chooser/chooser.go
@@ -284,6 +284,12 @@
 	return c.ledger.Closed(c.Clock(), service, startTimes(v))
 }
 
+// Closed returns the targets of the service to which this host must send nothing.
+func (c *Chooser) Closed(v *view.View, service route.ServiceID) []fleet.TargetID {
+	closed, _ := c.closed(v, service)
+	return closed
+}
+
 // startTimes returns the start times of the view's targets.
 func startTimes(v *view.View) intake.Roster {
 	return func(id fleet.TargetID) (time.Time, bool) {
--- a/hibiscusfront/internal/gateway/attempt.go
+++ b/hibiscusfront/internal/gateway/attempt.go
@@ -26,7 +26,7 @@
 	c.outcome = fleet.OutcomeUnknown
 	limit := c.limitStart(g)
 	defer limit.end()
-	exchange, err := c.Pool.Send(limit.ctx, request)
+	exchange, err := c.send(limit.ctx, request)
 	limit.begun()
 	if err != nil {
 		var notSent *backend.NotSentError
@@ -38,7 +38,7 @@
 		case unsent:
 			c.sends--
 			c.outcome = before
-			progress, message := plan.Unreachable, "request not sent: no connection to the target"
+			progress, message := c.unlessDoubtful(g.Target, err, plan.Unreachable, plan.Rejected), "request not sent: no connection to the target"
 			switch {
 			case withdrawn:
 				progress, message = plan.Rejected, "request withdrawn before it was sent to the target"
@@ -91,7 +91,7 @@
 		c.report(plan.Abandoned)
 		return false, refusal
 	}
-	c.report(plan.Failed)
+	c.report(c.unlessDoubtful(g.Target, err, plan.Failed, plan.Abandoned))
 	message := "no complete response from the target"
 	var unsigned *backend.UnsignedError
 	if errors.As(err, &unsigned) {
@@ -134,7 +134,7 @@
 	}
 	return &backend.Request{
 		ID: c.ID, Target: g.Target, Address: g.Address, Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host,
-		Header: platform.ForwardHeaders(c.r.Header, d), Body: c.body, SendOnce: !c.route.Repeatable(),
+		Header: platform.ForwardHeaders(c.r.Header, d), Body: c.body, SendOnce: !c.route.Repeatable(), ExpiresAt: c.expiresAt,
 		Check: func() error { return c.checkSalt(g) },
 	}
 }
--- a/hibiscusfront/internal/gateway/gateway.go
+++ b/hibiscusfront/internal/gateway/gateway.go
@@ -3,7 +3,8 @@
 // response.
 //
 // The host that a caller is connected to sends the request to the target
-// itself. The planner only selects the target. If the planner does not answer
+// itself, or by way of another host if it can't reach the target (see package
+// relay). The planner only selects the target. If the planner does not answer
 // in time, a deputy selects it, and failing that this host (see package
 // chooser).
 //
@@ -54,6 +55,7 @@
 	View       func() *view.View
 	Chooser    Chooser
 	Pool       *backend.Pool
+	Sender     Sender // nil to send all requests directly, by Pool
 	Meter      Meter
 	Log        zerolog.Logger
 	Clock      fleet.Clock // of the view's instants
--- a/hibiscusfront/internal/host/host.go
+++ b/hibiscusfront/internal/host/host.go
@@ -80,6 +80,8 @@
 	chooser  *chooser.Chooser
 	gateway  *gateway.Gateway
 	ways     *relay.Ways
+	sender   *relay.Sender
+	relays   *relay.Server
 	meter    *meters
 	serving  task.Group
 	// answers bounds what targets' answers to callers' requests make the host keep, and
@@ -350,7 +352,7 @@
 var _ peer.Handler = (*Host)(nil)
 
 // Handle implements peer.Handler.
-func (h *Host) Handle(ctx context.Context, kind peer.Kind, body cbor.RawMessage, _ func(any) error) (any, error) {
+func (h *Host) Handle(ctx context.Context, kind peer.Kind, body cbor.RawMessage, send func(any) error) (any, error) {
 	switch kind {
 	case wire.KindHeartbeat:
 		return peer.ServeUnary(body, func(beat wire.Heartbeat) (wire.HeartbeatReply, error) { return h.control.HandleHeartbeat(ctx, beat) })
@@ -365,8 +367,12 @@
 			planning := h.planner.Report(ctx, r.Reports)
 			return wire.ReportsReply{Planning: planning && h.planner.RecordStarts(ctx, r.Starts)}, nil
 		})
+	case wire.KindRelay:
+		return h.relays.Serve(ctx, body, send)
+	case wire.KindRelayCredit:
+		return peer.ServeUnary(body, h.relays.Credit)
 	default:
-		return nil, fleet.Refuse(fleet.ReasonMalformed, fmt.Sprintf("kind of message is %d, want %d to %d", kind, wire.KindHeartbeat, wire.KindRenew))
+		return nil, fleet.Refuse(fleet.ReasonMalformed, fmt.Sprintf("kind of message is %d, want %d to %d", kind, wire.KindHeartbeat, wire.KindRelayCredit))
 	}
 }
 
--- a/hibiscusfront/internal/host/meters.go
+++ b/hibiscusfront/internal/host/meters.go
@@ -26,6 +26,7 @@
 	storeCalls, planned, state meter.Counter
 	connections                meter.Counter // of callers, that ended
 	rollouts                   meter.Counter
+	relayed                    meter.Counter // requests sent by way of other hosts, or for them
 
 	// refresh copies the metrics that other parts record.
 	refresh func()
@@ -47,6 +48,7 @@
 		connections: meter.Counter{Name: "ConnectionsEnded", Labels: []string{"Phase", "On"}},
 		state:       meter.Counter{Name: "State", Labels: []string{"What"}},
 		rollouts:    meter.Counter{Name: "Rollouts", Labels: []string{"Service", "What"}},
+		relayed:     meter.Counter{Name: "RequestsRelayed", Labels: []string{"For", "Result"}},
 	}
 	for _, c := range m.counters() {
 		m.vars.Set(c.Name, c)
@@ -60,7 +62,7 @@
 
 func (m *meters) counters() []*meter.Counter {
 	return []*meter.Counter{
-		&m.ended, &m.refused, &m.sent, &m.responses, &m.unsigned, m.orders, &m.storeCalls, &m.planned, &m.state, &m.connections, &m.rollouts,
+		&m.ended, &m.refused, &m.sent, &m.responses, &m.unsigned, m.orders, &m.storeCalls, &m.planned, &m.state, &m.connections, &m.rollouts, &m.relayed,
 	}
 }
 
@@ -105,6 +107,15 @@
 // RecordUnsigned implements gateway.Meter.
 func (m *meters) RecordUnsigned(service route.ServiceID) { m.unsigned.Add(1, string(service)) }
 
+// RecordRelay implements relay.Meter.
+func (m *meters) RecordRelay(served bool, result string) {
+	who := "callers"
+	if served {
+		who = "hosts"
+	}
+	m.relayed.Add(1, who, result)
+}
+
 // handler serves the metrics as text on /metrics and as JSON on /debug/vars, the
 // path of package expvar.
 func (m *meters) handler() http.Handler {
--- /dev/null
+++ b/hibiscusfront/internal/relay/relay_test.go
@@ -0,0 +1,398 @@
+package relay_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/intake"
+	"hibiscuslb/fleet/peer"
+	"hibiscuslb/fleet/plan"
+	"hibiscuslb/fleet/roster"
+	"hibiscuslb/fleet/route"
+	"hibiscuslb/hibiscusfront/internal/backend"
+	"hibiscuslb/hibiscusfront/internal/relay"
+	"hibiscuslb/hibiscusfront/internal/view"
+	"hibiscuslb/hibiscusfront/internal/wire"
+)
+
+// A node is what a host has to send requests for others and by way of others.
+type node struct {
+	relay.Sender
+	server  relay.Server
+	ways    relay.Ways
+	pool    backend.Pool
+	peers   peer.Pool
+	parted  atomic.Bool // from all targets
+	closed  []fleet.TargetID
+	leaving atomic.Bool
+	front   *httptest.Server // for other hosts
+	conns   connections      // of other hosts
+
+	mu      sync.Mutex
+	notices []intake.Notice
+	results map[string]int
+}
+
+func (n *node) Handle(ctx context.Context, kind peer.Kind, body cbor.RawMessage, send func(any) error) (any, error) {
+	if kind == wire.KindRelayCredit {
+		return peer.ServeUnary(body, n.server.Credit)
+	}
+	return n.server.Serve(ctx, body, send)
+}
+
+func (n *node) Closed(*view.View, route.ServiceID) []fleet.TargetID { return n.closed }
+
+func (n *node) ObserveNotice(_ *view.View, _ *plan.Grant, notice intake.Notice) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.notices = append(n.notices, notice)
+}
+
+func (n *node) RecordRelay(served bool, result string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.results == nil {
+		n.results = make(map[string]int)
+	}
+	n.results[fmt.Sprint(served, " ", result)]++
+}
+
+// connections keeps the connections that a listener accepts.
+type connections struct {
+	net.Listener
+	mu   sync.Mutex
+	open []net.Conn
+}
+
+func (c *connections) Accept() (net.Conn, error) {
+	conn, err := c.Listener.Accept()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err == nil {
+		c.open = append(c.open, conn)
+	}
+	return conn, err
+}
+
+// die closes the node's connections with other hosts.
+func (n *node) die() {
+	_ = n.conns.Listener.Close()
+	n.conns.mu.Lock()
+	defer n.conns.mu.Unlock()
+	for _, conn := range n.conns.open {
+		_ = conn.Close()
+	}
+}
+
+// startNodes starts hosts that know the target, of which the first has no way to any.
+func startNodes(t *testing.T, count int, target string) []*node {
+	t.Helper()
+	v := &view.View{Targets: []roster.Target{{ID: "t", Service: "s", Address: fleet.Address(target)}}}
+	var nodes []*node
+	for i := range count {
+		n := new(node)
+		n.front = httptest.NewUnstartedServer(&peer.Server{Handler: n})
+		n.conns.Listener = n.front.Listener
+		n.front.Listener = &n.conns
+		n.front.Start()
+		t.Cleanup(n.die)
+		v.Hosts = append(v.Hosts, wire.Host{ID: fleet.HostID(fmt.Sprint("h", i)), Peers: fleet.Address(strings.TrimPrefix(n.front.URL, "http://"))})
+		nodes = append(nodes, n)
+	}
+	v.Freeze()
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for i, n := range nodes {
+		current := func() *view.View { return v }
+		n.ways = relay.Ways{Clock: fleet.MonotonicClock(), View: current, Pool: &n.pool, Log: zerolog.Nop()}
+		n.pool.Ways = &n.ways
+		n.pool.Dial = func(ctx context.Context, address fleet.Address) (net.Conn, error) {
+			if n.parted.Load() {
+				return nil, syscall.ECONNREFUSED
+			}
+			var dialer net.Dialer
+			return dialer.DialContext(ctx, "tcp", string(address))
+		}
+		n.Host, n.View, n.Pool, n.Peers, n.Ways, n.Meter = v.Hosts[i].ID, current, &n.pool, &n.peers, &n.ways, n
+		n.server = relay.Server{View: current, Chooser: n, Pool: &n.pool, Ways: &n.ways, Meter: n, Leaving: n.leaving.Load}
+		running.Go(func() { n.peers.Run(ctx) })
+	}
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	nodes[0].parted.Store(true)
+	require.Eventually(t, func() bool { return nodes[0].peers.Connect(ctx, v.Hosts[count-1].Peers) == nil }, 5*time.Second, time.Millisecond)
+	return nodes
+}
+
+// startTarget starts a target that runs the script for each connection, and counts the requests.
+func startTarget(t *testing.T, script func(conn net.Conn, r *http.Request)) (string, *atomic.Int32) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	var requests atomic.Int32
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				r, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+				requests.Add(1)
+				script(conn, r)
+			}()
+		}
+	}()
+	return listener.Addr().String(), &requests
+}
+
+const head = "HTTP/1.1 200 OK\r\nX-Hibiscuslb-Request-Id: 7\r\nX-Hibiscuslb-Response-Signature: p\r\nServer-Limit: 5\r\n"
+
+func request(target string) *backend.Request {
+	return &backend.Request{
+		ID: "7", Target: "t", Address: fleet.Address(target), Method: http.MethodPost, URI: "/a?b=c", Host: "h.example", SendOnce: true,
+		Header: http.Header{"X-Hibiscuslb-Request-Id": {"7"}, "X-Hibiscuslb-Deadline-Ms": {"9000"}}, Body: [][]byte{[]byte("bo"), []byte("dy")},
+		ExpiresAt: time.Now().Add(2 * time.Second),
+	}
+}
+
+// read sends the request and reads the answer.
+func (n *node) read(ctx context.Context, r *backend.Request) (*backend.Exchange, string, error) {
+	exchange, err := n.Send(ctx, r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer exchange.Close()
+	body, err := io.ReadAll(exchange)
+	return exchange, string(body), err
+}
+
+func TestAnswerArrivesUnchangedByWayOfAnotherHost(t *testing.T) {
+	long := strings.Repeat("0123456789abcdef", 20<<10)
+	for name, test := range map[string]struct {
+		answer  string
+		body    string
+		framing backend.Framing
+		broken  bool
+	}{
+		"length":           {head + "Content-Length: 4\r\n\r\nabcd", "abcd", backend.FramedByLength, false},
+		"long":             {head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(long), long), long, backend.FramedByLength, false},
+		"chunks":           {head + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n2\r\ncd\r\n0\r\n\r\n", "abcd", backend.FramedByChunks, false},
+		"end of channel":   {head + "\r\nabcd", "abcd", backend.FramedByClose, false},
+		"too short":        {head + "Content-Length: 5\r\n\r\nabcd", "abcd", backend.FramedByLength, true},
+		"chunks break off": {head + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n2\r\nc", "abc", backend.FramedByChunks, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			received := make(chan *http.Request, 1)
+			target, requests := startTarget(t, func(conn net.Conn, r *http.Request) {
+				received <- r
+				_, _ = io.WriteString(conn, test.answer)
+			})
+			nodes := startNodes(t, 2, target)
+			exchange, body, err := nodes[0].read(context.Background(), request(target))
+			require.Equal(t, test.body, body)
+			if test.broken {
+				require.Error(t, err)
+				require.NotErrorIs(t, err, io.EOF)
+			} else {
+				require.NoError(t, err)
+			}
+			require.NoError(t, exchange.CheckSignature())
+			require.Equal(t, test.framing, exchange.Framing)
+			r := <-received
+			require.Equal(t, "/a?b=c", r.RequestURI)
+			require.Equal(t, "h.example", r.Host)
+			require.Less(t, len(r.Header.Get("X-Hibiscuslb-Deadline-Ms")), 5)
+			require.NotEqual(t, "9000", r.Header.Get("X-Hibiscuslb-Deadline-Ms"), "the deadline shrinks")
+			require.EqualValues(t, 1, requests.Load())
+			require.Equal(t, []intake.Notice{{Limit: intake.Limit{Named: true, Rate: 5}}}, nodes[1].notices)
+		})
+	}
+}
+
+// TestLostHostIsNoEndOfAnswer has an answer that ends with its connection, and the relaying host die midway.
+func TestLostHostIsNoEndOfAnswer(t *testing.T) {
+	begun := make(chan struct{})
+	target, requests := startTarget(t, func(conn net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(conn, head+"\r\ndata: 1\n\n")
+		close(begun)
+		_, _ = conn.Read(make([]byte, 1))
+	})
+	nodes := startNodes(t, 2, target)
+	exchange, err := nodes[0].Send(context.Background(), request(target))
+	require.NoError(t, err)
+	defer exchange.Close()
+	<-begun
+	nodes[1].die()
+	_, err = io.ReadAll(exchange)
+	var path *relay.PathError
+	require.ErrorAs(t, err, &path, "the target is not to blame")
+	require.NotErrorIs(t, err, io.EOF)
+	require.EqualValues(t, 1, requests.Load())
+}
+
+// TestRequestIsSentOnce has the relaying host die, or the target break off, before there is an answer.
+func TestRequestIsSentOnce(t *testing.T) {
+	for _, dies := range []bool{false, true} {
+		t.Run(fmt.Sprint("host dies: ", dies), func(t *testing.T) {
+			var nodes []*node
+			target, requests := startTarget(t, func(conn net.Conn, _ *http.Request) {
+				if dies {
+					for _, n := range nodes[1:] {
+						n.die()
+					}
+				}
+			})
+			nodes = startNodes(t, 4, target)
+			_, err := nodes[0].Send(context.Background(), request(target))
+			var none *backend.NoResponseError
+			require.ErrorAs(t, err, &none)
+			require.EqualValues(t, 1, requests.Load())
+			require.Equal(t, !dies, nodes[0].Blames("t", err))
+		})
+	}
+}
+
+// A host that is cut off too says so, and another one is asked. None passes a relayed request on.
+func TestHostsThatCannotSendAreSkipped(t *testing.T) {
+	answer := func(conn net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(conn, head+"Content-Length: 4\r\n\r\nabcd")
+	}
+	for name, test := range map[string]struct {
+		change func(n *node)
+		served bool
+	}{
+		"sound":   {func(*node) {}, true},
+		"parted":  {func(n *node) { n.parted.Store(true) }, false},
+		"closed":  {func(n *node) { n.closed = []fleet.TargetID{"t"} }, false},
+		"leaving": {func(n *node) { n.leaving.Store(true) }, false},
+		"gone":    {(*node).die, false},
+	} {
+		for _, rest := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, ", one is sound: ", rest), func(t *testing.T) {
+				target, requests := startTarget(t, answer)
+				nodes := startNodes(t, 4, target)
+				for _, n := range nodes[1:3] {
+					test.change(n)
+				}
+				if !rest {
+					test.change(nodes[3])
+				}
+				_, body, err := nodes[0].read(context.Background(), request(target))
+				if rest || test.served {
+					require.NoError(t, err)
+					require.Equal(t, "abcd", body)
+					require.EqualValues(t, 1, requests.Load())
+					return
+				}
+				require.Zero(t, requests.Load())
+				if name == "gone" && errors.As(err, new(*backend.NoResponseError)) {
+					return // the connection to the last host was open when the request was sent on it
+				}
+				require.ErrorAs(t, err, new(*backend.NotSentError))
+			})
+		}
+	}
+}
+
+// TestHostsOfDataCentreAreCutOff has all hosts of a data centre parted, more than are asked for a request.
+func TestHostsOfDataCentreAreCutOff(t *testing.T) {
+	const parted, sound, count = 12, 4, 40
+	target, requests := startTarget(t, func(conn net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 204 No Content\r\nX-Hibiscuslb-Request-Id: %s\r\nX-Hibiscuslb-Response-Signature: p\r\n\r\n", r.Header.Get("X-Hibiscuslb-Request-Id"))
+	})
+	nodes := startNodes(t, parted+sound, target)
+	for i, n := range nodes {
+		n.parted.Store(i < parted)
+		if i >= parted {
+			n.View().Hosts[i].DataCentre = "b"
+		}
+	}
+	served := 0
+	for i := range count {
+		r := request(target)
+		r.ID = fleet.RequestID(fmt.Sprint(i))
+		r.Header.Set("X-Hibiscuslb-Request-Id", fmt.Sprint(i))
+		if _, _, err := nodes[0].read(context.Background(), r); err == nil {
+			served++
+		}
+	}
+	require.GreaterOrEqual(t, served, count*9/10)
+	require.EqualValues(t, served, requests.Load())
+}
+
+// TestCallerWhoLeavesEndsRelayedRequest ends the context of a request whose answer is under way.
+func TestCallerWhoLeavesEndsRelayedRequest(t *testing.T) {
+	closed := make(chan error, 1)
+	target, _ := startTarget(t, func(conn net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(conn, head+"Content-Length: 9\r\n\r\nabcd")
+		_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		_, err := conn.Read(make([]byte, 1))
+		closed <- err
+	})
+	nodes := startNodes(t, 2, target)
+	ctx, cancel := context.WithCancel(context.Background())
+	exchange, err := nodes[0].Send(ctx, request(target))
+	require.NoError(t, err)
+	cancel()
+	_, err = io.ReadAll(exchange)
+	require.ErrorIs(t, err, context.Canceled)
+	exchange.Close()
+	err = <-closed
+	require.False(t, errors.Is(err, context.DeadlineExceeded) || errors.Is(err, syscall.ETIMEDOUT), "the target was not told: %v", err)
+}
+
+// TestSlowReceiverStopsAnswer reads nothing of an answer without end. The target must not be able to send more
+// than the window and the buffers of the kernel hold.
+func TestSlowReceiverStopsAnswer(t *testing.T) {
+	const most = 8 << 20
+	var sent atomic.Int64
+	target, _ := startTarget(t, func(conn net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(conn, head+"\r\n")
+		piece := make([]byte, 16<<10)
+		for {
+			n, err := conn.Write(piece)
+			sent.Add(int64(n))
+			if err != nil {
+				return
+			}
+		}
+	})
+	nodes := startNodes(t, 2, target)
+	exchange, err := nodes[0].Send(context.Background(), request(target))
+	require.NoError(t, err)
+	last := int64(-1)
+	require.Eventually(t, func() bool {
+		now := sent.Load()
+		still := now == last
+		last = now
+		return still && now > 0
+	}, 10*time.Second, 300*time.Millisecond)
+	require.Less(t, last, int64(most))
+	exchange.Close()
+}
--- /dev/null
+++ b/hibiscusfront/internal/relay/sender.go
@@ -0,0 +1,290 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/peer"
+	"hibiscuslb/fleet/placement"
+	"hibiscuslb/hibiscusfront/internal/backend"
+	"hibiscuslb/hibiscusfront/internal/view"
+	"hibiscuslb/hibiscusfront/internal/wire"
+	"hibiscuslb/platform"
+)
+
+// A Meter records metrics of relayed requests.
+type Meter interface {
+	// RecordRelay counts a request that another host was asked to send, or if served is set, that
+	// this host was asked to send, by its result.
+	RecordRelay(served bool, result string)
+}
+
+// A Sender sends requests to targets by the way that is open. Set the exported fields before use. It is
+// safe for concurrent use.
+type Sender struct {
+	Host       fleet.HostID
+	DataCentre fleet.DataCentreID // of this host
+	View       func() *view.View
+	Pool       *backend.Pool
+	Peers      *peer.Pool
+	Ways       *Ways
+	Meter      Meter
+
+	number  atomic.Uint64 // of the last relayed request
+	running atomic.Int64  // relayed requests
+
+	mu      sync.Mutex
+	skipped map[fleet.Address]fleet.Instant // until when a host is not asked
+}
+
+// A PathError reports that an exchange ended by what lies between this host and the target, as far
+// as can be told. It says nothing of the target.
+type PathError struct {
+	Target fleet.TargetID
+	Cause  error
+}
+
+func (e *PathError) Error() string {
+	return fmt.Sprintf("the way to target %s broke: %v", e.Target, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *PathError) Unwrap() error { return e.Cause }
+
+// A RelayError reports how a relayed request ended without a complete answer.
+type RelayError struct {
+	By     fleet.HostID
+	Result wire.RelayResult
+	Detail string
+}
+
+func (e *RelayError) Error() string {
+	return fmt.Sprintf("sent by way of host %s: %s: %s", e.By, e.Result, e.Detail)
+}
+
+// errAlone reports that no other host could be asked.
+var errAlone = errors.New("no other host could be asked")
+
+// errGone reports that other hosts have no way to the target either.
+var errGone = errors.New("another host has no way to the target either")
+
+// Send sends the request and returns when the header of the answer was received. The errors are those
+// of backend.Pool, with a *PathError as the cause if the target may be sound.
+func (s *Sender) Send(ctx context.Context, r *backend.Request) (*backend.Exchange, error) {
+	direct := s.Ways.Direct(r.Target)
+	if !direct {
+		exchange, err := s.relay(ctx, r)
+		if !errors.Is(err, errAlone) {
+			return exchange, err
+		}
+	}
+	if len(s.View().Hosts) > 1 {
+		r.DialLimit = shortDial
+	}
+	exchange, err := s.Pool.Send(ctx, r)
+	var notSent *backend.NotSentError
+	var dial *backend.DialError
+	if err == nil {
+		return exchange, nil
+	}
+	if direct && errors.As(err, &notSent) && errors.As(err, &dial) {
+		relayed, relayErr := s.relay(ctx, r)
+		if relayErr == nil || !errors.Is(relayErr, errAlone) {
+			return relayed, relayErr
+		}
+	}
+	return nil, s.doubt(r.Target, err)
+}
+
+// doubt adds a *PathError to an error if what this host meets at the target says nothing of it.
+func (s *Sender) doubt(target fleet.TargetID, err error) error {
+	var none *backend.NoResponseError
+	if errors.As(err, &none) && s.Ways.Doubtful(target) {
+		return &backend.NoResponseError{Target: target, Cause: &PathError{target, none.Cause}}
+	}
+	return err
+}
+
+// Blames reports whether an error of Send, or of reading the answer, tells something of the target, and
+// not of the way to it.
+func (s *Sender) Blames(target fleet.TargetID, err error) bool {
+	switch {
+	case errors.Is(err, errGone):
+		return true
+	case errors.As(err, new(*PathError)):
+		return false
+	}
+	// The host that met a *RelayError has judged it.
+	return errors.As(err, new(*RelayError)) || !s.Ways.Doubtful(target)
+}
+
+// relay asks other hosts to send the request, one after the other until one has. The error is a
+// *backend.NotSentError or a *backend.NoResponseError.
+func (s *Sender) relay(ctx context.Context, r *backend.Request) (*backend.Exchange, error) {
+	if s.Ways.isGone(r.Target) {
+		return nil, &backend.NotSentError{Target: r.Target, Cause: errGone}
+	}
+	length := 0
+	for _, segment := range r.Body {
+		length += len(segment)
+	}
+	if length > maxBodyBytes {
+		return nil, &backend.NotSentError{Target: r.Target, Cause: errAlone}
+	}
+	if s.running.Add(1) > maxRelayed {
+		s.running.Add(-1)
+		return nil, &backend.NotSentError{Target: r.Target, Cause: errAlone}
+	}
+	exchange, err := s.askHosts(ctx, r)
+	if err != nil {
+		s.running.Add(-1)
+	}
+	return exchange, err
+}
+
+func (s *Sender) askHosts(ctx context.Context, r *backend.Request) (*backend.Exchange, error) {
+	for _, host := range s.hosts(r.ID) {
+		exchange, err := s.ask(ctx, host, r)
+		if err == nil {
+			s.Ways.relayed(r.Target)
+			return exchange, nil
+		}
+		var notSent *backend.NotSentError
+		if !errors.As(err, &notSent) {
+			return nil, err
+		}
+		if ctx.Err() != nil || errors.Is(err, errChecked) {
+			return nil, err
+		}
+		var relayed *RelayError
+		if errors.As(err, &relayed) && relayed.Result == wire.RelayNoWay {
+			s.Ways.witnessed(r.Target)
+			return nil, &backend.NotSentError{Target: r.Target, Cause: errors.Join(errGone, relayed)}
+		}
+	}
+	return nil, &backend.NotSentError{Target: r.Target, Cause: errAlone}
+}
+
+// hosts returns the hosts to ask for a request, spread by its ID: some of this data centre first, which may
+// all be cut off with this one, then any.
+func (s *Sender) hosts(id fleet.RequestID) []wire.Host {
+	now := s.Ways.Clock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var hosts []wire.Host
+	for _, h := range s.View().Hosts {
+		if h.ID != s.Host && now >= s.skipped[h.Peers] {
+			hosts = append(hosts, h)
+		}
+	}
+	hosts = placement.Rank(xxhash.Sum64String(string(id)), hosts, func(h wire.Host) string { return string(h.ID) }, func(wire.Host) float64 { return 1 })
+	near := 0
+	for i, h := range hosts {
+		if h.DataCentre == s.DataCentre && near < nearFirst {
+			copy(hosts[near+1:i+1], hosts[near:i])
+			hosts[near] = h
+			near++
+		}
+	}
+	return hosts[:min(len(hosts), maxAsked)]
+}
+
+// skip notes that a host is not asked for a while.
+func (s *Sender) skip(host wire.Host) {
+	now := s.Ways.Clock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for address, until := range s.skipped {
+		if now >= until {
+			delete(s.skipped, address)
+		}
+	}
+	if s.skipped == nil {
+		s.skipped = make(map[fleet.Address]fleet.Instant)
+	}
+	s.skipped[host.Peers] = now.Add(askAgain)
+}
+
+// errChecked marks a request that its owner does not want to be sent any more.
+var errChecked = errors.New("not sent any more")
+
+// ask asks a host to send the request.
+func (s *Sender) ask(ctx context.Context, host wire.Host, r *backend.Request) (*backend.Exchange, error) {
+	notSent := func(cause error) error { return &backend.NotSentError{Target: r.Target, Cause: cause} }
+	connectCtx, cancel := context.WithTimeout(ctx, connectTimeout)
+	err := s.Peers.Connect(connectCtx, host.Peers)
+	cancel()
+	if err != nil {
+		if ctx.Err() == nil {
+			s.skip(host)
+			s.Meter.RecordRelay(false, "no connection")
+		}
+		return nil, notSent(err)
+	}
+	left := time.Until(r.ExpiresAt)
+	request := wire.RelayRequest{
+		Number: s.number.Add(1), Host: s.Host, ID: r.ID, Target: r.Target, Address: r.Address, Method: r.Method, URI: r.URI, HostName: r.Host,
+		Header: platform.WithDeadline(r.Header, left), Body: bytes.Join(r.Body, nil), SendOnce: r.SendOnce, Left: left,
+	}
+	if r.Check != nil {
+		if err := r.Check(); err != nil {
+			return nil, notSent(errors.Join(errChecked, err))
+		}
+	}
+	exchange, err := s.Peers.Open(ctx, host.Peers, wire.KindRelay, request)
+	var lost *peer.ConnectionLostError
+	if err != nil {
+		s.skip(host)
+		if errors.As(err, &lost) {
+			s.Meter.RecordRelay(false, "connection lost")
+			return nil, &backend.NoResponseError{Target: r.Target, Cause: &PathError{r.Target, err}}
+		}
+		return nil, notSent(err)
+	}
+	var head wire.RelayPart
+	if err := exchange.Next(ctx, &head); err != nil {
+		exchange.Close()
+		var refusal *fleet.RefusalError
+		if errors.As(err, &refusal) && refusal.Outcome == fleet.OutcomeNotRun {
+			s.skip(host) // it does not relay
+			s.Meter.RecordRelay(false, wire.RelayRefused.String())
+			return nil, notSent(err)
+		}
+		if ctx.Err() != nil {
+			err = ctx.Err()
+		} else {
+			s.skip(host)
+			err = &PathError{r.Target, err}
+		}
+		s.Meter.RecordRelay(false, "connection lost")
+		return nil, &backend.NoResponseError{Target: r.Target, Cause: err}
+	}
+	s.Meter.RecordRelay(false, head.Result.String())
+	failed := &RelayError{By: host.ID, Result: head.Result, Detail: head.Detail}
+	switch head.Result {
+	case wire.RelayBegun:
+		body := &body{ctx: ctx, sender: s, host: host, number: request.Number, exchange: exchange, target: r.Target}
+		return backend.RelayedExchange(r.Target, head.Status, head.Header, backend.Framing(head.Framing), body), nil
+	case wire.RelayCutOff:
+		s.skip(host)
+		exchange.Close()
+		return nil, notSent(failed)
+	case wire.RelayNoWay, wire.RelayRefused:
+		exchange.Close()
+		return nil, notSent(failed)
+	}
+	exchange.Close()
+	var cause error = failed
+	if head.Doubt {
+		cause = &PathError{r.Target, failed}
+	}
+	return nil, &backend.NoResponseError{Target: r.Target, Cause: cause}
+}
--- a/hibiscusfront/internal/wire/wire.go
+++ b/hibiscusfront/internal/wire/wire.go
@@ -16,11 +16,13 @@
 
 // The kinds of messages. The numbers are part of the protocol between hosts.
 const (
-	KindHeartbeat peer.Kind = iota + 1 // Heartbeat, answered by HeartbeatReply
-	KindChanges                        // ChangesRequest, answered by ChangesReply
-	KindPlan                           // PlanRequest, answered by PlanReply
-	KindReports                        // Reports, answered by an empty struct
-	KindRenew                          // RenewRequest, answered by RenewReply
+	KindHeartbeat   peer.Kind = iota + 1 // Heartbeat, answered by HeartbeatReply
+	KindChanges                          // ChangesRequest, answered by ChangesReply
+	KindPlan                             // PlanRequest, answered by PlanReply
+	KindReports                          // Reports, answered by an empty struct
+	KindRenew                            // RenewRequest, answered by RenewReply
+	KindRelay                            // RelayRequest, answered by RelayParts
+	KindRelayCredit                      // RelayCredit, answered by an empty struct
 )
 
 // A Host describes a host, in its object in the object store and in its heartbeats.
