--- a/fleet/reach/reach.go
+++ b/fleet/reach/reach.go
@@ -142,6 +142,13 @@
 	return w != nil && w.lost && w.failed > w.lostAt && w.answered < w.lostAt
 }
 
+// Kept reports whether the way to the target is lost for new connections only: answers have arrived since on
+// one that was open.
+func (l *Ledger) Kept(target fleet.TargetID) bool {
+	w := l.ways[target]
+	return w != nil && w.lost && w.answered > w.lostAt
+}
+
 // LostAt returns when the way to the target was lost, if it is.
 func (l *Ledger) LostAt(target fleet.TargetID) (at fleet.Instant, lost bool) {
 	if w := l.ways[target]; w != nil && w.lost {
--- a/hibiscusfront/internal/backend/pool.go
+++ b/hibiscusfront/internal/backend/pool.go
@@ -53,6 +53,9 @@
 // Unwrap returns the cause.
 func (e *DialError) Unwrap() error { return e.Cause }
 
+// ErrNoIdle reports that no connection was idle for a request that needs one.
+var ErrNoIdle = errors.New("no connection is idle")
+
 type conn struct {
 	net.Conn
 	reader    *bufio.Reader // reads from head
@@ -82,6 +85,9 @@
 		}
 		_ = c.Close() // the target has closed it or sent unrequested data, or the ID was sent on it
 	}
+	if r.IdleOnly {
+		return nil, &DialError{ErrNoIdle}
+	}
 	p.mu.Lock()
 	p.Dials++
 	p.mu.Unlock()
--- a/hibiscusfront/internal/backend/request.go
+++ b/hibiscusfront/internal/backend/request.go
@@ -22,6 +22,8 @@
 	// connection that is new or was idle for at most sendOnceMaxIdle: if the
 	// target closes an idle connection just then, the request is lost.
 	SendOnce bool
+	// IdleOnly has it sent only on a connection that is open and idle.
+	IdleOnly bool
 	// DialLimit, if set, limits the opening of a connection instead of dialTimeout.
 	DialLimit time.Duration
 	// ExpiresAt is when the request's deadline ends. A host that sends it for this one ends it then.
--- a/hibiscusfront/internal/relay/doc.go
+++ b/hibiscusfront/internal/relay/doc.go
@@ -17,6 +17,8 @@
 //   - When the caller leaves or the request is withdrawn, the exchange is cancelled, and the
 //     relaying host closes its connection to the target.
 //
+// Connections that were open can live on while new ones are refused. They are used as long as they do.
+//
 // A target that no host reaches is gone; one that another host reaches is not. A host that is asked
 // says which of both it sees, and whether it is cut off itself. A target is reported as
 // unreachable only if another host has no way to it either, or if there was no other host to ask.
--- a/hibiscusfront/internal/relay/relay_test.go
+++ b/hibiscusfront/internal/relay/relay_test.go
@@ -320,6 +320,34 @@
 	}
 }
 
+// TestKeptConnectionServes has new connections refused while one that was open lives on. It is used by what may
+// be repeated, and by other requests once an answer has shown that it lives.
+func TestKeptConnectionServes(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Hibiscuslb-Request-Id", r.Header.Get("X-Hibiscuslb-Request-Id"))
+		w.Header().Set("X-Hibiscuslb-Response-Signature", "p")
+		_, _ = io.WriteString(w, r.RemoteAddr)
+	}))
+	t.Cleanup(server.Close)
+	target := strings.TrimPrefix(server.URL, "http://")
+	nodes := startNodes(t, 2, target)
+	send := func(id string, once bool) string {
+		r := request(target)
+		r.ID, r.SendOnce = fleet.RequestID(id), once
+		r.Header.Set("X-Hibiscuslb-Request-Id", id)
+		_, connection, err := nodes[0].read(context.Background(), r)
+		require.NoError(t, err)
+		return connection
+	}
+	nodes[0].parted.Store(false)
+	first := send("1", true)
+	nodes[0].parted.Store(true)
+	nodes[0].ways.Failed("t")
+	require.NotEqual(t, first, send("2", true))
+	require.Equal(t, first, send("3", false))
+	require.Equal(t, first, send("4", true))
+}
+
 // TestHostsOfDataCentreAreCutOff has all hosts of a data centre parted, more than are asked for a request.
 func TestHostsOfDataCentreAreCutOff(t *testing.T) {
 	const parted, sound, count = 12, 4, 40
--- a/hibiscusfront/internal/relay/sender.go
+++ b/hibiscusfront/internal/relay/sender.go
@@ -81,6 +81,9 @@
 func (s *Sender) Send(ctx context.Context, r *backend.Request) (*backend.Exchange, error) {
 	direct := s.Ways.Direct(r.Target)
 	if !direct {
+		if exchange, err := s.sendKept(ctx, r); !errors.As(err, new(*backend.DialError)) {
+			return exchange, err
+		}
 		exchange, err := s.relay(ctx, r)
 		if !errors.Is(err, errAlone) {
 			return exchange, err
@@ -104,6 +107,22 @@
 	return nil, s.doubt(r.Target, err)
 }
 
+// sendKept sends the request on a connection that was open before the way was lost. One that refused new
+// connections may still serve these; a request that may not be repeated waits for another to show that. The
+// error holds a *backend.DialError if there is no such connection.
+func (s *Sender) sendKept(ctx context.Context, r *backend.Request) (*backend.Exchange, error) {
+	if r.SendOnce && !s.Ways.kept(r.Target) {
+		return nil, &backend.DialError{Cause: backend.ErrNoIdle}
+	}
+	kept := *r
+	kept.IdleOnly = true
+	exchange, err := s.Pool.Send(ctx, &kept)
+	if err != nil {
+		err = s.doubt(r.Target, err)
+	}
+	return exchange, err
+}
+
 // doubt adds a *PathError to an error if what this host meets at the target says nothing of it.
 func (s *Sender) doubt(target fleet.TargetID, err error) error {
 	var none *backend.NoResponseError
--- a/hibiscusfront/internal/relay/ways.go
+++ b/hibiscusfront/internal/relay/ways.go
@@ -102,6 +102,13 @@
 	return w.ledger.Direct(w.Clock(), target)
 }
 
+// kept reports whether the way to the target is lost for new connections only.
+func (w *Ways) kept(target fleet.TargetID) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.ledger.Kept(target)
+}
+
 // CutOff reports whether this host has no way to nearly all targets that it tried lately.
 func (w *Ways) CutOff() bool {
 	w.mu.Lock()
