--- a/hibiscusfront/internal/host/meters.go
+++ b/hibiscusfront/internal/host/meters.go
@@ -156,6 +156,7 @@
 		"TokensRead": int64(counts.ReadTokens), "TokensReadAgain": int64(counts.RereadTokens), "TokensFetched": int64(counts.FetchedTokens),
 		"TokensKept": int64(counts.CachedTokens), "PartsUnsaved": int64(counts.UnsavedParts),
 		"Crashes": int64(counts.Crashes), "Withheld": int64(counts.Withheld), "UnknownOrigins": int64(counts.UnknownOrigins),
+		"FailuresNotCounted": int64(counts.Uncounted),
 	} {
 		h.meter.planned.Set(n, what)
 	}
@@ -180,10 +181,14 @@
 		"BodiesRefused": clients.bodiesRefused, "StalledEvicted": clients.stalled,
 		"TargetsWithoutWay": int64(lost), "TargetsReachedByOthers": int64(reachedByOthers),
 		"ListBytesKept": int64(h.lists.Used()), "ListsOverBudget": h.lists.Refused(),
+		"CutOff": 0, "DutyHandOvers": h.control.HandOvers(),
 	}
 	if v.Table != nil {
 		state["Configuration"] = int64(v.Table.Number)
 	}
+	if h.planner.CutOff() {
+		state["CutOff"] = 1
+	}
 	if h.control.MayPlan() {
 		state["Plans"] = 1
 	}
--- a/hibiscusfront/internal/host/relays.go
+++ b/hibiscusfront/internal/host/relays.go
@@ -14,5 +14,5 @@
 	h.relays = &relay.Server{
 		View: h.control.View, Chooser: h.chooser, Pool: &h.pool, Ways: h.ways, Meter: h.meter, Budget: &h.requests, Leaving: h.departure.Leaving,
 	}
-	h.gateway.Sender = h.sender
+	h.gateway.Sender, h.planner.Ways = h.sender, h.ways
 }
