relay: use kept connections only once an answer has shown that they live

On a cut whose connections hang, requests that may be repeated were sent on idle connections, since only a dial of the request itself closed these, and not a failed probe or poll.

--- a/hibiscusfront/internal/relay/relay_test.go
+++ b/hibiscusfront/internal/relay/relay_test.go
@@ -150,8 +150,8 @@
 	}
 }
 
-// TestKeptConnectionServes has new connections refused while one that was open lives on. It is used by what may
-// be repeated, and by other requests once an answer has shown that it lives.
+// TestKeptConnectionServes has new connections refused while one that was open lives on. It is used once an
+// answer has shown that it lives.
 func TestKeptConnectionServes(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("X-Hibiscuslb-Request-Id", r.Header.Get("X-Hibiscuslb-Request-Id"))
@@ -173,7 +173,8 @@
 	first := send("1", true)
 	nodes[0].parted.Store(true)
 	nodes[0].ways.Failed("t")
-	require.NotEqual(t, first, send("2", true))
+	require.NotEqual(t, first, send("2", false))
+	nodes[0].ways.Answered("t")
 	require.Equal(t, first, send("3", false))
 	require.Equal(t, first, send("4", true))
 }
--- a/hibiscusfront/internal/relay/sender.go
+++ b/hibiscusfront/internal/relay/sender.go
@@ -107,11 +107,10 @@
 	return nil, s.doubt(r.Target, err)
 }
 
-// sendKept sends the request on a connection that was open before the way was lost. One that refused new
-// connections may still serve these; a request that may not be repeated waits for another to show that. The
-// error holds a *backend.DialError if there is no such connection.
+// sendKept sends the request on a connection that was open before the way was lost, if an answer has shown
+// since that these live on. The error holds a *backend.DialError if there is none.
 func (s *Sender) sendKept(ctx context.Context, r *backend.Request) (*backend.Exchange, error) {
-	if r.SendOnce && !s.Ways.kept(r.Target) {
+	if !s.Ways.kept(r.Target) {
 		return nil, &backend.DialError{Cause: backend.ErrNoIdle}
 	}
 	kept := *r
