--- a/hibiscusfront/internal/host/host.go
+++ b/hibiscusfront/internal/host/host.go
@@ -28,6 +28,7 @@
 	"hibiscuslb/hibiscusfront/internal/gateway"
 	"hibiscuslb/hibiscusfront/internal/ingress"
 	"hibiscuslb/hibiscusfront/internal/planner"
+	"hibiscuslb/hibiscusfront/internal/relay"
 	"hibiscuslb/hibiscusfront/internal/view"
 	"hibiscuslb/hibiscusfront/internal/wire"
 	"hibiscuslb/platform"
@@ -78,6 +79,9 @@
 	planner  *planner.Planner
 	chooser  *chooser.Chooser
 	gateway  *gateway.Gateway
+	ways     *relay.Ways
+	sender   *relay.Sender
+	relays   *relay.Server
 	meter    *meters
 	serving  task.Group
 	// answers bounds what targets' answers to callers' requests make the host keep, and
@@ -133,6 +137,7 @@
 		Meter: h.meter, Log: log, Departure: &h.departure,
 		Clock: h.clock, WeightsBound: settings.Bounds.Weights,
 	}
+	h.newRelays()
 	return h
 }
 
@@ -163,6 +168,7 @@
 	parts.Go(runCtx, h.peers.Run)
 	parts.Go(runCtx, h.planner.Run)
 	parts.Go(runCtx, h.chooser.Run)
+	parts.Go(runCtx, h.ways.Run)
 	parts.Go(runCtx, h.control.Run)
 	parts.Go(runCtx, h.watchSettings)
 	servers, err := h.listen(runCtx)
@@ -347,7 +353,7 @@
 var _ peer.Handler = (*Host)(nil)
 
 // Handle implements peer.Handler.
-func (h *Host) Handle(ctx context.Context, kind peer.Kind, body cbor.RawMessage, _ func(any) error) (any, error) {
+func (h *Host) Handle(ctx context.Context, kind peer.Kind, body cbor.RawMessage, send func(any) error) (any, error) {
 	switch kind {
 	case wire.KindHeartbeat:
 		return peer.ServeUnary(body, func(beat wire.Heartbeat) (wire.HeartbeatReply, error) { return h.control.HandleHeartbeat(ctx, beat) })
@@ -362,8 +368,12 @@
 			planning := h.planner.Report(ctx, r.Reports)
 			return wire.ReportsReply{Planning: planning && h.planner.RecordStarts(ctx, r.Starts)}, nil
 		})
+	case wire.KindRelay:
+		return h.relays.Serve(ctx, body, send)
+	case wire.KindRelayCredit:
+		return peer.ServeUnary(body, h.relays.Credit)
 	default:
-		return nil, fleet.Refuse(fleet.ReasonMalformed, fmt.Sprintf("kind of message is %d, want %d to %d", kind, wire.KindHeartbeat, wire.KindRenew))
+		return nil, fleet.Refuse(fleet.ReasonMalformed, fmt.Sprintf("kind of message is %d, want %d to %d", kind, wire.KindHeartbeat, wire.KindRelayCredit))
 	}
 }
 
