--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -17,7 +17,7 @@
 // after its start, in which it serves requests only at a limited rate.
 //
 // Roll-outs of versions are described in rollouts.go, placement in placement.go, admission (queueing and refusal) in
-// admission.go, requests and prompts that crash targets in crash.go, streams that
+// admission.go, requests and prompts that crash targets in crash.go, brittle targets in brittle.go, streams that
 // go on in origin.go, and which workspaces share cached parts in isolation.go, each with the
 // load pattern that it handles.
 //
@@ -84,7 +84,7 @@
 	Until    time.Time       // end of the time for fetches, on the engines' clock
 	Rank     int
 	Software fleet.Software // of the target
-	Limited  bool           // the target has named a limit; its answer tells whether the limit still holds
+	Limited  bool           // the target has named a limit or may be brittle; its answer tells whether that still holds
 	// StartWithin is the time from the grant in which the run has to start, since newer
 	// weights than Version were announced; zero for no limit.
 	StartWithin time.Duration `cbor:",omitempty"`
@@ -129,7 +129,8 @@
 	// passed.
 	Abandoned
 	// Answered means that the header of an answer was received that names a limit, none
-	// after an earlier one did, or that the target leaves. It is not the end of the grant.
+	// after an earlier one did, that the target leaves, or that it is brittle or no longer so. It is
+	// not the end of the grant.
 	Answered
 	// ServerError means that the target answered with an internal error.
 	ServerError
@@ -159,7 +160,9 @@
 	fetchStores []*store          // cache stores from which parts are fetched
 	memory      fleet.Tokens      // tokens of cache memory that the run occupies
 	software    fleet.Software    // of the target when the grant was made
-	onTrial     bool              // software is on trial: its pace is not that of the service
+	answered    bool              // with a header that says something, see Answered
+	ended       bool
+	onTrial     bool // software is on trial: its pace is not that of the service
 }
 
 // model is the state of a model's weights.
@@ -237,6 +240,7 @@
 	firstAttempts slidingWindow
 	repeats       slidingWindow
 	pace          pace // of its engines
+	brittle       brittleService
 }
 
 // BeginTenure starts a tenure, in which grants get numbers greater than base. The
@@ -385,6 +389,7 @@
 	switch report.Progress {
 	case Started, Done, Answered, ServerError:
 		f.recordReached(now, ag.req.Host, ag.target)
+		f.recordAnswered(now, ag.target)
 	}
 	switch report.Progress {
 	case Started:
@@ -395,17 +400,21 @@
 		}
 		return
 	case Answered:
+		ag.answered = true
 		ag.target.learn(now, report.Notice.Limit, report.Notice.Leaving)
+		f.learnBrittle(now, ag.target, report.Notice.Brittle)
 		return
 	}
 	delete(f.active, report.Number)
 	f.recordProgress(now, ag, report.Progress, ag.started)
 	if (report.Progress == Failed || report.Progress == Unreachable) && !f.recordFailed(now, ag.req.Host, ag.target) {
 		ag.target.endGrant(now, ag, Abandoned)
+		f.recordBrittleEnd(now, ag, report.Progress)
 		return
 	}
 	share := ag.target.failureShare
 	ag.target.endGrant(now, ag, report.Progress)
+	f.recordBrittleEnd(now, ag, report.Progress)
 	switch {
 	case report.Progress == Failed:
 		f.noteShare(ag.req.Host, ag.target, ag.target.failureShare-share)
@@ -425,6 +434,7 @@
 			delete(f.active, number)
 			f.recordLostGrant(now, ag)
 			ag.target.endGrant(now, ag, Abandoned)
+			f.recordBrittleEnd(now, ag, Abandoned)
 		}
 	}
 }
@@ -437,6 +447,7 @@
 		if now.Sub(ag.grantedAt) > ag.req.Deadline+endReportGrace {
 			delete(f.active, number)
 			ag.target.endGrant(now, ag, Abandoned)
+			f.recordBrittleEnd(now, ag, Abandoned)
 		}
 	}
 }
--- a/fleet/plan/target.go
+++ b/fleet/plan/target.go
@@ -17,6 +17,7 @@
 	coldUntil    fleet.Instant
 	recentGrants slidingWindow // grants, counted while the target may be cold
 	limit        targetLimit
+	brittle      brittleState
 	saysLeaving  bool // in its answers, maybe before its entry does
 	evacuated    bool // its data centre is evacuated
 	removed      bool // no longer on the roster
@@ -33,7 +34,7 @@
 	failureShare      float64       // moving average of the share of answers that failed
 	pausedUntil       fleet.Instant // gets no requests before
 	pauseTime         time.Duration // the last pause; the next is twice as long
-	unresponsive      bool          // does not answer long polls for events
+	unresponsive      bool          // has not answered a long poll for events, nor a request since
 	unresponsiveSince fleet.Instant // first failed poll since the last answer
 	crashed           bool          // has crashed since it last answered, at crashedAt
 	crashedAt         fleet.Instant
@@ -87,6 +88,7 @@
 func (t *target) resetGrants(now fleet.Instant) {
 	t.activeGrants, t.pending, t.unreadTokens, t.memory, t.readyAt = 0, 0, 0, 0, now
 	t.limit.bucket = intake.Bucket{}
+	t.brittle.limitRoom(now, 0)
 }
 
 // version returns the version of the model's weights at the target, or zero.
@@ -168,6 +170,7 @@
 	}
 	t.recentGrants.add(now, coldWindow)
 	t.limit.recordGrant()
+	t.recordBrittleGrant(now, ag)
 	t.cache.markGranted(t, ag.parts...)
 }
 
@@ -268,8 +271,20 @@
 	}
 }
 
+// recordAnswered records that an engine has answered a request. If it was silent it goes on, unless the
+// report may have crossed the poll that failed. Of an engine among many that do not answer polls,
+// observers decide.
+func (f *Fleet) recordAnswered(now fleet.Instant, t *target) {
+	if !t.unresponsive || t.crashed || now.Sub(t.unresponsiveSince) <= reportSpread {
+		return
+	}
+	if o := f.observers[polls]; o == nil || len(o.failed) < cutOffTargets {
+		t.unresponsive = false
+	}
+}
+
 // MarkUnresponsive records that a target has not answered a long poll for events.
-// It gets no new requests until it answers.
+// It gets no new requests until it answers a poll or a request.
 func (f *Fleet) MarkUnresponsive(now fleet.Instant, id fleet.TargetID) {
 	t, ok := f.targets[id]
 	if !ok || t.unresponsive {
@@ -278,9 +293,7 @@
 	t.unresponsive, t.unresponsiveSince = true, now
 	f.recordLoss(now, t)
 	f.confirmFailures(t)
-	if t.endedEarly(now) {
-		f.noteCrash(now, t)
-	}
+	f.probeSuspect(t)
 }
 
 // slidingWindow counts events within a time span that ends now.
--- /dev/null
+++ b/hibiscusfront/internal/planner/silent_test.go
@@ -0,0 +1,132 @@
+package planner
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/plan"
+	"hibiscuslb/fleet/prompt"
+	"hibiscuslb/fleet/roster"
+	"hibiscuslb/hibiscusfront/internal/testlog"
+)
+
+// A pausingEngine answers calls for events after their wait, and not while it is silent.
+type pausingEngine struct {
+	mu          sync.Mutex
+	silentUntil time.Time
+}
+
+func (e *pausingEngine) pause() {
+	for {
+		e.mu.Lock()
+		left := time.Until(e.silentUntil)
+		e.mu.Unlock()
+		if left <= 0 {
+			return
+		}
+		time.Sleep(left)
+	}
+}
+
+func (e *pausingEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.pause()
+	wait, _ := time.ParseDuration(r.Header.Get("Wait-Ms") + "ms")
+	time.Sleep(wait)
+	e.pause()
+	fmt.Fprint(w, `{"bootEpoch":7,"nextToken":1,"lost":false,"events":[]}`)
+}
+
+// TestSilentEngineGetsWorkAgain guards against an engine that falls silent for a moment, goes on, and gets no work
+// for as long again. The planner's polls of the engines are at different times. None has crashed.
+func TestSilentEngineGetsWorkAgain(t *testing.T) {
+	const (
+		engines = 12
+		silence = 1200 * time.Millisecond
+		latest  = 700 * time.Millisecond // after the silence
+	)
+	var targets []roster.Target
+	var list [engines]pausingEngine
+	for i := range list {
+		server := httptest.NewServer(&list[i])
+		t.Cleanup(server.Close)
+		targets = append(targets, roster.Target{ID: fleet.TargetID(fmt.Sprint("e", i)), Address: fleet.Address(strings.TrimPrefix(server.URL, "http://"))})
+	}
+	d := new(testPermissions)
+	d.holds.Store(true)
+	ctx, p, _ := startPlanner(t, d)
+	p.SetPlanning(ctx, 7, true)
+	for i := range targets {
+		p.SetView(ctx, engineView(targets[:i+1]...))
+		time.Sleep(eventPollTimeout / engines)
+	}
+	usable := func() int {
+		count := make(chan int, 1)
+		p.enqueue(ctx, func(now fleet.Instant) { count <- p.fleet.UsableTargets(now, "lm") })
+		return <-count
+	}
+	time.Sleep(2 * eventPollTimeout)
+	require.Equal(t, engines, usable())
+	end := time.Now().Add(silence)
+	for i := range list {
+		list[i].mu.Lock()
+		list[i].silentUntil = end
+		list[i].mu.Unlock()
+	}
+	time.Sleep(silence / 2)
+	require.Less(t, usable(), engines, "engines that are silent get work")
+	time.Sleep(time.Until(end.Add(latest)))
+	require.Equal(t, engines, usable(), "engines that answer again get no work")
+	require.Zero(t, p.Stats().Crashes)
+	require.Empty(t, p.Quarantine())
+}
+
+// TestSilentEngineHasNotCrashed has an answer of an engine end early just before the engine falls silent, or crashes.
+func TestSilentEngineHasNotCrashed(t *testing.T) {
+	for name, crashed := range map[string]bool{"silent": false, "crashed": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var engine pausingEngine
+			server := httptest.NewServer(&engine)
+			t.Cleanup(server.Close)
+			target := roster.Target{
+				ID: "e", Address: fleet.Address(strings.TrimPrefix(server.URL, "http://")), Models: []roster.Model{{ID: "m", Version: 1}},
+			}
+			d := new(testPermissions)
+			d.holds.Store(true)
+			ctx, p, lines := startPlanner(t, d)
+			p.SetPlanning(ctx, 7, true)
+			p.SetView(ctx, engineView(target))
+			decision, err := p.Plan(ctx, &plan.Request{
+				ID: "1", Host: "other", Service: "lm", Objective: time.Second, Deadline: 5 * time.Second,
+				Prompt: &prompt.Prompt{Model: "m", Parts: []prompt.Part{{ID: "own", Tokens: 10}}, Input: 10, Output: 1},
+			}, false)
+			require.NoError(t, err)
+			require.NotNil(t, decision.Grant, "%v", decision.Refusal)
+			if crashed {
+				server.CloseClientConnections()
+				server.Listener.Close()
+			} else {
+				engine.mu.Lock()
+				engine.silentUntil = time.Now().Add(1200 * time.Millisecond)
+				engine.mu.Unlock()
+				time.Sleep(200 * time.Millisecond)
+			}
+			p.Report(ctx, []plan.Report{{Number: decision.Grant.Number, Progress: plan.Failed}})
+			lines.Require(t, "tried a connection to a target, since an answer ended early", testlog.Line{"Target": "e", "Accepted": !crashed})
+			time.Sleep(500 * time.Millisecond)
+			want := 0
+			if crashed {
+				want = 1
+			}
+			require.EqualValues(t, want, p.Stats().Crashes)
+		})
+	}
+}
