--- a/fleet/plan/cache.go
+++ b/fleet/plan/cache.go
@@ -159,6 +159,9 @@
 	Withheld       uint64 // requests refused because they or a part of their prompt are withheld
 	UnknownOrigins uint64 // requests refused because the version that began their stream is not known
 	Uncounted      uint64 // failures that say nothing of a target: who met them is cut off
+
+	BrittleRejections uint64 // requests that brittle targets turned away
+	BrittleFalls      uint64 // times that a brittle target turned more away within a second than it withstands
 }
 
 // String formats the statistics for logs.
--- a/hibiscusfront/internal/host/meters.go
+++ b/hibiscusfront/internal/host/meters.go
@@ -27,6 +27,7 @@
 	storeCalls, planned, state meter.Counter
 	connections                meter.Counter // of callers, that ended
 	rollouts                   meter.Counter
+	relayed                    meter.Counter // requests sent by way of other hosts, or for them
 
 	// refresh copies the metrics that other parts record.
 	refresh func()
@@ -48,6 +49,7 @@
 		connections: meter.Counter{Name: "ConnectionsEnded", Labels: []string{"Phase", "On"}},
 		state:       meter.Counter{Name: "State", Labels: []string{"What"}},
 		rollouts:    meter.Counter{Name: "Rollouts", Labels: []string{"Service", "What"}},
+		relayed:     meter.Counter{Name: "RequestsRelayed", Labels: []string{"For", "Result"}},
 	}
 	for _, c := range m.counters() {
 		m.vars.Set(c.Name, c)
@@ -61,7 +63,7 @@
 
 func (m *meters) counters() []*meter.Counter {
 	return []*meter.Counter{
-		&m.ended, &m.refused, &m.sent, &m.responses, &m.unsigned, m.orders, &m.storeCalls, &m.planned, &m.state, &m.connections, &m.rollouts,
+		&m.ended, &m.refused, &m.sent, &m.responses, &m.unsigned, m.orders, &m.storeCalls, &m.planned, &m.state, &m.connections, &m.rollouts, &m.relayed,
 	}
 }
 
@@ -106,6 +108,15 @@
 // RecordUnsigned implements gateway.Meter.
 func (m *meters) RecordUnsigned(service route.ServiceID) { m.unsigned.Add(1, string(service)) }
 
+// RecordRelay implements relay.Meter.
+func (m *meters) RecordRelay(served bool, result string) {
+	who := "callers"
+	if served {
+		who = "hosts"
+	}
+	m.relayed.Add(1, who, result)
+}
+
 // RecordReplacedStart implements gateway.Meter.
 func (m *meters) RecordReplacedStart(workspace fleet.WorkspaceID, route string, replacedFor time.Duration) {
 	m.replacedStart.Record(meter.Series{Workspace: workspace, Class: fleet.Class(route)}, replacedFor)
@@ -145,6 +156,7 @@
 		"TokensRead": int64(counts.ReadTokens), "TokensReadAgain": int64(counts.RereadTokens), "TokensFetched": int64(counts.FetchedTokens),
 		"TokensKept": int64(counts.CachedTokens), "PartsUnsaved": int64(counts.UnsavedParts),
 		"Crashes": int64(counts.Crashes), "Withheld": int64(counts.Withheld), "UnknownOrigins": int64(counts.UnknownOrigins),
+		"BrittleRejections": int64(counts.BrittleRejections), "BrittleFalls": int64(counts.BrittleFalls),
 		"FailuresNotCounted": int64(counts.Uncounted),
 	} {
 		h.meter.planned.Set(n, what)
@@ -157,6 +169,7 @@
 		}
 	}
 	clients := h.countClients()
+	lost, reachedByOthers := h.ways.Lost()
 	v := h.control.View()
 	state := map[string]int64{
 		"Hosts": int64(len(v.Hosts)), "Targets": int64(len(v.Targets)), "Epoch": int64(v.Duty.Epoch),
@@ -167,6 +180,7 @@
 		"RequestBytesLimit": int64(h.requests.Limit()), "ConnectionsLimit": int64(h.limits.Connections),
 		"ConnectionsEvicted": clients.Evicted, "ConnectionsRefused": clients.Refused, "HeadsRefused": clients.HeadsRefused,
 		"BodiesRefused": clients.bodiesRefused, "StalledEvicted": clients.stalled,
+		"TargetsWithoutWay": int64(lost), "TargetsReachedByOthers": int64(reachedByOthers),
 		"ListBytesKept": int64(h.lists.Used()), "ListsOverBudget": h.lists.Refused(),
 		"CutOff": 0, "DutyHandOvers": h.control.HandOvers(),
 	}
