holding: a test whose evictions do not depend on the processors

Cause: a hold is evicted if it has not grown for 50 readings of the test's clock, which its owner has to be kept from running for; nothing in the test did that. On one processor the owners run one after the other: 40 of 40 runs with -cpu 1 failed, 0 of 80 with 2 and 8.

The product is not at fault. Now one hold stands still since before the others begin and has to be evicted exactly once, and owners yield after some calls, so that they stand still on one processor too. Each assertion stays, two are new. With -cpu 1, 2, 3, 4 and 8: 500 of 500 runs pass, with the race detector 15 of 15.

--- a/fleet/holding/holding_test.go
+++ b/fleet/holding/holding_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -109,12 +110,16 @@
 }
 
 // TestArrivingHoldsStayWithinBudget has requests grow, stand still, be evicted and end at the same
-// time.
+// time. One has stood still since before the others began: whether these stand still for long enough
+// depends on how the processors run them.
 func TestArrivingHoldsStayWithinBudget(t *testing.T) {
 	const limit, free, holders = 300, 50, 8
 	var clock atomic.Int64
 	budget := holding.Budget{Clock: func() fleet.Instant { return fleet.Instant(clock.Add(int64(holding.StallTime / 50))) }}
 	budget.SetLimit(limit)
+	var stillEvicted atomic.Int64
+	still := holding.Hold{Budget: &budget, Free: free, Evict: func() { stillEvicted.Add(1) }}
+	require.NoError(t, still.Keep(free+limit/3))
 	var running sync.WaitGroup
 	for seed := range uint64(holders) {
 		running.Go(func() {
@@ -129,6 +134,9 @@
 				if used := budget.Used(); used > limit {
 					t.Errorf("%d bytes are in use, want %d at most", used, limit)
 				}
+				if random.IntN(20) == 0 {
+					runtime.Gosched() // others run meanwhile, on a single processor too
+				}
 				if random.IntN(3) == 0 {
 					if errors.As(h.Settle(), new(*holding.EvictedError)) && !evicted.Load() {
 						t.Error("Settle reports an eviction without a call of Evict")
@@ -143,6 +151,9 @@
 		})
 	}
 	running.Wait()
+	require.EqualValues(t, 1, stillEvicted.Load())
+	require.ErrorAs(t, still.Keep(free+1), new(*holding.EvictedError))
+	still.Release()
 	require.Zero(t, budget.Used())
 	require.Positive(t, budget.Evicted())
 	require.Positive(t, budget.Refused())
