relay: a host that is asked sends only after a second, fresh word

Callers of a host that is cut off from all targets lost each request that it gave to a host which stood still: the connection between the two hosts was open, the request was in its buffer, and for up to 4 s, until the connection was given up, more were given to it. None of them could be tried elsewhere, since it might have been sent. Once the host went on, it took up the requests as they lay there, with the time that they had left when they were written, and under the configuration that was checked then.

Cause: the asking host gave up its say with the first message. Ruled out: skipping a host by how long it has been silent, since a sound one is silent while a target works.

The host that is asked now opens its connection to the target, says that it is ready, and waits for the word to send for no longer than 0.4 s by its own clock. The host checks once more what it knows of the target. The kind of message is a new one, so that a host of an earlier version, which would send at once, refuses.

In TestHostsThatCannotSendAreSkipped a request to a host that has died no longer counts as possibly sent, so the exception for that is gone.

--- a/hibiscusfront/internal/host/host.go
+++ b/hibiscusfront/internal/host/host.go
@@ -370,10 +370,12 @@
 		})
 	case wire.KindRelay:
 		return h.relays.Serve(ctx, body, send)
+	case wire.KindRelayGo:
+		return peer.ServeUnary(body, h.relays.Go)
 	case wire.KindRelayCredit:
 		return peer.ServeUnary(body, h.relays.Credit)
 	default:
-		return nil, fleet.Refuse(fleet.ReasonMalformed, fmt.Sprintf("kind of message is %d, want %d to %d", kind, wire.KindHeartbeat, wire.KindRelayCredit))
+		return nil, fleet.Refuse(fleet.ReasonMalformed, fmt.Sprintf("kind of message is %d, want %d to %d", kind, wire.KindHeartbeat, wire.KindRelayGo))
 	}
 }
 
--- a/hibiscusfront/internal/relay/doc.go
+++ b/hibiscusfront/internal/relay/doc.go
@@ -6,8 +6,11 @@
 // hop at most, and returns the answer in pieces as it arrives.
 //
 // Invariants:
-//   - A request is on one way at a time. It takes another way only after the word that it was not
-//     sent, so that one that may not be repeated is sent at most once.
+//   - A request is on one way at a time. The host that is asked opens its connection, says that it is
+//     ready, and sends nothing before the word of the asking host, which it waits for no longer than
+//     goLimit. Until it has given that word, the asking host may take another way; afterwards only if it
+//     hears that the request was not sent. So one that may not be repeated is sent at most once, and a
+//     host that stands still sends nothing that was given up or decided long ago.
 //   - The end of an answer is a part of its own. A connection between hosts that is lost, or an
 //     exchange that ends otherwise, never looks like the end of an answer, however it is framed.
 //   - The relaying host sends nothing to a target that its own view excludes or that has closed
@@ -30,6 +33,7 @@
 //     askAgain; after nearFirst hosts of its data centre a host asks any.
 //   - An engine crashes. The first requests for it find that another host has no way to it either;
 //     for gone, no one else is asked.
+//   - A host that is asked stands still. It is not ready in time, and another one is asked.
 //   - The relaying host dies midway. Requests on it have an unknown outcome, as if the target's
 //     connection had been lost.
 package relay
@@ -52,10 +56,14 @@
 	maxAsked = 8
 	// nearFirst is how many of these are of this host's data centre, if there are as many.
 	nearFirst = 2
-	// askAgain is how long a host that is cut off or does not answer is not asked.
+	// askAgain is how long a host that is cut off, or not ready in time, is not asked.
 	askAgain = time.Second
 	// connectTimeout limits the opening of a connection to another host.
 	connectTimeout = 300 * time.Millisecond
+	// readyLimit is how long a host that is asked may take until it is ready.
+	readyLimit = shortDial + 250*time.Millisecond
+	// goLimit is how long a host that is ready waits for the word to send.
+	goLimit = 400 * time.Millisecond
 	// lately is how long ago an answer still shows that a host reaches targets, if one target
 	// refused a connection within refusedWithin and no other did.
 	lately        = 300 * time.Millisecond
--- a/hibiscusfront/internal/relay/nodes_test.go
+++ b/hibiscusfront/internal/relay/nodes_test.go
@@ -50,7 +50,10 @@
 }
 
 func (n *node) Handle(ctx context.Context, kind peer.Kind, body cbor.RawMessage, send func(any) error) (any, error) {
-	if kind == wire.KindRelayCredit {
+	switch kind {
+	case wire.KindRelayGo:
+		return peer.ServeUnary(body, n.server.Go)
+	case wire.KindRelayCredit:
 		return peer.ServeUnary(body, n.server.Credit)
 	}
 	return n.server.Serve(ctx, body, send)
@@ -73,21 +76,37 @@
 	n.results[fmt.Sprint(served, " ", result)]++
 }
 
-// connections keeps the connections that a listener accepts.
+// connections keeps the connections that a listener accepts. While frozen is locked for writing, nothing is
+// read from them.
 type connections struct {
 	net.Listener
-	mu   sync.Mutex
-	open []net.Conn
+	frozen sync.RWMutex
+	mu     sync.Mutex
+	open   []net.Conn
 }
 
 func (c *connections) Accept() (net.Conn, error) {
 	conn, err := c.Listener.Accept()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if err == nil {
-		c.open = append(c.open, conn)
+	if err != nil {
+		return nil, err
 	}
-	return conn, err
+	c.open = append(c.open, conn)
+	return &freezingConn{conn, c}, nil
+}
+
+// A freezingConn is a connection of a host that may stand still.
+type freezingConn struct {
+	net.Conn
+	host *connections
+}
+
+func (c *freezingConn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	c.host.frozen.RLock()
+	defer c.host.frozen.RUnlock()
+	return n, err
 }
 
 // die closes the node's connections with other hosts.
--- a/hibiscusfront/internal/relay/relay_test.go
+++ b/hibiscusfront/internal/relay/relay_test.go
@@ -141,9 +141,6 @@
 					return
 				}
 				require.Zero(t, requests.Load())
-				if name == "gone" && errors.As(err, new(*backend.NoResponseError)) {
-					return // the connection to the last host was open when the request was sent on it
-				}
 				require.ErrorAs(t, err, new(*backend.NotSentError))
 			})
 		}
--- a/hibiscusfront/internal/relay/sender.go
+++ b/hibiscusfront/internal/relay/sender.go
@@ -17,7 +17,6 @@
 	"hibiscuslb/hibiscusfront/internal/backend"
 	"hibiscuslb/hibiscusfront/internal/view"
 	"hibiscuslb/hibiscusfront/internal/wire"
-	"hibiscuslb/platform"
 )
 
 // A Meter records metrics of relayed requests.
@@ -234,6 +233,23 @@
 // errChecked marks a request that its owner does not want to be sent any more.
 var errChecked = errors.New("not sent any more")
 
+// awaitReady waits for the first part of a host that was asked. An error means that the host is not ready; it
+// sends nothing without a word.
+func (s *Sender) awaitReady(ctx context.Context, host wire.Host, exchange *peer.Exchange) (head wire.RelayPart, err error) {
+	readyCtx, cancel := context.WithTimeout(ctx, readyLimit)
+	defer cancel()
+	if err = exchange.Next(readyCtx, &head); err == nil || ctx.Err() != nil {
+		return head, err
+	}
+	s.skip(host)
+	result := "not ready"
+	if errors.As(err, new(*fleet.RefusalError)) {
+		result = wire.RelayRefused.String() // it does not relay
+	}
+	s.Meter.RecordRelay(false, result)
+	return head, err
+}
+
 // ask asks a host to send the request.
 func (s *Sender) ask(ctx context.Context, host wire.Host, r *backend.Request) (*backend.Exchange, error) {
 	notSent := func(cause error) error { return &backend.NotSentError{Target: r.Target, Cause: cause} }
@@ -247,43 +263,46 @@
 		}
 		return nil, notSent(err)
 	}
-	left := time.Until(r.ExpiresAt)
 	request := wire.RelayRequest{
 		Number: s.number.Add(1), Host: s.Host, ID: r.ID, Target: r.Target, Address: r.Address, Method: r.Method, URI: r.URI, HostName: r.Host,
-		Header: platform.WithDeadline(r.Header, left), Body: bytes.Join(r.Body, nil), SendOnce: r.SendOnce, Left: left,
-	}
-	if r.Check != nil {
-		if err := r.Check(); err != nil {
-			return nil, notSent(errors.Join(errChecked, err))
-		}
+		Header: r.Header, Body: bytes.Join(r.Body, nil), SendOnce: r.SendOnce, Left: time.Until(r.ExpiresAt),
 	}
 	exchange, err := s.Peers.Open(ctx, host.Peers, wire.KindRelay, request)
-	var lost *peer.ConnectionLostError
 	if err != nil {
 		s.skip(host)
-		if errors.As(err, &lost) {
-			s.Meter.RecordRelay(false, "connection lost")
-			return nil, &backend.NoResponseError{Target: r.Target, Cause: &PathError{r.Target, err}}
+		return nil, notSent(err)
+	}
+	head, err := s.awaitReady(ctx, host, exchange)
+	if err == nil && head.Result == wire.RelayReady && r.Check != nil {
+		if err = r.Check(); err != nil {
+			err = errors.Join(errChecked, err)
 		}
+	}
+	if err != nil {
+		exchange.Close() // before the word to send
 		return nil, notSent(err)
 	}
-	var head wire.RelayPart
-	if err := exchange.Next(ctx, &head); err != nil {
-		exchange.Close()
-		var refusal *fleet.RefusalError
-		if errors.As(err, &refusal) && refusal.Outcome == fleet.OutcomeNotRun {
-			s.skip(host) // it does not relay
-			s.Meter.RecordRelay(false, wire.RelayRefused.String())
-			return nil, notSent(err)
+	if head.Result == wire.RelayReady {
+		word, err := s.Peers.Open(ctx, host.Peers, wire.KindRelayGo, wire.RelayGo{Number: request.Number, Host: s.Host, Left: time.Until(r.ExpiresAt)})
+		if err == nil {
+			defer word.Close()
+			head = wire.RelayPart{}
+			err = exchange.Next(ctx, &head)
 		}
-		if ctx.Err() != nil {
-			err = ctx.Err()
-		} else {
-			s.skip(host)
-			err = &PathError{r.Target, err}
+		if err != nil {
+			exchange.Close()
+			if errors.As(err, new(*peer.DialError)) {
+				return nil, notSent(err)
+			}
+			if ctx.Err() != nil {
+				err = ctx.Err()
+			} else {
+				s.skip(host)
+				err = &PathError{r.Target, err}
+			}
+			s.Meter.RecordRelay(false, "connection lost")
+			return nil, &backend.NoResponseError{Target: r.Target, Cause: err}
 		}
-		s.Meter.RecordRelay(false, "connection lost")
-		return nil, &backend.NoResponseError{Target: r.Target, Cause: err}
 	}
 	s.Meter.RecordRelay(false, head.Result.String())
 	failed := &RelayError{By: host.ID, Result: head.Result, Detail: head.Detail}
--- a/hibiscusfront/internal/relay/server.go
+++ b/hibiscusfront/internal/relay/server.go
@@ -7,6 +7,7 @@
 	"io"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -18,6 +19,7 @@
 	"hibiscuslb/hibiscusfront/internal/backend"
 	"hibiscuslb/hibiscusfront/internal/view"
 	"hibiscuslb/hibiscusfront/internal/wire"
+	"hibiscuslb/platform"
 )
 
 // A Chooser knows what targets have said of the work that they take from this host.
@@ -76,20 +78,12 @@
 	refuse := func(format string, args ...any) (*window, route.ServiceID, *wire.RelayPart) {
 		return nil, "", &wire.RelayPart{Result: wire.RelayRefused, Detail: fmt.Sprintf(format, args...)}
 	}
-	if s.Leaving() {
-		return refuse("the host is leaving")
+	service, err := s.permits(request)
+	if err != nil {
+		return refuse("%v", err)
 	}
-	v := s.View()
-	t := v.Target(request.Target)
-	switch {
-	case request.Left <= 0:
-		return refuse("its deadline has passed")
-	case t == nil || t.Address != request.Address:
-		return refuse("no target %s at %s is known", request.Target, request.Address)
-	case v.Excludes(t.ID) || slices.Contains(s.Chooser.Closed(v, t.Service), t.ID):
-		return refuse("target %s gets no new work from this host", t.ID)
-	case !s.Ways.Direct(t.ID):
-		return nil, "", &wire.RelayPart{Result: s.Ways.sees(t.ID, s.Ways.Clock()), Detail: "the way is lost"}
+	if !s.Ways.Direct(request.Target) {
+		return nil, "", &wire.RelayPart{Result: s.Ways.sees(request.Target, s.Ways.Clock()), Detail: "the way is lost"}
 	}
 	if err := hold.Keep(len(request.Body)); err != nil {
 		return refuse("%v", err)
@@ -104,7 +98,25 @@
 	}
 	w := newWindow()
 	s.windows[key] = w
-	return w, t.Service, nil
+	return w, service, nil
+}
+
+// permits returns why this host may not send the request now, as far as it knows the target, whose service it
+// returns.
+func (s *Server) permits(request *wire.RelayRequest) (route.ServiceID, error) {
+	v := s.View()
+	t := v.Target(request.Target)
+	switch {
+	case s.Leaving():
+		return "", errors.New("the host is leaving")
+	case request.Left <= 0:
+		return "", errors.New("its deadline has passed")
+	case t == nil || t.Address != request.Address:
+		return "", fmt.Errorf("no target %s at %s is known", request.Target, request.Address)
+	case v.Excludes(t.ID) || slices.Contains(s.Chooser.Closed(v, t.Service), t.ID):
+		return "", fmt.Errorf("target %s gets no new work from this host", t.ID)
+	}
+	return t.Service, nil
 }
 
 func (s *Server) remove(key requestKey) {
@@ -124,16 +136,72 @@
 	return struct{}{}, nil
 }
 
+// Go lets a request that is ready be sent.
+func (s *Server) Go(word wire.RelayGo) (struct{}, error) {
+	s.mu.Lock()
+	w := s.windows[requestKey{word.Host, word.Number}]
+	s.mu.Unlock()
+	if w != nil {
+		select {
+		case w.word <- word:
+		default: // it was given before
+		}
+	}
+	return struct{}{}, nil
+}
+
+// A WaitError reports that a host got no word to send a request in time.
+type WaitError struct{ Waited time.Duration }
+
+func (e *WaitError) Error() string { return fmt.Sprintf("no word to send it in %v", e.Waited) }
+
+// awaitWord says that the request can be sent, and waits for the word to do so.
+func (s *Server) awaitWord(ctx context.Context, request *wire.RelayRequest, w *window, send func(any) error) error {
+	began := s.Ways.Clock()
+	if err := send(wire.RelayPart{Result: wire.RelayReady}); err != nil {
+		return err
+	}
+	timer := time.NewTimer(goLimit)
+	defer timer.Stop()
+	var word wire.RelayGo
+	select {
+	case word = <-w.word:
+	case <-timer.C:
+		return &WaitError{goLimit}
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	// This host may have stood still meanwhile.
+	waited := s.Ways.Clock().Sub(began)
+	if waited > goLimit {
+		return &WaitError{waited}
+	}
+	request.Left = word.Left - waited
+	_, err := s.permits(request)
+	return err
+}
+
 // send sends the request to its target and the answer to the host that asked, but for its last part,
 // which it returns.
 func (s *Server) send(ctx context.Context, request *wire.RelayRequest, service route.ServiceID, w *window, send func(any) error) *wire.RelayPart {
 	ctx, cancel := context.WithTimeout(ctx, request.Left)
 	defer cancel()
 	v, began := s.View(), s.Ways.Clock()
-	exchange, err := s.Pool.Send(ctx, &backend.Request{
+	targetRequest := &backend.Request{
 		ID: request.ID, Target: request.Target, Address: request.Address, Method: request.Method, URI: request.URI, Host: request.HostName,
 		Header: request.Header, Body: [][]byte{request.Body}, SendOnce: request.SendOnce, DialLimit: shortDial,
-	})
+	}
+	var refused error
+	targetRequest.Check = func() error {
+		if refused = s.awaitWord(ctx, request, w, send); refused == nil {
+			targetRequest.Header = platform.WithDeadline(request.Header, request.Left)
+		}
+		return refused
+	}
+	exchange, err := s.Pool.Send(ctx, targetRequest)
+	if refused != nil {
+		return &wire.RelayPart{Result: wire.RelayRefused, Detail: refused.Error()}
+	}
 	if err != nil {
 		part := s.failure(request.Target, began, err)
 		part.Doubt = part.Doubt || ctx.Err() != nil
@@ -178,14 +246,18 @@
 	return part
 }
 
-// A window is what may still be sent to a host before it gives credit.
+// A window is what may still be sent to a host before it gives credit, and the word by which it lets the
+// request be sent.
 type window struct {
 	mu    sync.Mutex
 	left  int
+	word  chan wire.RelayGo
 	given chan struct{} // has one element if credit was given since take last read it
 }
 
-func newWindow() *window { return &window{left: windowBytes, given: make(chan struct{}, 1)} }
+func newWindow() *window {
+	return &window{left: windowBytes, word: make(chan wire.RelayGo, 1), given: make(chan struct{}, 1)}
+}
 
 func (w *window) add(n int) {
 	w.mu.Lock()
--- a/hibiscusfront/internal/wire/relay.go
+++ b/hibiscusfront/internal/wire/relay.go
@@ -9,7 +9,7 @@
 )
 
 // A RelayRequest asks a host to send a request to a target to which the asking host has no way,
-// exactly as given, except that its deadline shrinks.
+// exactly as given, except that its deadline shrinks. The host sends it only after a RelayGo.
 type RelayRequest struct {
 	Number   uint64 // under which the asking host gives credit; no other request of it that runs has it
 	Host     fleet.HostID
@@ -28,8 +28,9 @@
 // A RelayResult is the state of a relayed request.
 type RelayResult uint8
 
-// The first part has the result RelayBegun, or that of a request without an answer. The last one
-// after RelayBegun has RelayComplete or RelayBroken: an exchange that ends otherwise broke off.
+// The first part has the result RelayReady, or that of a request that was not sent. The next one has the result
+// RelayBegun, or that of a request without an answer. The last one after RelayBegun has RelayComplete or
+// RelayBroken: an exchange that ends otherwise broke off.
 const (
 	RelayBegun    RelayResult = iota + 1 // the header has arrived; Status, Header and Framing are set
 	RelayMore                            // Data has more of the body
@@ -40,11 +41,12 @@
 	RelayNoWay   // the host, which reaches other targets, has no connection to this one
 	RelayCutOff  // the host reaches hardly any target itself
 	RelayRefused // the host passes on no more requests, leaves, or must send the target nothing
+	RelayReady   // the host has a connection to the target and waits for RelayGo
 )
 
 // String returns the result for logs and metrics.
 func (r RelayResult) String() string {
-	names := [...]string{"", "begun", "more", "complete", "broken off", "no answer", "no way", "cut off", "refused"}
+	names := [...]string{"", "begun", "more", "complete", "broken off", "no answer", "no way", "cut off", "refused", "ready"}
 	if int(r) < len(names) && r > 0 {
 		return names[r]
 	}
@@ -62,6 +64,13 @@
 	Doubt   bool        `cbor:",omitempty"` // what went wrong may lie between the relaying host and the target
 }
 
+// A RelayGo lets a host send the request for which it has said RelayReady.
+type RelayGo struct {
+	Number uint64
+	Host   fleet.HostID  // that asked
+	Left   time.Duration // until the deadline
+}
+
 // A RelayCredit allows a host to send Bytes more of the body of an answer.
 type RelayCredit struct {
 	Number uint64
--- a/hibiscusfront/internal/wire/wire.go
+++ b/hibiscusfront/internal/wire/wire.go
@@ -21,8 +21,10 @@
 	KindPlan                             // PlanRequest, answered by PlanReply
 	KindReports                          // Reports, answered by an empty struct
 	KindRenew                            // RenewRequest, answered by RenewReply
-	KindRelay                            // RelayRequest, answered by RelayParts
+	_                                    // of hosts that send a relayed request without RelayGo
 	KindRelayCredit                      // RelayCredit, answered by an empty struct
+	KindRelay                            // RelayRequest, answered by RelayParts
+	KindRelayGo                          // RelayGo, answered by an empty struct
 )
 
 // A Host describes a host, in its object in the object store and in its heartbeats.
