host: a planned stop waits for the requests of other hosts

A host that sends requests for one which is cut off from the targets ended these when it made a planned stop: callers of the cut-off host, which did not stop, saw their answers break off seconds before the end of the grace period. The stop waited for its own callers' requests only; without any, the process ended as soon as idle connections had been closed.

Found in review, by asking what counts a relayed request as under way. Refusing new ones while leaving was there already.

The stop now waits for the relayed requests too, until the end of the grace period. The last part of an answer is sent before the wait ends.

The fixture of the test of hosts that are cut off can now stop one host and change settings; its checks are the same.

--- a/hibiscusfront/internal/host/cutoff_test.go
+++ b/hibiscusfront/internal/host/cutoff_test.go
@@ -115,6 +115,7 @@
 // A cutSite has three hosts in this process, some engines and targets of a plain service.
 type cutSite struct {
 	hosts   []*Host
+	stops   []context.CancelFunc // of the hosts
 	paths   []*partition
 	targets []*fakeplatform.Target
 }
@@ -125,7 +126,7 @@
 	cutEvents  = 10 // of a stream
 )
 
-func startCutSite(t *testing.T) *cutSite {
+func startCutSite(t *testing.T, change ...func(*platform.Settings)) *cutSite {
 	t.Helper()
 	s := new(cutSite)
 	store := new(fakeplatform.Store)
@@ -177,12 +178,16 @@
 				AddressTTL: 5 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryReserve: 54,
 			},
 		}
+		for _, f := range change {
+			f(&settings)
+		}
 		h := New(settings, zerolog.Nop())
+		hostCtx, stop := context.WithCancel(ctx)
 		path := &partition{lines: make(map[*line]struct{})}
 		h.pool.Dial = path.dial
-		s.hosts, s.paths = append(s.hosts, h), append(s.paths, path)
+		s.hosts, s.stops, s.paths = append(s.hosts, h), append(s.stops, stop), append(s.paths, path)
 		running.Go(func() {
-			if err := h.Run(ctx); err != nil {
+			if err := h.Run(hostCtx); err != nil {
 				t.Errorf("host %s: %v", settings.Host, err)
 			}
 		})
@@ -221,13 +226,17 @@
 
 // send sends a request to a host and reports whether it was served whole.
 func (s *cutSite) send(client *http.Client, host int, kind, id string) bool {
+	return s.sendWithin(client, host, kind, id, 1500*time.Millisecond)
+}
+
+func (s *cutSite) sendWithin(client *http.Client, host int, kind, id string, deadline time.Duration) bool {
 	request, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/%s/x", s.hosts[host].settings.Callers, kind), strings.NewReader("body"))
 	if err != nil {
 		return false
 	}
 	request.Host = "h.example"
 	request.Header.Set("X-Hibiscuslb-Request-Id", id)
-	request.Header.Set("X-Hibiscuslb-Deadline-Ms", "1500")
+	request.Header.Set("X-Hibiscuslb-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	if kind != "order" {
 		request.Header.Set("X-Hibiscuslb-Model", "m")
 		request.Header.Set("X-Hibiscuslb-Token-Usage", "30,10")
@@ -297,6 +306,54 @@
 	return float64(sum.served) / float64(max(sum.sent, 1))
 }
 
+// awaitPlanner waits until all hosts are ready, and returns the one that plans.
+func (s *cutSite) awaitPlanner(t *testing.T) int {
+	t.Helper()
+	for _, h := range s.hosts {
+		require.Eventually(t, func() bool { return h.ready() && len(h.control.View().Hosts) == len(s.hosts) }, 10*time.Second, 20*time.Millisecond)
+	}
+	planner := -1
+	require.Eventually(t, func() bool {
+		for i, h := range s.hosts {
+			if h.control.MayPlan() {
+				planner = i
+			}
+		}
+		return planner >= 0
+	}, 10*time.Second, 20*time.Millisecond)
+	return planner
+}
+
+// TestPlannedStopLosesNoRelayedAnswer stops a host that sends requests for one that is cut off. It has time
+// until the end of the grace period.
+func TestPlannedStopLosesNoRelayedAnswer(t *testing.T) {
+	const streams = 16
+	site := startCutSite(t, func(s *platform.Settings) { s.Bounds.AddressTTL = 50 * time.Millisecond })
+	planner := site.awaitPlanner(t)
+	cut, stops := (planner+1)%len(site.hosts), (planner+2)%len(site.hosts)
+	for _, target := range site.targets {
+		target.SetWorkTime(260 * time.Millisecond)
+	}
+	site.paths[cut].set(reset)
+	served := make(chan bool, streams)
+	for i := range streams {
+		go func() {
+			client := &http.Client{Transport: new(http.Transport), Timeout: 5 * time.Second}
+			defer client.CloseIdleConnections()
+			served <- site.sendWithin(client, cut, "talk", fmt.Sprint("stop-", i), 3*time.Second)
+		}()
+	}
+	time.Sleep(200 * time.Millisecond)
+	site.stops[stops]()
+	whole := 0
+	for range streams {
+		if <-served {
+			whole++
+		}
+	}
+	require.Equal(t, streams, whole)
+}
+
 // TestHostCutOffFromTargetsServes parts a host that does not plan from all targets, while callers, the
 // object store and the other hosts reach it. From the stable window on it must serve at least two thirds
 // of what the others serve, and run nothing twice that may run once.
@@ -306,18 +363,7 @@
 		t.Run(string(s), func(t *testing.T) {
 			t.Parallel()
 			site := startCutSite(t)
-			for _, h := range site.hosts {
-				require.Eventually(t, func() bool { return h.ready() && len(h.control.View().Hosts) == len(site.hosts) }, 10*time.Second, 20*time.Millisecond)
-			}
-			planner := -1
-			require.Eventually(t, func() bool {
-				for i, h := range site.hosts {
-					if h.control.MayPlan() {
-						planner = i
-					}
-				}
-				return planner >= 0
-			}, 10*time.Second, 20*time.Millisecond)
+			planner := site.awaitPlanner(t)
 			cut := (planner + 1) % len(site.hosts)
 			before := site.load("before", time.Second, time.Second)
 			require.Greater(t, share(before, func(int) bool { return true }), 0.9, "%v", before)
--- a/hibiscusfront/internal/host/host.go
+++ b/hibiscusfront/internal/host/host.go
@@ -344,6 +344,9 @@
 			h.log.Error().Err(err).Msg("aborting requests that did not end in the grace period")
 		}
 	}
+	if err := h.relays.Wait(shutdownCtx); err != nil {
+		h.log.Error().Err(err).Msg("aborting requests of other hosts that did not end in the grace period")
+	}
 }
 
 // sharedServers is the number of servers that callers and the platform use, the first ones of
--- a/hibiscusfront/internal/relay/freeze_test.go
+++ b/hibiscusfront/internal/relay/freeze_test.go
@@ -96,14 +96,15 @@
 			}
 			last, err := n.server.Serve(context.Background(), encoded, send)
 			require.NoError(t, err)
+			if last != nil {
+				parts = append(parts, last.(*wire.RelayPart).Result)
+			}
 			if test.sent {
-				require.Equal(t, []wire.RelayResult{wire.RelayReady, wire.RelayBegun}, parts)
-				require.Equal(t, wire.RelayComplete, last.(*wire.RelayPart).Result)
+				require.Equal(t, []wire.RelayResult{wire.RelayReady, wire.RelayBegun, wire.RelayComplete}, parts)
 				require.EqualValues(t, 1, requests.Load())
 				return
 			}
-			require.Equal(t, []wire.RelayResult{wire.RelayReady}, parts)
-			require.Equal(t, wire.RelayRefused, last.(*wire.RelayPart).Result)
+			require.Equal(t, []wire.RelayResult{wire.RelayReady, wire.RelayRefused}, parts)
 			require.Zero(t, requests.Load())
 		})
 	}
--- a/hibiscusfront/internal/relay/server.go
+++ b/hibiscusfront/internal/relay/server.go
@@ -42,6 +42,7 @@
 
 	mu      sync.Mutex
 	windows map[requestKey]*window // of requests that run
+	idle    chan struct{}          // is closed when none runs any more, if Wait waits for that
 }
 
 // A requestKey identifies a relayed request that runs.
@@ -70,9 +71,33 @@
 	defer s.remove(key)
 	last := s.send(ctx, &request, service, w, send)
 	s.Meter.RecordRelay(true, last.Result.String())
+	if s.Leaving() {
+		return nil, send(*last) // before Wait returns
+	}
 	return last, nil
 }
 
+// Wait waits until no request of another host runs. The host must be leaving, so that none begins. The error
+// is that of the context.
+func (s *Server) Wait(ctx context.Context) error {
+	s.mu.Lock()
+	if len(s.windows) == 0 {
+		s.mu.Unlock()
+		return nil
+	}
+	if s.idle == nil {
+		s.idle = make(chan struct{})
+	}
+	idle := s.idle
+	s.mu.Unlock()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // admit checks whether this host may send the request, and reserves a place for it.
 func (s *Server) admit(key requestKey, request *wire.RelayRequest, hold *holding.Hold) (*window, route.ServiceID, *wire.RelayPart) {
 	refuse := func(format string, args ...any) (*window, route.ServiceID, *wire.RelayPart) {
@@ -123,6 +148,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.windows, key)
+	if len(s.windows) == 0 && s.idle != nil {
+		close(s.idle)
+		s.idle = nil
+	}
 }
 
 // Credit lets a request that runs send more of its answer.
