relay: what hosts keep of relayed requests is counted and has budgets

The window of a relayed answer counted the bytes of its pieces. A target that writes byte by byte, to a caller that reads nothing, so had 32,768 pieces under way, each in a message of its own that the asking host keeps: some MB for one request, of 512. Windows, heads of up to 64 KB and the copies of a body that the sending to another host takes drew on no budget of the asking host; the relaying host counted a body once though it keeps the message too, and only after it had decoded it.

Found in review, by adding up what both hosts have of 512 requests.

A piece now counts 256 bytes besides its data. The asking host names the size of the window with its word to send: 32 KB if its budget of answers allows that, else 8 KB, which draw on nothing; the relaying host cuts pieces so that one fits when half of a window was read. Heads count on that budget, copies of bodies on that of requests, at both hosts.

Before, TestSmallPiecesAreBounded printed "2000" is not less than "200" (all pieces of the answer passed without credit), and in TestRelayedRequestsDrawOnBudgets, with the assignments of the new fields taken out, "0" is not greater than "0".

--- a/hibiscusfront/internal/backend/backend.go
+++ b/hibiscusfront/internal/backend/backend.go
@@ -141,7 +141,7 @@
 	e.lastRead.Store(time.Now().UnixNano())
 	p.begin(e)
 	e.cancelAutoClose = context.AfterFunc(ctx, func() { _ = c.Close() }) // closing twice is harmless
-	if r.bodyLen() <= maxInlineBody {
+	if r.BodyLen() <= maxInlineBody {
 		e.write(ctx, r)
 	} else {
 		go e.write(ctx, r)
@@ -177,7 +177,7 @@
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host)
 	// Writing to a bytes.Buffer never fails.
 	_ = r.Header.Write(&head)
-	if length := r.bodyLen(); length > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+	if length := r.BodyLen(); length > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
 		fmt.Fprintf(&head, "Content-Length: %d\r\n", length)
 	}
 	head.WriteString("\r\n")
--- a/hibiscusfront/internal/backend/request.go
+++ b/hibiscusfront/internal/backend/request.go
@@ -32,7 +32,8 @@
 	Check func() error // may be nil
 }
 
-func (r *Request) bodyLen() int {
+// BodyLen returns the length of the body in bytes.
+func (r *Request) BodyLen() int {
 	n := 0
 	for _, segment := range r.Body {
 		n += len(segment)
--- a/hibiscusfront/internal/host/relays.go
+++ b/hibiscusfront/internal/host/relays.go
@@ -10,6 +10,7 @@
 	h.pool.Ways = h.ways
 	h.sender = &relay.Sender{
 		Host: h.settings.Host, DataCentre: h.settings.DataCentre, View: h.control.View, Pool: &h.pool, Peers: &h.peers, Ways: h.ways, Meter: h.meter,
+		Requests: &h.requests, Answers: &h.answers,
 	}
 	h.relays = &relay.Server{
 		View: h.control.View, Chooser: h.chooser, Pool: &h.pool, Ways: h.ways, Meter: h.meter, Budget: &h.requests, Leaving: h.departure.Leaving,
--- a/hibiscusfront/internal/relay/body.go
+++ b/hibiscusfront/internal/relay/body.go
@@ -6,6 +6,7 @@
 	"io"
 
 	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/holding"
 	"hibiscuslb/fleet/peer"
 	"hibiscuslb/hibiscusfront/internal/wire"
 )
@@ -18,8 +19,10 @@
 	number   uint64
 	exchange *peer.Exchange
 	target   fleet.TargetID
+	hold     holding.Hold // of the head and the window
+	window   int
 	rest     []byte // of the last piece
-	read     int    // bytes for which no credit was given yet
+	read     int    // of the window, for which no credit was given yet
 	end      error
 	closed   bool
 }
@@ -35,13 +38,12 @@
 	}
 	n := copy(buffer, b.rest)
 	b.rest = b.rest[n:]
-	b.read += n
 	return n, nil
 }
 
 // next receives a part. It returns how the body ended, nil if it has not.
 func (b *body) next() error {
-	if b.read >= windowBytes/2 {
+	if b.read >= b.window/2 {
 		credit := wire.RelayCredit{Number: b.number, Host: b.sender.Host, Bytes: b.read}
 		b.read = 0
 		if err := b.sender.Peers.Call(b.ctx, b.host.Peers, wire.KindRelayCredit, credit, new(struct{})); err != nil {
@@ -55,6 +57,7 @@
 	switch part.Result {
 	case wire.RelayMore:
 		b.rest = part.Data
+		b.read += wire.RelayCost(len(part.Data))
 		return nil
 	case wire.RelayComplete:
 		b.rest = part.Data
@@ -86,6 +89,7 @@
 	if !b.closed {
 		b.closed = true
 		b.exchange.Close()
+		b.hold.Release()
 		b.sender.running.Add(-1)
 	}
 	return nil
--- a/hibiscusfront/internal/relay/doc.go
+++ b/hibiscusfront/internal/relay/doc.go
@@ -15,8 +15,9 @@
 //     exchange that ends otherwise, never looks like the end of an answer, however it is framed.
 //   - The relaying host sends nothing to a target that its own view excludes or that has closed
 //     itself to it, and learns from the answer like from one to a request of its own.
-//   - Both hosts keep at most windowBytes of an answer whose receiver is slow, and pass on a bounded
-//     number of requests at a time. What is over that is refused, truly not sent.
+//   - Both hosts keep at most a window of an answer whose receiver is slow, in pieces of any size, and pass
+//     on a bounded number of requests at a time. What is over that is refused, truly not sent. Bodies,
+//     heads and windows draw on budgets; when that of windows is spent they are small.
 //   - When the caller leaves or the request is withdrawn, the exchange is cancelled, and the
 //     relaying host closes its connection to the target.
 //
@@ -44,10 +45,17 @@
 	// shortDial limits the opening of a connection to a target if another host can be asked. A
 	// target that is up accepts a connection within milliseconds.
 	shortDial = 150 * time.Millisecond
-	// windowBytes is how much of an answer may be under way to a host that has not read it.
-	windowBytes = 32 << 10
+	// windowBytes is how much of an answer may be under way to a host that has not read it, as
+	// wire.RelayCost counts it, and minWindowBytes how much if the budget of answers is spent.
+	windowBytes    = 32 << 10
+	minWindowBytes = 8 << 10
 	// pieceBytes is the longest piece of an answer.
 	pieceBytes = 8 << 10
+	// freeHeadBytes is the length of the head of an answer that draws on no budget.
+	freeHeadBytes = 4 << 10
+	// bodyCopies is how often a host that asks has a request's body while it sends it to another one, and
+	// how often that one has what it received while the request runs.
+	bodyCopies = 2
 	// maxBodyBytes is the longest body of a request that is relayed.
 	maxBodyBytes = 1 << 20
 	// maxRelayed is how many requests a host relays for others at a time, and has relayed.
--- a/hibiscusfront/internal/relay/sender.go
+++ b/hibiscusfront/internal/relay/sender.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"hibiscuslb/fleet"
+	"hibiscuslb/fleet/holding"
 	"hibiscuslb/fleet/peer"
 	"hibiscuslb/fleet/placement"
 	"hibiscuslb/hibiscusfront/internal/backend"
@@ -36,6 +38,8 @@
 	Peers      *peer.Pool
 	Ways       *Ways
 	Meter      Meter
+	Requests   *holding.Budget // of what requests make this host keep
+	Answers    *holding.Budget // of what answers do
 
 	number  atomic.Uint64 // of the last relayed request
 	running atomic.Int64  // relayed requests
@@ -263,11 +267,17 @@
 		}
 		return nil, notSent(err)
 	}
+	copies := holding.Hold{Budget: s.Requests, Free: freeBodyBytes}
+	if err := copies.Keep(bodyCopies * r.BodyLen()); err != nil {
+		return nil, notSent(err)
+	}
+	number := s.number.Add(1)
 	request := wire.RelayRequest{
-		Number: s.number.Add(1), Host: s.Host, ID: r.ID, Target: r.Target, Address: r.Address, Method: r.Method, URI: r.URI, HostName: r.Host,
+		Number: number, Host: s.Host, ID: r.ID, Target: r.Target, Address: r.Address, Method: r.Method, URI: r.URI, HostName: r.Host,
 		Header: r.Header, Body: bytes.Join(r.Body, nil), SendOnce: r.SendOnce, Left: time.Until(r.ExpiresAt),
 	}
 	exchange, err := s.Peers.Open(ctx, host.Peers, wire.KindRelay, request)
+	copies.Release()
 	if err != nil {
 		s.skip(host)
 		return nil, notSent(err)
@@ -278,50 +288,91 @@
 			err = errors.Join(errChecked, err)
 		}
 	}
-	if err != nil {
+	switch {
+	case err != nil:
 		exchange.Close() // before the word to send
 		return nil, notSent(err)
+	case head.Result != wire.RelayReady:
+		return nil, s.failed(host, r, exchange, &head)
 	}
-	if head.Result == wire.RelayReady {
-		word, err := s.Peers.Open(ctx, host.Peers, wire.KindRelayGo, wire.RelayGo{Number: request.Number, Host: s.Host, Left: time.Until(r.ExpiresAt)})
-		if err == nil {
-			defer word.Close()
-			head = wire.RelayPart{}
-			err = exchange.Next(ctx, &head)
+	return s.sendReady(ctx, host, r, number, exchange)
+}
+
+// sendReady gives a host that is ready the word to send the request.
+func (s *Sender) sendReady(ctx context.Context, host wire.Host, r *backend.Request, number uint64, exchange *peer.Exchange) (*backend.Exchange, error) {
+	body := &body{
+		ctx: ctx, sender: s, host: host, number: number, exchange: exchange, target: r.Target, window: windowBytes,
+		hold: holding.Hold{Budget: s.Answers, Free: minWindowBytes + freeHeadBytes},
+	}
+	if body.hold.Keep(windowBytes) != nil {
+		body.window = minWindowBytes
+	}
+	head, err := s.awaitHead(ctx, host, wire.RelayGo{Number: number, Host: s.Host, Left: time.Until(r.ExpiresAt), Window: body.window}, exchange)
+	switch {
+	case err == nil && head.Result != wire.RelayBegun:
+		err = s.failed(host, r, exchange, head)
+	case err == nil:
+		s.Meter.RecordRelay(false, head.Result.String())
+		if err = body.hold.Keep(body.window + headBytes(head.Header)); err == nil {
+			return backend.RelayedExchange(r.Target, head.Status, head.Header, backend.Framing(head.Framing), body), nil
+		}
+		err = &backend.NoResponseError{Target: r.Target, Cause: &PathError{r.Target, err}}
+	case errors.As(err, new(*peer.DialError)):
+		err = &backend.NotSentError{Target: r.Target, Cause: err}
+	default:
+		if ctx.Err() != nil {
+			err = ctx.Err()
+		} else {
+			s.skip(host)
+			err = &PathError{r.Target, err}
 		}
-		if err != nil {
-			exchange.Close()
-			if errors.As(err, new(*peer.DialError)) {
-				return nil, notSent(err)
-			}
-			if ctx.Err() != nil {
-				err = ctx.Err()
-			} else {
-				s.skip(host)
-				err = &PathError{r.Target, err}
-			}
-			s.Meter.RecordRelay(false, "connection lost")
-			return nil, &backend.NoResponseError{Target: r.Target, Cause: err}
+		s.Meter.RecordRelay(false, "connection lost")
+		err = &backend.NoResponseError{Target: r.Target, Cause: err}
+	}
+	exchange.Close()
+	body.hold.Release()
+	return nil, err
+}
+
+// awaitHead gives the word and waits for the first part of the answer. After a *peer.DialError the word was not
+// given.
+func (s *Sender) awaitHead(ctx context.Context, host wire.Host, word wire.RelayGo, exchange *peer.Exchange) (*wire.RelayPart, error) {
+	given, err := s.Peers.Open(ctx, host.Peers, wire.KindRelayGo, word)
+	if err != nil {
+		return nil, err
+	}
+	defer given.Close()
+	var head wire.RelayPart
+	err = exchange.Next(ctx, &head)
+	return &head, err
+}
+
+// headBytes returns what the head of an answer occupies: it is kept decoded and as received.
+func headBytes(header http.Header) int {
+	const perLine = 64
+	n := 0
+	for name, values := range header {
+		for _, value := range values {
+			n += perLine + 2*(len(name)+len(value))
 		}
 	}
-	s.Meter.RecordRelay(false, head.Result.String())
-	failed := &RelayError{By: host.ID, Result: head.Result, Detail: head.Detail}
-	switch head.Result {
-	case wire.RelayBegun:
-		body := &body{ctx: ctx, sender: s, host: host, number: request.Number, exchange: exchange, target: r.Target}
-		return backend.RelayedExchange(r.Target, head.Status, head.Header, backend.Framing(head.Framing), body), nil
+	return n
+}
+
+// failed ends the exchange and returns the error for a request without an answer.
+func (s *Sender) failed(host wire.Host, r *backend.Request, exchange *peer.Exchange, part *wire.RelayPart) error {
+	exchange.Close()
+	s.Meter.RecordRelay(false, part.Result.String())
+	var err error = &RelayError{By: host.ID, Result: part.Result, Detail: part.Detail}
+	switch part.Result {
 	case wire.RelayCutOff:
 		s.skip(host)
-		exchange.Close()
-		return nil, notSent(failed)
+		return &backend.NotSentError{Target: r.Target, Cause: err}
 	case wire.RelayNoWay, wire.RelayRefused:
-		exchange.Close()
-		return nil, notSent(failed)
+		return &backend.NotSentError{Target: r.Target, Cause: err}
 	}
-	exchange.Close()
-	var cause error = failed
-	if head.Doubt {
-		cause = &PathError{r.Target, failed}
+	if part.Doubt {
+		err = &PathError{r.Target, err}
 	}
-	return nil, &backend.NoResponseError{Target: r.Target, Cause: cause}
+	return &backend.NoResponseError{Target: r.Target, Cause: err}
 }
--- a/hibiscusfront/internal/relay/server.go
+++ b/hibiscusfront/internal/relay/server.go
@@ -51,19 +51,23 @@
 	number uint64
 }
 
-// freeBodyBytes is the length of a request's body that draws on no budget.
+// freeBodyBytes is what a request may occupy without drawing on the budget.
 const freeBodyBytes = 16 << 10
 
 // Serve sends a request for another host. It sends the answer in parts, of which it returns the last.
 func (s *Server) Serve(ctx context.Context, encoded cbor.RawMessage, send func(any) error) (any, error) {
+	hold := holding.Hold{Budget: s.Budget, Free: freeBodyBytes}
+	defer hold.Release()
+	if err := hold.Keep(bodyCopies * len(encoded)); err != nil {
+		s.Meter.RecordRelay(true, wire.RelayRefused.String())
+		return wire.RelayPart{Result: wire.RelayRefused, Detail: err.Error()}, nil
+	}
 	var request wire.RelayRequest
 	if err := cbor.Unmarshal(encoded, &request); err != nil {
 		return nil, fleet.Refuse(fleet.ReasonMalformed, err.Error())
 	}
-	hold := holding.Hold{Budget: s.Budget, Free: freeBodyBytes}
-	defer hold.Release()
 	key := requestKey{request.Host, request.Number}
-	w, service, refused := s.admit(key, &request, &hold)
+	w, service, refused := s.admit(key, &request)
 	if refused != nil {
 		s.Meter.RecordRelay(true, refused.Result.String())
 		return refused, nil
@@ -99,7 +103,7 @@
 }
 
 // admit checks whether this host may send the request, and reserves a place for it.
-func (s *Server) admit(key requestKey, request *wire.RelayRequest, hold *holding.Hold) (*window, route.ServiceID, *wire.RelayPart) {
+func (s *Server) admit(key requestKey, request *wire.RelayRequest) (*window, route.ServiceID, *wire.RelayPart) {
 	refuse := func(format string, args ...any) (*window, route.ServiceID, *wire.RelayPart) {
 		return nil, "", &wire.RelayPart{Result: wire.RelayRefused, Detail: fmt.Sprintf(format, args...)}
 	}
@@ -110,9 +114,6 @@
 	if !s.Ways.Direct(request.Target) {
 		return nil, "", &wire.RelayPart{Result: s.Ways.sees(request.Target, s.Ways.Clock()), Detail: "the way is lost"}
 	}
-	if err := hold.Keep(len(request.Body)); err != nil {
-		return refuse("%v", err)
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.windows == nil {
@@ -206,6 +207,7 @@
 		return &WaitError{waited}
 	}
 	request.Left = word.Left - waited
+	w.open(word.Window)
 	_, err := s.permits(request)
 	return err
 }
@@ -242,7 +244,7 @@
 	if err := send(head); err != nil {
 		return &wire.RelayPart{Result: wire.RelayBroken, Detail: err.Error()}
 	}
-	buffer := make([]byte, pieceBytes)
+	buffer := make([]byte, w.pieceBytes())
 	for {
 		n, err := exchange.Read(buffer)
 		switch {
@@ -255,8 +257,8 @@
 		if n == 0 {
 			continue
 		}
-		if !w.take(ctx, n) {
-			return &wire.RelayPart{Result: wire.RelayBroken, Detail: "the host that asked gives no credit"}
+		if !w.take(ctx, wire.RelayCost(n)) {
+			return &wire.RelayPart{Result: wire.RelayBroken, Detail: "the host that asked gives no credit", Doubt: true}
 		}
 		if err := send(wire.RelayPart{Result: wire.RelayMore, Data: buffer[:n]}); err != nil {
 			return &wire.RelayPart{Result: wire.RelayBroken, Detail: err.Error()}
@@ -279,19 +281,35 @@
 // request be sent.
 type window struct {
 	mu    sync.Mutex
+	size  int
 	left  int
 	word  chan wire.RelayGo
 	given chan struct{} // has one element if credit was given since take last read it
 }
 
 func newWindow() *window {
-	return &window{left: windowBytes, word: make(chan wire.RelayGo, 1), given: make(chan struct{}, 1)}
+	return &window{word: make(chan wire.RelayGo, 1), given: make(chan struct{}, 1)}
+}
+
+// open sets the size of the window.
+func (w *window) open(size int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.size = min(max(size, minWindowBytes), windowBytes)
+	w.left = w.size
+}
+
+// pieceBytes returns the length of pieces of which one fits as soon as half of the window has been read.
+func (w *window) pieceBytes() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return min(pieceBytes, w.size/2-wire.RelayCost(0))
 }
 
 func (w *window) add(n int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.left = min(w.left+max(n, 0), windowBytes)
+	w.left = min(w.left+max(n, 0), w.size)
 	select {
 	case w.given <- struct{}{}:
 	default:
--- a/hibiscusfront/internal/wire/relay.go
+++ b/hibiscusfront/internal/wire/relay.go
@@ -69,9 +69,16 @@
 	Number uint64
 	Host   fleet.HostID  // that asked
 	Left   time.Duration // until the deadline
+	Window int           // bytes of the body, as RelayCost counts them, that may be under way
 }
 
-// A RelayCredit allows a host to send Bytes more of the body of an answer.
+// partBytes is what a part of a body occupies besides its data.
+const partBytes = 256
+
+// RelayCost returns what a part with n bytes of a body counts.
+func RelayCost(n int) int { return n + partBytes }
+
+// A RelayCredit allows a host to send Bytes more of the body of an answer, as RelayCost counts them.
 type RelayCredit struct {
 	Number uint64
 	Host   fleet.HostID // that asked
