quarantine: joint crashes count once a later copy crashes a target

Cause: copies of the request ended all four targets within some ten milliseconds. Crashes within 25 ms of each other under copies that were under way together are charged once, since a rack that fails with copies of a sound request looks the same. So four crashes were charged as one or two. When the targets were back, three seconds later, all callers' copies came again at once, and a crash is charged only 200 ms after it was noticed: the targets ended once more before the request was withheld.

Ruled out: uncounted crashes.

Change: the crashes that are not charged are counted aside (Entry.Joint, also passed to other hosts). A request with three or more, joint ones included, is not withheld, but sent to one target at a time, at most each second. If a copy that was sent later crashes its target, the joint crashes are charged and the request is withheld; a complete answer clears it, as before. The ledger therefore learns of all requests that are sent (StartTrial is now RecordSent).

The test failed in some repeats only, since the numbers of requests went on from repeat to repeat and runs ended in the order of a map.

--- a/fleet/plan/admission.go
+++ b/fleet/plan/admission.go
@@ -196,9 +196,7 @@
 	if late {
 		return Decision{}, tooLate
 	}
-	if trial {
-		f.quarantine.StartTrial(now, req.Fingerprint, req.Prompt)
-	}
+	f.quarantine.RecordSent(now, req.Fingerprint, req.Prompt)
 	return Decision{Request: req, Grant: f.grant(now, req, &c)}, decided
 }
 
--- a/fleet/plan/crashing_request_test.go
+++ b/fleet/plan/crashing_request_test.go
@@ -1,11 +1,15 @@
 package plan_test
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"hibiscuslb/fleet"
@@ -55,7 +59,9 @@
 
 const badRequest quarantine.Fingerprint = "bad"
 
+// newCrashingService resets requestCount, so that a seed gives the same play each time.
 func newCrashingService(t *testing.T, seed uint64, targets int) *crashingService {
+	requestCount = 0
 	s := &crashingService{
 		random: rand.New(rand.NewPCG(seed, 32)), calls: make(map[*plan.Request]*serviceCall),
 		running: make(map[fleet.TargetID]map[*serviceRun]bool), ended: make(map[fleet.TargetID]bool),
@@ -176,7 +182,8 @@
 // endTarget ends a target and starts another one at its address.
 func (s *crashingService) endTarget(now time.Duration, id fleet.TargetID) {
 	s.ended[id] = true
-	for r := range s.running[id] {
+	inOrder := func(a, b *serviceRun) int { return cmp.Compare(a.grant.Number, b.grant.Number) }
+	for _, r := range slices.SortedFunc(maps.Keys(s.running[id]), inOrder) {
 		r.ended = true
 		s.after(now, s.between(0, 20*time.Millisecond), func(now time.Duration) {
 			s.plan.Report(at(now), plan.Report{Number: r.grant.Number, Progress: plan.Failed})
@@ -248,9 +255,11 @@
 		begin = 5 * second
 		end   = 60 * second
 	)
+	// With these seeds, copies of the bad request end all four targets in the same moment.
+	jointly := map[int][]uint64{4: {194, 202, 292, 354, 546}}
 	for _, targets := range []int{4, 12} {
 		t.Run(fmt.Sprint(targets, " targets"), func(t *testing.T) {
-			for seed := range uint64(10) {
+			for _, seed := range append([]uint64{0, 1, 2, 3, 4, 5, 6, 7, 8, 9}, jointly[targets]...) {
 				s := newCrashingService(t, seed, targets)
 				s.play(end, func(now time.Duration) {
 					if s.random.Float64() < 0.35 {
@@ -261,8 +270,8 @@
 					}
 				})
 				require.GreaterOrEqual(t, len(s.crashes), 3)
-				require.LessOrEqual(t, s.late(), 3, "seed %d: %d targets ended", seed, len(s.crashes))
-				require.Greater(t, s.share(begin+4*stableWindow, end-second), 0.9, "seed %d: sound requests", seed)
+				assert.LessOrEqual(t, s.late(), 3, "seed %d: %d targets ended", seed, len(s.crashes))
+				assert.Greater(t, s.share(begin+4*stableWindow, end-second), 0.9, "seed %d: sound requests", seed)
 			}
 		})
 	}
--- a/fleet/quarantine/quarantine.go
+++ b/fleet/quarantine/quarantine.go
@@ -65,6 +65,7 @@
 	Request   Fingerprint       `json:",omitempty"`
 	Workspace fleet.WorkspaceID `json:",omitempty"` // of the request
 	Crashes   int               // of different targets, since the last complete answer to a prompt with the part, or to the request
+	Joint     int               `json:",omitempty"` // further crashes under the request, which are charged if its next copy crashes a target
 }
 
 // Withheld reports whether the part or request is withheld.
@@ -242,8 +243,8 @@
 const (
 	// Allowed means that neither the request nor a part of its prompt is withheld.
 	Allowed Verdict = iota
-	// Trial means that the request may be sent, after a call of StartTrial, to learn
-	// whether what is withheld still crashes targets.
+	// Trial means that the request may be sent, to learn whether what is withheld still
+	// crashes targets.
 	Trial
 	// Refused means that the request must not be sent.
 	Refused
@@ -253,11 +254,15 @@
 // due. The prompt may be nil.
 func (l *Ledger) Check(now fleet.Instant, request Fingerprint, p *prompt.Prompt) (v Verdict, retryAfter time.Duration) {
 	v, retryAfter = l.checkParts(now, p)
-	if a, ok := l.requests[request]; ok && a.Withheld() {
-		retryAfter = max(retryAfter, a.trialAt.Sub(now))
-		if retryAfter > 0 {
-			return Refused, retryAfter
-		}
+	a, ok := l.requests[request]
+	if !ok || !a.Withheld() && !a.doubtful() {
+		return v, retryAfter
+	}
+	wait := a.trialAt.Sub(now)
+	switch {
+	case wait > 0 || a.Withheld() && retryAfter > 0:
+		return Refused, max(wait, retryAfter)
+	case a.Withheld():
 		return Trial, 0
 	}
 	return v, retryAfter
@@ -285,13 +290,18 @@
 	return Refused, retryAfter
 }
 
-// StartTrial records that a request was sent as a trial. The next one is due after as long a
-// time again, unless this one succeeds. The prompt may be nil.
-func (l *Ledger) StartTrial(now fleet.Instant, request Fingerprint, p *prompt.Prompt) {
-	if a, ok := l.requests[request]; ok && a.Withheld() {
-		a.trialAt = now.Add(trialInterval(a.Crashes))
+// RecordSent records that a request was sent. If that was a trial, the next one is due after as
+// long a time again, unless this one succeeds. The prompt may be nil.
+func (l *Ledger) RecordSent(now fleet.Instant, request Fingerprint, p *prompt.Prompt) {
+	if a, ok := l.requests[request]; ok {
+		switch {
+		case a.Withheld():
+			a.trialAt = now.Add(trialInterval(a.Crashes))
+		case a.doubtful():
+			a.trialAt = now.Add(jointTrialInterval)
+		}
 	}
-	if p == nil {
+	if p == nil || len(l.parts) == 0 {
 		return
 	}
 	for _, part := range p.Shared() {
--- a/fleet/quarantine/quarantine_test.go
+++ b/fleet/quarantine/quarantine_test.go
@@ -136,7 +136,7 @@
 	now := crash(&l, 0, 3, newPrompt("sound", "bad"))
 	requireVerdict(t, &l, now, quarantine.Refused, newPrompt("sound", "bad"))
 	requireVerdict(t, &l, now, quarantine.Trial, newPrompt("sound"))
-	l.StartTrial(at(now), "", newPrompt("sound"))
+	l.RecordSent(at(now), "", newPrompt("sound"))
 	requireVerdict(t, &l, now, quarantine.Refused, newPrompt("sound"))
 	l.RecordSuccess("", newPrompt("sound"))
 	requireVerdict(t, &l, now, quarantine.Allowed, newPrompt("sound"))
@@ -154,7 +154,7 @@
 			trials++
 			require.GreaterOrEqual(t, now-last, quarantine.FirstTrial)
 			last = now
-			l.StartTrial(at(now), "", bad)
+			l.RecordSent(at(now), "", bad)
 			l.RecordCrash(at(now+100*time.Millisecond), onPrompts(bad))
 		}
 	}
--- a/fleet/quarantine/requests.go
+++ b/fleet/quarantine/requests.go
@@ -23,6 +23,9 @@
 //   - The targets of a rack fail in the same moment, with copies of a sound request on several
 //     of them. Copies that were under way together are charged once for crashes within
 //     jointFailure.
+//   - Copies of a bad request end all targets of a service in the same moment. A request with
+//     crashLimit crashes, joint ones included, is sent to one target at a time. If that one
+//     crashes, too, the joint crashes are charged; a complete answer clears the request.
 //   - A sound request is sent again after each crash, or by many callers, and is on each target
 //     beside the bad one. Both are withheld for the same crash. Each of them soon gets a trial,
 //     one after the other, which clears the sound one. Once the bad one is withheld, a
@@ -34,7 +37,8 @@
 	// as hosts report it.
 	jointFailure = 25 * time.Millisecond
 	// jointTrialInterval is the time between the first trials of requests that are withheld for
-	// the same crash. It is longer than most answers take.
+	// the same crash, and between two copies of a request that joint crashes make a suspect. It
+	// is longer than most answers take, and than it takes to record a crash.
 	jointTrialInterval = time.Second
 	// suspectRetention is how long a request that is not withheld is kept after its last
 	// crash.
@@ -51,6 +55,11 @@
 	trialAt   fleet.Instant // when the request may be let through again
 }
 
+// doubtful reports whether the request would be withheld if the joint crashes counted.
+func (a *requestAccount) doubtful() bool {
+	return !a.Withheld() && a.Crashes+a.Joint >= crashLimit
+}
+
 func (l *Ledger) requestWithheld(request Fingerprint) bool {
 	a, ok := l.requests[request]
 	return ok && a.Withheld()
@@ -67,6 +76,10 @@
 		}
 		a, ok := l.requests[s.Request]
 		if ok && s.Sent <= a.lastCrash && s.Ended.Sub(a.lastCrash) < jointFailure {
+			if !a.Withheld() {
+				charged[s.Request] = true
+				a.Joint++
+			}
 			continue
 		}
 		if !ok {
@@ -77,11 +90,18 @@
 			l.requests[s.Request] = a
 		}
 		charged[s.Request] = true
-		a.Crashes, a.lastCrash = a.Crashes+1, max(a.lastCrash, s.Ended)
-		if a.Withheld() {
-			a.trialAt = max(a.trialAt, s.Ended.Add(trialInterval(a.Crashes)))
+		before := a.Withheld()
+		a.Crashes++
+		if !before && s.Sent.Sub(a.lastCrash) > jointFailure {
+			a.Crashes, a.Joint = min(a.Crashes+a.Joint, crashLimit), 0
 		}
-		if a.Crashes == crashLimit {
+		a.lastCrash = max(a.lastCrash, s.Ended)
+		if !a.Withheld() {
+			continue
+		}
+		a.trialAt = max(a.trialAt, s.Ended.Add(trialInterval(a.Crashes)))
+		if !before {
+			a.Joint = 0
 			newlyWithheld = append(newlyWithheld, a)
 		}
 	}
@@ -160,8 +180,11 @@
 			continue
 		}
 		a, ok := old[entry.Request]
-		if !ok || a.Crashes != entry.Crashes {
-			a = &requestAccount{Entry: entry, lastCrash: now, trialAt: now.Add(trialInterval(entry.Crashes))}
+		if !ok || a.Entry != entry {
+			a = &requestAccount{Entry: entry, lastCrash: now}
+			if a.Withheld() {
+				a.trialAt = now.Add(trialInterval(entry.Crashes))
+			}
 		}
 		l.requests[entry.Request] = a
 	}
--- a/fleet/quarantine/requests_test.go
+++ b/fleet/quarantine/requests_test.go
@@ -50,6 +50,36 @@
 	requireRequestVerdict(t, &l, 2*time.Second, quarantine.Allowed, "often")
 }
 
+// Load pattern: copies of one request end the four targets of a service in the same moment, and
+// the copies of all callers come again when the targets are back.
+func TestRequestOfJointCrashesIsSentToOneTargetAtATime(t *testing.T) {
+	joint := func() *quarantine.Ledger {
+		var l quarantine.Ledger
+		for i := range 4 {
+			ended := time.Second + time.Duration(i)*4*ms
+			l.RecordCrash(at(ended), []quarantine.Suspect{suspect("doubtful", 900*ms, ended)})
+		}
+		require.False(t, l.List().Withholds("doubtful", nil), "a rack may have failed")
+		return &l
+	}
+	bad := joint()
+	var successor quarantine.Ledger
+	successor.Restore(at(2*time.Second), bad.List())
+	for _, l := range []*quarantine.Ledger{bad, &successor} {
+		requireRequestVerdict(t, l, 4*time.Second, quarantine.Allowed, "doubtful")
+		l.RecordSent(at(4*time.Second), "doubtful", nil)
+		requireRequestVerdict(t, l, 4*time.Second+100*ms, quarantine.Refused, "doubtful")
+		l.RecordCrash(at(4*time.Second+300*ms), []quarantine.Suspect{suspect("doubtful", 4*time.Second, 4*time.Second+100*ms)})
+		requireRequestVerdict(t, l, 30*time.Second, quarantine.Refused, "doubtful")
+		requireRequestVerdict(t, l, 4*time.Second+100*ms+quarantine.FirstTrial, quarantine.Trial, "doubtful")
+	}
+
+	sound := joint()
+	sound.RecordSent(at(4*time.Second), "doubtful", nil)
+	sound.RecordSuccess("doubtful", nil)
+	requireRequestVerdict(t, sound, 4*time.Second+100*ms, quarantine.Allowed, "doubtful")
+}
+
 func TestCompleteAnswerClearsRequest(t *testing.T) {
 	var l quarantine.Ledger
 	for i := range 10 {
@@ -77,7 +107,7 @@
 	trial := 2*time.Second + quarantine.FirstTrial
 	requireRequestVerdict(t, &l, trial-ms, quarantine.Refused, "bad")
 	requireRequestVerdict(t, &l, trial, quarantine.Trial, "bad")
-	l.StartTrial(at(trial), "bad", nil)
+	l.RecordSent(at(trial), "bad", nil)
 	requireRequestVerdict(t, &l, trial, quarantine.Refused, "bad")
 	l.RecordCrash(at(trial+ms), []quarantine.Suspect{suspect("bad", trial, trial+ms), suspect("beside", trial, trial+ms)})
 	requireRequestVerdict(t, &l, trial+ms, quarantine.Allowed, "beside")
@@ -99,7 +129,7 @@
 			if v, _ := l.Check(at(now), request, nil); v != quarantine.Trial {
 				continue
 			}
-			l.StartTrial(at(now), request, nil)
+			l.RecordSent(at(now), request, nil)
 			if request == "often" {
 				l.RecordSuccess(request, nil)
 				continue
