ingress: tests of the limit of connections do not depend on time or ports

The tests that count connections now listen on a socket that no other process dials, their heads may take any time, and they wait until the handler runs or the connection is idle instead of sleeping. They are stricter in two points: the connection that was quiet the longest must be closed, where a deadline of the test had passed for that, and the quiet time after an answer is checked only once the server counts it.

--- a/hibiscusfront/internal/ingress/ingress_test.go
+++ b/hibiscusfront/internal/ingress/ingress_test.go
@@ -9,6 +9,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -62,21 +64,49 @@
 type server struct {
 	*ingress.Listener
 	budget holding.Budget
-	// proceed lets the handler answer, if it is not nil.
-	proceed chan struct{}
-	errs    chan error // of reading bodies
+	// proceed lets the handler answer, if it is not nil. The handler has sent to running before.
+	proceed, running chan struct{}
+	errs             chan error // of reading bodies
 }
 
-func startServer(t *testing.T, connections int, memory fleet.Bytes) *server {
+func startServer(t *testing.T, memory fleet.Bytes) *server {
 	t.Helper()
 	s := &server{budget: holding.Budget{Clock: clock.BootTime()}, errs: make(chan error, 100)}
 	s.budget.SetLimit(memory)
 	var err error
-	s.Listener, err = ingress.Listen(context.Background(), "127.0.0.1:0", connections, &s.budget)
+	s.Listener, err = ingress.Listen(context.Background(), "127.0.0.1:0", 0, &s.budget)
 	require.NoError(t, err)
+	s.serve(t, 3*time.Second)
+	return s
+}
+
+// startLimited starts a server with a limit of connections whose handlers wait for proceed. Heads may take any time.
+func startLimited(t *testing.T, connections int) *server {
+	t.Helper()
+	s := &server{
+		Listener: listenUnix(t, connections),
+		proceed:  make(chan struct{}), running: make(chan struct{}, connections+1), errs: make(chan error, 100),
+	}
+	s.serve(t, 0)
+	return s
+}
+
+// listenUnix listens on a socket that no other process dials. A port may be one to which others still
+// connect that had it before.
+func listenUnix(t *testing.T, connections int) *ingress.Listener {
+	t.Helper()
+	dir, err := os.MkdirTemp("", "") // shorter than t.TempDir, as the path of a socket must be
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = os.RemoveAll(dir) })
+	l, err := net.Listen("unix", filepath.Join(dir, "s"))
+	require.NoError(t, err)
+	return &ingress.Listener{Listener: l, Connections: connections}
+}
+
+func (s *server) serve(t *testing.T, headTimeout time.Duration) {
 	web := &http.Server{
 		Handler: ingress.Handler(s), ConnState: ingress.Record, ConnContext: ingress.ConnContext,
-		ReadHeaderTimeout: 3 * time.Second, MaxHeaderBytes: 16 << 10,
+		ReadHeaderTimeout: headTimeout, MaxHeaderBytes: 16 << 10,
 	}
 	ended := make(chan error, 1)
 	go func() { ended <- web.Serve(s.Listener) }()
@@ -84,7 +114,6 @@
 		_ = web.Close()
 		<-ended
 	})
-	return s
 }
 
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -101,6 +130,7 @@
 		return
 	}
 	if s.proceed != nil {
+		s.running <- struct{}{}
 		<-s.proceed
 	}
 	length := 0
@@ -112,11 +142,7 @@
 
 func (s *server) dial(t *testing.T) net.Conn {
 	t.Helper()
-	conn, err := net.Dial("tcp", s.Addr().String())
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = conn.Close() })
-	require.NoError(t, conn.SetDeadline(time.Now().Add(30*time.Second)))
-	return conn
+	return dialTo(t, s)
 }
 
 // answer reads an answer and returns its status and body; the status is zero if there is none.
@@ -141,7 +167,7 @@
 // answer or a closed connection, and an ordinary request an answer afterwards.
 func TestBadInput(t *testing.T) {
 	const chunked = "Transfer-Encoding: chunked\r\n"
-	s := startServer(t, 0, 16<<20)
+	s := startServer(t, 16<<20)
 	for _, test := range []struct {
 		name, request string
 		want          int // status; zero for a connection that is closed
@@ -191,7 +217,7 @@
 // TestBodiesShareTheBudget guards against bodies of legal size that together take more memory than
 // the host has.
 func TestBodiesShareTheBudget(t *testing.T) {
-	s := startServer(t, 0, maxBody+maxBody/2)
+	s := startServer(t, maxBody+maxBody/2)
 	long := bytes.Repeat([]byte("x"), maxBody)
 	stalled := s.dial(t)
 	_, err := stalled.Write(append([]byte(post("/", fmt.Sprintf("Content-Length: %d\r\n", maxBody))), long[:maxBody-10]...))
@@ -230,7 +256,7 @@
 // that arrive together fit in any order; those that do are refused when their bodies do not come.
 func TestHeadsShareTheBudget(t *testing.T) {
 	const connections, fitting = 4, 3
-	s := startServer(t, 0, 2<<20)
+	s := startServer(t, 2<<20)
 	var lines strings.Builder
 	for i := 0; lines.Len() < 14<<10; i++ {
 		fmt.Fprintf(&lines, "%x:\r\n", i)
@@ -263,24 +289,21 @@
 // takes the place of the one that was quiet the longest, never of one that is served.
 func TestConnectionsAreLimited(t *testing.T) {
 	const limit = 4
-	s := startServer(t, limit, 0)
-	s.proceed = make(chan struct{})
+	s := startLimited(t, limit)
 	served := s.dial(t)
 	_, err := io.WriteString(served, post("/", "Content-Length: 4\r\n")+"body")
 	require.NoError(t, err)
-	require.Eventually(t, func() bool { return s.Counts().Open == 1 }, 10*time.Second, time.Millisecond)
-	time.Sleep(50 * time.Millisecond) // the request has been read
-	var quiet []net.Conn
-	for range 3 * limit {
-		conn := s.dial(t)
-		_, err := io.WriteString(conn, "POST / HTTP/1.1\r\n")
+	<-s.running
+	quietest := s.dial(t) // sends nothing, and so was quiet since it was accepted
+	for range 3*limit - 1 {
+		_, err := io.WriteString(s.dial(t), "POST / HTTP/1.1\r\n")
 		require.NoError(t, err)
-		quiet = append(quiet, conn)
 	}
 	require.Eventually(t, func() bool { return s.Counts().Evicted == 2*limit+1 }, 10*time.Second, time.Millisecond)
 	require.Equal(t, limit, s.Counts().Open)
-	status, _ := answer(quiet[0])
-	require.Zero(t, status)
+	_, err = quietest.Read(make([]byte, 1))
+	require.Error(t, err)
+	require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "it is closed")
 
 	ordinary := s.dial(t)
 	_, err = io.WriteString(ordinary, post("/", "Content-Length: 4\r\n")+"body")
@@ -295,8 +318,7 @@
 // TestAllServedRefusesNewConnections has all connections serve requests.
 func TestAllServedRefusesNewConnections(t *testing.T) {
 	const limit = 3
-	s := startServer(t, limit, 0)
-	s.proceed = make(chan struct{})
+	s := startLimited(t, limit)
 	var running []net.Conn
 	for range limit {
 		conn := s.dial(t)
@@ -304,7 +326,9 @@
 		require.NoError(t, err)
 		running = append(running, conn)
 	}
-	time.Sleep(100 * time.Millisecond) // the requests have been read
+	for range limit {
+		<-s.running
+	}
 	status, _ := answer(s.dial(t))
 	require.Zero(t, status)
 	require.EqualValues(t, 1, s.Counts().Refused)
@@ -317,7 +341,7 @@
 
 // TestBodyEndsInTime has a body stand still for longer than the time for it.
 func TestBodyEndsInTime(t *testing.T) {
-	s := startServer(t, 0, 0)
+	s := startServer(t, 0)
 	conn := s.dial(t)
 	_, err := io.WriteString(conn, post("/", "Content-Length: 10\r\n")+"body")
 	require.NoError(t, err)
--- a/hibiscusfront/internal/ingress/served_test.go
+++ b/hibiscusfront/internal/ingress/served_test.go
@@ -49,25 +49,30 @@
 	return c.Conn.Write(data)
 }
 
-// startHooked starts a server with a limit of connections that calls beforeWrite before each write.
-func startHooked(t *testing.T, connections int, beforeWrite func(time.Time), handler http.HandlerFunc) *ingress.Listener {
+// startHooked starts a server with a limit of connections that calls beforeWrite before each write. It counts
+// how often connections became idle.
+func startHooked(t *testing.T, connections int, beforeWrite func(time.Time), handler http.HandlerFunc) (l *ingress.Listener, idle *atomic.Int32) {
 	t.Helper()
-	l, err := ingress.Listen(context.Background(), "127.0.0.1:0", connections, nil)
-	require.NoError(t, err)
+	l, idle = listenUnix(t, connections), new(atomic.Int32)
 	l.Listener = &hookedListener{l.Listener, beforeWrite}
-	web := &http.Server{Handler: ingress.Handler(handler), ConnState: ingress.Record, ConnContext: ingress.ConnContext}
+	web := &http.Server{Handler: ingress.Handler(handler), ConnContext: ingress.ConnContext, ConnState: func(conn net.Conn, state http.ConnState) {
+		ingress.Record(conn, state)
+		if state == http.StateIdle {
+			idle.Add(1)
+		}
+	}}
 	ended := make(chan error, 1)
 	go func() { ended <- web.Serve(l) }()
 	t.Cleanup(func() {
 		_ = web.Close()
 		<-ended
 	})
-	return l
+	return l, idle
 }
 
 func dialTo(t *testing.T, l net.Listener) net.Conn {
 	t.Helper()
-	conn, err := net.Dial("tcp", l.Addr().String())
+	conn, err := net.Dial(l.Addr().Network(), l.Addr().String())
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
 	require.NoError(t, conn.SetDeadline(time.Now().Add(30*time.Second)))
@@ -80,7 +85,7 @@
 // second answer: the server clears the deadline after each answer, and the write never ended.
 func TestEachWriteHasADeadline(t *testing.T) {
 	var unlimited atomic.Int64
-	l := startHooked(t, 0, func(deadline time.Time) {
+	l, _ := startHooked(t, 0, func(deadline time.Time) {
 		if deadline.IsZero() {
 			unlimited.Add(1)
 		}
@@ -101,7 +106,7 @@
 func TestAnswerIsWrittenBeforeItsConnectionYields(t *testing.T) {
 	const limit = 2
 	writing, proceed := make(chan struct{}, 1), make(chan struct{})
-	l := startHooked(t, limit, func(time.Time) {
+	l, _ := startHooked(t, limit, func(time.Time) {
 		writing <- struct{}{}
 		<-proceed
 	}, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "answer") })
@@ -122,21 +127,22 @@
 // longest just after a long request on it was answered.
 func TestQuietTimeBeginsWithTheAnswer(t *testing.T) {
 	const limit = 2
-	proceed := make(chan struct{})
-	l := startHooked(t, limit, func(time.Time) {}, func(w http.ResponseWriter, _ *http.Request) {
+	running, proceed := make(chan struct{}, 2), make(chan struct{})
+	l, idle := startHooked(t, limit, func(time.Time) {}, func(w http.ResponseWriter, _ *http.Request) {
+		running <- struct{}{}
 		<-proceed
 		fmt.Fprint(w, "answer")
 	})
 	served := dialTo(t, l)
 	_, err := io.WriteString(served, getRequest)
 	require.NoError(t, err)
-	time.Sleep(50 * time.Millisecond) // the request has been read
+	<-running
 	dialTo(t, l)
 	require.Eventually(t, func() bool { return l.Counts().Open == limit }, 10*time.Second, time.Millisecond)
 	close(proceed)
 	status, _ := answer(served)
 	require.Equal(t, http.StatusOK, status)
-	time.Sleep(50 * time.Millisecond) // the connection is idle
+	require.Eventually(t, func() bool { return idle.Load() == 1 }, 10*time.Second, time.Millisecond)
 	dialTo(t, l)
 	require.Eventually(t, func() bool { return l.Counts().Evicted == 1 }, 10*time.Second, time.Millisecond)
 	_, err = io.WriteString(served, getRequest)
@@ -158,7 +164,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			s := startServer(t, 0, 8<<20)
+			s := startServer(t, 8<<20)
 			conn := s.dial(t)
 			_, err := io.WriteString(conn, test.first+test.second)
 			require.NoError(t, err)
@@ -197,7 +203,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			s := startServer(t, 0, limit)
+			s := startServer(t, limit)
 			conn := s.dial(t)
 			_, err := io.WriteString(conn, half)
 			require.NoError(t, err)
@@ -212,7 +218,7 @@
 // the budget: lines of a body that came with its head counted as lines of the head. What was sent before must not
 // count for the next request either.
 func TestRequestsInTurnDrawOnNothing(t *testing.T) {
-	s := startServer(t, 0, 8<<20)
+	s := startServer(t, 8<<20)
 	conn := s.dial(t)
 	body, lines := strings.Repeat("\n", 12<<10), strings.Repeat("A: b\r\n", 10)
 	for _, request := range []string{
