gateway: a request that no target got is no repeat

With hosts cut off from targets, requests for which no way was open were tried at another target and counted as repeats then. They drew on the retry budget, which all hosts share, though no target had got anything; others whose target had failed were refused for it. Grants given back since a target had left counted as new requests twice.

Cause: Repeat was set by whether a target had been chosen, not by whether one got the request. Ruled out: counting it as new instead, since that would widen the budget.

Repeat now says that a target got the request. Again says that a target was chosen and none has got it since: it was counted when it was first asked for.

--- a/fleet/plan/admission.go
+++ b/fleet/plan/admission.go
@@ -103,14 +103,16 @@
 	if !ok {
 		return refuse(req, fleet.ReasonNoTarget, minRetryAfter), true
 	}
-	if req.Repeat {
+	switch {
+	case req.Again: // it was counted when a target was chosen for it
+	case req.Repeat:
 		if !f.repeatAllowed(now, s) {
 			f.stats.RepeatsRefused++
 			return refuse(req, fleet.ReasonRetryBudget, minRetryAfter), true
 		}
 		f.stats.Repeats++
 		s.repeats.add(now, f.RetryWindow)
-	} else {
+	default:
 		s.firstAttempts.add(now, f.RetryWindow)
 	}
 	decision, verdict := f.tryGrant(now, now, req.under(f.table))
--- a/fleet/plan/deputy_test.go
+++ b/fleet/plan/deputy_test.go
@@ -90,3 +90,29 @@
 	}
 	require.True(t, fetched, "the engine without capacity is a source")
 }
+
+// A host that is cut off from targets asks again for requests that no target got.
+func TestRequestsThatNoTargetGotLeaveTheRetryBudget(t *testing.T) {
+	const first, again = 20, 200
+	count := func(agains int) (repeats int) {
+		f := newFleet(t, engines(4))
+		submit := func(repeat, again bool) bool {
+			req := newRequest(0, filePrompt("file")...)
+			req.Repeat, req.Again = repeat, again
+			decision, _ := f.Submit(at(0), req)
+			return decision.Refusal == nil || decision.Refusal.Reason != fleet.ReasonRetryBudget
+		}
+		for range first {
+			submit(false, false)
+		}
+		for i := range agains {
+			require.True(t, submit(i%2 == 0, true))
+		}
+		for submit(true, false) {
+			repeats++
+		}
+		return repeats
+	}
+	require.Equal(t, count(0), count(again))
+	require.Positive(t, count(0))
+}
--- a/fleet/plan/request.go
+++ b/fleet/plan/request.go
@@ -35,7 +35,8 @@
 	Objective  time.Duration
 	Deadline   time.Duration    // time left until the caller abandons the request
 	Avoid      []fleet.TargetID // targets that must not be chosen
-	Repeat     bool             // the request was sent to a target before
+	Repeat     bool             // a target has got the request before
+	Again      bool             `cbor:",omitempty"` // a target was chosen for it, and no target has got it since
 	Resumable  bool             // its answer is a stream that may go on at another target
 	Resumption Resumption
 	Known      []intake.Known // what targets of the service have said to the host
--- a/hibiscusfront/internal/chooser/chooser.go
+++ b/hibiscusfront/internal/chooser/chooser.go
@@ -115,6 +115,7 @@
 			Msg("grant given back: " + reason)
 		c.Report(decision.Grant, plan.Rejected)
 		again := *req
+		again.Again = true
 		req, sent = &again, append(slices.Clone(sent), decision.Grant.Target)
 	}
 	closed, _ := c.closed(v, req.Service)
--- a/hibiscusfront/internal/gateway/attempt.go
+++ b/hibiscusfront/internal/gateway/attempt.go
@@ -29,11 +29,12 @@
 	defer limit.end()
 	exchange, err := c.send(limit.ctx, request)
 	limit.begun()
+	var notSent *backend.NotSentError
+	unsent := errors.As(err, &notSent)
+	c.got, c.chosen = c.got || !unsent, unsent
 	if err != nil {
-		var notSent *backend.NotSentError
 		var late *LateStartError
 		var replaced *ReplacedConfigurationError
-		unsent := errors.As(err, &notSent)
 		withdrawn := errors.As(context.Cause(limit.ctx), &late) && c.contextRefusal() == nil
 		switch {
 		case unsent:
--- a/hibiscusfront/internal/gateway/gateway.go
+++ b/hibiscusfront/internal/gateway/gateway.go
@@ -121,6 +121,8 @@
 	expiresAt   time.Time // the earlier of the ends of the caller's Deadline and the route's Timeout
 
 	tried   []fleet.TargetID
+	got     bool          // a target has got the request, whether or not it ran it
+	chosen  bool          // a target was chosen, and none has got the request since
 	sentAt  time.Time     // when the current attempt began, its connection included
 	sends   int           // number of targets that may have run the request
 	outcome fleet.Outcome // Unknown once a target may have run the request
@@ -238,7 +240,7 @@
 	req := &plan.Request{
 		ID: c.ID, Host: c.Host, Near: c.DataCentre, Service: c.service, Prompt: c.Prompt, Rank: c.route.Rank,
 		Objective: c.route.LatencyObjective - time.Since(c.start), Deadline: time.Until(c.expiresAt),
-		Avoid: c.tried, Repeat: len(c.tried) > 0, Fingerprint: c.fingerprint,
+		Avoid: c.tried, Repeat: c.got, Again: c.chosen, Fingerprint: c.fingerprint,
 		Resumable: c.route.Kind == route.Streaming && c.route.Resumable, Resumption: c.resumption(),
 	}
 	if c.view.Rollouts != nil {
@@ -299,6 +301,7 @@
 			decision.Refusal.Outcome = c.outcome
 			return decision.Refusal
 		}
+		c.chosen = true
 		if target := decision.Grant.Target; c.View().Excludes(target) {
 			// A choice takes long if neither a planner nor a deputy answers.
 			c.Chooser.Report(decision.Grant, plan.Rejected)
@@ -313,7 +316,7 @@
 		if c.outcome == fleet.OutcomeNotRun && len(c.tried) >= maxRejections {
 			return fleet.RefuseWithRetryAfter(fleet.ReasonOverloaded, overloadedRetryAfter)
 		}
-		if c.outcome != fleet.OutcomeNotRun && !c.mayRepeat() {
+		if c.outcome != fleet.OutcomeNotRun && (!c.mayRepeat() || len(c.tried)-c.sends >= maxRejections) {
 			return &fleet.RefusalError{Reason: fleet.ReasonTargetFailed, Outcome: fleet.OutcomeUnknown}
 		}
 	}
