plan, chooser: what others have sent to engines with replaced weights counts

A new planner, a deputy and a host that chooses alone expected runs to start at an engine as if it held nothing but their own grants. With replaced weights such a run may start after the bound; only the withdrawal guarded it, which an engine need not notice.

Shown by a replay of one engine that starts the most urgent request first and keeps all it gets, while the planner changes, a deputy takes over, or a deputy decides beside the planner (TestEngineWithUnknownQueueStartsNothingLateOnOldWeights). Before, all 8 cases: "6.15s" is not less than or equal to "6s". A lone host granted 3 s after the announcement what may start 2 s later (TestLoneHostStartsNothingLateOnOldWeights: expected false, actual true). A planner whose own runs are overdue also took their engine for idle.

Hosts now tell with each request what of theirs waits at engines with replaced weights by grants of other tenures. Of hosts that have not asked yet, an engine counts as holding their share of the longest queue that a planner grants, by the objectives of the service's routes, until it has read that or started a least urgent request of the tenure. Overdue runs count as unread. A lone host leaves the time of the longest queue. Where no weights are replaced, nothing changes.

Ruled out: the queue by the engines' reports, which are some hundred milliseconds old and do not say whether a prompt that is being read is queued; and the longest queue alone, without the hosts' word.

--- a/fleet/plan/admission.go
+++ b/fleet/plan/admission.go
@@ -99,6 +99,7 @@
 // later Tick returns its decision.
 func (f *Fleet) Submit(now fleet.Instant, req *Request) (Decision, bool) {
 	f.learnKnown(now, req)
+	f.learnWaiting(req.Host, req.Waiting)
 	s, ok := f.services[req.Service]
 	if !ok {
 		return refuse(req, fleet.ReasonNoTarget, minRetryAfter), true
@@ -229,7 +230,7 @@
 		if latest, limited := f.model(p.Model).announced.LatestStart(g.Version, f.WeightsBound); limited {
 			g.StartWithin = max(1, latest.Sub(now))
 		}
-		g.Fetch = c.fetch
+		g.Fetch, g.Read = c.fetch, c.readTokens
 		engine := t.service.spec.Engine
 		for i, address := range c.fetch {
 			size := engine.TokenBytes * fleet.Bytes(p.Parts[i].Tokens)
@@ -254,6 +255,7 @@
 			}
 		}
 		ag.parts, ag.memory = c.chain.parts, p.Input+p.Output
+		ag.leastUrgent = g.Rank >= t.service.leastUrgent
 	}
 	f.recordGrant(now, ag)
 	f.stats.Grants++
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -87,6 +87,9 @@
 	// streams which are not recorded may be of a version that it has missed.
 	RosterStale bool
 
+	// Hosts is the number of hosts that ask a planner or a deputy.
+	Hosts int
+
 	targets       map[fleet.TargetID]*target
 	services      map[route.ServiceID]*service
 	stores        map[fleet.Address]*store
@@ -106,7 +109,8 @@
 	cutOffChanges []CutOffChange                  // since CutOffChanges was called
 	probesDue     bool                            // of some target
 	rollouts      map[route.ServiceID]*serviceRollout
-	planning      bool // a tenure has begun and not ended
+	waiting       map[fleet.HostID][]waitingShare // as each host has reported in this tenure
+	planning      bool                            // a tenure has begun and not ended
 }
 
 // service is a service with the counts of its retry budget.
@@ -114,7 +118,9 @@
 	spec          *route.Service
 	firstAttempts slidingWindow
 	repeats       slidingWindow
-	pace          pace // of its engines
+	pace          pace          // of its engines
+	longestWait   time.Duration // see LongestWait
+	leastUrgent   int           // rank of its requests
 	brittle       brittleService
 }
 
@@ -124,7 +130,7 @@
 func (f *Fleet) BeginTenure(now fleet.Instant, base GrantNumber) {
 	f.tenureStart, f.lastNumber = now, base
 	f.stats = Stats{}
-	f.queue, f.crashes = nil, nil
+	f.queue, f.crashes, f.waiting = nil, nil, nil
 	f.observers, f.trials, f.cutOffChanges = nil, nil, nil
 	f.origins.BeginTenure()
 	f.planning = true
@@ -159,6 +165,10 @@
 func (f *Fleet) SetConfiguration(now fleet.Instant, table *route.Table) {
 	f.SetServices(now, table.Services)
 	f.table = table
+	workspace, ranked := leastUrgentWorkspace(table)
+	for id, s := range f.services {
+		s.longestWait, s.leastUrgent = LongestWait(table, id), leastUrgent(table, id, workspace, ranked)
+	}
 }
 
 // SetServices sets the services and their cache stores from a new configuration.
@@ -304,6 +314,8 @@
 // ReleaseHost ends the active grants of a host that will report no more. Engines
 // abort its requests once they notice that the host is gone.
 func (f *Fleet) ReleaseHost(now fleet.Instant, host fleet.HostID) {
+	f.learnWaiting(host, nil)
+	delete(f.waiting, host)
 	for number, ag := range f.active {
 		if ag.req.Host == host {
 			delete(f.active, number)
--- a/fleet/plan/request.go
+++ b/fleet/plan/request.go
@@ -39,6 +39,7 @@
 	Resumable  bool             // its answer is a stream that may go on at another target
 	Resumption Resumption
 	Known      []intake.Known // what targets of the service have said to the host
+	Waiting    []Waiting      `cbor:",omitempty"`
 }
 
 // A Grant allows a host to send a request to a target.
@@ -51,6 +52,7 @@
 	Salt     string          // of the cache that the request may use; see the function Salt
 	Fetch    []fleet.Address // for each part, the address of the cache store or engine to fetch it from; "" for none
 	Save     []fleet.Address // for each part, the address of the cache store to save it to; "" for none
+	Read     fleet.Tokens    `cbor:",omitempty"` // of the prompt, that the engine has to read
 	Until    time.Time       // end of the time for fetches, on the engines' clock
 	Rank     int
 	Software fleet.Software // of the target
@@ -132,5 +134,6 @@
 	software    fleet.Software    // of the target when the grant was made
 	answered    bool              // with a header that says something, see Answered
 	ended       bool
+	leastUrgent bool // no request for the service is less urgent
 	onTrial     bool // software is on trial: its pace is not that of the service
 }
--- a/fleet/plan/target.go
+++ b/fleet/plan/target.go
@@ -41,6 +41,7 @@
 	probeDue          bool // a connection is to be tried
 	refused           bool // has refused a connection, last at refusedAt
 	refusedAt         fleet.Instant
+	hidden            hiddenQueue
 	lastFirstPiece    fleet.Instant            // when the last first piece was reported
 	earlyEnds         []earlyEnd               // of requests, within crashWindow
 	witnesses         [2]witness               // its latest successes with two observers
@@ -87,6 +88,9 @@
 // resetGrants resets the estimates that depend on active grants.
 func (t *target) resetGrants(now fleet.Instant) {
 	t.activeGrants, t.pending, t.unreadTokens, t.memory, t.readyAt = 0, 0, 0, 0, now
+	if t.service != nil {
+		t.hidden = hiddenQueue{until: now.Add(t.service.longestWait)}
+	}
 	t.limit.bucket = intake.Bucket{}
 	t.brittle.limitRoom(now, 0)
 }
@@ -181,6 +185,7 @@
 	}
 	ag.started, ag.startedAt = true, now
 	t.markReachable(now)
+	t.hidden.recordStart(now, t.pace().readTime(ag.readTokens), now.Sub(ag.grantedAt)-ag.firstPiece, ag.leastUrgent)
 	t.pending--
 	t.unreadTokens -= ag.readTokens
 	for _, s := range ag.fetchStores {
--- a/fleet/plan/weights.go
+++ b/fleet/plan/weights.go
@@ -132,5 +132,9 @@
 // engine has: a request that waits at a busy engine may start long after it was sent.
 func (f *Fleet) startsInTime(now fleet.Instant, c *candidate, req *Request) bool {
 	id := req.modelID()
-	return id == "" || f.model(id).announced.Allows(now.Add(c.firstPiece), c.target.version(id), f.WeightsBound)
+	if id == "" || f.WeightsBound == 0 {
+		return true
+	}
+	start := now.Add(c.firstPiece + f.hiddenWait(now, c.target))
+	return f.model(id).announced.Allows(start, c.target.version(id), f.WeightsBound)
 }
--- a/fleet/route/route.go
+++ b/fleet/route/route.go
@@ -67,6 +67,11 @@
 	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
 }
 
+// Uses reports whether the service gets requests of the route.
+func (r *Route) Uses(service ServiceID) bool {
+	return slices.ContainsFunc(r.Splits, func(s Split) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // PickService picks a service by weight, given a hash that is uniform over 64 bits.
 // The same hash gives the same service, so that all attempts at a request get the
 // same one if the hash is that of the request's ID. It returns the empty ID if no
--- a/hibiscusfront/internal/chooser/chooser.go
+++ b/hibiscusfront/internal/chooser/chooser.go
@@ -52,8 +52,9 @@
 
 	mu         sync.Mutex
 	backoffEnd map[fleet.Address]fleet.Instant // of hosts that gave no decision
-	ledger     intake.Ledger                   // of what targets have said to this host
-	pending    chan report                     // reports that Run has to send
+	waiting    map[*plan.Grant]waitingGrant
+	ledger     intake.Ledger // of what targets have said to this host
+	pending    chan report   // reports that Run has to send
 	starts     starts
 	tasks      task.Group
 }
@@ -63,7 +64,7 @@
 	const maxPendingReports = 4096
 	return &Chooser{
 		Host: host, PeerAddress: peerAddress, Planner: local, Peers: peers, Clock: clock, Log: log,
-		backoffEnd: make(map[fleet.Address]fleet.Instant), pending: make(chan report, maxPendingReports), starts: newStarts(),
+		backoffEnd: make(map[fleet.Address]fleet.Instant), waiting: make(map[*plan.Grant]waitingGrant), pending: make(chan report, maxPendingReports), starts: newStarts(),
 	}
 }
 
@@ -79,6 +80,9 @@
 	if decision.Grant != nil {
 		// A planner of an earlier version does not name it, but follows the newer of the two.
 		decision.Grant.Configuration = max(decision.Grant.Configuration, req.Configuration)
+		if decision.Grant.By == "" {
+			c.addWaiting(decision.Grant, req, tenureID{})
+		}
 	}
 	if decision.Grant != nil && req.Resumable {
 		start := req.Start(decision.Grant.Software)
@@ -155,7 +159,7 @@
 // ask asks the planner, then a deputy, and then chooses locally.
 func (c *Chooser) ask(ctx context.Context, v *view.View, req *plan.Request) plan.Decision {
 	planner := wire.Host{ID: v.Duty.Holder, Peers: v.Duty.Address}
-	if decision, ok := c.requestDecision(ctx, planner, req, false); ok {
+	if decision, ok := c.requestDecision(ctx, v, planner, req, false); ok {
 		return decision
 	}
 	deputies := 1
@@ -164,7 +168,7 @@
 	}
 	for declined := 0; deputies > 0 && declined <= maxDeclining; {
 		deputy := v.Deputy(func(h wire.Host) bool { return h.ID != v.Duty.Holder && !c.inBackoff(h.Peers) })
-		decision, ok := c.requestDecision(ctx, deputy, req, true)
+		decision, ok := c.requestDecision(ctx, v, deputy, req, true)
 		switch {
 		case ok:
 			return decision
@@ -180,12 +184,16 @@
 // requestDecision asks a host for a decision, unless the host is in backoff. It
 // reports whether there is a decision; if ctx has ended, it is a refusal. If the host has declined to
 // decide, the refusal says so.
-func (c *Chooser) requestDecision(ctx context.Context, host wire.Host, req *plan.Request, deputy bool) (plan.Decision, bool) {
+func (c *Chooser) requestDecision(ctx context.Context, v *view.View, host wire.Host, req *plan.Request, deputy bool) (plan.Decision, bool) {
 	if host.ID == "" || c.inBackoff(host.Peers) {
 		return plan.Decision{}, false
 	}
 	callCtx, cancel := context.WithTimeout(ctx, req.MaxQueueTime()+replyMargin)
 	defer cancel()
+	asked := *req // an earlier host may still read its request
+	tenure := tenureID{host.Peers, v.Duty.Epoch, deputy}
+	asked.Waiting = c.reportWaiting(v, tenure)
+	req = &asked
 	var decision plan.Decision
 	var err error
 	if host.ID == c.Host {
@@ -206,6 +214,7 @@
 		return decision, false
 	case decision.Grant != nil:
 		decision.Grant.By = host.Peers
+		c.addWaiting(decision.Grant, req, tenure)
 	}
 	return decision, true
 }
@@ -249,6 +258,7 @@
 // Report implements gateway.Chooser. It queues a report for the host that made
 // the grant.
 func (c *Chooser) Report(g *plan.Grant, progress plan.Progress) {
+	c.removeWaiting(g)
 	r := report{to: g.By, Report: plan.Report{Number: g.Number, Progress: progress}}
 	if progress == plan.Started {
 		r.start = g.Stream
--- a/hibiscusfront/internal/chooser/local.go
+++ b/hibiscusfront/internal/chooser/local.go
@@ -38,6 +38,8 @@
 	if !known {
 		return plan.Decision{Request: req, Refusal: fleet.RefuseWithRetryAfter(fleet.ReasonUnknownOrigin, noTargetRetryAfter)}
 	}
+	// What other hosts have sent to an engine is not known.
+	start := now.Add(plan.LongestWait(v.Table, req.Service))
 	var usable []*roster.Target
 	for i := range v.Targets {
 		t := &v.Targets[i]
@@ -53,7 +55,7 @@
 		if slices.ContainsFunc(req.Known, func(k intake.Known) bool { return k.Target == t.ID }) {
 			continue
 		}
-		if req.Prompt != nil && !l.mayStart(now, v, t, req.Prompt.Model) {
+		if req.Prompt != nil && !l.mayStart(start, v, t, req.Prompt.Model) {
 			continue
 		}
 		usable = append(usable, t)
@@ -74,7 +76,7 @@
 	t := ranked[0]
 	g := &plan.Grant{Target: t.ID, Address: t.Address, Service: req.Service, Rank: min(req.Rank, plan.MaxRank), Software: t.Software}
 	if req.Prompt != nil {
-		g.Version = t.Version(req.Prompt.Model)
+		g.Version, g.Read = t.Version(req.Prompt.Model), req.Prompt.Input
 		g.Salt, g.Configuration = plan.Salt(req.Prompt.Model, g.Version, req.Workspace, req.Isolation), req.Configuration
 	}
 	return plan.Decision{Request: req, Grant: g}
@@ -94,8 +96,8 @@
 	return nil, false
 }
 
-// mayStart reports whether a run may start on the weights that the engine has.
-func (l Local) mayStart(now fleet.Instant, v *view.View, t *roster.Target, model fleet.ModelID) bool {
+// mayStart reports whether a run that is expected to start at the instant may start on the weights that the engine has.
+func (l Local) mayStart(start fleet.Instant, v *view.View, t *roster.Target, model fleet.ModelID) bool {
 	version := t.Version(model)
-	return version > 0 && v.Weights[model].Allows(now, version, l.WeightsBound)
+	return version > 0 && v.Weights[model].Allows(start, version, l.WeightsBound)
 }
--- a/hibiscusfront/internal/planner/planner.go
+++ b/hibiscusfront/internal/planner/planner.go
@@ -236,6 +236,7 @@
 		if v.Table == nil {
 			return
 		}
+		p.fleet.Hosts = len(v.Hosts)
 		p.fleet.SetConfiguration(now, v.Table)
 		p.fleet.SetTargets(now, v.Targets, v.Evacuated)
 		p.followRollouts(now, v)
