control: tests keep the ports of the paths to the store

The fixture chose ports by listening and closing, and listened on them again in a goroutine whose error it dropped. It took for granted that the check by a dial would fail then. If another process listens on the port for a moment, the bind fails and the dial succeeds, and one host has no way to the store for the rest of the test.

The paths now serve a listener that stays open from when its port is chosen (link.Proxy.Serve), and an error of theirs fails the test.

--- a/hibiscusfront/internal/control/propagation_test.go
+++ b/hibiscusfront/internal/control/propagation_test.go
@@ -72,18 +72,16 @@
 		}
 		controls = append(controls, c)
 	}
-	// The paths listen before any host makes a connection, which could take one of
-	// their ports.
-	for _, address := range freeAddresses(t, hosts) {
-		path := &link.Proxy{Listen: address, Target: fleet.Address(strings.TrimPrefix(storeServer.URL, "http://"))}
-		run(func(ctx context.Context) { _ = path.Run(ctx) }) // if the path fails, the next check does
-		require.Eventually(t, func() bool {
-			conn, err := net.Dial("tcp", string(address))
-			if err == nil {
-				err = conn.Close()
+	for range hosts {
+		// The listener stays open from here on, so that no other process gets its port.
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		path := &link.Proxy{Listen: fleet.Address(listener.Addr().String()), Target: fleet.Address(strings.TrimPrefix(storeServer.URL, "http://"))}
+		run(func(ctx context.Context) {
+			if err := path.Serve(ctx, listener); err != nil {
+				t.Errorf("path %s to the store: %v", path.Listen, err)
 			}
-			return err == nil
-		}, 5*time.Second, time.Millisecond)
+		})
 		paths = append(paths, path)
 	}
 	for i, c := range controls {
@@ -102,19 +100,6 @@
 	return controls, paths
 }
 
-// freeAddresses returns different addresses that no process listens on.
-func freeAddresses(t *testing.T, count int) []fleet.Address {
-	t.Helper()
-	var addresses []fleet.Address
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		defer listener.Close() // after all addresses are chosen
-		addresses = append(addresses, fleet.Address(listener.Addr().String()))
-	}
-	return addresses
-}
-
 // TestChangeReachesAllHostsWhenPlannerLosesStore guards against slow
 // propagation of a change, such as a revoked key, that is made when the planner,
 // the only host that watches the store, can no longer reach it. If the other hosts
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -77,13 +77,20 @@
 	return mux
 }
 
-// Run accepts and forwards connections until the context is done, then closes them
-// and returns nil. It returns an error if it can't listen or accept connections.
+// Run listens at Listen and calls Serve. It returns an error if it can't listen.
 func (p *Proxy) Run(ctx context.Context) error {
 	listener, err := net.Listen("tcp", string(p.Listen))
 	if err != nil {
 		return err
 	}
+	return p.Serve(ctx, listener)
+}
+
+// Serve accepts and forwards the listener's connections until the context is done, then
+// closes them and the listener and returns nil. It returns an error if it can't accept
+// connections. Listen is not used.
+func (p *Proxy) Serve(ctx context.Context, listener net.Listener) error {
+	defer listener.Close()
 	stop := context.AfterFunc(ctx, func() {
 		listener.Close()
 		p.SetMode(Cut)
