plan: count crashes of targets that come back with the same entry

Cause: a target of a plain service counts as crashed until it has answered a later request or accepted a connection, and crashes once until then. A connection is tried only after an early end. When both targets came back, the bad request was often the first to be sent, queued while they were paused: it ended them before any answer, and these crashes were not counted.

Engines are not concerned: they are polled, and get no work until they answer.

Change: the planner tries a connection each 200 ms to a target of a plain service that has crashed, until it accepts one, which also ends its pause. While connections are refused, a request that is a suspect is not sent there: its crash could not be told from what goes on to end requests in the target's place. If no result of a connection is known for a second, as when the planner is cut off, it is sent as before. Failed connections to a target that is known to be gone neither count for the planner's ways nor are logged.

--- a/fleet/plan/admission.go
+++ b/fleet/plan/admission.go
@@ -294,6 +294,7 @@
 	f.expireGrants(now)
 	f.forgetObservers(now)
 	f.settleCrashes(now)
+	f.probeGone(now)
 	slices.SortStableFunc(f.queue, func(a, b *queuedRequest) int {
 		return cmp.Or(cmp.Compare(a.req.Rank, b.req.Rank), cmp.Compare(a.order(), b.order()), cmp.Compare(a.expires, b.expires))
 	})
@@ -319,7 +320,7 @@
 			case verdict != noCapacity:
 			case q.req.Resumption.Resumes:
 				f.reserve(now, q)
-			case len(q.req.Avoid) == 0:
+			case len(q.req.Avoid) == 0 && !f.quarantine.Suspects(q.req.Fingerprint):
 				unmet[kind] = memory
 			}
 		}
--- a/fleet/plan/crash.go
+++ b/fleet/plan/crash.go
@@ -20,6 +20,11 @@
 // connection itself, once after an early end. An engine, which is polled for events, must have
 // left a poll unanswered, too. An early end alone may be a fault of the answer or of a link, and
 // a target that stops to answer may be slow, silent for a moment or cut off.
+//
+// A target may come back with the same entry. Until it is known to be up, a further crash of it
+// can't be told from what goes on to end requests in its place. The planner therefore tries
+// connections to a target of a plain service that has crashed until it accepts one, and no
+// request that may have crashed targets is sent there meanwhile.
 const (
 	// crashWindow is the longest time between the early end of an answer and the first
 	// poll or connection that fails. A poll fails at once if its connection is closed; a new one
@@ -28,6 +33,9 @@
 	// crashSettleTime is how long reports of failed requests are awaited after a crash was
 	// noticed. Hosts send them within some ten milliseconds.
 	crashSettleTime = 200 * time.Millisecond
+	// crashProbeInterval is the time between two connections that are tried to a target which
+	// has crashed.
+	crashProbeInterval = 200 * time.Millisecond
 	// soundAfter is how long a request's answer must have been under way for its prompt
 	// not to be a suspect.
 	soundAfter = 500 * time.Millisecond
@@ -121,18 +129,29 @@
 	return probes
 }
 
-// RecordProbe records whether a target accepted the connection of a probe.
-func (f *Fleet) RecordProbe(now fleet.Instant, id fleet.TargetID, accepted bool) {
+// RecordProbe records whether a target accepted the connection of a probe. It returns false if
+// the target was known to be gone, and still is.
+func (f *Fleet) RecordProbe(now fleet.Instant, id fleet.TargetID, accepted bool) (news bool) {
 	t, ok := f.targets[id]
 	switch {
 	case !ok:
 	case accepted:
-		t.crashed = false
+		if t.crashed && !t.isEngine() {
+			t.markReachable(now)
+		}
+		t.crashed, t.refused = false, false
 		f.recordReached(now, polls, t)
+	case t.crashed && !t.isEngine():
+		if t.endedEarly(now) {
+			t.pause(now)
+		}
+		t.refused, t.refusedAt = true, now
+		return false // and tells nothing of the planner's ways
 	case f.recordFailed(now, polls, t):
 		t.pause(now)
 		f.recordRefusal(now, t)
 	}
+	return true
 }
 
 // endedEarly reports whether an answer of the target ended early within crashWindow.
@@ -146,11 +165,31 @@
 	if !t.crashed {
 		f.recordLoss(now, t)
 		f.confirmFailures(t)
-		t.crashed, t.crashedAt = true, now
+		t.crashed, t.crashedAt, t.probedAt = true, now, now
 		f.crashes = append(f.crashes, crash{t, now})
+		if !t.isEngine() && !slices.Contains(f.gone, t) {
+			f.gone = append(f.gone, t)
+		}
+	}
+}
+
+// probeGone has connections tried to targets of plain services that have crashed, until they are
+// back or no longer on the roster.
+func (f *Fleet) probeGone(now fleet.Instant) {
+	f.gone = slices.DeleteFunc(f.gone, func(t *target) bool { return !t.crashed || t.removed })
+	for _, t := range f.gone {
+		if now.Sub(t.probedAt) >= crashProbeInterval {
+			t.probeDue, t.probedAt, f.probesDue = true, now, true
+		}
 	}
 }
 
+// spares reports whether a target that has crashed, and still refused a connection within
+// crashWindow, is to be spared a request that may have crashed targets.
+func (f *Fleet) spares(now fleet.Instant, t *target, req *Request) bool {
+	return t.crashed && t.refused && now.Sub(t.refusedAt) <= crashWindow && f.quarantine.Suspects(req.Fingerprint)
+}
+
 // settleCrashes records the suspects of the crashes for which all reports have arrived.
 func (f *Fleet) settleCrashes(now fleet.Instant) {
 	if len(f.crashes) == 0 {
--- a/fleet/plan/crashing_request_test.go
+++ b/fleet/plan/crashing_request_test.go
@@ -31,6 +31,7 @@
 	calls   map[*plan.Request]*serviceCall // that wait for a decision
 	running map[fleet.TargetID]map[*serviceRun]bool
 	ended   map[fleet.TargetID]bool
+	backIn  time.Duration   // after a crash, at the same address and with the same entry; zero for another target
 	crashes []time.Duration // of targets under the bad request
 	sent    []time.Duration // when the bad request reached targets
 	tries   []serviceTry    // of sound requests
@@ -197,6 +198,10 @@
 		})
 	}
 	delete(s.running, id)
+	if s.backIn > 0 {
+		s.after(now, s.backIn, func(time.Duration) { s.ended[id] = false })
+		return
+	}
 	var address fleet.Address
 	for _, entry := range s.entries {
 		if entry.ID == id {
@@ -277,6 +282,28 @@
 	}
 }
 
+// Load pattern: both targets of a service come back 1.5 s after a crash, under the IDs of before,
+// and a bad request comes each 0.3 s.
+func TestCrashOfTargetThatCameBackIsCounted(t *testing.T) {
+	const end = 30 * second
+	for seed := range uint64(40) {
+		s := newCrashingService(t, seed, 2)
+		s.backIn = 1500 * time.Millisecond
+		s.play(end, func(now time.Duration) {
+			if s.random.Float64() < 0.05 {
+				s.submit(now, "", s.random.IntN(3) == 0, 1)
+			}
+			if now > 0 && now%(300*time.Millisecond) == 0 {
+				s.submit(now, badRequest, true, 0)
+			}
+		})
+		require.GreaterOrEqual(t, len(s.crashes), 3)
+		assert.EqualValues(t, len(s.crashes), s.plan.Stats().Crashes, "seed %d: targets ended at %v", seed, s.crashes)
+		assert.LessOrEqual(t, s.late(), 3, "seed %d: targets ended at %v", seed, s.crashes)
+		assert.Greater(t, s.share(4*stableWindow, end-second), 0.9, "seed %d: sound requests", seed)
+	}
+}
+
 // Load pattern: what stands before a crashed target goes on accepting requests and ends each of
 // them early. Requests that come often are among them again and again.
 func TestCrashOfPlainTargetIsChargedOnce(t *testing.T) {
--- a/fleet/plan/placement.go
+++ b/fleet/plan/placement.go
@@ -98,7 +98,7 @@
 		if t.Service != req.Service || !allowed.admits(t) || !t.usable(now) && !f.mayTry(now, t, req.Host) || slices.Contains(req.Avoid, t.ID) {
 			continue
 		}
-		if req.Prompt != nil && !f.canStartRun(now, t, req.Prompt.Model) {
+		if req.Prompt != nil && !f.canStartRun(now, t, req.Prompt.Model) || f.spares(now, t, req) {
 			continue
 		}
 		eligible = true
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -105,6 +105,7 @@
 	trials        map[fleet.HostID]*slidingWindow // of engines that do not answer polls
 	cutOffChanges []CutOffChange                  // since CutOffChanges was called
 	probesDue     bool                            // of some target
+	gone          []*target                       // of plain services, that have crashed
 	rollouts      map[route.ServiceID]*serviceRollout
 	planning      bool // a tenure has begun and not ended
 }
--- a/fleet/plan/target.go
+++ b/fleet/plan/target.go
@@ -38,8 +38,9 @@
 	unresponsiveSince fleet.Instant // first failed poll since the last answer
 	crashed           bool          // has crashed since it last answered, at crashedAt
 	crashedAt         fleet.Instant
-	probeDue          bool // a connection is to be tried
-	refused           bool // has refused a connection, last at refusedAt
+	probeDue          bool          // a connection is to be tried
+	probedAt          fleet.Instant // when the last one of a target that has crashed was due
+	refused           bool          // has refused a connection, last at refusedAt
 	refusedAt         fleet.Instant
 	lastFirstPiece    fleet.Instant            // when the last first piece was reported
 	earlyEnds         []earlyEnd               // of requests, within crashWindow
@@ -233,6 +234,7 @@
 	case Done, Started:
 		t.markReachable(now)
 		t.crashed = t.crashed && ag.grantedAt <= t.crashedAt
+		t.refused = t.refused && ag.grantedAt <= t.refusedAt
 	case Failed, ServerError:
 		failed = 1
 	case Unreachable:
--- a/fleet/quarantine/quarantine.go
+++ b/fleet/quarantine/quarantine.go
@@ -290,6 +290,12 @@
 	return Refused, retryAfter
 }
 
+// Suspects reports whether a target has crashed under the request since its last complete answer.
+func (l *Ledger) Suspects(request Fingerprint) bool {
+	_, suspect := l.requests[request]
+	return suspect
+}
+
 // RecordSent records that a request was sent. If that was a trial, the next one is due after as
 // long a time again, unless this one succeeds. The prompt may be nil.
 func (l *Ledger) RecordSent(now fleet.Instant, request Fingerprint, p *prompt.Prompt) {
--- a/hibiscusfront/internal/planner/calls.go
+++ b/hibiscusfront/internal/planner/calls.go
@@ -64,11 +64,15 @@
 // probe tries a connection to a target that may have crashed, since an answer ended early.
 func (p *Planner) probe(ctx context.Context, probe plan.Probe) {
 	err := p.Targets.Probe(ctx, probe.Address)
-	p.Log.Info().AnErr("Cause", err).Str("Target", string(probe.Target)).Str("Address", string(probe.Address)).Bool("Accepted", err == nil).
-		Msg("tried a connection to a target, since an answer ended early")
-	if ctx.Err() == nil {
-		p.enqueue(ctx, func(now fleet.Instant) { p.fleet.RecordProbe(now, probe.Target, err == nil) })
+	if ctx.Err() != nil {
+		return
 	}
+	p.enqueue(ctx, func(now fleet.Instant) {
+		if p.fleet.RecordProbe(now, probe.Target, err == nil) {
+			p.Log.Info().AnErr("Cause", err).Str("Target", string(probe.Target)).Str("Address", string(probe.Address)).Bool("Accepted", err == nil).
+				Msg("tried a connection to a target, since an answer ended early")
+		}
+	})
 }
 
 // noteQuarantine publishes the suspected and withheld parts of prompts and requests, and logs
