control: the duty does not go round if all targets are gone

A planner that finds no way to any target hands its duty to a host that does not say so of itself. Hosts without requests try no target, so if all targets are gone each of them looks sound: the duty passed on every 2 s, with a new tenure and all that it has to learn, until it had been at each host.

Ruled out: handing it over only to hosts that are known to reach engines. If nothing is under way, no host is known to, and a planner that is cut off alone would keep the duty for as long as the cut lasts.

A host that is known to reach engines which the planner does not gets the duty as before. To another one it passes after 2, 2, 4, 8 s and so on, up to a minute: the record counts the hand-overs in a row, until a holder was not cut off for 2 s.

TestSuccessorIsInTouch checks the new result as well.

--- a/fleet/election/election.go
+++ b/fleet/election/election.go
@@ -87,12 +87,15 @@
 	Versions origin.Versions `json:",omitempty"`
 	// Successor is the host to which the last holder wants to hand the duty over, if it resigned for that.
 	Successor fleet.HostID `json:",omitempty"`
+	// Passes counts the times in a row that the duty was handed over to a host of which it was not known
+	// whether it can do better.
+	Passes int `json:",omitempty"`
 }
 
 // Equal reports whether two records are equal.
 func (r Record) Equal(other Record) bool {
 	return r.Holder == other.Holder && r.Address == other.Address && r.Epoch == other.Epoch && r.Renewal == other.Renewal &&
-		r.Ordering == other.Ordering && r.Era == other.Era && r.Successor == other.Successor && slices.Equal(r.Quarantine, other.Quarantine) && slices.Equal(r.Versions, other.Versions)
+		r.Ordering == other.Ordering && r.Era == other.Era && r.Successor == other.Successor && r.Passes == other.Passes && slices.Equal(r.Quarantine, other.Quarantine) && slices.Equal(r.Versions, other.Versions)
 }
 
 // newer reports whether the record is of a later tenure or renewal than other.
@@ -192,6 +195,7 @@
 	record := Record{
 		Holder: d.Self, Address: d.Address, Epoch: d.record.Epoch, Ordering: ordering,
 		Renewal: max(d.record.Renewal, d.lastRenewal) + 1, Era: d.revision.Era, Quarantine: d.record.Quarantine, Versions: d.record.Versions,
+		Passes: d.record.Passes,
 	}
 	w := Write{Expected: d.revision, Sent: now, orders: ordering}
 	waited := now.Sub(d.observedAt) >= LeaseDuration+ClockMargin
--- a/hibiscusfront/internal/control/control.go
+++ b/hibiscusfront/internal/control/control.go
@@ -332,7 +332,7 @@
 	c.enqueueAndWait(ctx, func(now fleet.Instant) {
 		c.leaving = true
 		c.publish()
-		c.resign(ctx, now, wire.Host{})
+		c.resign(ctx, now, wire.Host{}, 0)
 	})
 }
 
--- a/hibiscusfront/internal/control/duty.go
+++ b/hibiscusfront/internal/control/duty.go
@@ -101,9 +101,12 @@
 	}
 	if holds && c.mustHandOver(now) {
 		c.Log.Info().Msgf("resigning the planner's duty: %d or more live hosts have more cores or a faster link", standbyCount)
-		c.resign(ctx, now, wire.Host{})
+		c.resign(ctx, now, wire.Host{}, 0)
 		return
 	}
+	if c.isInTouch(now) {
+		w.Record.Passes = 0
+	}
 	if c.planning && c.Quarantine != nil {
 		w.Record.Quarantine = c.Quarantine()
 	}
@@ -354,15 +357,15 @@
 const resignTimeout = 500 * time.Millisecond
 
 // resign ends the tenure at once and writes to the store that the duty is vacant. If successor is set,
-// that host is to take the duty over, and is told.
-func (c *Control) resign(ctx context.Context, now fleet.Instant, successor wire.Host) {
+// that host is to take the duty over, and is told. Passes is what the record counts.
+func (c *Control) resign(ctx context.Context, now fleet.Instant, successor wire.Host, passes int) {
 	w, ok := c.duty.ResignWrite(now)
 	c.duty.Release()
 	c.updateTenure(now)
 	if !ok {
 		return
 	}
-	w.Record.Successor = successor.ID
+	w.Record.Successor, w.Record.Passes = successor.ID, passes
 	c.tasks.Go(ctx, func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, resignTimeout)
 		defer cancel()
--- a/hibiscusfront/internal/control/handover.go
+++ b/hibiscusfront/internal/control/handover.go
@@ -13,6 +13,10 @@
 // It hands its duty over to a host in touch: it resigns, names that host in the record, and tells it.
 // Others wait for it, so that it needs no race. A host that is cut off takes a vacant duty only after
 // others had the time to. If all hosts are cut off, the planner keeps the duty: another one would do no better.
+//
+// A host that has tried no target does not know that it is cut off. If all targets are gone, the duty would so pass
+// from host to host. It is handed to a host that is known to reach engines at once; to another one that may know no
+// better at intervals that grow, as the record counts, until a holder was not cut off for minTenure.
 const (
 	// handOverConfirm is how long a planner must have been cut off. Within it the other hosts find
 	// out whether they are, too, and their heartbeats say so.
@@ -20,6 +24,8 @@
 	// minTenure is the least time for which a host has planned before it hands over for this reason,
 	// so that the duty does not go to and fro while cuts change.
 	minTenure = 2 * time.Second
+	// maxTenure bounds the time that grows with each host to which the duty was passed in vain.
+	maxTenure = time.Minute
 	// successorDelay is how long other hosts leave a vacant duty to the successor that is named.
 	successorDelay = 700 * time.Millisecond
 	// cutOffDelay is how long a host that is cut off leaves a vacant duty to others.
@@ -48,17 +54,36 @@
 		c.storeOutage || !c.duty.Holds(now) {
 		return false
 	}
-	successor, ok := c.members.successor(now, c.Self.ID, c.InTouch)
-	if !ok {
+	successor, known, ok := c.members.successor(now, c.Self.ID, c.InTouch)
+	passes := c.duty.Record().Passes
+	if !ok || !known && now.Sub(c.planningSince) < leastTenure(passes) {
 		return false
 	}
+	if passes++; known {
+		passes = 0
+	}
 	c.handOvers.Add(1)
 	c.Log.Warn().Str("Successor", string(successor.ID)).Dur("For", now.Sub(c.cutOffSince)).Uint64("Epoch", uint64(c.duty.Record().Epoch)).
 		Msg("handing the planner's duty over: this host is cut off from the targets, another one is not")
-	c.resign(ctx, now, successor)
+	c.resign(ctx, now, successor, passes)
 	return true
 }
 
+// leastTenure returns how long a host plans before it hands the duty over to one that may know no better, after the
+// given number of such times. The first two hosts take turns at once: the second may have been cut off later.
+func leastTenure(passes int) time.Duration {
+	tenure := minTenure
+	for ; passes > 1 && tenure < maxTenure; passes-- {
+		tenure *= 2
+	}
+	return min(tenure, maxTenure)
+}
+
+// isInTouch reports whether this host has planned for so long without being cut off that it reaches targets.
+func (c *Control) isInTouch(now fleet.Instant) bool {
+	return c.planning && c.cutOffSince == 0 && now.Sub(c.planningSince) >= minTenure
+}
+
 // HandOvers returns how often this host has handed the duty over since it was cut off.
 func (c *Control) HandOvers() int64 { return c.handOvers.Load() }
 
@@ -95,10 +120,8 @@
 }
 
 // successor returns the first host in the order of rank that is not cut off, as its heartbeats say, of those
-// that are known to be in touch, if there are any. InTouch may be nil.
-func (m *members) successor(now fleet.Instant, self fleet.HostID, inTouch func(fleet.HostID) bool) (wire.Host, bool) {
-	var first wire.Host
-	firstInTouch := false
+// that are known to be in touch, if there are any, and whether it is one of these. InTouch may be nil.
+func (m *members) successor(now fleet.Instant, self fleet.HostID, inTouch func(fleet.HostID) bool) (first wire.Host, firstInTouch, ok bool) {
 	for id, h := range m.hosts {
 		status := m.heartbeats[id]
 		if id == self || !status.alive || status.leaving || status.cutOff || now.Sub(status.at) >= recentHeartbeat {
@@ -109,5 +132,5 @@
 			first, firstInTouch = h, known
 		}
 	}
-	return first, first.ID != ""
+	return first, firstInTouch, first.ID != ""
 }
--- a/hibiscusfront/internal/control/handover_test.go
+++ b/hibiscusfront/internal/control/handover_test.go
@@ -91,6 +91,36 @@
 	require.Greater(t, time.Since(vacant), cutOffDelay)
 }
 
+// TestDutyDoesNotGoRoundIfAllTargetsAreGone has only the planner know that it reaches no target, as the other hosts have
+// nothing to try them with.
+func TestDutyDoesNotGoRoundIfAllTargetsAreGone(t *testing.T) {
+	const length, most = 14 * time.Second, 4
+	var controls []*Control
+	store := newConfiguredStore()
+	store.Remove("hosts", "other")
+	store.Put("servers", "i-1", map[string]any{"service": "s", "address": "10.0.0.1:80", "zone": "z", "slots": 4, "state": "ready"})
+	controls, _ = startFleet(t, store, 4, func(c *Control) { c.CutOff = c.HoldsDuty })
+	awaitPlanner(t, controls)
+	time.Sleep(length)
+	handOvers := int64(0)
+	for _, c := range controls {
+		handOvers += c.HandOvers()
+	}
+	require.LessOrEqual(t, handOvers, int64(most))
+	require.Positive(t, handOvers)
+}
+
+func TestTenureGrowsWithEachPassInVain(t *testing.T) {
+	at, handOvers := time.Duration(0), 0
+	for ; at < 10*time.Minute; handOvers++ {
+		at += leastTenure(handOvers)
+	}
+	require.Less(t, handOvers, 16)
+	require.Equal(t, minTenure, leastTenure(0))
+	require.Equal(t, minTenure, leastTenure(1))
+	require.Equal(t, maxTenure, leastTenure(1<<30))
+}
+
 func TestSuccessorIsInTouch(t *testing.T) {
 	m := newMembers(host("a", 4), host("b", 2), host("c", 2), host("d", 1), host("e", 8), host("f", 8))
 	m.setCutOff("a", true)
@@ -98,13 +128,15 @@
 	f := m.heartbeats["f"]
 	f.alive = false
 	m.heartbeats["f"] = f
-	got, ok := m.successor(at(100*time.Millisecond), "b", nil)
+	got, known, ok := m.successor(at(100*time.Millisecond), "b", nil)
 	require.True(t, ok)
+	require.False(t, known)
 	require.Equal(t, host("c", 2), got, "a is cut off, e leaves, f is dead")
 	inTouch := func(id fleet.HostID) bool { return id == "a" || id == "d" }
-	got, _ = m.successor(at(100*time.Millisecond), "b", inTouch)
+	got, known, _ = m.successor(at(100*time.Millisecond), "b", inTouch)
+	require.True(t, known)
 	require.Equal(t, host("d", 1), got, "a says that it is cut off")
-	_, ok = m.successor(at(time.Second), "b", inTouch)
+	_, _, ok = m.successor(at(time.Second), "b", inTouch)
 	require.False(t, ok, "no heartbeats lately")
 	require.Equal(t, 1, m.larger(wire.Host{ID: "b", Cores: 3}), "only e counts; a is cut off")
 }
