plan: what runs on at targets that withstand no rejection counts longer

Callers go, and some targets go on with their requests. The planner counted those for a second. A brittle target that withstands some rejections tells of a longer run by the first one, and gets less from then on; one that withstands none (Server-Brittle: 0) falls over by it. Where requests run for seconds, each caller that went at a full target led to a fall. Not seen at a site; found by review, in a trial with runs of 1 to 6 s.

At such targets the request now counts as long as the longest requests of the service took within the last 10 to 20 s, at most until its deadline.

--- a/fleet/plan/brittle.go
+++ b/fleet/plan/brittle.go
@@ -19,7 +19,8 @@
 // The planner therefore sends a brittle target only what can run at once: as many requests as it
 // has slots, and prompts that fit into its memory. All else waits in the planner's queue, as long
 // as usual, or is refused with the time to come back. Requests whose callers have gone count for
-// a while, since some targets go on with them.
+// a while, since some targets go on with them. A target that withstands no rejection can't tell of
+// them, so there they count as long as the longest requests of the service take.
 //
 // The planner may still be wrong about the room, since others have sent requests of which it
 // doesn't know: the planner before it, a deputy, or a host that chose alone. After it took over,
@@ -45,7 +46,7 @@
 	rejectionTime = 300 * time.Millisecond
 	// brittleRampTime is the time over which all of a target's slots are allowed again.
 	brittleRampTime = 4 * time.Second
-	// goneCallerTime is how long a request counts whose caller has gone.
+	// goneCallerTime is how long a request counts whose caller has gone, if a rejection can tell that it runs on.
 	goneCallerTime = time.Second
 )
 
@@ -206,12 +207,46 @@
 			f.stats.BrittleFalls++
 		}
 	case progress == Abandoned || progress == Failed:
-		if until := min(now.Add(goneCallerTime), ag.grantedAt.Add(ag.req.Deadline)); until > now {
+		until := ag.grantedAt.Add(ag.req.Deadline)
+		if brittle.Rejections > 0 {
+			until = min(until, now.Add(goneCallerTime))
+		} else if longest, known := t.service.runs.longest(now); known {
+			until = min(until, ag.grantedAt.Add(longest))
+		}
+		if until > now {
 			b.gone = append(b.gone, goneCaller{until, ag.memory})
 		}
 	}
 }
 
+// runTimes is how long requests of a service took lately, from the grant to the end. The zero value is
+// that of a service of which none has ended.
+type runTimes struct {
+	since             fleet.Instant // when the current period began
+	current, previous time.Duration // the longest of the period
+}
+
+// runTimesPeriod is the time after which a new period begins.
+const runTimesPeriod = 10 * time.Second
+
+// add records that a request has ended.
+func (r *runTimes) add(now fleet.Instant, took time.Duration) {
+	r.longest(now)
+	r.current = max(r.current, took)
+}
+
+// longest returns the longest time of two periods. It reports false if no request has ended in them.
+func (r *runTimes) longest(now fleet.Instant) (time.Duration, bool) {
+	if now.Sub(r.since) >= runTimesPeriod {
+		if now.Sub(r.since) >= 2*runTimesPeriod {
+			r.current = 0
+		}
+		r.since, r.current, r.previous = now, 0, r.current
+	}
+	longest := max(r.current, r.previous)
+	return longest, longest > 0
+}
+
 // limitRoom limits the room to known requests, which the target holds.
 func (b *brittleState) limitRoom(now fleet.Instant, known int) {
 	b.limited, b.known, b.knownAt = true, known, now
--- a/fleet/plan/brittle_test.go
+++ b/fleet/plan/brittle_test.go
@@ -34,6 +34,7 @@
 	done       []time.Duration // when requests were served to their end
 	turnedAway int
 	refusals   []plan.Decision
+	longer     int // how many times as long requests run as usual
 }
 
 type brittleTarget struct {
@@ -51,7 +52,7 @@
 )
 
 func newBrittleFleet(t *testing.T, service route.ServiceID, targets int, seed uint64) *brittleFleet {
-	b := &brittleFleet{t: t, random: rand.New(rand.NewPCG(seed, 49)), service: service, rejections: -1}
+	b := &brittleFleet{t: t, random: rand.New(rand.NewPCG(seed, 49)), service: service, rejections: -1, longer: 1}
 	for i := range targets {
 		entry := roster.Target{
 			ID: fleet.TargetID(fmt.Sprint("b", i)), Service: service, Address: fleet.Address(fmt.Sprintf("10.0.%d.1:1", i)), DataCentre: "a",
@@ -76,7 +77,7 @@
 
 // capacity returns the requests per second that all targets can serve.
 func (b *brittleFleet) capacity() float64 {
-	return float64(len(b.targets)*brittleSlots) / brittleRunTime.Seconds()
+	return float64(len(b.targets)*brittleSlots) / (time.Duration(b.longer) * brittleRunTime).Seconds()
 }
 
 // fleets returns the planner and, if there is one, the deputy.
@@ -230,7 +231,7 @@
 				}
 			}
 		})
-		b.after(now, b.delay(200, 1200), func(now time.Duration) {
+		b.after(now, b.delay(200*b.longer, 1200*b.longer), func(now time.Duration) {
 			if !dropped && alive() {
 				b.report(now, f, g, plan.Done)
 				b.done = append(b.done, now)
@@ -405,3 +406,31 @@
 	f.Report(at(2*second), plan.Report{Number: decision.Grant.Number, Progress: plan.Rejected})
 	require.Zero(t, f.UsableTargets(at(2*second), plainService))
 }
+
+// Load pattern: callers send twice what a service can serve, requests run for some seconds, some callers go, and
+// some targets don't notice. The targets withstand no rejection, so that none tells of the requests that run on.
+func TestRequestsThatRunOnAreNoRoomAtTargetsThatWithstandNoRejection(t *testing.T) {
+	const begin, change, end = 6 * time.Second, 12 * time.Second, 24 * time.Second
+	for _, service := range []route.ServiceID{engineService, plainService} {
+		for _, deputy := range []bool{false, true} {
+			t.Run(fmt.Sprint(service, ", deputy ", deputy), func(t *testing.T) {
+				served := 0.0
+				for seed := range uint64(3) {
+					b := newBrittleFleet(t, service, 18, seed)
+					b.longer = 5
+					load := 2 * b.capacity()
+					b.run(0, begin, load)
+					b.since, b.rejections = begin, 0
+					b.run(begin, change, load)
+					if deputy {
+						b.startDeputy(change)
+					}
+					b.run(change, end, load)
+					require.LessOrEqual(t, 10*b.falls, 20+len(b.targets), "%d falls, seed %d", b.falls, seed)
+					served += b.served(change, end) / 3
+				}
+				require.Greater(t, served, 0.7, "served share of what has room")
+			})
+		}
+	}
+}
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -116,6 +116,7 @@
 	repeats       slidingWindow
 	pace          pace // of its engines
 	brittle       brittleService
+	runs          runTimes
 }
 
 // BeginTenure starts a tenure, in which grants get numbers greater than base. The
@@ -297,6 +298,9 @@
 	case report.Progress == Unreachable:
 		f.recordRefusal(now, ag.target)
 	case report.Progress == Done:
+		if s := ag.target.service; s != nil {
+			s.runs.add(now, now.Sub(ag.grantedAt))
+		}
 		f.quarantine.RecordSuccess(ag.req.Fingerprint, ag.req.Prompt)
 	}
 }
