chooser: a host that chooses alone spares all targets of a brittle service

On a site of many engines a host hears from few of them, so when neither the planner nor a deputy answers all hosts would send what they have to engines that are full, and that fall over for it. Not seen at a site; found by review.

The host now refuses requests of a service ("not run", with the time to come back) while the latest answer of any of its targets says that it is brittle. Once a later answer says nothing of it, only the targets that have not answered since are left out, as before.

The test TestHostThatChoosesAloneSparesBrittleTarget had a target of the same service that was not told of chosen meanwhile, which is the fault. It is replaced by TestHostThatChoosesAloneSparesBrittleTargets, which keeps its other assertions and adds the targets that were not told of, another service, the refusal's outcome and time, and the end by answers of the told and of another target. Before: "Should be empty, but was map[t:true]: the targets of a service are brittle together".

--- a/fleet/intake/ledger.go
+++ b/fleet/intake/ledger.go
@@ -27,6 +27,7 @@
 	MaxPause time.Duration
 
 	records map[fleet.TargetID]record
+	sound   map[route.ServiceID]fleet.Instant // latest answer that did not name how brittle its target is
 }
 
 // record is what a target has said in one life.
@@ -48,6 +49,12 @@
 	}
 	before = Notice{Limit: r.limit, Leaving: r.leaving, Pause: max(0, r.resume.Sub(now)), Brittle: r.brittle}
 	r.heard, r.limit, r.leaving, r.brittle = now, notice.Limit, r.leaving || notice.Leaving, notice.Brittle
+	if !notice.Brittle.Named {
+		if l.sound == nil {
+			l.sound = make(map[route.ServiceID]fleet.Instant)
+		}
+		l.sound[life.Service] = now
+	}
 	if notice.Pause > 0 {
 		pause := notice.Pause
 		if l.MaxPause > 0 {
@@ -78,6 +85,18 @@
 	return known
 }
 
+// Brittle reports whether the targets of a service are brittle, as far as this host was told: they are
+// together, so the latest answer of any of them tells.
+func (l *Ledger) Brittle(now fleet.Instant, service route.ServiceID, roster Roster) bool {
+	sound, ok := l.sound[service]
+	for _, r := range l.current(now, service, roster) {
+		if r.brittle.Named && (!ok || r.heard > sound) {
+			return true
+		}
+	}
+	return false
+}
+
 // Closed returns the targets of a service to which this host must send nothing, as they
 // leave or have asked for a pause, and how long it is until the first pause ends; zero if
 // none of them has asked for one.
--- a/hibiscusfront/internal/chooser/chooser.go
+++ b/hibiscusfront/internal/chooser/chooser.go
@@ -119,7 +119,7 @@
 	}
 	closed, _ := c.closed(v, req.Service)
 	req.Known, req.Avoid = c.known(v, req.Service), append(slices.Clone(sent), closed...)
-	return c.explainRefusal(v, c.Local.Choose(c.Clock(), v, req))
+	return c.explainRefusal(v, c.chooseAlone(v, req))
 }
 
 // explainRefusal sets when a request should come back that was refused for want of a target,
@@ -174,6 +174,15 @@
 			deputies--
 		}
 	}
+	return c.chooseAlone(v, req)
+}
+
+// chooseAlone chooses locally. No request goes to targets of a service that are brittle, told or not: all hosts
+// that choose alone would send there.
+func (c *Chooser) chooseAlone(v *view.View, req *plan.Request) plan.Decision {
+	if c.brittle(v, req.Service) {
+		return plan.Decision{Request: req, Refusal: fleet.RefuseWithRetryAfter(fleet.ReasonNoTarget, noTargetRetryAfter)}
+	}
 	return c.Local.Choose(c.Clock(), v, req)
 }
 
--- a/hibiscusfront/internal/chooser/chooser_test.go
+++ b/hibiscusfront/internal/chooser/chooser_test.go
@@ -218,23 +218,39 @@
 	require.Equal(t, map[fleet.TargetID]int{"limited": 40}, chosen(), "its answers name no limit any more")
 }
 
-// Load pattern: no planner answers, and some targets are brittle. Requests that other hosts send
-// there can't be counted, so the host that was told sends none, until an answer no longer says so.
-func TestHostThatChoosesAloneSparesBrittleTarget(t *testing.T) {
+// Load pattern: no planner answers, and the targets of a service are brittle. Requests that other hosts send
+// there can't be counted, so a host that was told by one sends none to any, until an answer no longer says so.
+func TestHostThatChoosesAloneSparesBrittleTargets(t *testing.T) {
 	ctx, c, v := startChooser(t)
-	v.Targets = append(v.Targets, roster.Target{ID: "brittle", Service: "s", Address: "127.0.0.1:4"})
+	v.Targets = append(v.Targets,
+		roster.Target{ID: "told", Service: "s", Address: "127.0.0.1:4"}, roster.Target{ID: "other", Service: "another", Address: "127.0.0.1:5"})
 	v.Freeze()
-	for _, notice := range []intake.Notice{{Brittle: intake.Brittle{Named: true, Rejections: 9}}, {}} {
-		c.ObserveNotice(v, &plan.Grant{Target: "brittle", Service: "s"}, notice)
+	choose := func(service route.ServiceID) map[fleet.TargetID]bool {
 		chosen := make(map[fleet.TargetID]bool)
 		for i := range 40 {
 			req := newRequest()
-			req.ID = fleet.RequestID(fmt.Sprint(i))
-			chosen[c.Choose(ctx, v, req).Grant.Target] = true
+			req.ID, req.Service = fleet.RequestID(fmt.Sprint(i)), service
+			decision := c.Choose(ctx, v, req)
+			if decision.Grant != nil {
+				chosen[decision.Grant.Target] = true
+				continue
+			}
+			require.Equal(t, fleet.OutcomeNotRun, decision.Refusal.Outcome)
+			require.Positive(t, decision.Refusal.RetryAfter)
 		}
-		require.True(t, chosen["t"])
-		require.Equal(t, !notice.Brittle.Named, chosen["brittle"])
+		return chosen
 	}
+	brittle := intake.Notice{Brittle: intake.Brittle{Named: true, Rejections: 9}}
+	c.ObserveNotice(v, &plan.Grant{Target: "t", Service: "s"}, intake.Notice{})
+	c.ObserveNotice(v, &plan.Grant{Target: "told", Service: "s"}, brittle)
+	require.Empty(t, choose("s"), "the targets of a service are brittle together")
+	require.Equal(t, map[fleet.TargetID]bool{"other": true}, choose("another"))
+	c.ObserveNotice(v, &plan.Grant{Target: "t", Service: "s"}, intake.Notice{})
+	require.Equal(t, map[fleet.TargetID]bool{"t": true}, choose("s"), "an answer says no longer so, but not of the target that was told")
+	c.ObserveNotice(v, &plan.Grant{Target: "told", Service: "s"}, brittle)
+	require.Empty(t, choose("s"))
+	c.ObserveNotice(v, &plan.Grant{Target: "told", Service: "s"}, intake.Notice{})
+	require.Equal(t, map[fleet.TargetID]bool{"t": true, "told": true}, choose("s"))
 }
 
 // Load pattern: a target turns requests of one host away and asks it for a pause, or says in
--- a/hibiscusfront/internal/chooser/notices.go
+++ b/hibiscusfront/internal/chooser/notices.go
@@ -39,6 +39,13 @@
 	return c.ledger.Known(c.Clock(), service, startTimes(v))
 }
 
+// brittle reports whether the targets of the service are brittle, as far as this host was told.
+func (c *Chooser) brittle(v *view.View, service route.ServiceID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ledger.Brittle(c.Clock(), service, startTimes(v))
+}
+
 // closed returns the targets of the service to which this host must send nothing, and the
 // time until the first pause of them ends; zero if there is none.
 func (c *Chooser) closed(v *view.View, service route.ServiceID) ([]fleet.TargetID, time.Duration) {
