plan: a target that was gone before a tenure has not crashed in it

Cause: a planner that takes over does not know which targets are gone. Sound requests that it sends there end early where something goes on to accept connections, its own connection is refused, and that was a crash: the sound request got its third charge and was withheld for 30 s, alone, while the bad one was not even on the target. Likewise what ended early at a target while it was gone was charged with its next crash, up to a second later.

Ruled out: a trial that comes late for requests withheld together with the bad one.

Change: at the start of a tenure, if some requests are suspects, targets of plain services count as gone until they answer or accept a connection, which the planner tries at once; suspects are not sent there meanwhile, at most for a second if there is no result. What ended early before a target was back is not charged with a later crash.

--- a/fleet/plan/crash.go
+++ b/fleet/plan/crash.go
@@ -24,7 +24,9 @@
 // A target may come back with the same entry. Until it is known to be up, a further crash of it
 // can't be told from what goes on to end requests in its place. The planner therefore tries
 // connections to a target of a plain service that has crashed until it accepts one, and no
-// request that may have crashed targets is sent there meanwhile.
+// request that may have crashed targets is sent there meanwhile. The same holds at the start of a
+// tenure if requests are suspects: an earlier planner may have seen the crash that they are
+// suspected of.
 const (
 	// crashWindow is the longest time between the early end of an answer and the first
 	// poll or connection that fails. A poll fails at once if its connection is closed; a new one
@@ -139,7 +141,8 @@
 		if t.crashed && !t.isEngine() {
 			t.markReachable(now)
 		}
-		t.crashed, t.refused = false, false
+		t.markBack(now)
+		t.refused = false
 		f.recordReached(now, polls, t)
 	case t.crashed && !t.isEngine():
 		if t.endedEarly(now) {
@@ -173,6 +176,23 @@
 	}
 }
 
+// distrustTargets makes targets of plain services count as gone until they answer or accept a
+// connection, if there are suspects that could be charged with an earlier crash once more.
+func (f *Fleet) distrustTargets(now fleet.Instant) {
+	f.gone = nil
+	if !f.quarantine.HasSuspects() {
+		return
+	}
+	for _, t := range f.targets {
+		if t.service != nil && !t.isEngine() {
+			t.crashed, t.crashedAt = true, now
+			t.refused, t.refusedAt = true, now
+			t.probeDue, t.probedAt, f.probesDue = true, now, true
+			f.gone = append(f.gone, t)
+		}
+	}
+}
+
 // probeGone has connections tried to targets of plain services that have crashed, until they are
 // back or no longer on the roster.
 func (f *Fleet) probeGone(now fleet.Instant) {
@@ -190,6 +210,14 @@
 	return t.crashed && t.refused && now.Sub(t.refusedAt) <= crashWindow && f.quarantine.Suspects(req.Fingerprint)
 }
 
+// markBack records that a target is up. What ended early before is not charged with its next
+// crash.
+func (t *target) markBack(now fleet.Instant) {
+	if t.crashed {
+		t.crashed, t.backAt = false, now
+	}
+}
+
 // settleCrashes records the suspects of the crashes for which all reports have arrived.
 func (f *Fleet) settleCrashes(now fleet.Instant) {
 	if len(f.crashes) == 0 {
@@ -204,7 +232,8 @@
 		}
 		var suspects []quarantine.Suspect
 		for _, e := range c.target.earlyEnds {
-			if e.suspect && c.at.Sub(e.Ended) <= crashWindow {
+			goneBefore := e.Ended <= c.target.backAt && c.target.backAt <= c.at
+			if e.suspect && c.at.Sub(e.Ended) <= crashWindow && !goneBefore {
 				suspects = append(suspects, e.Suspect)
 			}
 		}
--- a/fleet/plan/crashing_request_test.go
+++ b/fleet/plan/crashing_request_test.go
@@ -304,6 +304,50 @@
 	}
 }
 
+// Load pattern: a host takes the duty over while a target that crashed under a bad request is
+// still gone. What stands before it ends all requests early, and sound ones that come often were
+// beside the bad one before.
+func TestTargetGoneBeforeTenureHasNotCrashed(t *testing.T) {
+	f := newFleet(t, []roster.Target{{ID: "p", Service: plainService, Address: "10.0.1.1:1", DataCentre: "a", Slots: 6}})
+	list := quarantine.List{{Request: badRequest, Workspace: "w", Crashes: 2}, {Request: "often", Workspace: "w", Crashes: 2}}
+	f.RestoreQuarantine(at(0), list)
+	f.BeginTenure(at(0), 0)
+	probe := func(now time.Duration, accepted bool) {
+		for _, due := range f.DueProbes() {
+			f.RecordProbe(at(now), due.Target, accepted)
+		}
+	}
+	send := func(now time.Duration, fingerprint quarantine.Fingerprint, progress plan.Progress) bool {
+		requestCount++
+		req := &plan.Request{
+			ID: fleet.RequestID(fmt.Sprint("r", requestCount)), Host: "h", Near: "a", Service: plainService, Workspace: "w",
+			Fingerprint: fingerprint, Objective: second, Deadline: second,
+		}
+		decision, _ := f.Submit(at(now), req)
+		if decision.Grant == nil {
+			f.Cancel(req)
+			return false
+		}
+		f.Report(at(now), plan.Report{Number: decision.Grant.Number, Progress: progress})
+		return true
+	}
+	for now := time.Duration(0); now < second; now += 50 * time.Millisecond {
+		for _, fingerprint := range []quarantine.Fingerprint{"often", "other"} {
+			send(now, fingerprint, plan.Failed)
+			probe(now, false)
+		}
+		f.Tick(at(now))
+	}
+	require.Equal(t, list, f.Quarantine(), "the target was gone before")
+	f.Tick(at(second + 200*time.Millisecond))
+	probe(second+250*time.Millisecond, true)
+	require.True(t, send(second+300*time.Millisecond, "often", plan.Done))
+	require.True(t, send(second+300*time.Millisecond, badRequest, plan.Failed))
+	probe(second+300*time.Millisecond, false)
+	f.Tick(at(2 * second))
+	require.Equal(t, quarantine.List{{Request: badRequest, Workspace: "w", Crashes: 3}}, f.Quarantine())
+}
+
 // Load pattern: what stands before a crashed target goes on accepting requests and ends each of
 // them early. Requests that come often are among them again and again.
 func TestCrashOfPlainTargetIsChargedOnce(t *testing.T) {
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -105,7 +105,7 @@
 	trials        map[fleet.HostID]*slidingWindow // of engines that do not answer polls
 	cutOffChanges []CutOffChange                  // since CutOffChanges was called
 	probesDue     bool                            // of some target
-	gone          []*target                       // of plain services, that have crashed
+	gone          []*target                       // of plain services, that have crashed or are not known to be up
 	rollouts      map[route.ServiceID]*serviceRollout
 	planning      bool // a tenure has begun and not ended
 }
@@ -137,6 +137,7 @@
 	for _, t := range f.targets {
 		t.resetGrants(now)
 	}
+	f.distrustTargets(now)
 	for _, s := range f.stores {
 		s.inventory = cachestore.Inventory{Capacity: s.spec.Capacity, ActiveFrom: now.Add(predecessorFetchTime)}
 	}
--- a/fleet/plan/target.go
+++ b/fleet/plan/target.go
@@ -36,8 +36,9 @@
 	pauseTime         time.Duration // the last pause; the next is twice as long
 	unresponsive      bool          // has not answered a long poll for events, nor a request since
 	unresponsiveSince fleet.Instant // first failed poll since the last answer
-	crashed           bool          // has crashed since it last answered, at crashedAt
+	crashed           bool          // has crashed since it last answered, at crashedAt, or is not known to be up
 	crashedAt         fleet.Instant
+	backAt            fleet.Instant // when it was last found to be up after that
 	probeDue          bool          // a connection is to be tried
 	probedAt          fleet.Instant // when the last one of a target that has crashed was due
 	refused           bool          // has refused a connection, last at refusedAt
@@ -233,7 +234,9 @@
 	switch progress {
 	case Done, Started:
 		t.markReachable(now)
-		t.crashed = t.crashed && ag.grantedAt <= t.crashedAt
+		if ag.grantedAt > t.crashedAt {
+			t.markBack(now)
+		}
 		t.refused = t.refused && ag.grantedAt <= t.refusedAt
 	case Failed, ServerError:
 		failed = 1
@@ -267,7 +270,8 @@
 // MarkResponsive records that a target has answered a long poll for events.
 func (f *Fleet) MarkResponsive(now fleet.Instant, id fleet.TargetID) {
 	if t, ok := f.targets[id]; ok {
-		t.unresponsive, t.crashed = false, false
+		t.unresponsive = false
+		t.markBack(now)
 		t.markReachable(now)
 		f.recordReached(now, polls, t)
 	}
--- a/fleet/quarantine/quarantine.go
+++ b/fleet/quarantine/quarantine.go
@@ -296,6 +296,9 @@
 	return suspect
 }
 
+// HasSuspects reports whether Suspects is true of any request.
+func (l *Ledger) HasSuspects() bool { return len(l.requests) > 0 }
+
 // RecordSent records that a request was sent. If that was a trial, the next one is due after as
 // long a time again, unless this one succeeds. The prompt may be nil.
 func (l *Ledger) RecordSent(now fleet.Instant, request Fingerprint, p *prompt.Prompt) {
