plan: what a relayed request met counts for the host that sent it

Reports of a request that another host had sent counted as what the host of the request had met at the target. The answers that arrived by way of others so showed that a host that is cut off reaches targets, and it was found cut off late, or again and again, with a line in the log each time. Once it was, failures that a host in touch had met for it did not count: an engine that crashed by the requests of such callers was not suspected of it, nor were the requests, which come at any host and must reach engines three more times at most.

Found in review, by asking of each report who has met what it says.

A report now names the host that sent the request, if it was another one, and the plan takes that one as the observer: of successes, failures, answers that ended early and limits.

--- a/fleet/plan/crash.go
+++ b/fleet/plan/crash.go
@@ -37,7 +37,7 @@
 type earlyEnd struct {
 	quarantine.Suspect
 	suspect bool         // its answer had not begun, or had just begun
-	host    fleet.HostID // that reported it
+	host    fleet.HostID // that has met it
 }
 
 // crash is an engine's crash whose suspects are to be recorded.
@@ -46,13 +46,13 @@
 	at     fleet.Instant // when it was noticed, or suspected
 }
 
-// recordEarlyEnd notes that the answer to a grant's request ended early.
-func (f *Fleet) recordEarlyEnd(now fleet.Instant, ag *activeGrant) {
+// recordEarlyEnd notes that the answer to a grant's request ended early, as an observer has met.
+func (f *Fleet) recordEarlyEnd(now fleet.Instant, ag *activeGrant, observer fleet.HostID) {
 	t, req := ag.target, ag.req
 	t.earlyEnds = slices.DeleteFunc(t.earlyEnds, func(e earlyEnd) bool { return now.Sub(e.Ended) > crashWindow })
 	t.earlyEnds = append(t.earlyEnds, earlyEnd{
 		quarantine.Suspect{Prompt: req.Prompt, Request: req.Fingerprint, Workspace: req.Workspace, Sent: ag.grantedAt, Ended: now},
-		!ag.started || now.Sub(ag.startedAt) < soundAfter, req.Host,
+		!ag.started || now.Sub(ag.startedAt) < soundAfter, observer,
 	})
 	if t.service != nil && !t.isEngine() {
 		t.probeDue, f.probesDue = true, true
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -28,6 +28,7 @@
 package plan
 
 import (
+	"cmp"
 	"time"
 
 	"hibiscuslb/fleet"
@@ -261,9 +262,10 @@
 	if !ok {
 		return // granted by another planner, or already ended
 	}
+	observer := cmp.Or(report.Via, ag.req.Host)
 	switch report.Progress {
 	case Started, Done, Answered, ServerError:
-		f.recordReached(now, ag.req.Host, ag.target)
+		f.recordReached(now, observer, ag.target)
 		f.recordAnswered(now, ag.target)
 	}
 	switch report.Progress {
@@ -282,7 +284,7 @@
 	}
 	delete(f.active, report.Number)
 	f.recordProgress(now, ag, report.Progress, ag.started)
-	if (report.Progress == Failed || report.Progress == Unreachable) && !f.recordFailed(now, ag.req.Host, ag.target) {
+	if (report.Progress == Failed || report.Progress == Unreachable) && !f.recordFailed(now, observer, ag.target) {
 		ag.target.endGrant(now, ag, Abandoned)
 		f.recordBrittleEnd(now, ag, report.Progress)
 		return
@@ -292,8 +294,8 @@
 	f.recordBrittleEnd(now, ag, report.Progress)
 	switch {
 	case report.Progress == Failed:
-		f.noteShare(ag.req.Host, ag.target, ag.target.failureShare-share)
-		f.recordEarlyEnd(now, ag)
+		f.noteShare(observer, ag.target, ag.target.failureShare-share)
+		f.recordEarlyEnd(now, ag, observer)
 	case report.Progress == Unreachable:
 		f.recordRefusal(now, ag.target)
 	case report.Progress == Done:
--- a/fleet/plan/request.go
+++ b/fleet/plan/request.go
@@ -69,6 +69,9 @@
 	// Stream is what the host reports when the answer begins, if it is a stream that may go
 	// on at another target; else nil. It is set like By.
 	Stream *origin.Start
+	// Via is the other host that has sent the request, if the host of the request could not. It is
+	// set like By.
+	Via fleet.HostID `cbor:",omitempty"`
 }
 
 // A Decision answers a Request with either a grant or a refusal.
@@ -112,6 +115,7 @@
 	Number   GrantNumber
 	Progress Progress
 	Notice   intake.Notice // if Progress is Answered
+	Via      fleet.HostID  `cbor:",omitempty"` // that has met this at the target, if not the host of the request
 }
 
 // activeGrant is a grant whose end has not been reported.
--- a/hibiscusfront/internal/backend/backend.go
+++ b/hibiscusfront/internal/backend/backend.go
@@ -100,6 +100,7 @@
 	Header          http.Header
 	Answer          platform.ResponseHeaders
 	Framing         Framing
+	Via             fleet.HostID // that has sent the request, if another host did
 	pool            *Pool
 	key             poolKey
 	conn            *conn
@@ -113,11 +114,11 @@
 	relayed         io.ReadCloser // the body, if another host has sent the request; then there is no conn
 }
 
-// RelayedExchange returns the exchange of a request that another host has sent. Closing it closes
+// RelayedExchange returns the exchange of a request that the host has sent for this one. Closing it closes
 // the body.
-func RelayedExchange(target fleet.TargetID, status int, header http.Header, framing Framing, body io.ReadCloser) *Exchange {
+func RelayedExchange(target fleet.TargetID, via fleet.HostID, status int, header http.Header, framing Framing, body io.ReadCloser) *Exchange {
 	return &Exchange{
-		Status: status, Header: header, Answer: platform.DecodeResponseHeaders(status, header), Framing: framing,
+		Status: status, Header: header, Answer: platform.DecodeResponseHeaders(status, header), Framing: framing, Via: via,
 		key: poolKey{target: target}, relayed: body,
 	}
 }
--- a/hibiscusfront/internal/chooser/chooser.go
+++ b/hibiscusfront/internal/chooser/chooser.go
@@ -250,7 +250,7 @@
 // Report implements gateway.Chooser. It queues a report for the host that made
 // the grant.
 func (c *Chooser) Report(g *plan.Grant, progress plan.Progress) {
-	r := report{to: g.By, Report: plan.Report{Number: g.Number, Progress: progress}}
+	r := report{to: g.By, Report: plan.Report{Number: g.Number, Progress: progress, Via: g.Via}}
 	if progress == plan.Started {
 		r.start = g.Stream
 	}
--- a/hibiscusfront/internal/gateway/attempt.go
+++ b/hibiscusfront/internal/gateway/attempt.go
@@ -29,6 +29,7 @@
 	defer limit.end()
 	exchange, err := c.send(limit.ctx, request)
 	limit.begun()
+	g.Via = sentBy(exchange, err)
 	var notSent *backend.NotSentError
 	unsent := errors.As(err, &notSent)
 	c.got, c.chosen = c.got || !unsent, unsent
--- a/hibiscusfront/internal/gateway/scripted_test.go
+++ b/hibiscusfront/internal/gateway/scripted_test.go
@@ -17,6 +17,7 @@
 	grants   []plan.Grant
 	refusal  *fleet.RefusalError
 	reports  map[plan.GrantNumber][]plan.Progress
+	via      []fleet.HostID // of all reports
 	requests []plan.Request
 	notices  []intake.Notice  // of all answers
 	chosen   func(choice int) // called after each grant was made; may be nil
@@ -44,6 +45,7 @@
 		c.reports = make(map[plan.GrantNumber][]plan.Progress)
 	}
 	c.reports[grant.Number] = append(c.reports[grant.Number], progress)
+	c.via = append(c.via, grant.Via)
 }
 
 func (c *scriptedChooser) ObserveNotice(_ *view.View, _ *plan.Grant, notice intake.Notice) {
--- a/hibiscusfront/internal/gateway/sender.go
+++ b/hibiscusfront/internal/gateway/sender.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/plan"
@@ -10,7 +11,7 @@
 
 // A Sender sends requests to targets by the way that is open.
 type Sender interface {
-	// Send is like that of backend.Pool.
+	// Send is like that of backend.Pool. An error that another host met has a method SentBy.
 	Send(ctx context.Context, r *backend.Request) (*backend.Exchange, error)
 	// Blames reports whether an error of Send, or of reading the answer, tells something of the
 	// target, and not only of the way to it.
@@ -32,3 +33,15 @@
 	}
 	return progress
 }
+
+// sentBy returns the other host that has sent the request, or has met the error; empty if this host has.
+func sentBy(exchange *backend.Exchange, err error) fleet.HostID {
+	if err == nil {
+		return exchange.Via
+	}
+	var elsewhere interface{ SentBy() fleet.HostID }
+	if errors.As(err, &elsewhere) {
+		return elsewhere.SentBy()
+	}
+	return ""
+}
--- a/hibiscusfront/internal/gateway/unsent_test.go
+++ b/hibiscusfront/internal/gateway/unsent_test.go
@@ -17,17 +17,20 @@
 	"hibiscuslb/hibiscusfront/internal/backend"
 	"hibiscuslb/hibiscusfront/internal/departure"
 	"hibiscuslb/hibiscusfront/internal/gateway"
+	"hibiscuslb/hibiscusfront/internal/relay"
 	"hibiscuslb/hibiscusfront/internal/view"
+	"hibiscuslb/hibiscusfront/internal/wire"
 )
 
-// A failingSender fails as it is told, for one attempt after the other.
+// A failingSender fails as it is told, for one attempt after the other. Those that are sent are by way of
+// the host h2.
 type failingSender struct{ sent []bool }
 
 func (s *failingSender) Send(_ context.Context, r *backend.Request) (*backend.Exchange, error) {
 	sent := s.sent[0]
 	s.sent = s.sent[1:]
 	if sent {
-		return nil, &backend.NoResponseError{Target: r.Target, Cause: syscall.ECONNRESET}
+		return nil, &backend.NoResponseError{Target: r.Target, Cause: &relay.RelayError{By: "h2", Result: wire.RelayNoAnswer}}
 	}
 	return nil, &backend.NotSentError{Target: r.Target, Cause: syscall.ECONNREFUSED}
 }
@@ -56,6 +59,7 @@
 	for _, r := range chooser.requests {
 		repeats, again = append(repeats, r.Repeat), append(again, r.Again)
 	}
+	require.Equal(t, []fleet.HostID{"", "", "h2", ""}, chooser.via, "who has met what is reported")
 	require.Equal(t, []bool{false, false, false, true, true}, repeats)
 	require.Equal(t, []bool{false, true, true, false, true}, again)
 }
--- a/hibiscusfront/internal/relay/relay_test.go
+++ b/hibiscusfront/internal/relay/relay_test.go
@@ -54,6 +54,7 @@
 			}
 			require.NoError(t, exchange.CheckSignature())
 			require.Equal(t, test.framing, exchange.Framing)
+			require.Equal(t, nodes[1].Host, exchange.Via)
 			r := <-received
 			require.Equal(t, "/a?b=c", r.RequestURI)
 			require.Equal(t, "h.example", r.Host)
--- a/hibiscusfront/internal/relay/sender.go
+++ b/hibiscusfront/internal/relay/sender.go
@@ -73,6 +73,9 @@
 	return fmt.Sprintf("sent by way of host %s: %s: %s", e.By, e.Result, e.Detail)
 }
 
+// SentBy returns the host that has met this at the target.
+func (e *RelayError) SentBy() fleet.HostID { return e.By }
+
 // errAlone reports that no other host could be asked.
 var errAlone = errors.New("no other host could be asked")
 
@@ -314,7 +317,7 @@
 	case err == nil:
 		s.Meter.RecordRelay(false, head.Result.String())
 		if err = body.hold.Keep(body.window + headBytes(head.Header)); err == nil {
-			return backend.RelayedExchange(r.Target, head.Status, head.Header, backend.Framing(head.Framing), body), nil
+			return backend.RelayedExchange(r.Target, host.ID, head.Status, head.Header, backend.Framing(head.Framing), body), nil
 		}
 		err = &backend.NoResponseError{Target: r.Target, Cause: &PathError{r.Target, err}}
 	case errors.As(err, new(*peer.DialError)):
