--- a/hibiscusfront/internal/host/cutoff_test.go
+++ b/hibiscusfront/internal/host/cutoff_test.go
@@ -33,6 +33,7 @@
 
 // A partition lies between a host and all targets.
 type partition struct {
+	local net.IP // of the host
 	mu    sync.Mutex
 	cut   sight // empty if there is none
 	lines map[*line]struct{}
@@ -59,7 +60,7 @@
 	case reset, newRefused:
 		return nil, syscall.ECONNREFUSED
 	}
-	conn, err := net.Dial("tcp", string(address))
+	conn, err := (&net.Dialer{LocalAddr: &net.TCPAddr{IP: p.local}}).Dial("tcp", string(address))
 	if err != nil {
 		return nil, err
 	}
@@ -118,6 +119,24 @@
 	stops   []context.CancelFunc // of the hosts
 	paths   []*partition
 	targets []*fakeplatform.Target
+
+	mu     sync.Mutex
+	orders map[sending][]time.Time // when orders reached a target
+}
+
+// A sending is a host that sends to a target.
+type sending struct{ host, target string }
+
+// noteOrder notes an order that reaches a target.
+func (s *cutSite) noteOrder(r *http.Request, target string) {
+	if !strings.HasPrefix(r.URL.Path, "/order/") {
+		return
+	}
+	host, _, _ := net.SplitHostPort(r.RemoteAddr)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	by := sending{host, target}
+	s.orders[by] = append(s.orders[by], time.Now())
 }
 
 const (
@@ -128,7 +147,7 @@
 
 func startCutSite(t *testing.T, change ...func(*platform.Settings)) *cutSite {
 	t.Helper()
-	s := new(cutSite)
+	s := &cutSite{orders: make(map[sending][]time.Time)}
 	store := new(fakeplatform.Store)
 	store.Put("versions", "m", map[string]any{"model": "m", "version": 1})
 	for i := range cutEngines + cutPlain {
@@ -138,7 +157,10 @@
 			target.Model, target.Events = "m", cutEvents
 			service, models = "lm", []map[string]any{{"name": "m", "version": 1}}
 		}
-		server := httptest.NewServer(target)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			s.noteOrder(r, target.ID)
+			target.ServeHTTP(w, r)
+		}))
 		t.Cleanup(func() {
 			server.CloseClientConnections()
 			server.Close()
@@ -183,7 +205,7 @@
 		}
 		h := New(settings, zerolog.Nop())
 		hostCtx, stop := context.WithCancel(ctx)
-		path := &partition{lines: make(map[*line]struct{})}
+		path := &partition{local: net.IPv4(127, 0, 0, byte(2+i)), lines: make(map[*line]struct{})}
 		h.pool.Dial = path.dial
 		s.hosts, s.stops, s.paths = append(s.hosts, h), append(s.stops, stop), append(s.paths, path)
 		running.Go(func() {
@@ -354,6 +376,49 @@
 	require.Equal(t, streams, whole)
 }
 
+// TestPauseHoldsForHostsThatSendForOthers has targets ask for a pause while a host sends them the requests of another
+// one that is cut off. Later than half a second after that, no more than two requests may come from the host until the
+// pause ends; and the host that is cut off learns of it.
+func TestPauseHoldsForHostsThatSendForOthers(t *testing.T) {
+	const pause, allowed, late = 3 * time.Second, 2, 500 * time.Millisecond
+	site := startCutSite(t)
+	planner := site.awaitPlanner(t)
+	cut := (planner + 1) % len(site.hosts)
+	site.paths[cut].set(reset)
+	for _, target := range site.targets[cutEngines:] {
+		target.SetPause(pause)
+	}
+	var callers sync.WaitGroup
+	start := time.Now()
+	for caller := range 4 {
+		callers.Go(func() {
+			client := &http.Client{Transport: new(http.Transport), Timeout: 3 * time.Second}
+			defer client.CloseIdleConnections()
+			for i := 0; time.Since(start) < pause-200*time.Millisecond; i++ {
+				site.send(client, cut, "order", fmt.Sprintf("pause-%d-%d", caller, i))
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	callers.Wait()
+	site.mu.Lock()
+	defer site.mu.Unlock()
+	require.NotEmpty(t, site.orders)
+	for by, times := range site.orders {
+		require.NotEqual(t, site.paths[cut].local.String(), by.host)
+		n := 0
+		for _, at := range times {
+			if since := at.Sub(times[0]); since > late && since < pause {
+				n++
+			}
+		}
+		require.LessOrEqual(t, n, allowed, "%v: %d requests in all", by, len(times))
+		t.Log(by, len(times), "requests,", n, "late")
+	}
+	h := site.hosts[cut]
+	require.NotEmpty(t, h.chooser.Closed(h.control.View(), "plain"))
+}
+
 // TestHostCutOffFromTargetsServes parts a host that does not plan from all targets, while callers, the
 // object store and the other hosts reach it. From the stable window on it must serve at least two thirds
 // of what the others serve, and run nothing twice that may run once.
