relay: the body of a request goes to a host only once it is ready

A host that stands still no longer loses requests with short bodies. With long ones it did: a few fill the buffers of the connection, the next write waits for up to 5 s, whatever the deadline of its request, and those behind it wait for it.

The body now comes with the word to send, and only to a host that has said that it is ready, so that it crosses the link between hosts once, however many are asked. Its copies count on the budgets from then on.

TestFrozenHostLosesNothing, now with bodies of 4 and of 921,600 bytes, printed before for the longer ones, in 2 of 2 runs: Should be zero, but was 5 (of 12, "context deadline exceeded"). Both pass in 5 of 5.

--- a/hibiscusfront/internal/relay/doc.go
+++ b/hibiscusfront/internal/relay/doc.go
@@ -7,8 +7,8 @@
 //
 // Invariants:
 //   - A request is on one way at a time. The host that is asked opens its connection, says that it is
-//     ready, and sends nothing before the word of the asking host, which it waits for no longer than
-//     goLimit. Until it has given that word, the asking host may take another way; afterwards only if it
+//     ready, and sends nothing before the word of the asking host, which has the body and for which it waits no
+//     longer than goLimit. Until it has given that word, the asking host may take another way; afterwards only if it
 //     hears that the request was not sent. So one that may not be repeated is sent at most once, and a
 //     host that stands still sends nothing that was given up or decided long ago.
 //   - The end of an answer is a part of its own. A connection between hosts that is lost, or an
--- a/hibiscusfront/internal/relay/freeze_test.go
+++ b/hibiscusfront/internal/relay/freeze_test.go
@@ -18,6 +18,12 @@
 // TestFrozenHostLosesNothing has one of two other hosts stand still. The requests that it is asked to send
 // have to be sent by the other one, and not by it, too, when it goes on.
 func TestFrozenHostLosesNothing(t *testing.T) {
+	for _, length := range []int{4, 900 << 10} {
+		t.Run(fmt.Sprint(length, " bytes"), func(t *testing.T) { testFrozenHost(t, length) })
+	}
+}
+
+func testFrozenHost(t *testing.T, length int) {
 	const count = 12
 	target, requests := startTarget(t, func(conn net.Conn, r *http.Request) {
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 204 No Content\r\nConnection: close\r\nX-Hibiscuslb-Request-Id: %s\r\nX-Hibiscuslb-Response-Signature: p\r\n\r\n", r.Header.Get("X-Hibiscuslb-Request-Id"))
@@ -33,6 +39,7 @@
 	for i := range count {
 		go func() {
 			r := request(target)
+			r.Body = [][]byte{make([]byte, length)}
 			r.ID = fleet.RequestID(fmt.Sprint(i))
 			r.Header.Set("X-Hibiscuslb-Request-Id", fmt.Sprint(i))
 			ctx, cancel := context.WithDeadline(ctx, r.ExpiresAt)
--- a/hibiscusfront/internal/relay/sender.go
+++ b/hibiscusfront/internal/relay/sender.go
@@ -270,17 +270,12 @@
 		}
 		return nil, notSent(err)
 	}
-	copies := holding.Hold{Budget: s.Requests, Free: freeBodyBytes}
-	if err := copies.Keep(bodyCopies * r.BodyLen()); err != nil {
-		return nil, notSent(err)
-	}
 	number := s.number.Add(1)
 	request := wire.RelayRequest{
 		Number: number, Host: s.Host, ID: r.ID, Target: r.Target, Address: r.Address, Method: r.Method, URI: r.URI, HostName: r.Host,
-		Header: r.Header, Body: bytes.Join(r.Body, nil), SendOnce: r.SendOnce, Left: time.Until(r.ExpiresAt),
+		Header: r.Header, SendOnce: r.SendOnce, Left: time.Until(r.ExpiresAt),
 	}
 	exchange, err := s.Peers.Open(ctx, host.Peers, wire.KindRelay, request)
-	copies.Release()
 	if err != nil {
 		s.skip(host)
 		return nil, notSent(err)
@@ -310,7 +305,8 @@
 	if body.hold.Keep(windowBytes) != nil {
 		body.window = minWindowBytes
 	}
-	head, err := s.awaitHead(ctx, host, wire.RelayGo{Number: number, Host: s.Host, Left: time.Until(r.ExpiresAt), Window: body.window}, exchange)
+	word := wire.RelayGo{Number: number, Host: s.Host, Left: time.Until(r.ExpiresAt), Window: body.window}
+	head, err := s.awaitHead(ctx, host, r, word, exchange)
 	switch {
 	case err == nil && head.Result != wire.RelayBegun:
 		err = s.failed(host, r, exchange, head)
@@ -320,7 +316,7 @@
 			return backend.RelayedExchange(r.Target, host.ID, head.Status, head.Header, backend.Framing(head.Framing), body), nil
 		}
 		err = &backend.NoResponseError{Target: r.Target, Cause: &PathError{r.Target, err}}
-	case errors.As(err, new(*peer.DialError)):
+	case errors.As(err, new(*peer.DialError)), errors.As(err, new(*holding.SpentError)):
 		err = &backend.NotSentError{Target: r.Target, Cause: err}
 	default:
 		if ctx.Err() != nil {
@@ -337,10 +333,17 @@
 	return nil, err
 }
 
-// awaitHead gives the word and waits for the first part of the answer. After a *peer.DialError the word was not
-// given.
-func (s *Sender) awaitHead(ctx context.Context, host wire.Host, word wire.RelayGo, exchange *peer.Exchange) (*wire.RelayPart, error) {
+// awaitHead gives the word, with the body, and waits for the first part of the answer. After a *peer.DialError or a
+// *holding.SpentError the word was not given.
+func (s *Sender) awaitHead(ctx context.Context, host wire.Host, r *backend.Request, word wire.RelayGo, exchange *peer.Exchange) (*wire.RelayPart, error) {
+	copies := holding.Hold{Budget: s.Requests, Free: freeBodyBytes}
+	if err := copies.Keep(bodyCopies * r.BodyLen()); err != nil {
+		return nil, err
+	}
+	word.Body = bytes.Join(r.Body, nil)
 	given, err := s.Peers.Open(ctx, host.Peers, wire.KindRelayGo, word)
+	word.Body = nil
+	copies.Release()
 	if err != nil {
 		return nil, err
 	}
--- a/hibiscusfront/internal/relay/server.go
+++ b/hibiscusfront/internal/relay/server.go
@@ -73,6 +73,7 @@
 		return refused, nil
 	}
 	defer s.remove(key)
+	w.hold, w.kept = &hold, len(encoded)
 	last := s.send(ctx, &request, service, w, send)
 	s.Meter.RecordRelay(true, last.Result.String())
 	if s.Leaving() {
@@ -186,10 +187,10 @@
 func (e *WaitError) Error() string { return fmt.Sprintf("no word to send it in %v", e.Waited) }
 
 // awaitWord says that the request can be sent, and waits for the word to do so.
-func (s *Server) awaitWord(ctx context.Context, request *wire.RelayRequest, w *window, send func(any) error) error {
+func (s *Server) awaitWord(ctx context.Context, request *wire.RelayRequest, w *window, send func(any) error) (*wire.RelayGo, error) {
 	began := s.Ways.Clock()
 	if err := send(wire.RelayPart{Result: wire.RelayReady}); err != nil {
-		return err
+		return nil, err
 	}
 	timer := time.NewTimer(goLimit)
 	defer timer.Stop()
@@ -197,19 +198,21 @@
 	select {
 	case word = <-w.word:
 	case <-timer.C:
-		return &WaitError{goLimit}
+		return nil, &WaitError{goLimit}
 	case <-ctx.Done():
-		return ctx.Err()
+		return nil, ctx.Err()
 	}
 	// This host may have stood still meanwhile.
 	waited := s.Ways.Clock().Sub(began)
 	if waited > goLimit {
-		return &WaitError{waited}
+		return nil, &WaitError{waited}
 	}
 	request.Left = word.Left - waited
 	w.open(word.Window)
-	_, err := s.permits(request)
-	return err
+	if _, err := s.permits(request); err != nil {
+		return nil, err
+	}
+	return &word, w.hold.Keep(bodyCopies * (w.kept + len(word.Body)))
 }
 
 // send sends the request to its target and the answer to the host that asked, but for its last part,
@@ -220,11 +223,13 @@
 	v, began := s.View(), s.Ways.Clock()
 	targetRequest := &backend.Request{
 		ID: request.ID, Target: request.Target, Address: request.Address, Method: request.Method, URI: request.URI, Host: request.HostName,
-		Header: request.Header, Body: [][]byte{request.Body}, SendOnce: request.SendOnce, DialLimit: shortDial,
+		Header: request.Header, SendOnce: request.SendOnce, DialLimit: shortDial,
 	}
 	var refused error
 	targetRequest.Check = func() error {
-		if refused = s.awaitWord(ctx, request, w, send); refused == nil {
+		var word *wire.RelayGo
+		if word, refused = s.awaitWord(ctx, request, w, send); refused == nil {
+			targetRequest.Body = [][]byte{word.Body}
 			targetRequest.Header = platform.WithDeadline(request.Header, request.Left)
 		}
 		return refused
@@ -284,6 +289,8 @@
 	size  int
 	left  int
 	word  chan wire.RelayGo
+	hold  *holding.Hold // of the request
+	kept  int           // of it, without the body
 	given chan struct{} // has one element if credit was given since take last read it
 }
 
--- a/hibiscusfront/internal/wire/relay.go
+++ b/hibiscusfront/internal/wire/relay.go
@@ -9,7 +9,8 @@
 )
 
 // A RelayRequest asks a host to send a request to a target to which the asking host has no way,
-// exactly as given, except that its deadline shrinks. The host sends it only after a RelayGo.
+// exactly as given, except that its deadline shrinks. The host sends it only after a RelayGo,
+// which has the body.
 type RelayRequest struct {
 	Number   uint64 // under which the asking host gives credit; no other request of it that runs has it
 	Host     fleet.HostID
@@ -20,7 +21,6 @@
 	URI      string
 	HostName string // of the Host header
 	Header   http.Header
-	Body     []byte
 	SendOnce bool
 	Left     time.Duration // until the deadline
 }
@@ -69,7 +69,8 @@
 	Number uint64
 	Host   fleet.HostID  // that asked
 	Left   time.Duration // until the deadline
-	Window int           // bytes of the body, as RelayCost counts them, that may be under way
+	Body   []byte
+	Window int // bytes of the body, as RelayCost counts them, that may be under way
 }
 
 // partBytes is what a part of a body occupies besides its data.
