--- a/hibiscusfront/internal/chooser/chooser.go
+++ b/hibiscusfront/internal/chooser/chooser.go
@@ -269,7 +269,7 @@
 // the grant.
 func (c *Chooser) Report(g *plan.Grant, progress plan.Progress) {
 	c.removeWaiting(g)
-	r := report{to: g.By, Report: plan.Report{Number: g.Number, Progress: progress}}
+	r := report{to: g.By, Report: plan.Report{Number: g.Number, Progress: progress, Via: g.Via}}
 	if progress == plan.Started {
 		r.start = g.Stream
 	}
