platform, planner: check the right to give orders on the open connection

Engines count it as an error if orders of two holders reach them within the lease bound (3 s). The election leaves 0.3 s for an order on its way, from the check of the right to its arrival. The check came before the connection, which may take 0.5 s, so that the orders could be 2.8 s apart (TestOrderOnItsWayIsBoundApartFromSuccessors, with 0.5 s instead of 0.3: "2.800000001s" is not greater than or equal to "3s").

The right is checked once more when the connection is open, immediately before the first byte. If it has ended, nothing is written and the order counts as not sent.

--- a/fleet/election/election_test.go
+++ b/fleet/election/election_test.go
@@ -59,6 +59,25 @@
 	}
 }
 
+// An order that the holder sends at the last moment may be on its way for ClockMargin. It must reach its target the
+// bound before the first order of a successor, which observed the holder's last write at once.
+func TestOrderOnItsWayIsBoundApartFromSuccessors(t *testing.T) {
+	const transit = election.ClockMargin
+	holder, next := election.Duty{Self: "a"}, election.Duty{Self: "b"}
+	holder.ObserveAbsent(at(0), 0)
+	write, _ := holder.NextWrite(at(0), true)
+	holder.WriteSucceeded(at(0), write, revision(1), bound)
+	next.Observe(at(0), revision(1), write.Record)
+	_, until := holder.OrderWindow()
+	require.True(t, holder.MayOrder(until-1))
+	now := at(election.LeaseDuration + election.ClockMargin)
+	takeover, due := next.NextWrite(now, true)
+	require.True(t, due)
+	next.WriteSucceeded(now, takeover, revision(2), bound)
+	from, _ := next.OrderWindow()
+	require.GreaterOrEqual(t, from.Sub((until - 1).Add(transit)), bound)
+}
+
 // A successor that restarts while it waits for the bound of its predecessor's orders must
 // wait for it after the restart, too.
 func TestRestartedSuccessorWaitsForBoundOfLastOrder(t *testing.T) {
--- a/hibiscusfront/internal/planner/calls.go
+++ b/hibiscusfront/internal/planner/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 
 	"github.com/rs/zerolog"
@@ -101,14 +102,25 @@
 	line.Str("Fingerprint", string(e.Request)).Str("Workspace", string(e.Workspace)).Msg(request)
 }
 
+// errOrderingOver reports that the host may not send orders any more.
+var errOrderingOver = errors.New("the time for orders has ended")
+
+// checkOrder returns an error if the host may not send orders now.
+func (p *Planner) checkOrder() error {
+	if !p.Permissions.MayOrder() {
+		return errOrderingOver
+	}
+	return nil
+}
+
 // sendOrder sends an engine an order to load weights, in the tenure of the epoch.
 func (p *Planner) sendOrder(ctx context.Context, epoch fleet.Epoch, order plan.AddressedOrder) {
-	if !p.Permissions.MayOrder() {
+	if p.checkOrder() != nil {
 		p.enqueue(ctx, func(now fleet.Instant) { p.fleet.RecordOrderResult(now, order, weightupdate.NotSent) })
 		return
 	}
 	result, err := p.Targets.SendOrder(ctx, order.Address, order.Target, platform.LoadOrder{
-		Model: order.Model, Version: order.Version, Holder: p.Host, Epoch: epoch, Accepted: order.Accepted,
+		Model: order.Model, Version: order.Version, Holder: p.Host, Epoch: epoch, Accepted: order.Accepted, Check: p.checkOrder,
 	})
 	p.Log.Info().AnErr("Cause", err).Str("Target", string(order.Target)).Uint64("Version", order.Version).
 		Uint64("Accepted", order.Accepted).Uint64("Epoch", uint64(epoch)).Stringer("Result", result).Msg("order to load weights ended")
