gateway, relay: look at the target again once the connection is open

A host may send nothing to a target later than 2 s after it learned that the target leaves; hosts learn it up to 1.61 s late (measured with the tests' fleet). The gateway looked before it connected, which may take 0.4 s, and a host that sends for another one looked before its own connection: nothing was left of the 2 s.

Both look again when the connection is open, before the first byte. The request goes to another target; a relaying host says that it refuses.

Tests: TestRequestIsNotSentToTargetThatHasLeftWhileItsConnectionIsMade (before: expected "staying", actual "leaving") and TestRequestIsNotRelayedToTargetThatHasLeftWhileConnecting (before: "An error is expected but got nil", it was sent). startRoster of the gateway's tests now can be given its pool.

--- a/hibiscusfront/internal/gateway/attempt.go
+++ b/hibiscusfront/internal/gateway/attempt.go
@@ -33,6 +33,7 @@
 		var notSent *backend.NotSentError
 		var late *LateStartError
 		var replaced *ReplacedConfigurationError
+		var excluded *ExcludedTargetError
 		unsent := errors.As(err, &notSent)
 		withdrawn := errors.As(context.Cause(limit.ctx), &late) && c.contextRefusal() == nil
 		switch {
@@ -43,6 +44,8 @@
 			switch {
 			case withdrawn:
 				progress, message = plan.Rejected, "request withdrawn before it was sent to the target"
+			case errors.As(err, &excluded):
+				progress, message = plan.Rejected, "grant given back: the target has left since it was chosen"
 			case errors.As(err, &replaced):
 				// The target has refused nothing, so it may be chosen again.
 				c.tried = c.tried[:len(c.tried)-1]
@@ -136,7 +139,7 @@
 	return &backend.Request{
 		ID: c.ID, Target: g.Target, Address: g.Address, Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host,
 		Header: platform.ForwardHeaders(c.r.Header, d), Body: c.body, SendOnce: !c.route.Repeatable(), ExpiresAt: c.expiresAt,
-		Check: func() error { return c.checkSalt(g) },
+		Check: func() error { return c.checkGrant(g) },
 	}
 }
 
@@ -150,6 +153,23 @@
 	return fmt.Sprintf("granted under configuration %d, replaced by %d, which separates the request from other cached parts", e.Granted, e.Known)
 }
 
+// An ExcludedTargetError ends an attempt before the request is sent: by now this host knows that the target has left
+// or that its data centre is evacuated.
+type ExcludedTargetError struct{ Target fleet.TargetID }
+
+func (e *ExcludedTargetError) Error() string {
+	return fmt.Sprintf("target %s has left or its data centre was evacuated", e.Target)
+}
+
+// checkGrant returns an error if the request may not be sent any more: an *ExcludedTargetError or a
+// *ReplacedConfigurationError. Connecting may have taken long.
+func (c *call) checkGrant(g *plan.Grant) error {
+	if c.View().Excludes(g.Target) {
+		return &ExcludedTargetError{g.Target}
+	}
+	return c.checkSalt(g)
+}
+
 // checkSalt returns a *ReplacedConfigurationError if the granted salt may not be used any more.
 func (c *call) checkSalt(g *plan.Grant) error {
 	table := c.View().Table
--- a/hibiscusfront/internal/gateway/roster_test.go
+++ b/hibiscusfront/internal/gateway/roster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -34,6 +35,11 @@
 // startRoster runs a gateway with two targets, which answer with their names, and returns its URL. The host
 // learns that the first one leaves when leave is called, and of the second one then.
 func startRoster(t *testing.T, c gateway.Chooser) (url string, targets []roster.Target, leave func()) {
+	t.Helper()
+	return startRosterWith(t, c, new(backend.Pool))
+}
+
+func startRosterWith(t *testing.T, c gateway.Chooser, pool *backend.Pool) (url string, targets []roster.Target, leave func()) {
 	t.Helper()
 	for _, name := range []string{"leaving", "staying"} {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -57,7 +63,7 @@
 	current.Store(before)
 	var log testlog.Lines
 	front := httptest.NewServer(&gateway.Gateway{
-		View: current.Load, Chooser: c, Pool: new(backend.Pool), Meter: discardMeter{}, Log: log.Logger(), Departure: new(departure.Departure),
+		View: current.Load, Chooser: c, Pool: pool, Meter: discardMeter{}, Log: log.Logger(), Departure: new(departure.Departure),
 	})
 	t.Cleanup(front.Close)
 	return front.URL, targets, func() { current.Store(after) }
@@ -106,3 +112,22 @@
 	require.Equal(t, plan.Rejected, chooser.lastReport(1))
 	require.False(t, chooser.requests[1].Repeat, "the request was not sent before")
 }
+
+// TestRequestIsNotSentToTargetThatHasLeftWhileItsConnectionIsMade guards against requests that reach a target after the
+// drain time, since the host learned late that it leaves and connecting took long.
+func TestRequestIsNotSentToTargetThatHasLeftWhileItsConnectionIsMade(t *testing.T) {
+	var leave func()
+	pool := &backend.Pool{Dial: func(ctx context.Context, address fleet.Address) (net.Conn, error) {
+		leave()
+		return new(net.Dialer).DialContext(ctx, "tcp", string(address))
+	}}
+	chooser := new(scriptedChooser)
+	var url string
+	var targets []roster.Target
+	url, targets, leave = startRosterWith(t, chooser, pool)
+	for i, target := range targets {
+		chooser.grants = append(chooser.grants, plan.Grant{Number: plan.GrantNumber(i + 1), Target: target.ID, Address: target.Address})
+	}
+	require.Equal(t, "staying", answerTo(t, url, strings.NewReader("body")))
+	require.Equal(t, plan.Rejected, chooser.lastReport(1))
+}
--- a/hibiscusfront/internal/relay/relay_test.go
+++ b/hibiscusfront/internal/relay/relay_test.go
@@ -18,8 +18,10 @@
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/intake"
+	"hibiscuslb/fleet/roster"
 	"hibiscuslb/hibiscusfront/internal/backend"
 	"hibiscuslb/hibiscusfront/internal/relay"
+	"hibiscuslb/hibiscusfront/internal/view"
 )
 
 func TestAnswerArrivesUnchangedByWayOfAnotherHost(t *testing.T) {
@@ -65,6 +67,38 @@
 	}
 }
 
+// TestRequestIsNotRelayedToTargetThatHasLeftWhileConnecting guards against requests that reach a target after the
+// drain time by way of a host that learns while it connects that the target leaves.
+func TestRequestIsNotRelayedToTargetThatHasLeftWhileConnecting(t *testing.T) {
+	target, requests := startTarget(t, func(conn net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(conn, head+"Content-Length: 4\r\n\r\nabcd")
+	})
+	nodes := startNodes(t, 2, target)
+	relaying := nodes[1]
+	before := relaying.server.View()
+	after := *before
+	after.Targets = []roster.Target{before.Targets[0]}
+	after.Targets[0].Leaving = true
+	after.Freeze()
+	var left atomic.Bool
+	relaying.server.View = func() *view.View {
+		if left.Load() {
+			return &after
+		}
+		return before
+	}
+	dial := relaying.pool.Dial
+	relaying.pool.Dial = func(ctx context.Context, address fleet.Address) (net.Conn, error) {
+		left.Store(true)
+		return dial(ctx, address)
+	}
+	_, _, err := nodes[0].read(context.Background(), request(target))
+	var notSent *backend.NotSentError
+	require.ErrorAs(t, err, &notSent)
+	require.Zero(t, requests.Load())
+	require.Equal(t, 1, relaying.results["true refused"])
+}
+
 // TestLostHostIsNoEndOfAnswer has an answer that ends with its connection, and the relaying host die midway.
 func TestLostHostIsNoEndOfAnswer(t *testing.T) {
 	begun := make(chan struct{})
--- a/hibiscusfront/internal/relay/server.go
+++ b/hibiscusfront/internal/relay/server.go
@@ -86,7 +86,7 @@
 		return refuse("its deadline has passed")
 	case t == nil || t.Address != request.Address:
 		return refuse("no target %s at %s is known", request.Target, request.Address)
-	case v.Excludes(t.ID) || slices.Contains(s.Chooser.Closed(v, t.Service), t.ID):
+	case s.excludes(v, t.ID, t.Service):
 		return refuse("target %s gets no new work from this host", t.ID)
 	case !s.Ways.Direct(t.ID):
 		return nil, "", &wire.RelayPart{Result: s.Ways.sees(t.ID, s.Ways.Clock()), Detail: "the way is lost"}
@@ -107,6 +107,14 @@
 	return w, t.Service, nil
 }
 
+// excludes reports whether this host must send nothing to the target.
+func (s *Server) excludes(v *view.View, target fleet.TargetID, service route.ServiceID) bool {
+	return v.Excludes(target) || slices.Contains(s.Chooser.Closed(v, service), target)
+}
+
+// errExcluded reports that this host must send nothing to the target by now: connecting may have taken long.
+var errExcluded = errors.New("the target gets no new work from this host any more")
+
 func (s *Server) remove(key requestKey) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -133,6 +141,12 @@
 	exchange, err := s.Pool.Send(ctx, &backend.Request{
 		ID: request.ID, Target: request.Target, Address: request.Address, Method: request.Method, URI: request.URI, Host: request.HostName,
 		Header: request.Header, Body: [][]byte{request.Body}, SendOnce: request.SendOnce, DialLimit: shortDial,
+		Check: func() error {
+			if s.excludes(s.View(), request.Target, service) {
+				return errExcluded
+			}
+			return nil
+		},
 	})
 	if err != nil {
 		part := s.failure(request.Target, began, err)
@@ -174,6 +188,10 @@
 	if !errors.As(err, &notSent) {
 		return part
 	}
+	if errors.Is(err, errExcluded) {
+		part.Result = wire.RelayRefused
+		return part
+	}
 	part.Result = s.Ways.sees(target, began)
 	return part
 }
