gateway: check on the open connection that a run can start in time

The planner grants an engine with replaced weights if the run is expected to start 1.2 s before the bound, counted from the grant. The host sends later: a connection may take 0.4 s, and by way of other hosts it may ask eight, one after the other. It also sent what it was granted by a planner that did not know of the newer weights yet. Only the withdrawal guarded these, which an engine need not notice.

The grant now tells the expected wait, that of hidden queues included. When the connection is open, before the first byte, the host checks by the limit that it or the grant knows that the run can still be expected to start in time. Else it gives the grant back, truly not sent.

--- a/fleet/plan/admission.go
+++ b/fleet/plan/admission.go
@@ -230,6 +230,9 @@
 		if latest, limited := f.model(p.Model).announced.LatestStart(g.Version, f.WeightsBound); limited {
 			g.StartWithin = max(1, latest.Sub(now))
 		}
+		if f.WeightsBound > 0 {
+			g.Wait = c.firstPiece + f.hiddenWait(now, t)
+		}
 		g.Fetch, g.Read = c.fetch, c.readTokens
 		engine := t.service.spec.Engine
 		for i, address := range c.fetch {
--- a/fleet/plan/request.go
+++ b/fleet/plan/request.go
@@ -60,6 +60,8 @@
 	// StartWithin is the time from the grant in which the run has to start, since newer
 	// weights than Version were announced; zero for no limit.
 	StartWithin time.Duration `cbor:",omitempty"`
+	// Wait is the expected time from the sending to the start of the run.
+	Wait time.Duration `cbor:",omitempty"`
 	// Configuration is the number of the one that Salt was made under.
 	Configuration fleet.Version `cbor:",omitempty"`
 
--- a/fleet/weightupdate/announcements.go
+++ b/fleet/weightupdate/announcements.go
@@ -73,6 +73,12 @@
 	return at.Add(bound - startLateness), true
 }
 
+// LatestSend returns until when a request may be sent whose run may start until latest, and is expected to
+// start the given time after the sending. It leaves the margin of Allows.
+func LatestSend(latest fleet.Instant, wait time.Duration) fleet.Instant {
+	return latest.Add(startLateness - startMargin - wait)
+}
+
 // EarliestLimit returns the earliest latest start that an announcement can set of which a host
 // learns from now on.
 func EarliestLimit(now fleet.Instant, bound time.Duration) fleet.Instant {
--- a/hibiscusfront/internal/chooser/local.go
+++ b/hibiscusfront/internal/chooser/local.go
@@ -76,7 +76,7 @@
 	t := ranked[0]
 	g := &plan.Grant{Target: t.ID, Address: t.Address, Service: req.Service, Rank: min(req.Rank, plan.MaxRank), Software: t.Software}
 	if req.Prompt != nil {
-		g.Version, g.Read = t.Version(req.Prompt.Model), req.Prompt.Input
+		g.Version, g.Read, g.Wait = t.Version(req.Prompt.Model), req.Prompt.Input, start.Sub(now)
 		g.Salt, g.Configuration = plan.Salt(req.Prompt.Model, g.Version, req.Workspace, req.Isolation), req.Configuration
 	}
 	return plan.Decision{Request: req, Grant: g}
--- a/hibiscusfront/internal/gateway/attempt.go
+++ b/hibiscusfront/internal/gateway/attempt.go
@@ -27,6 +27,7 @@
 	c.sentAt = time.Now()
 	limit := c.limitStart(g)
 	defer limit.end()
+	request.Check = func() error { return c.checkGrant(g, limit) }
 	exchange, err := c.send(limit.ctx, request)
 	limit.begun()
 	if err != nil {
@@ -42,7 +43,7 @@
 			c.outcome = before
 			progress, message := c.unlessDoubtful(g.Target, err, plan.Unreachable, plan.Rejected), "request not sent: no connection to the target"
 			switch {
-			case withdrawn:
+			case withdrawn, errors.As(err, &late):
 				progress, message = plan.Rejected, "request withdrawn before it was sent to the target"
 			case errors.As(err, &excluded):
 				progress, message = plan.Rejected, "grant given back: the target has left since it was chosen"
@@ -139,7 +140,6 @@
 	return &backend.Request{
 		ID: c.ID, Target: g.Target, Address: g.Address, Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host,
 		Header: platform.ForwardHeaders(c.r.Header, d), Body: c.body, SendOnce: !c.route.Repeatable(), ExpiresAt: c.expiresAt,
-		Check: func() error { return c.checkGrant(g) },
 	}
 }
 
@@ -161,12 +161,15 @@
 	return fmt.Sprintf("target %s has left or its data centre was evacuated", e.Target)
 }
 
-// checkGrant returns an error if the request may not be sent any more: an *ExcludedTargetError or a
+// checkGrant returns an error if the request may not be sent any more: an *ExcludedTargetError, a *LateStartError or a
 // *ReplacedConfigurationError. Connecting may have taken long.
-func (c *call) checkGrant(g *plan.Grant) error {
+func (c *call) checkGrant(g *plan.Grant, limit *startLimit) error {
 	if c.View().Excludes(g.Target) {
 		return &ExcludedTargetError{g.Target}
 	}
+	if err := limit.checkSend(); err != nil {
+		return err
+	}
 	return c.checkSalt(g)
 }
 
--- a/hibiscusfront/internal/gateway/withdraw.go
+++ b/hibiscusfront/internal/gateway/withdraw.go
@@ -61,13 +61,30 @@
 // only if the bound is hardly longer than the age that an announcement may have.
 const minCheckInterval = 100 * time.Millisecond
 
-// check withdraws the request if its time is over, and else runs again when it may be.
-func (l *startLimit) check() {
-	now := l.clock()
+// latest returns until when the request may start as far as this host and the grant know, and whether there is
+// a limit.
+func (l *startLimit) latest() (fleet.Instant, bool) {
 	latest, limited := l.view().Weights[l.model].LatestStart(l.grant.Version, l.bound)
 	if l.until > 0 && (!limited || l.until < latest) {
-		latest, limited = l.until, true
+		return l.until, true
+	}
+	return latest, limited
+}
+
+// checkSend returns a *LateStartError if the run can no longer be expected to start in time when the request is
+// sent now. The request may have been on its way to here for longer than the planner expected, and the planner may
+// not have known that there are newer weights.
+func (l *startLimit) checkSend() error {
+	if latest, limited := l.latest(); limited && l.clock() >= weightupdate.LatestSend(latest, l.grant.Wait) {
+		return &LateStartError{l.grant.Target, l.grant.Version}
 	}
+	return nil
+}
+
+// check withdraws the request if its time is over, and else runs again when it may be.
+func (l *startLimit) check() {
+	now := l.clock()
+	latest, limited := l.latest()
 	// Announcements of which the host learns from now on may set an earlier limit.
 	next := max(weightupdate.EarliestLimit(now, l.bound), now.Add(minCheckInterval))
 	if limited {
