weightupdate: the bound of old weights does not move with later versions

A list of announcements keeps the last eight. When the version that replaced an engine's weights was dropped, the bound counted from the next one: with versions named in quick succession it moved on with each.

The oldest version of the list now takes the instant of the one that is dropped. That is early for engines eight versions behind, never late.

TestBoundOfOldWeightsDoesNotMoveWithManyAnnouncements, before: "1h0m0.2s" is not less than or equal to "1h0m0s", version 1, of 10.

--- a/fleet/weightupdate/announcements.go
+++ b/fleet/weightupdate/announcements.go
@@ -27,14 +27,19 @@
 }
 
 // Add appends a version. It returns a unchanged unless the version is newer
-// than all others.
+// than all others. The oldest version of a long list takes the instant of the one before it, which is
+// dropped: engines may still have weights that this one replaced.
 func (a Announcements) Add(version uint64, at fleet.Instant) Announcements {
 	if version <= a.Newest() {
 		return a
 	}
-	const kept = 8 // versions that engines may still be running
-	from := max(0, len(a)+1-kept)
-	return append(append(Announcements(nil), a[from:]...), Announcement{version, at})
+	const length = 8 // versions that engines may still be running
+	from := max(0, len(a)+1-length)
+	kept := append(append(Announcements(nil), a[from:]...), Announcement{version, at})
+	if from > 0 {
+		kept[0].At = a[from-1].At
+	}
+	return kept
 }
 
 // startMargin is how much later than expected a run may start: a sound engine may be silent for a
--- a/fleet/weightupdate/update_test.go
+++ b/fleet/weightupdate/update_test.go
@@ -157,6 +157,22 @@
 	require.False(t, limited)
 }
 
+// Versions that are announced in quick succession must not push out the one that replaced an engine's weights.
+func TestBoundOfOldWeightsDoesNotMoveWithManyAnnouncements(t *testing.T) {
+	const interval = 200 * time.Millisecond
+	announced := weightupdate.Announcements(nil).Add(1, 0)
+	for version := uint64(2); version <= 30; version++ {
+		announced = announced.Add(version, at(time.Duration(version-2)*interval))
+		for _, old := range []uint64{1, version - 1} {
+			supersededAt, superseded := announced.SupersededAt(old)
+			require.True(t, superseded)
+			require.LessOrEqual(t, supersededAt, at(time.Duration(old-1)*interval), "version %d, of %d", old, version)
+		}
+		supersededAt, _ := announced.SupersededAt(version - 1)
+		require.Equal(t, at(time.Duration(version-2)*interval), supersededAt)
+	}
+}
+
 // The bound is measured from the first version that an engine lacks. If it were
 // measured from the newest one, each further version would extend it.
 func TestBoundCountsFromFirstNewerAnnouncement(t *testing.T) {
