--- a/hibiscusfront/internal/gateway/attempt.go
+++ b/hibiscusfront/internal/gateway/attempt.go
@@ -27,6 +27,7 @@
 	c.sentAt = time.Now()
 	limit := c.limitStart(g)
 	defer limit.end()
+	request.Check = func() error { return c.checkGrant(g, limit) }
 	exchange, err := c.send(limit.ctx, request)
 	limit.begun()
 	g.Via = sentBy(exchange, err)
@@ -36,6 +37,7 @@
 	if err != nil {
 		var late *LateStartError
 		var replaced *ReplacedConfigurationError
+		var excluded *ExcludedTargetError
 		withdrawn := errors.As(context.Cause(limit.ctx), &late) && c.contextRefusal() == nil
 		switch {
 		case unsent:
@@ -43,8 +45,10 @@
 			c.outcome = before
 			progress, message := c.unlessDoubtful(g.Target, err, plan.Unreachable, plan.Rejected), "request not sent: no connection to the target"
 			switch {
-			case withdrawn:
+			case withdrawn, errors.As(err, &late):
 				progress, message = plan.Rejected, "request withdrawn before it was sent to the target"
+			case errors.As(err, &excluded):
+				progress, message = plan.Rejected, "grant given back: the target has left since it was chosen"
 			case errors.As(err, &replaced):
 				// The target has refused nothing, so it may be chosen again.
 				c.tried = c.tried[:len(c.tried)-1]
@@ -138,7 +142,6 @@
 	return &backend.Request{
 		ID: c.ID, Target: g.Target, Address: g.Address, Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host,
 		Header: platform.ForwardHeaders(c.r.Header, d), Body: c.body, SendOnce: !c.route.Repeatable(), ExpiresAt: c.expiresAt,
-		Check: func() error { return c.checkSalt(g) },
 	}
 }
 
@@ -152,6 +155,26 @@
 	return fmt.Sprintf("granted under configuration %d, replaced by %d, which separates the request from other cached parts", e.Granted, e.Known)
 }
 
+// An ExcludedTargetError ends an attempt before the request is sent: by now this host knows that the target has left
+// or that its data centre is evacuated.
+type ExcludedTargetError struct{ Target fleet.TargetID }
+
+func (e *ExcludedTargetError) Error() string {
+	return fmt.Sprintf("target %s has left or its data centre was evacuated", e.Target)
+}
+
+// checkGrant returns an error if the request may not be sent any more: an *ExcludedTargetError, a *LateStartError or a
+// *ReplacedConfigurationError. Connecting may have taken long.
+func (c *call) checkGrant(g *plan.Grant, limit *startLimit) error {
+	if c.View().Excludes(g.Target) {
+		return &ExcludedTargetError{g.Target}
+	}
+	if err := limit.checkSend(); err != nil {
+		return err
+	}
+	return c.checkSalt(g)
+}
+
 // checkSalt returns a *ReplacedConfigurationError if the granted salt may not be used any more.
 func (c *call) checkSalt(g *plan.Grant) error {
 	table := c.View().Table
