--- a/hibiscusfront/internal/relay/nodes_test.go
+++ b/hibiscusfront/internal/relay/nodes_test.go
@@ -100,10 +100,13 @@
 	}
 }
 
-// startNodes starts hosts that know the target, of which the first has no way to any.
-func startNodes(t *testing.T, count int, target string) []*node {
+// startNodes starts hosts that know the targets t, t1 and so on, of which the first has no way to any.
+func startNodes(t *testing.T, count int, targets ...string) []*node {
 	t.Helper()
-	v := &view.View{Targets: []roster.Target{{ID: "t", Service: "s", Address: fleet.Address(target)}}}
+	v := new(view.View)
+	for i, address := range targets {
+		v.Targets = append(v.Targets, roster.Target{ID: targetID(i), Service: "s", Address: fleet.Address(address)})
+	}
 	var nodes []*node
 	for i := range count {
 		n := new(node)
@@ -142,6 +145,13 @@
 	return nodes
 }
 
+func targetID(i int) fleet.TargetID {
+	if i == 0 {
+		return "t"
+	}
+	return fleet.TargetID(fmt.Sprint("t", i))
+}
+
 // startTarget starts a target that runs the script for each connection, and counts the requests.
 func startTarget(t *testing.T, script func(conn net.Conn, r *http.Request)) (string, *atomic.Int32) {
 	t.Helper()
