Tests that need a refused connection keep the port of it

Beside other tests the port may be taken by another process in between, and the request then reaches a stranger. In turn, a test that counts connections was disturbed by strangers (see the tests of ingress).

They now use the port of the other end of a connection that stays open.

--- a/fleet/service/service_test.go
+++ b/fleet/service/service_test.go
@@ -54,9 +54,12 @@
 func TestCallOutcomes(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	unused := fleet.Address(listener.Addr().String())
-	require.NoError(t, listener.Close())
-	client := service.Client{Address: unused}
+	defer listener.Close()
+	// The port of a connection's other end refuses connections, and no other process can take it.
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	client := service.Client{Address: fleet.Address(conn.LocalAddr().String())}
 	_, err = client.Do(context.Background(), service.Call{Operation: "book"})
 	var notRun *service.NotRunError
 	require.ErrorAs(t, err, &notRun, "connection refused: not run")
--- a/hibiscusfront/internal/backend/backend_test.go
+++ b/hibiscusfront/internal/backend/backend_test.go
@@ -166,10 +166,13 @@
 func TestRefusedConnectionIsNotSentError(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	address := fleet.Address(listener.Addr().String())
-	require.NoError(t, listener.Close())
+	defer listener.Close()
+	// The port of a connection's other end refuses connections, and no other process can take it.
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
 	var pool backend.Pool
-	_, err = send(t, &pool, newRequest(address, "1"))
+	_, err = send(t, &pool, newRequest(fleet.Address(conn.LocalAddr().String()), "1"))
 	var unsent *backend.NotSentError
 	require.ErrorAs(t, err, &unsent)
 }
