backend: two tests do not take an answer's arrival within a time for granted

TestEarlyResponseEndsConnection gave the pool 50 ms to receive an answer and to close the connection, and TestConnectionWithUnreadBytesIsNotReused gave the target 20 ms from the first answer's arrival to write a second one. On a machine where a process does not run for so long they would fail with a sound product. The first now reads on once the exchange has ended; the second counts its time from when the second answer was written.

Neither was seen to fail; found by reading the tests that sleep before they assert. After the change 10 runs each with one and two processors passed.

--- a/hibiscusfront/internal/backend/backend_test.go
+++ b/hibiscusfront/internal/backend/backend_test.go
@@ -115,6 +115,7 @@
 }
 
 func TestConnectionWithUnreadBytesIsNotReused(t *testing.T) {
+	written := make(chan struct{}, 1)
 	address, conns := startTarget(t, func(conn net.Conn, reader *bufio.Reader) {
 		r, ok := readRequest(reader)
 		if !ok {
@@ -122,6 +123,7 @@
 		}
 		writeResponse(conn, r.Header.Get("X-Hibiscuslb-Request-Id"), "once")
 		writeResponse(conn, r.Header.Get("X-Hibiscuslb-Request-Id"), "twice")
+		written <- struct{}{}
 		_, _ = readRequest(reader)
 	})
 	var pool backend.Pool
@@ -129,6 +131,7 @@
 		body, err := send(t, &pool, newRequest(address, fmt.Sprint(i)))
 		require.NoError(t, err)
 		require.Equal(t, "once", body)
+		<-written
 		time.Sleep(20 * time.Millisecond) // lets the second response arrive
 	}
 	require.Equal(t, int32(3), conns.Load())
@@ -254,14 +257,14 @@
 // target has responded before reading a long body. Otherwise the target would
 // read a later request as the rest of that body.
 func TestEarlyResponseEndsConnection(t *testing.T) {
-	rest := make(chan int64, 1)
+	ended, rest := make(chan struct{}), make(chan int64, 1)
 	address, conns := startTarget(t, func(conn net.Conn, reader *bufio.Reader) {
 		r, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
 		writeResponse(conn, r.Header.Get("X-Hibiscuslb-Request-Id"), "early")
-		time.Sleep(50 * time.Millisecond)
+		<-ended
 		n, _ := io.Copy(io.Discard, r.Body)
 		rest <- n
 	})
@@ -271,6 +274,7 @@
 	body, err := send(t, &pool, r)
 	require.NoError(t, err)
 	require.Equal(t, "early", body)
+	close(ended)
 	require.Less(t, <-rest, int64(8<<20))
 	_, err = send(t, &pool, newRequest(address, "2"))
 	require.NoError(t, err)
