gateway: a test of withdrawn requests waits until the engine has the request

TestRequestIsWithdrawnBeforeItBeginsOnOldWeights (learned of late) failed once in a run of five packages at a load of 26: "Condition never satisfied", no request was withdrawn at the engine. Cause: the host learns of weights 0.2 s after the begin of the test, which counted the start of its servers in. A request that is not sent by then is, since the check on the open connection, not sent at all, so that the engine sees none.

The host now learns of weights only once the engine has the request, and the begin is counted from when the engines run.

--- a/hibiscusfront/internal/gateway/withdraw_test.go
+++ b/hibiscusfront/internal/gateway/withdraw_test.go
@@ -52,10 +52,9 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			begin := time.Now()
-			clock := func() fleet.Instant { return fleet.Instant(time.Hour + time.Since(begin)) }
-			var withdrawn atomic.Bool
+			var reached, withdrawn atomic.Bool
 			first := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				reached.Store(true)
 				_, _ = io.Copy(io.Discard, r.Body) // the server notices the end of the connection only after that
 				select {
 				case <-time.After(test.waits):
@@ -85,12 +84,16 @@
 				Number: 1, Limits: route.Limits{Body: 1000}, Workspaces: []route.Workspace{{ID: "w", Keys: []route.Key{"k"}}},
 				Routes: []route.Route{{Host: "127.0.0.1", Prefix: "/", Kind: kind, Attempts: 2, Splits: []route.Split{{Service: "s", Weight: 1}}}},
 			})
+			begin := time.Now()
+			clock := func() fleet.Instant { return fleet.Instant(time.Hour + time.Since(begin)) }
 			current := func() *view.View {
 				announced := weightupdate.Announcements(nil).Add(1, 0)
+				learned := max(test.announced, test.learned)
 				switch {
 				case test.announced == unknown:
 					announced = announced.Add(2, 0)
-				case time.Since(begin) >= max(test.announced, test.learned):
+				case learned > 0 && !reached.Load(): // the host would not send it any more
+				case time.Since(begin) >= learned:
 					announced = announced.Add(2, fleet.Instant(time.Hour+test.announced))
 				}
 				return &view.View{Table: table, Weights: map[fleet.ModelID]weightupdate.Announcements{"m": announced}}
