control: a task that ends writes no revision that is still in use

TestOnlyStandbysWatchWhenPlannerLosesStore failed in 2 of 12 runs with the race detector, beside other load, with "DATA RACE": when the host ends, follow writes its named result while the control goroutine may still write the same variable, although the code returned early to avoid just that. No caller saw anything: the value is not used then.

The variable is now local. The new test holds the message back until the context has ended; before, 5 repeats printed "WARNING: DATA RACE" and FAIL, after, 5 repeats passed.

--- a/hibiscusfront/internal/control/control_test.go
+++ b/hibiscusfront/internal/control/control_test.go
@@ -313,3 +313,23 @@
 	})
 	busy.Wait()
 }
+
+// TestHostThatEndsWhileItReadsSharesNothing guards against a revision that is still written when the
+// task that asked for it has ended. It fails with the race detector.
+func TestHostThatEndsWhileItReadsSharesNothing(t *testing.T) {
+	c := newObserver(at(0), 1, election.Record{})
+	c.Store = &platform.Store{Address: "127.0.0.1:1"}
+	c.Clock = func() fleet.Instant { return at(0) }
+	c.initInbox()
+	ctx, cancel := context.WithCancel(t.Context())
+	var following, busy task.Group
+	following.Go(ctx, func(ctx context.Context) { c.follow(ctx, platform.KindWeights) })
+	busy.Go(t.Context(), func(context.Context) {
+		f := <-c.inbox
+		cancel()
+		time.Sleep(50 * time.Millisecond)
+		f(at(0))
+	})
+	following.Wait()
+	busy.Wait()
+}
--- a/hibiscusfront/internal/control/objects.go
+++ b/hibiscusfront/internal/control/objects.go
@@ -40,7 +40,8 @@
 
 // follow keeps the replica of a kind up to date from the store.
 func (c *Control) follow(ctx context.Context, kind string) {
-	since := func() (revision fleet.Revision) {
+	since := func() fleet.Revision {
+		var revision fleet.Revision
 		if !c.enqueueAndWait(ctx, func(fleet.Instant) { revision = c.replicas[kind].Revision() }) {
 			return fleet.Revision{} // revision may still be written
 		}
