quarantine: requests withheld for the same crash keep their early trials

Cause: requests withheld for the same crash get their first trials one or two seconds later, one after the other. That time was lost when the next target ended under copies that had been sent before: as a withheld request each was charged once more, and its trial came 60 s later. It was also lost when another host took over, which restored the request with a trial after 30 s, and when the trial had no result, for instance since its target could not be reached.

Change: an entry is marked as tied (Entry.Tied, also passed to other hosts) until a trial has a result. Copies that were sent before it was withheld are not charged, a successor tries it as soon, and a trial without a result is repeated, each time after twice as long.

Before, TestTiedRequestsSoonGetTrials failed in its three cases: expected 0x1 (Trial), actual 0x2 (Refused), 8 s after the crashes.

--- a/fleet/quarantine/quarantine.go
+++ b/fleet/quarantine/quarantine.go
@@ -66,6 +66,9 @@
 	Workspace fleet.WorkspaceID `json:",omitempty"` // of the request
 	Crashes   int               // of different targets, since the last complete answer to a prompt with the part, or to the request
 	Joint     int               `json:",omitempty"` // further crashes under the request, which are charged if its next copy crashes a target
+	// Tied is set while the request is withheld for the same crash as others, until a trial shows
+	// whether it is to blame: the time to the next trial in multiples of jointTrialInterval.
+	Tied int `json:",omitempty"`
 }
 
 // Withheld reports whether the part or request is withheld.
@@ -133,7 +136,7 @@
 			explained = explained || l.withheld(part.ID)
 		}
 	}
-	l.chargeRequests(suspects, explained)
+	l.chargeRequests(now, suspects, explained)
 	var newlyWithheld []prompt.PartID
 	for id := range parts {
 		if explained && !l.withheld(id) {
@@ -305,7 +308,8 @@
 	if a, ok := l.requests[request]; ok {
 		switch {
 		case a.Withheld():
-			a.trialAt = now.Add(trialInterval(a.Crashes))
+			a.Tied = min(2*a.Tied, int(FirstTrial/jointTrialInterval))
+			a.trialAt = now.Add(a.trialInterval())
 		case a.doubtful():
 			a.trialAt = now.Add(jointTrialInterval)
 		}
--- a/fleet/quarantine/requests.go
+++ b/fleet/quarantine/requests.go
@@ -28,8 +28,9 @@
 //     crashes, too, the joint crashes are charged; a complete answer clears the request.
 //   - A sound request is sent again after each crash, or by many callers, and is on each target
 //     beside the bad one. Both are withheld for the same crash. Each of them soon gets a trial,
-//     one after the other, which clears the sound one. Once the bad one is withheld, a
-//     crash under its trial is charged to it alone.
+//     one after the other, which clears the sound one. Crashes under copies that were sent
+//     before say nothing of either, and a trial without a result is soon repeated. Once the bad
+//     one is withheld, a crash under its trial is charged to it alone.
 //   - A caller makes up requests that crash targets. A ledger and a list are shared fairly
 //     among workspaces, so that it can't push the requests of others out.
 const (
@@ -51,8 +52,17 @@
 // requestAccount is what is known of a request.
 type requestAccount struct {
 	Entry
-	lastCrash fleet.Instant
-	trialAt   fleet.Instant // when the request may be let through again
+	lastCrash  fleet.Instant
+	withheldAt fleet.Instant
+	trialAt    fleet.Instant // when the request may be let through again
+}
+
+// trialInterval returns the time to the request's next trial, from its last crash or trial.
+func (a *requestAccount) trialInterval() time.Duration {
+	if a.Tied > 0 {
+		return min(time.Duration(a.Tied)*jointTrialInterval, FirstTrial)
+	}
+	return trialInterval(a.Crashes)
 }
 
 // doubtful reports whether the request would be withheld if the joint crashes counted.
@@ -67,7 +77,7 @@
 
 // chargeRequests charges the requests of the suspects with a crash, each once. If a withheld
 // part or request explains the crash, only withheld requests are charged.
-func (l *Ledger) chargeRequests(suspects []Suspect, explained bool) {
+func (l *Ledger) chargeRequests(now fleet.Instant, suspects []Suspect, explained bool) {
 	charged := make(map[Fingerprint]bool)
 	var newlyWithheld []*requestAccount
 	for _, s := range suspects {
@@ -89,6 +99,9 @@
 			}
 			l.requests[s.Request] = a
 		}
+		if a.Tied > 0 && s.Sent <= a.withheldAt {
+			continue
+		}
 		charged[s.Request] = true
 		before := a.Withheld()
 		a.Crashes++
@@ -99,15 +112,17 @@
 		if !a.Withheld() {
 			continue
 		}
-		a.trialAt = max(a.trialAt, s.Ended.Add(trialInterval(a.Crashes)))
+		a.Tied = 0
+		a.trialAt = max(a.trialAt, s.Ended.Add(a.trialInterval()))
 		if !before {
-			a.Joint = 0
+			a.Joint, a.withheldAt = 0, now
 			newlyWithheld = append(newlyWithheld, a)
 		}
 	}
 	if len(newlyWithheld) > 1 {
 		for i, a := range newlyWithheld {
-			a.trialAt = a.lastCrash.Add(time.Duration(i+1) * jointTrialInterval)
+			a.Tied = i + 1
+			a.trialAt = a.lastCrash.Add(a.trialInterval())
 		}
 	}
 }
@@ -183,7 +198,7 @@
 		if !ok || a.Entry != entry {
 			a = &requestAccount{Entry: entry, lastCrash: now}
 			if a.Withheld() {
-				a.trialAt = now.Add(trialInterval(entry.Crashes))
+				a.withheldAt, a.trialAt = now, now.Add(a.trialInterval())
 			}
 		}
 		l.requests[entry.Request] = a
--- a/fleet/quarantine/requests_test.go
+++ b/fleet/quarantine/requests_test.go
@@ -141,6 +141,48 @@
 	require.Equal(t, quarantine.List{{Request: "bad", Workspace: "w", Crashes: 4}}, l.List(), "one trial each")
 }
 
+// Load pattern: a bad request and a sound one are withheld for the same crash. Meanwhile another
+// target ends under copies of both, another host takes the duty over, or the target of the sound
+// one's trial can't be reached. The sound one must soon get a trial all the same.
+func TestTiedRequestsSoonGetTrials(t *testing.T) {
+	withheld := func() *quarantine.Ledger {
+		var l quarantine.Ledger
+		for i := range 3 {
+			now := time.Duration(i) * 100 * ms
+			l.RecordCrash(at(now+200*ms), []quarantine.Suspect{suspect("bad", now-10*ms, now), suspect("often", now-10*ms, now)})
+		}
+		return &l
+	}
+	for name, change := range map[string]func(l *quarantine.Ledger) *quarantine.Ledger{
+		"another crash": func(l *quarantine.Ledger) *quarantine.Ledger {
+			l.RecordCrash(at(600*ms), []quarantine.Suspect{suspect("bad", 250*ms, 300*ms), suspect("often", 350*ms, 400*ms)})
+			return l
+		},
+		"another planner": func(l *quarantine.Ledger) *quarantine.Ledger {
+			successor := new(quarantine.Ledger)
+			successor.Restore(at(300*ms), l.List())
+			return successor
+		},
+		"trial without a result": func(l *quarantine.Ledger) *quarantine.Ledger {
+			l.RecordSent(at(2200*ms), "often", nil)
+			requireRequestVerdict(t, l, 2200*ms, quarantine.Refused, "often")
+			return l
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := change(withheld())
+			requireRequestVerdict(t, l, 8*time.Second, quarantine.Trial, "often")
+			l.RecordSent(at(8*time.Second), "often", nil)
+			l.RecordSuccess("often", nil)
+			requireRequestVerdict(t, l, 8*time.Second+100*ms, quarantine.Allowed, "often")
+			requireRequestVerdict(t, l, 8*time.Second+100*ms, quarantine.Trial, "bad")
+			l.RecordSent(at(9*time.Second), "bad", nil)
+			l.RecordCrash(at(9*time.Second+100*ms), []quarantine.Suspect{suspect("bad", 9*time.Second, 9*time.Second+100*ms)})
+			requireRequestVerdict(t, l, 9*time.Second+quarantine.FirstTrial, quarantine.Refused, "bad")
+		})
+	}
+}
+
 // Load pattern: a workspace makes up thousands of requests, each of which crashes targets.
 func TestWorkspaceDoesNotPushOutRequestsOfOthers(t *testing.T) {
 	var l quarantine.Ledger
