plan: a target that has crashed is back after two accepted connections

Cause: the logs show a connection to the target that stayed open for the 50 ms of a probe while the target was gone, and the next one that did not: what stands before it was late to close it. The target then counted as back, and the sound requests that were sent there as suspects of another crash.

Change: shortly after a refused connection, a target counts as back only when it has accepted two in a row.

Before, TestTargetGoneBeforeTenureHasNotCrashed failed with the connection that is closed late: "Should be false".

--- a/fleet/plan/crash.go
+++ b/fleet/plan/crash.go
@@ -23,7 +23,7 @@
 //
 // A target may come back with the same entry. Until it is known to be up, a further crash of it
 // can't be told from what goes on to end requests in its place. The planner therefore tries
-// connections to a target of a plain service that has crashed until it accepts one, and no
+// connections to a target of a plain service that has crashed until it accepts two in a row, and no
 // request that may have crashed targets is sent there meanwhile. The same holds at the start of a
 // tenure if requests are suspects: an earlier planner may have seen the crash that they are
 // suspected of.
@@ -132,23 +132,26 @@
 }
 
 // RecordProbe records whether a target accepted the connection of a probe. It returns false if
-// the target was known to be gone, and still is.
+// the target was known to be gone, and still is or has yet to accept another connection.
 func (f *Fleet) RecordProbe(now fleet.Instant, id fleet.TargetID, accepted bool) (news bool) {
 	t, ok := f.targets[id]
 	switch {
 	case !ok:
+	case accepted && !t.acceptedOnce && t.crashed && t.refused && now.Sub(t.refusedAt) <= crashWindow:
+		t.acceptedOnce = true // what stands before the target may close it later
+		return false
 	case accepted:
 		if t.crashed && !t.isEngine() {
 			t.markReachable(now)
 		}
 		t.markBack(now)
-		t.refused = false
+		t.refused, t.acceptedOnce = false, false
 		f.recordReached(now, polls, t)
 	case t.crashed && !t.isEngine():
 		if t.endedEarly(now) {
 			t.pause(now)
 		}
-		t.refused, t.refusedAt = true, now
+		t.refused, t.refusedAt, t.acceptedOnce = true, now, false
 		return false // and tells nothing of the planner's ways
 	case f.recordFailed(now, polls, t):
 		t.pause(now)
--- a/fleet/plan/target.go
+++ b/fleet/plan/target.go
@@ -41,6 +41,7 @@
 	backAt            fleet.Instant // when it was last found to be up after that
 	probeDue          bool          // a connection is to be tried
 	probedAt          fleet.Instant // when the last one of a target that has crashed was due
+	acceptedOnce      bool          // has accepted a connection since it refused one
 	refused           bool          // has refused a connection, last at refusedAt
 	refusedAt         fleet.Instant
 	lastFirstPiece    fleet.Instant            // when the last first piece was reported
