quarantine: keep the trials of requests withheld together apart

Cause: the trials of requests that are withheld for the same crash are due a second apart, but no target could be sent any until two seconds after the crash. Both trials then began at once, on the same target: the bad one ended it, and both were charged (log: grants 30180 and 30181, both with 4 crashes).

Change: a trial of a tied request puts those of the others off for a second.

--- a/fleet/quarantine/quarantine.go
+++ b/fleet/quarantine/quarantine.go
@@ -308,6 +308,9 @@
 	if a, ok := l.requests[request]; ok {
 		switch {
 		case a.Withheld():
+			if a.Tied > 0 {
+				l.postponeTied(now)
+			}
 			a.Tied = min(2*a.Tied, int(FirstTrial/jointTrialInterval))
 			a.trialAt = now.Add(a.trialInterval())
 		case a.doubtful():
--- a/fleet/quarantine/requests.go
+++ b/fleet/quarantine/requests.go
@@ -127,6 +127,16 @@
 	}
 }
 
+// postponeTied keeps the trials of tied requests apart. They may be due together, after a time in
+// which no target could be sent any.
+func (l *Ledger) postponeTied(now fleet.Instant) {
+	for _, a := range l.requests {
+		if a.Tied > 0 {
+			a.trialAt = max(a.trialAt, now.Add(jointTrialInterval))
+		}
+	}
+}
+
 // expireRequests drops requests whose last crash is long ago, and if there are too many, half
 // of what the ledger may hold.
 func (l *Ledger) expireRequests(now fleet.Instant) {
