relay: a fixture listens again if another process took the kernel's port

TestRelayedAnswerThatBrokeOffIsNotWhole failed once, in a run of five packages at a load of 26: "listen tcp 127.0.0.1:0: listen: address already in use". The kernel chooses a port when a socket is bound; another socket that was given the same one may listen first. The fixture now tries again, for 5 s at most; what the tests require of hosts and targets is as before.

--- a/hibiscusfront/internal/relay/nodes_test.go
+++ b/hibiscusfront/internal/relay/nodes_test.go
@@ -186,8 +186,13 @@
 // startTarget starts a target that runs the script for each connection, and counts the requests.
 func startTarget(t *testing.T, script func(conn net.Conn, r *http.Request)) (string, *atomic.Int32) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
+	// Another process may listen first on the port that the kernel has chosen.
+	var listener net.Listener
+	require.Eventually(t, func() (ok bool) {
+		var err error
+		listener, err = net.Listen("tcp", "127.0.0.1:0")
+		return err == nil
+	}, 5*time.Second, time.Millisecond)
 	t.Cleanup(func() { _ = listener.Close() })
 	var requests atomic.Int32
 	go func() {
