planner: the engine of a test crashes at once

Cause: the test. It closed the engine's connections and then its listener. In between, the planner's HTTP client repeats its poll by itself, on a new connection that then stays open: the engine goes on to answer, and nothing has crashed.

Change: the listener is closed first, and a handler that still runs aborts its connection. What is asserted stays the same.

--- a/hibiscusfront/internal/planner/silent_test.go
+++ b/hibiscusfront/internal/planner/silent_test.go
@@ -18,18 +18,22 @@
 	"hibiscuslb/hibiscusfront/internal/testlog"
 )
 
-// A pausingEngine answers calls for events after their wait, and not while it is silent.
+// A pausingEngine answers calls for events after their wait, and not while it is silent or once it has crashed.
 type pausingEngine struct {
 	mu          sync.Mutex
 	silentUntil time.Time
+	crashed     bool
 }
 
 func (e *pausingEngine) pause() {
 	for {
 		e.mu.Lock()
-		left := time.Until(e.silentUntil)
+		left, crashed := time.Until(e.silentUntil), e.crashed
 		e.mu.Unlock()
-		if left <= 0 {
+		switch {
+		case crashed:
+			panic(http.ErrAbortHandler)
+		case left <= 0:
 			return
 		}
 		time.Sleep(left)
@@ -111,8 +115,11 @@
 			require.NoError(t, err)
 			require.NotNil(t, decision.Grant, "%v", decision.Refusal)
 			if crashed {
+				engine.mu.Lock()
+				engine.crashed = true
+				engine.mu.Unlock()
+				server.Listener.Close() // first, else the planner's client calls again at once on a connection that stays open
 				server.CloseClientConnections()
-				server.Listener.Close()
 			} else {
 				engine.mu.Lock()
 				engine.silentUntil = time.Now().Add(1200 * time.Millisecond)
