control, gateway: log what a host knows of weights when it serves

To tell the hypotheses of the incident apart, the logs lacked which kinds of objects a host has not read when it begins to serve, and starts on weights of which it knows only that they were replaced before it started: these were not logged at all. No decision changes.

--- a/hibiscusfront/internal/control/control.go
+++ b/hibiscusfront/internal/control/control.go
@@ -154,6 +154,7 @@
 	rollouts        rollouts
 	bounds          platform.Bounds
 	leaving         bool
+	serving         bool   // a view with a configuration was published
 	registeredIn    uint64 // era of the store in which this host's entry was written; zero while it is not
 
 	// The planner's duty.
@@ -347,6 +348,17 @@
 	return c.Settings.Bounds.ExposeShare <= 0 || !c.replicas[platform.KindRollouts].Revision().IsZero() && !c.replicas[platform.KindRolloutStates].Revision().IsZero()
 }
 
+// unread returns the kinds of which this host has read no objects since its start.
+func (c *Control) unread() []string {
+	var kinds []string
+	for _, kind := range c.kinds() {
+		if c.replicas[kind].Revision().IsZero() {
+			kinds = append(kinds, kind)
+		}
+	}
+	return kinds
+}
+
 // publish builds and publishes a new view. Without what is on trial, it has no configuration, so that
 // the host does not serve yet.
 func (c *Control) publish() {
@@ -361,6 +373,11 @@
 	if c.rolloutsRead() {
 		v.Table = c.table
 	}
+	if v.Table != nil && !c.serving {
+		c.serving = true
+		c.Log.Info().Uint64("Number", uint64(v.Table.Number)).Int("Targets", len(v.Targets)).Int("Weights", len(v.Weights)).Strs("Unread", c.unread()).
+			Msg("serving: the first configuration is in force")
+	}
 	if c.Settings.Bounds.ExposeShare > 0 {
 		v.Rollouts = c.rollouts.list()
 	}
--- a/hibiscusfront/internal/gateway/record.go
+++ b/hibiscusfront/internal/gateway/record.go
@@ -19,23 +19,27 @@
 }
 
 // recordReplacedStart records a run that has begun on weights that had been replaced. It logs those
-// that began in the second half of the time in which they may.
+// that began in the second half of the time in which they may, and those of which this host does not know
+// when that ends.
 func (c *call) recordReplacedStart() {
 	if c.Prompt == nil || c.grant.Version == 0 || c.WeightsBound == 0 {
 		return
 	}
 	now := c.Clock()
 	announcedAt, replaced := c.View().Weights[c.Prompt.Model].SupersededAt(c.grant.Version)
-	if !replaced || announcedAt == 0 {
+	if !replaced {
 		return
 	}
-	replacedFor := now.Sub(announcedAt)
-	c.Meter.RecordReplacedStart(c.workspaceID(), c.route.Name, replacedFor)
-	if replacedFor < c.WeightsBound/2 {
-		return
+	replacedFor := time.Duration(0)
+	if announcedAt > 0 {
+		replacedFor = now.Sub(announcedAt)
+		c.Meter.RecordReplacedStart(c.workspaceID(), c.route.Name, replacedFor)
+		if replacedFor < c.WeightsBound/2 {
+			return
+		}
 	}
 	c.Log.Info().Str("Request", c.ID.ForLog()).Str("Target", string(c.grant.Target)).Uint64("Grant", uint64(c.grant.Number)).
-		Uint64("Version", c.grant.Version).Dur("ReplacedFor", replacedFor).Dur("SinceSent", time.Since(c.sentAt)).
+		Uint64("Version", c.grant.Version).Bool("AnnouncedBeforeStart", announcedAt == 0).Dur("ReplacedFor", replacedFor).Dur("SinceSent", time.Since(c.sentAt)).
 		Dur("StartWithin", c.grant.StartWithin).Str("Planner", string(c.grant.By)).Msg("run began on replaced weights")
 }
 
