control: serve and plan only once replaced weights and evacuations are read

Callers got answers of replaced weights (VERSION): a host that starts took announcements and evacuations that it had not read yet for ones that were never made. It served, planned and stood in as soon as it had a configuration and targets, which it reads beside them. What is not known looked like what is not restricted; the orders of roll-outs were treated rightly before, and now all kinds that restrict targets are.

The fixture of a host that may take the duty now has read all kinds, as such a host has; it had read none.

--- a/hibiscusfront/internal/control/control.go
+++ b/hibiscusfront/internal/control/control.go
@@ -78,6 +78,9 @@
 // rolloutKinds lists those that hosts replicate in addition if their settings allow roll-outs.
 var rolloutKinds = []string{platform.KindRollouts, platform.KindRolloutStates}
 
+// restrictingKinds lists the kinds that restrict the use of targets: replaced weights, evacuations and versions on trial.
+var restrictingKinds = append([]string{platform.KindEvacuations, platform.KindWeights}, rolloutKinds...)
+
 // kinds returns the kinds of objects that this host replicates.
 func (c *Control) kinds() []string {
 	if c.Settings.Bounds.ExposeShare <= 0 {
@@ -342,10 +345,10 @@
 	c.enqueue(ctx, func(fleet.Instant) { c.bounds = bounds })
 }
 
-// rolloutsRead reports whether the host knows which versions are on trial: it has read the orders and the
-// planner's records, or its settings allow no roll-outs.
-func (c *Control) rolloutsRead() bool {
-	return c.Settings.Bounds.ExposeShare <= 0 || !c.replicas[platform.KindRollouts].Revision().IsZero() && !c.replicas[platform.KindRolloutStates].Revision().IsZero()
+// knowsRestrictions reports whether the host has read all that restricts the use of targets. Before that, nothing looks
+// restricted.
+func (c *Control) knowsRestrictions() bool {
+	return !slices.ContainsFunc(c.unread(), func(kind string) bool { return slices.Contains(restrictingKinds, kind) })
 }
 
 // unread returns the kinds of which this host has read no objects since its start.
@@ -359,8 +362,8 @@
 	return kinds
 }
 
-// publish builds and publishes a new view. Without what is on trial, it has no configuration, so that
-// the host does not serve yet.
+// publish builds and publishes a new view. Before the host knows what restricts the use of targets, the view has no
+// configuration, so that the host neither serves nor plans yet.
 func (c *Control) publish() {
 	hosts := c.callerHosts()
 	if c.planning {
@@ -370,7 +373,7 @@
 		Targets: c.targets.list(), Removed: c.targets.removedIDs(), Evacuated: c.evacuations.list(), Weights: maps.Clone(c.announcements),
 		Hosts: hosts, Duty: c.duty.Record(), Leaving: c.leaving,
 	}
-	if c.rolloutsRead() {
+	if c.knowsRestrictions() {
 		v.Table = c.table
 	}
 	if v.Table != nil && !c.serving {
--- a/hibiscusfront/internal/control/control_test.go
+++ b/hibiscusfront/internal/control/control_test.go
@@ -161,6 +161,7 @@
 	c.replicas = make(map[string]*replica.Replica)
 	for _, kind := range replicatedKinds {
 		c.replicas[kind] = new(replica.Replica)
+		c.replicas[kind].ApplyListing(platform.Listing{Revision: revision(1)}) // without objects
 	}
 	c.duty = election.Duty{Self: "z"}
 	c.duty.Observe(now, revision(number), record)
--- a/hibiscusfront/internal/control/duty.go
+++ b/hibiscusfront/internal/control/duty.go
@@ -159,10 +159,10 @@
 }
 
 // isCandidate reports whether this host should try to become the planner: it
-// knows a configuration, targets and what is on trial, without which it could not decide, and has
+// knows a configuration, targets and what restricts their use, without which it could not decide, and has
 // given the standbys time to act first.
 func (c *Control) isCandidate(now fleet.Instant) bool {
-	if c.table == nil || len(c.targets.entries) == 0 || !c.rolloutsRead() {
+	if c.table == nil || len(c.targets.entries) == 0 || !c.knowsRestrictions() {
 		c.vacantSince = 0
 		return false
 	}
