gateway: an announcement of unknown time is no permission

Callers got answers of replaced weights (VERSION). A host that finds an announcement when it starts does not know how long ago it was made. As the planner it then bars all engines with older weights, but the host that sends took "no known time" for "no limit": it sent whatever was granted, also by a planner that did not know of the announcement, and withdrew nothing.

Now such weights count as replaced for too long unless the grant says until when a run may start. TestRequestIsNotSentTooLateForOldWeights, "announced before this host started, the planner did not know": sent before, given back as not run now.

--- a/fleet/weightupdate/announcements.go
+++ b/fleet/weightupdate/announcements.go
@@ -69,11 +69,14 @@
 
 // LatestStart returns until when a run that this host has sent may start on the given version,
 // and whether there is a limit: only once a newer version was announced, and with a bound. If
-// that was at an unknown time, the limit is unknown to this host.
-func (a Announcements) LatestStart(version uint64, bound time.Duration) (fleet.Instant, bool) {
+// that was at an unknown time, it returns zero: as far as this host knows, the time is over.
+func (a Announcements) LatestStart(version uint64, bound time.Duration) (latest fleet.Instant, limited bool) {
 	at, superseded := a.SupersededAt(version)
-	if !superseded || at == 0 || bound == 0 {
+	switch {
+	case !superseded || bound == 0:
 		return 0, false
+	case at == 0:
+		return 0, true
 	}
 	return at.Add(bound - startLateness), true
 }
--- a/hibiscusfront/internal/gateway/withdraw.go
+++ b/hibiscusfront/internal/gateway/withdraw.go
@@ -24,8 +24,8 @@
 }
 
 // A startLimit withdraws a request from its engine unless it begins in time. New weights may be
-// announced while it waits, so that the time is known only then; those that were announced before
-// this host started, or that it has not read yet, limit what the grant says.
+// announced while it waits, so that the time is known only then. Those that this host has not read yet limit what the
+// grant says. So do those that were announced before it started; a grant without a limit is not used then.
 type startLimit struct {
 	ctx    context.Context // of the exchange; its cause is a *LateStartError if it was withdrawn
 	cancel context.CancelCauseFunc
@@ -62,10 +62,10 @@
 const minCheckInterval = 100 * time.Millisecond
 
 // latest returns until when the request may start as far as this host and the grant know, and whether there is
-// a limit.
+// a limit. If this host does not know when newer weights were announced, the grant has to say so.
 func (l *startLimit) latest() (fleet.Instant, bool) {
 	latest, limited := l.view().Weights[l.model].LatestStart(l.grant.Version, l.bound)
-	if l.until > 0 && (!limited || l.until < latest) {
+	if l.until > 0 && (!limited || latest == 0 || l.until < latest) {
 		return l.until, true
 	}
 	return latest, limited
