control: a planner that is stopped hands its duty to the host that started last

Callers' requests were placed without a planner for half a second whenever a planner was stopped: it left the duty vacant, the others learned of it only once the planner had been silent for long enough, and the first in the order of rank took it, which may be the next to stop. While all hosts are replaced one after the other, the duty changed hands up to three times.

Now it names a successor, as a planner that is cut off from the targets does already: of the hosts that have read all they need, reach targets and do not have to hand over in turn, the one whose process started last. It has been replaced already, if any has.

With restarts that overlap a third change remains possible.

--- a/hibiscusfront/internal/control/control.go
+++ b/hibiscusfront/internal/control/control.go
@@ -331,12 +331,12 @@
 }
 
 // Leave removes the host from those that callers are sent to, and resigns the
-// duty.
+// duty in favour of a host that is likely to stay.
 func (c *Control) Leave(ctx context.Context) {
 	c.enqueueAndWait(ctx, func(now fleet.Instant) {
 		c.leaving = true
 		c.publish()
-		c.resign(ctx, now, wire.Host{}, 0)
+		c.resign(ctx, now, c.members.heir(now, c.Self.ID), 0)
 	})
 }
 
--- a/hibiscusfront/internal/control/handover.go
+++ b/hibiscusfront/internal/control/handover.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/fleet/election"
 	"hibiscuslb/hibiscusfront/internal/wire"
+	"hibiscuslb/platform"
 )
 
 // A planner whose host is cut off from the targets knows nothing new of them and can send them no orders.
@@ -134,3 +136,33 @@
 	}
 	return first, firstInTouch, first.ID != ""
 }
+
+// setReady records whether a host knows what it needs to plan, as the revisions in its heartbeat say.
+func (m *members) setReady(id fleet.HostID, known wire.Revisions) {
+	status := m.heartbeats[id]
+	status.ready = !slices.ContainsFunc(planningKinds, func(kind string) bool { return known[kind].IsZero() })
+	m.heartbeats[id] = status
+}
+
+// planningKinds lists the kinds of objects that a host has to have read to plan.
+var planningKinds = []string{platform.KindConfiguration, platform.KindTargets, platform.KindEvacuations, platform.KindWeights}
+
+// heir returns the host to which a planner that is stopped hands its duty: of those that are ready and do not have to
+// hand it over in turn, the one whose process started last. Its ID is empty if there is none.
+//
+// This handles restarts of all hosts, one after the other, as for an upgrade: a host that has been replaced
+// already stays, so that the duty changes hands twice at most. Without an heir, the other hosts learn only
+// after a while that the duty is vacant, and the first in the order of rank takes it, which may be the next to stop.
+func (m *members) heir(now fleet.Instant, self fleet.HostID) wire.Host {
+	var last wire.Host
+	for id, h := range m.hosts {
+		status := m.heartbeats[id]
+		if id == self || !status.alive || status.leaving || status.cutOff || !status.ready || now.Sub(status.at) >= recentHeartbeat || m.larger(h) >= standbyCount {
+			continue
+		}
+		if last.ID == "" || h.Incarnation > last.Incarnation || h.Incarnation == last.Incarnation && precedes(h, last) {
+			last = h
+		}
+	}
+	return last
+}
--- a/hibiscusfront/internal/control/handover_test.go
+++ b/hibiscusfront/internal/control/handover_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -10,6 +12,7 @@
 
 	"hibiscuslb/fleet"
 	"hibiscuslb/hibiscusfront/internal/wire"
+	"hibiscuslb/platform"
 )
 
 // startCutFleet starts a fleet of hosts that are cut off from the targets as the flags say.
@@ -140,3 +143,87 @@
 	require.False(t, ok, "no heartbeats lately")
 	require.Equal(t, 1, m.larger(wire.Host{ID: "b", Cores: 3}), "only e counts; a is cut off")
 }
+
+// newReadyMembers returns hosts that are ready to plan, with the given cores and, from the first on, ascending start times.
+func newReadyMembers(cores ...float64) *members {
+	m := newMembers()
+	for i, n := range cores {
+		h := host(fleet.HostID(fmt.Sprintf("h%02d", i)), n)
+		h.Incarnation = fleet.Incarnation(i)
+		m.hosts[h.ID] = h
+		m.recordHeartbeat(at(0), h.ID, false)
+		m.setReady(h.ID, readAll())
+	}
+	return m
+}
+
+// readAll returns the revisions of a host that has read all kinds.
+func readAll() wire.Revisions {
+	known := make(wire.Revisions)
+	for _, kind := range replicatedKinds {
+		known[kind] = revision(1)
+	}
+	return known
+}
+
+// TestRollingRestartPassesDutyTwiceAtMost guards against a planner's duty that goes to the host that is restarted next.
+//
+// Load pattern: all hosts of a fleet are restarted, one after the other, in any order, as for an upgrade.
+func TestRollingRestartPassesDutyTwiceAtMost(t *testing.T) {
+	for name, cores := range map[string][]float64{
+		"equal hosts":      {0.4, 0.4, 0.4, 0.4, 0.4, 0.4, 0.4, 0.4, 0.4},
+		"few large ones":   {0.2, 0.2, 0.2, 0.8, 0.8, 0.2, 0.2, 0.2, 0.2, 0.4, 0.4, 0.2},
+		"many large ones":  {0.2, 0.8, 0.2, 0.8, 0.8, 0.8, 0.8, 0.8, 0.8, 0.8, 0.2, 0.8, 0.8, 0.2},
+		"two hosts":        {0.4, 0.2},
+		"as many standbys": {0.8, 0.8, 0.8, 0.8, 0.8, 0.8, 0.2, 0.2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(200) {
+				m := newReadyMembers(cores...)
+				order := rand.New(rand.NewPCG(seed, 53)).Perm(len(cores))
+				planner := m.heir(at(0), "") // any that does not have to hand over
+				passes := 0
+				for i, restarted := range order {
+					id := fleet.HostID(fmt.Sprintf("h%02d", restarted))
+					if id == planner.ID {
+						planner = m.heir(at(0), id)
+						require.NotEmpty(t, planner.ID)
+						passes++
+					}
+					h := m.hosts[id]
+					h.Incarnation = fleet.Incarnation(len(cores) + i)
+					m.hosts[id] = h
+				}
+				require.LessOrEqual(t, passes, 2, "order %v", order)
+			}
+		})
+	}
+}
+
+func TestHeirIsReadyAndStays(t *testing.T) {
+	m := newReadyMembers(1, 1, 1, 1, 1)
+	require.Equal(t, fleet.HostID("h04"), m.heir(at(0), "h00").ID, "it started last")
+	m.recordHeartbeat(at(0), "h04", true)
+	m.setCutOff("h03", true)
+	m.setReady("h02", wire.Revisions{platform.KindConfiguration: revision(1)})
+	require.Equal(t, fleet.HostID("h01"), m.heir(at(0), "h00").ID, "h04 leaves, h03 is cut off, h02 has not read all")
+	require.Equal(t, fleet.HostID("h00"), m.heir(at(0), "h01").ID)
+	require.Empty(t, m.heir(at(recentHeartbeat), "h00").ID, "no heartbeats lately")
+}
+
+// TestStoppedPlannerHasSuccessorAtOnce guards against requests that are placed without a planner while a stopped
+// planner's duty is vacant and no host knows.
+func TestStoppedPlannerHasSuccessorAtOnce(t *testing.T) {
+	store := newConfiguredStore()
+	store.Remove("hosts", "other")
+	store.Put("servers", "i-1", map[string]any{"service": "s", "address": "10.0.0.1:80", "zone": "z", "slots": 4, "state": "ready"})
+	controls, _ := startFleet(t, store, 4)
+	planner := awaitPlanner(t, controls)
+	time.Sleep(2 * heartbeatInterval) // until the planner knows that the others are ready
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	controls[planner].Leave(ctx)
+	stopped := time.Now()
+	require.Eventually(t, func() bool { return len(holders(controls)) == 1 }, 5*time.Second, time.Millisecond)
+	require.Less(t, time.Since(stopped), watcherTimeout/2, "the duty was vacant")
+}
--- a/hibiscusfront/internal/control/heartbeats.go
+++ b/hibiscusfront/internal/control/heartbeats.go
@@ -27,6 +27,7 @@
 			c.publish()
 		}
 		c.members.setCutOff(heartbeat.Host.ID, heartbeat.CutOff)
+		c.members.setReady(heartbeat.Host.ID, heartbeat.Revisions)
 		if heartbeat.Follows {
 			c.lastFollower = now
 		}
--- a/hibiscusfront/internal/control/members.go
+++ b/hibiscusfront/internal/control/members.go
@@ -35,6 +35,7 @@
 	leaving bool
 	alive   bool
 	cutOff  bool // from the targets
+	ready   bool // to plan
 }
 
 // sentHeartbeats records the heartbeats that this host has sent.
