control: read on at the start although a call to the object store failed

A host that starts and gets no answer to one of its first calls took that for an outage. In an outage only the configuration is watched, which shows when the store answers again; a host that starts has just read it, and watches nothing until it has heard from no watcher for 1.8 s. If all hosts had been restarted, none told it the rest. It did not know which weights were replaced, or no targets, for 2.25 s after a single refused call. It served and planned meanwhile, before it waited for what restricts the use of targets, and did not serve since.

Kinds of objects that were never read are read on now, with the pause after failed calls.

--- a/hibiscusfront/internal/control/objects.go
+++ b/hibiscusfront/internal/control/objects.go
@@ -53,15 +53,17 @@
 		from := since()
 		// A host that starts reads the store at once: it can serve no request
 		// before it has a configuration.
-		needed := from.IsZero() || c.watching.Load()
-		if !needed || c.storeOutageShared.Load() && kind != platform.KindConfiguration {
+		unread := from.IsZero()
+		detects := kind == platform.KindConfiguration || unread
+		if !unread && !c.watching.Load() || c.storeOutageShared.Load() && !detects {
 			// Other hosts send the changes; or calls to the store fail, and
-			// watching one kind is enough to detect when it answers again.
+			// watching one kind is enough to detect when it answers again. Kinds that
+			// were never read are read on: the host may not serve without them.
 			task.Sleep(ctx, idlePause)
 			continue
 		}
 		var err error
-		listed := list || from.IsZero()
+		listed := list || unread
 		if listed {
 			err = c.list(ctx, kind)
 		} else {
--- a/hibiscusfront/internal/control/start_test.go
+++ b/hibiscusfront/internal/control/start_test.go
@@ -213,3 +213,39 @@
 		})
 	}
 }
+
+// TestStartingHostReadsOnAfterARefusedCall guards against a host that starts, gets no answer to one of its calls and
+// takes that for an outage of the object store: it read no kind again until it would watch the store, seconds later.
+// Until then it served without knowing of replaced weights, or did not serve.
+//
+// Load pattern: all hosts are restarted, so that no other host can tell them anything, and the object store refuses one
+// call of a host.
+func TestStartingHostReadsOnAfterARefusedCall(t *testing.T) {
+	const latest = 400 * time.Millisecond // two pauses after failed calls
+	for _, kind := range replicatedKinds {
+		t.Run(kind, func(t *testing.T) {
+			store := newConfiguredStore()
+			store.Put("servers", "i-1", map[string]any{"service": "s", "address": "10.0.0.1:80", "zone": "z", "slots": 4, "state": "ready"})
+			store.Put("versions", "m", map[string]any{"model": "m", "version": 2})
+			var refuse sync.Once
+			c, _ := startControl(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				refused := false
+				if strings.HasPrefix(r.URL.Path, "/-/objects/"+kind) {
+					refuse.Do(func() { refused = true })
+				}
+				if refused {
+					time.Sleep(50 * time.Millisecond) // the other calls are answered before
+					w.WriteHeader(http.StatusServiceUnavailable)
+					return
+				}
+				store.ServeHTTP(w, r)
+			}))
+			started := time.Now()
+			require.Eventually(t, func() bool {
+				v := c.View()
+				return v.Table != nil && len(v.Targets) > 0 && v.Weights["m"].Newest() == 2
+			}, 10*time.Second, time.Millisecond)
+			require.Less(t, time.Since(started), latest)
+		})
+	}
+}
