planner: a deputy that has no targets yet declines

Callers were refused for want of a target (503) when the planner did not answer and the host that was asked in its place had just started: it decided without a configuration or targets. The asking host took that for a decision, and asked nobody else. A host that waits for what restricts the use of targets is in that state for longer.

Such a host says now that it does not decide; then another deputy is asked, or the host chooses alone. TestDeputyWithoutTargetsDeclines failed before ("no target").

--- a/hibiscusfront/internal/planner/deputy_test.go
+++ b/hibiscusfront/internal/planner/deputy_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"hibiscuslb/fleet"
@@ -182,3 +183,35 @@
 	requireRefused("bad", true, false)
 	lines.Require(t, "requests with a part of a prompt are served again", testlog.Line{"Part": "bad"})
 }
+
+// TestDeputyWithoutTargetsDeclines guards against requests that are refused for want of a target because the
+// host that is asked in the planner's place has just started and knows none: the asking host takes that for the
+// decision, and asks nobody else.
+//
+// Load pattern: the planner and the largest other host are restarted together, and the object store answers one call
+// of the latter late.
+func TestDeputyWithoutTargetsDeclines(t *testing.T) {
+	p := New("h", platform.Bounds{}, platform.NewTargetClient(), new(testPermissions), clock.BootTime(), zerolog.Nop())
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		p.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	noTable, noTargets := testView(), testView()
+	noTable.Table, noTargets.Targets = nil, nil
+	for _, v := range []*view.View{noTable, noTargets} {
+		p.SetView(ctx, v)
+		decision, err := p.Plan(ctx, newRequest(), true)
+		require.NoError(t, err)
+		require.Equal(t, fleet.ReasonNotHolder, decision.Refusal.Reason)
+	}
+	p.SetView(ctx, testView())
+	decision, err := p.Plan(ctx, newRequest(), true)
+	require.NoError(t, err)
+	require.NotNil(t, decision.Grant)
+}
--- a/hibiscusfront/internal/planner/planner.go
+++ b/hibiscusfront/internal/planner/planner.go
@@ -80,6 +80,7 @@
 	inbox             chan func(now fleet.Instant)
 	tasks             task.Group
 	fleet             plan.Fleet
+	viewed            bool        // a view with a configuration and targets was applied
 	active            bool        // the host is the planner
 	plans             atomic.Bool // copy of active for other goroutines
 	epoch             fleet.Epoch
@@ -236,6 +237,7 @@
 		if v.Table == nil {
 			return
 		}
+		p.viewed = p.viewed || len(v.Targets) > 0
 		p.fleet.Hosts = len(v.Hosts)
 		p.fleet.SetConfiguration(now, v.Table)
 		p.fleet.SetTargets(now, v.Targets, v.Evacuated)
@@ -284,6 +286,10 @@
 			return // the asking host has given up, and asks another one
 		}
 		if deputy && !p.active {
+			if !p.viewed {
+				answer <- plan.Decision{Request: request, Refusal: fleet.Refuse(fleet.ReasonNotHolder, "this host has no configuration or targets yet")}
+				return
+			}
 			if p.CutOff() {
 				answer <- plan.Decision{Request: request, Refusal: fleet.Refuse(fleet.ReasonNotHolder, "this host is cut off from the targets")}
 				return
