control: serve only once the record of the planner's duty is known

Sound or bad, any request was placed by a host that had just restarted before it had read what the planner withholds: for such a host nothing was withheld. A restarted host had the record about as soon as targets, but nothing made it so.

Now it serves and plans only once it knows the record, or that there is none, and reads on if the call gets no answer. TestRestartedHostServesOnlyOnceItHasReadRestrictions failed for the record before.

--- a/fleet/election/election.go
+++ b/fleet/election/election.go
@@ -180,6 +180,9 @@
 	return d.ordersFrom, d.ordersUntil
 }
 
+// Known reports whether the object store has been read, by this host or by one that told it.
+func (d *Duty) Known() bool { return d.known }
+
 // Revision returns the revision of the last observed object.
 func (d *Duty) Revision() fleet.Revision { return d.revision }
 
--- a/hibiscusfront/internal/control/control.go
+++ b/hibiscusfront/internal/control/control.go
@@ -345,10 +345,10 @@
 	c.enqueue(ctx, func(fleet.Instant) { c.bounds = bounds })
 }
 
-// knowsRestrictions reports whether the host has read all that restricts the use of targets. Before that, nothing looks
-// restricted.
+// knowsRestrictions reports whether the host has read all that restricts the use of targets, and the record of the planner's
+// duty, which has what is withheld from them. Before that, nothing looks restricted.
 func (c *Control) knowsRestrictions() bool {
-	return !slices.ContainsFunc(c.unread(), func(kind string) bool { return slices.Contains(restrictingKinds, kind) })
+	return c.duty.Known() && !slices.ContainsFunc(c.unread(), func(kind string) bool { return slices.Contains(restrictingKinds, kind) })
 }
 
 // unread returns the kinds of which this host has read no objects since its start.
--- a/hibiscusfront/internal/control/duty.go
+++ b/hibiscusfront/internal/control/duty.go
@@ -37,16 +37,20 @@
 }
 
 // readDuty reads the duty's object while the planner does not reply, so that this
-// host sees the end of the tenure. A host that starts reads it soon, so that it finds
-// the planner before it would watch the store itself.
+// host sees the end of the tenure. A host that starts reads it soon, and again until it has an
+// answer: it may not serve before.
 //
 // If a whole fleet starts for the first time, the host that reads first becomes the
 // planner. A host with few cores reads later, since it could not answer all others.
 func (c *Control) readDuty(ctx context.Context, now fleet.Instant) {
-	if c.dutyReading || c.leaving || c.planning || c.storeOutage || now.Sub(c.lastDutyRead) < dutyReadInterval {
+	known, interval := c.duty.Known(), dutyReadInterval
+	if !known {
+		interval = minRetryPause
+	}
+	if c.dutyReading || c.leaving || c.planning || c.storeOutage && known || now.Sub(c.lastDutyRead) < interval {
 		return
 	}
-	if c.lastDutyRead == 0 && now.Sub(c.lastPlannerReply) < firstDutyRead(c.Self.Cores, c.Settings.FirstStart) || c.lastDutyRead > 0 && !c.silent(now, c.lastPlannerReply) {
+	if c.lastDutyRead == 0 && now.Sub(c.lastPlannerReply) < firstDutyRead(c.Self.Cores, c.Settings.FirstStart) || c.lastDutyRead > 0 && known && !c.silent(now, c.lastPlannerReply) {
 		return
 	}
 	c.dutyReading, c.lastDutyRead = true, now
@@ -279,11 +283,11 @@
 
 // updateTenure publishes the state of the tenure to other goroutines, and calls
 // OnPlanningChange when this host begins or stops planning or its epoch changes. Before, it
-// publishes a change of the record that concerns requests: who plans, and what a planner
+// publishes a change of the record that concerns requests: that it is known, who plans, and what a planner
 // passes on.
 func (c *Control) updateTenure(now fleet.Instant) {
 	record, published := c.duty.Record(), c.View().Duty
-	if record.Epoch != published.Epoch || record.Holder != published.Holder || !slices.Equal(record.Quarantine, published.Quarantine) ||
+	if c.table != nil && !c.serving && c.knowsRestrictions() || record.Epoch != published.Epoch || record.Holder != published.Holder || !slices.Equal(record.Quarantine, published.Quarantine) ||
 		!slices.Equal(record.Versions, published.Versions) {
 		c.publish()
 	}
--- a/hibiscusfront/internal/control/start_test.go
+++ b/hibiscusfront/internal/control/start_test.go
@@ -183,14 +183,15 @@
 
 // TestRestartedHostServesOnlyOnceItHasReadRestrictions guards against a host that starts again, serves before it has
 // read what the operator restricts, and sends requests to engines with weights that were replaced long ago, or to
-// an evacuated data centre.
+// an evacuated data centre, or requests that crash engines.
 //
-// Load pattern: new weights are named and a data centre is evacuated, then all hosts are restarted. The object store
-// answers one of a host's calls late.
+// Load pattern: new weights are named, a data centre is evacuated and a part of prompts is withheld, then all hosts are
+// restarted. The object store answers one of a host's calls late.
 func TestRestartedHostServesOnlyOnceItHasReadRestrictions(t *testing.T) {
-	for _, kind := range []string{platform.KindWeights, platform.KindEvacuations} {
+	for _, kind := range []string{platform.KindWeights, platform.KindEvacuations, platform.KindDuties} {
 		t.Run(kind, func(t *testing.T) {
 			store := newConfiguredStore()
+			store.Put("duties", DutyName, map[string]any{"Holder": "other", "Address": "127.0.0.1:4", "Epoch": 5, "Renewal": 9, "Quarantine": []map[string]any{{"Part": "bad", "Crashes": 3}}})
 			store.Put("servers", "i-1", map[string]any{"service": "s", "address": "10.0.0.1:80", "zone": "z", "slots": 4, "state": "ready"})
 			store.Put("versions", "m", map[string]any{"model": "m", "version": 2})
 			store.Put("evacuations", "z", map[string]any{})
@@ -210,6 +211,7 @@
 			require.Eventually(t, func() bool { return c.View().Table != nil }, 5*time.Second, time.Millisecond)
 			require.EqualValues(t, 2, c.View().Weights["m"].Newest())
 			require.True(t, c.View().Evacuated["z"])
+			require.Len(t, c.View().Duty.Quarantine, 1)
 		})
 	}
 }
@@ -222,7 +224,7 @@
 // call of a host.
 func TestStartingHostReadsOnAfterARefusedCall(t *testing.T) {
 	const latest = 400 * time.Millisecond // two pauses after failed calls
-	for _, kind := range replicatedKinds {
+	for _, kind := range append([]string{platform.KindDuties}, replicatedKinds...) {
 		t.Run(kind, func(t *testing.T) {
 			store := newConfiguredStore()
 			store.Put("servers", "i-1", map[string]any{"service": "s", "address": "10.0.0.1:80", "zone": "z", "slots": 4, "state": "ready"})
