control: date announcements by what the object store showed, not by when a host heard

A host took an announcement for at most 3.5 s old when it learned of it, and let runs begin on replaced weights for that much longer. It excused the rest by a silence of the object store, in which the bound does not count. But that it heard late does not show that the store was silent: it may have answered other calls all the while, or the host had just started and had its first list from another host that lay behind.

Now an announcement counts from the last sighting of the store without it, unless no sighting showed it for 3.5 s after that; then from 3.5 s before the first that does. Without sightings since the host's start its time is unknown.

--- a/fleet/storeclock/storeclock.go
+++ b/fleet/storeclock/storeclock.go
@@ -77,3 +77,14 @@
 	}
 	return 0, false
 }
+
+// SeenBy returns the instant of the first sighting that is known to show the revision. It reports false if
+// there is none.
+func (c *Clock) SeenBy(revision fleet.Revision) (fleet.Instant, bool) {
+	for _, s := range c.sightings {
+		if s.Revision.Era >= revision.Era && s.Revision.Number >= revision.Number {
+			return s.At, true
+		}
+	}
+	return 0, false
+}
--- a/fleet/weightupdate/announcements.go
+++ b/fleet/weightupdate/announcements.go
@@ -63,7 +63,7 @@
 // startLateness is how long a request and its withdrawal may be under way to the engine.
 const startLateness = 600 * time.Millisecond
 
-// MaxAge is how long ago an announcement counts as made that a host learns of now. It covers the
+// MaxAge bounds how long before the store was seen to have it an announcement counts as made. It covers the
 // time until a planner that stands still has a successor.
 const MaxAge = 3500 * time.Millisecond
 
@@ -88,7 +88,7 @@
 }
 
 // EarliestLimit returns the earliest latest start that an announcement can set of which a host
-// learns from now on.
+// learns from now on, unless it learns of it later than the store was seen to have it.
 func EarliestLimit(now fleet.Instant, bound time.Duration) fleet.Instant {
 	return now.Add(bound - startLateness - MaxAge)
 }
--- a/hibiscusfront/internal/control/control.go
+++ b/hibiscusfront/internal/control/control.go
@@ -149,6 +149,7 @@
 	// State derived from them.
 	table           *route.Table
 	storeClock      storeclock.Clock
+	started         fleet.Instant  // when Run was called
 	weightsRevision fleet.Revision // as of which the announced weights are known; zero before they have been read
 	announcements   map[fleet.ModelID]weightupdate.Announcements
 	targets         targets
@@ -224,7 +225,7 @@
 
 // Run owns the control state until the context ends.
 func (c *Control) Run(ctx context.Context) {
-	c.runCtx = ctx
+	c.runCtx, c.started = ctx, c.Clock()
 	c.initInbox()
 	c.replicas = make(map[string]*replica.Replica)
 	c.malformedRevisions = make(map[string]fleet.Revision)
--- a/hibiscusfront/internal/control/objects.go
+++ b/hibiscusfront/internal/control/objects.go
@@ -270,16 +270,29 @@
 }
 
 // announcedAfter returns the last instant at which the announcement in an object of the given revision
-// had not been made, but none before weightupdate.MaxAge: if the store was not sighted for longer, it
-// does not answer, and the bound of weights does not count meanwhile. The time of announcements that
-// the host finds at its start is unknown; they count as made long ago, which restricts the use of older
-// weights most.
+// had not been made, as far as the sightings of the store tell. If there was none for longer than weightupdate.MaxAge
+// until one showed the revision, the store did not answer, and the bound of weights does not count meanwhile. That does not
+// hold for the time before this host started: another host that lies behind may have told it the first list.
+//
+// The result is zero if the time is not known, as that of announcements that the host finds at its start. They count as
+// made long ago, which restricts the use of older weights most.
 func (c *Control) announcedAfter(now fleet.Instant, revision fleet.Revision) fleet.Instant {
 	if c.weightsRevision.IsZero() {
 		return 0
 	}
 	at, _ := c.storeClock.MadeAfter(revision)
-	return max(1, at, now.Add(-weightupdate.MaxAge))
+	seen, ok := c.storeClock.SeenBy(revision)
+	if !ok {
+		seen = now
+	}
+	switch earliest := seen.Add(-weightupdate.MaxAge); {
+	case at >= earliest:
+		return at
+	case earliest < c.started:
+		return 0
+	default:
+		return earliest
+	}
 }
 
 // applyWeights applies the weights that the operator has announced. An object holds only the newest version.
--- a/hibiscusfront/internal/control/weights_test.go
+++ b/hibiscusfront/internal/control/weights_test.go
@@ -12,6 +12,7 @@
 	"hibiscuslb/fleet/election"
 	"hibiscuslb/fleet/storeclock"
 	"hibiscuslb/fleet/weightupdate"
+	"hibiscuslb/hibiscusfront/internal/replica"
 	"hibiscuslb/platform"
 )
 
@@ -82,3 +83,38 @@
 	require.True(t, replaced)
 	require.Equal(t, at(1500*time.Millisecond), third, "no version was missed since the last sighting")
 }
+
+// TestWeightsLearnedLateCountFromTheirAnnouncement guards against runs that begin on replaced weights because a host takes an
+// announcement for recent that it learned of long after it was made: no silence of the object store excuses that.
+func TestWeightsLearnedLateCountFromTheirAnnouncement(t *testing.T) {
+	const learned = 10 * time.Second
+	for _, test := range []struct {
+		name      string
+		started   time.Duration                   // of the host; the announcement is made after 1.1 s
+		sightings map[time.Duration]fleet.Version // of the store
+		want      fleet.Instant
+	}{
+		{"the store did not answer", -time.Hour, map[time.Duration]fleet.Version{time.Second: 10}, at(learned - weightupdate.MaxAge)},
+		{"the store answered other calls", -time.Hour, map[time.Duration]fleet.Version{time.Second: 10, 1300 * time.Millisecond: 12, 9 * time.Second: 40}, at(time.Second)},
+		{"the store was silent before it answered other calls", -time.Hour, map[time.Duration]fleet.Version{-9 * time.Second: 10, 2 * time.Second: 12, 9 * time.Second: 40}, at(2*time.Second - weightupdate.MaxAge)},
+		{"the host started, and another one that had not heard of it gave it the first list", learned - time.Second, map[time.Duration]fleet.Version{time.Second: 10}, 0},
+		{"the same, and the other host has sighted nothing", learned - time.Second, nil, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := newObserver(at(0), 1, election.Record{})
+			c.started, c.announcements = at(test.started), make(map[fleet.ModelID]weightupdate.Announcements)
+			c.replicas[platform.KindWeights] = new(replica.Replica)
+			c.applyListing(at(max(0, test.started)), platform.KindWeights, platform.Listing{Revision: revision(10)}, 0)
+			for instant, number := range test.sightings {
+				c.storeClock.Observe(storeclock.Sighting{At: at(instant), Revision: revision(number)})
+			}
+			c.storeClock.Observe(storeclock.Sighting{At: at(learned), Revision: revision(41)})
+			c.applyListing(at(learned), platform.KindWeights, platform.Listing{Revision: revision(41), Objects: []platform.Object{
+				{Kind: platform.KindWeights, Name: "m", Revision: revision(11), Spec: []byte(`{"model":"m","version":2}`)},
+			}}, 0)
+			replacedAt, replaced := c.announcements["m"].SupersededAt(1)
+			require.True(t, replaced)
+			require.Equal(t, test.want, replacedAt)
+		})
+	}
+}
