planner: nobody else listens at the address of a crashed engine

Cause: the test. It takes a port of 127.0.0.1 that the kernel chooses and closes its listener; until the planner tries it, any other test on the machine may get the same port.

Change: the engine that crashes has a loopback address of its own, by the number of the process. What is asserted stays the same.

--- a/hibiscusfront/internal/planner/silent_test.go
+++ b/hibiscusfront/internal/planner/silent_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -98,7 +100,16 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			var engine pausingEngine
-			server := httptest.NewServer(&engine)
+			server := httptest.NewUnstartedServer(&engine)
+			if crashed {
+				// Nobody else listens at this address: a port of 127.0.0.1 may be taken once it is closed.
+				require.NoError(t, server.Listener.Close())
+				pid := os.Getpid()
+				listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16&63, pid>>8&255, pid&255))
+				require.NoError(t, err)
+				server.Listener = listener
+			}
+			server.Start()
 			t.Cleanup(server.Close)
 			target := roster.Target{
 				ID: "e", Address: fleet.Address(strings.TrimPrefix(server.URL, "http://")), Models: []roster.Model{{ID: "m", Version: 1}},
