backend: a body that ends with its connection needs a request that was written

What callers saw: a target that answered a long request before it had read it, without a length, sent a part of the body and reset the connection. The part came as a whole answer, with a Content-Length of ours; by way of another host it came as complete. The same with a short request if the connection was reset before it was written.

Cause: the kernel gives the error of a reset to one call only. A write that was blocked or came next took it, and the read behind it got what was buffered and then the end of the connection. The writer's result was looked at only where the connection might be used again.

Change: at the end of a connection that frames a body, Exchange.Read waits for the writer, at most 2 s and until the context ends. If the request was not written whole, it returns an *UnreadRequestError with target and status. A target that answers early, ends its answer and reads on is served as before. One that closes in order without reading on (the writer gets EPIPE) is believed if it answered with an error, as targets need not read what they refuse; a success is not, since that can't be told from a target in trouble. Callers then get a repeat or 502, and lose the target's answer. The error of a body stays when it is read again.

--- a/hibiscusfront/internal/backend/backend.go
+++ b/hibiscusfront/internal/backend/backend.go
@@ -26,6 +26,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -90,6 +91,10 @@
 	// writeResultTimeout is how long to wait for the writer's result after the
 	// complete response was received.
 	writeResultTimeout = 5 * time.Millisecond
+	// endTimeout is how long to wait for it where it tells whether the response is
+	// complete. A target that has closed the connection ends the writer at once, one
+	// that has only ended its response reads on.
+	endTimeout = 2 * time.Second
 )
 
 // An Exchange is a request whose response header was received. Read returns the
@@ -107,7 +112,10 @@
 	response        *http.Response
 	cancelAutoClose func() bool // after it returns true, the end of the context no longer closes conn
 	complete        bool        // the response was read to its end
+	end             error       // how the body ended
 	writeResult     chan error
+	written         bool  // the writer has ended
+	writeErr        error // of the writer that has ended
 	sendOnce        bool
 	lastRead        atomic.Int64  // time of the sending or of the latest bytes, in nanoseconds since 1970
 	hung            atomic.Bool   // EndHanging has closed conn
@@ -241,24 +249,65 @@
 }
 
 // Read reads the response body. It returns io.EOF only at the end of a complete
-// response, or, if Framing is FramedByClose, when the target has closed the connection.
+// response, or, if Framing is FramedByClose, when the target has closed the connection
+// and has not left the request unread, see checkEnd.
 func (e *Exchange) Read(buffer []byte) (int, error) {
 	if e.relayed != nil {
 		return e.relayed.Read(buffer)
 	}
+	if e.end != nil {
+		return 0, e.end
+	}
 	n, err := e.response.Body.Read(buffer)
 	if n > 0 {
 		e.lastRead.Store(time.Now().UnixNano())
 	}
-	switch {
-	case errors.Is(err, io.EOF):
-		e.complete = true
-	case err != nil:
+	if errors.Is(err, io.EOF) {
+		err = e.checkEnd()
+		e.complete = err == io.EOF
+	}
+	if err != nil && !e.complete {
 		err = e.explain(err)
 	}
+	e.end = err
 	return n, err
 }
 
+// An UnreadRequestError reports that a response without a length ended before the whole
+// request was written, so that it may have been cut.
+type UnreadRequestError struct {
+	Target fleet.TargetID
+	Status int
+	Cause  error // of the writer
+}
+
+func (e *UnreadRequestError) Error() string {
+	return fmt.Sprintf("target %s: the connection ended a response with status %d before the request was written: %v", e.Target, e.Status, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnreadRequestError) Unwrap() error { return e.Cause }
+
+// checkEnd returns io.EOF if a body that ends now is complete, and else an
+// *UnreadRequestError.
+//
+// The kernel gives the error of a reset to one call only. If the writer gets it, the
+// reader gets the bytes that came before the reset and then the end of the connection.
+// The writer gets EPIPE if the target had closed the connection in order before the
+// reset; then the target has sent all that it meant to, unless it ended in trouble. That
+// is taken for the end of an error response, since targets need not read what they
+// refuse, but not of a success response to a request that the target did not read.
+func (e *Exchange) checkEnd() error {
+	if e.Framing != FramedByClose {
+		return io.EOF
+	}
+	err := e.awaitWriter(endTimeout)
+	if err == nil || e.Status >= http.StatusBadRequest && errors.Is(err, syscall.EPIPE) {
+		return io.EOF
+	}
+	return &UnreadRequestError{e.key.target, e.Status, err}
+}
+
 // Close ends the exchange and returns the connection to the pool if it can be reused.
 func (e *Exchange) Close() {
 	if e.relayed != nil {
@@ -282,13 +331,24 @@
 
 // requestSent reports whether the complete request was sent. It waits a little,
 // since the response may be read before the writer has sent its result.
-func (e *Exchange) requestSent() bool {
-	timer := time.NewTimer(writeResultTimeout)
+func (e *Exchange) requestSent() bool { return e.awaitWriter(writeResultTimeout) == nil }
+
+// errWriting reports that the writer has not ended in time.
+var errWriting = errors.New("the request is still being written")
+
+// awaitWriter waits for the writer's result and returns its error. The end of the
+// request's context ends the writer.
+func (e *Exchange) awaitWriter(limit time.Duration) error {
+	if e.written {
+		return e.writeErr
+	}
+	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
-	case err := <-e.writeResult:
-		return err == nil
+	case e.writeErr = <-e.writeResult:
+		e.written = true
+		return e.writeErr
 	case <-timer.C:
-		return false
+		return errWriting
 	}
 }
--- a/hibiscusfront/internal/backend/framing.go
+++ b/hibiscusfront/internal/backend/framing.go
@@ -14,7 +14,7 @@
 	// FramedByChunks means that the body is sent in chunks, of which the last is empty.
 	FramedByChunks
 	// FramedByClose means that the body ends with its connection. An early end
-	// looks the same unless the connection is reset.
+	// looks the same unless the connection is reset or the request was not read.
 	FramedByClose
 )
 
