backend: a status outside 100 to 599 is no response

What callers saw: a target in trouble answered with the status 600 or 999, and callers got it. 000, 099 and +20 were taken for interim responses: what came behind them, if it was a response with the ID of the request, was passed on. So was 101, although no request asks to switch protocols. A status of 600 with the field that says "not run" was believed.

Cause: ReadResponse of package http takes any three digits, with a sign too, and Exchange skipped whatever was below 200.

Change: RFC 9110, section 15: only 100 to 599 are statuses. Any other and 101 are an *InvalidStatusError with target and status, within a *NoResponseError: the log line of the attempt names it, the request may have run, and is repeated at another target where it may be. FuzzAnswer has such answers among its seeds, and fails if a caller gets an invalid status.

--- a/hibiscusfront/internal/backend/backend.go
+++ b/hibiscusfront/internal/backend/backend.go
@@ -208,6 +208,24 @@
 // for longer than its request is worth waiting for.
 var errSkippedTooLong = fmt.Errorf("the body of a response to another request has more than %d bytes", maxSkippedBody)
 
+// An InvalidStatusError reports that a target answered with a status that is none of a
+// response to a request.
+type InvalidStatusError struct {
+	Target fleet.TargetID
+	Status int
+}
+
+func (e *InvalidStatusError) Error() string {
+	return fmt.Sprintf("target %s: a response with the invalid status %03d", e.Target, e.Status)
+}
+
+// validStatus reports whether a response may have the status, see RFC 9110, section 15.
+// No request asks to switch protocols.
+func validStatus(status int) bool {
+	const first, last = 100, 599
+	return status >= first && status <= last && status != http.StatusSwitchingProtocols
+}
+
 // skipBody reads a body to its end.
 func skipBody(body io.Reader) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBody+1))
@@ -228,8 +246,11 @@
 		if err != nil {
 			return err
 		}
-		if response.StatusCode < http.StatusOK {
-			continue // an interim response (1xx)
+		switch status := response.StatusCode; {
+		case !validStatus(status):
+			return &InvalidStatusError{r.Target, status}
+		case status < http.StatusOK:
+			continue // an interim response
 		}
 		answer := platform.DecodeResponseHeaders(response.StatusCode, response.Header)
 		withoutID := answer.ID == "" && response.StatusCode >= http.StatusBadRequest
--- a/hibiscusfront/internal/gateway/fuzz_test.go
+++ b/hibiscusfront/internal/gateway/fuzz_test.go
@@ -173,7 +173,8 @@
 }
 
 // FuzzAnswer answers with arbitrary bytes as a target. It checks that the caller
-// gets a success status only for a complete and signed response to its own request.
+// gets a success status only for a complete and signed response to its own request, and
+// no invalid status.
 func FuzzAnswer(f *testing.F) {
 	const good = "HTTP/1.1 200 OK\r\nX-Hibiscuslb-Request-Id: a1\r\nX-Hibiscuslb-Response-Signature: p\r\n"
 	for _, seed := range []string{
@@ -186,6 +187,8 @@
 		good + "Content-Length: 0\r\n\r\n" + good + "Content-Length: 4\r\n\r\nmore",
 		"HTTP/1.1 200 OK\r\nX-Hibiscuslb-Request-Id: other\r\nContent-Length: 4\r\n\r\nbody" + good + "Content-Length: 2\r\n\r\nok",
 		"HTTP/1.1 503 Busy\r\nX-Hibiscuslb-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 000 Any\r\nX-Hibiscuslb-Request-Id: a1\r\n\r\n" + good + "Content-Length: 4\r\n\r\nbody",
+		strings.Replace(good, "200", "600", 1) + "Content-Length: 4\r\n\r\nbody", strings.Replace(good, "200", "101", 1) + "\r\n",
 		"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 999999 x\r\n\r\n", "\x00\x01\x02", "",
 	} {
 		f.Add([]byte(seed))
@@ -235,6 +238,9 @@
 		if errors.As(err, &late) && late.Timeout() {
 			t.Fatalf("target sent %q: gateway did not end the response within 5 s", bytes)
 		}
+		if err == nil && got.StatusCode >= 600 {
+			t.Fatalf("target sent %q: caller got the invalid status %d", bytes, got.StatusCode)
+		}
 		if err != nil || got.StatusCode >= http.StatusMultipleChoices {
 			return // a truncated response or an error status, both of which the caller can recognize
 		}
