relay: a test's targets and hosts get nothing that was meant for another test's

TestRelayedAnswerThatBrokeOffIsNotWhole failed beside a load of 60 to 90, once in about four runs: once a target was asked before its hosts existed (index out of range), once it had another count of requests. Its 1,500 cases run side by side; hosts of one go on to try addresses of targets and hosts that have ended, and the kernel gives their ports of 127.0.0.1 to the next case. Now each listener of the process has a loopback address of its own.

--- a/hibiscusfront/internal/relay/nodes_test.go
+++ b/hibiscusfront/internal/relay/nodes_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -142,7 +143,8 @@
 	for i := range count {
 		n := new(node)
 		n.front = httptest.NewUnstartedServer(&peer.Server{Handler: n})
-		n.conns.Listener = n.front.Listener
+		require.NoError(t, n.front.Listener.Close())
+		n.conns.Listener = listen(t)
 		n.front.Listener = &n.conns
 		n.front.Start()
 		t.Cleanup(n.die)
@@ -183,16 +185,28 @@
 	return fleet.TargetID(fmt.Sprint("t", i))
 }
 
-// startTarget starts a target that runs the script for each connection, and counts the requests.
-func startTarget(t *testing.T, script func(conn net.Conn, r *http.Request)) (string, *atomic.Int32) {
+var listeners atomic.Uint32
+
+// listen listens at a loopback address that no other listener of this process has, so that nothing is sent there that
+// was meant for a target or a host of another test which has ended.
+func listen(t *testing.T) net.Listener {
 	t.Helper()
+	number := uint32(os.Getpid())<<16 + listeners.Add(1)
+	address := fmt.Sprintf("127.%d.%d.%d:0", 1+number>>16%250, number>>8&255, number&255)
 	// Another process may listen first on the port that the kernel has chosen.
 	var listener net.Listener
 	require.Eventually(t, func() (ok bool) {
 		var err error
-		listener, err = net.Listen("tcp", "127.0.0.1:0")
+		listener, err = net.Listen("tcp", address)
 		return err == nil
 	}, 5*time.Second, time.Millisecond)
+	return listener
+}
+
+// startTarget starts a target that runs the script for each connection, and counts the requests.
+func startTarget(t *testing.T, script func(conn net.Conn, r *http.Request)) (string, *atomic.Int32) {
+	t.Helper()
+	listener := listen(t)
 	t.Cleanup(func() { _ = listener.Close() })
 	var requests atomic.Int32
 	go func() {
