control: read the duty's record at once at the start, and at the first one serve without it

The record counts as one of the restrictions that a host has to know. If a fleet starts for the first time nothing can be withheld, and hosts with few cores read the record late on purpose, so they need not wait for it.

--- a/hibiscusfront/internal/control/control.go
+++ b/hibiscusfront/internal/control/control.go
@@ -240,6 +240,7 @@
 		c.tasks.Go(ctx, func(ctx context.Context) { c.follow(ctx, kind) })
 	}
 	c.tasks.Go(ctx, c.register)
+	c.readDuty(ctx, c.Clock())
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -346,10 +347,13 @@
 	c.enqueue(ctx, func(fleet.Instant) { c.bounds = bounds })
 }
 
-// knowsRestrictions reports whether the host has read all that restricts the use of targets, and the record of the planner's
-// duty, which has what is withheld from them. Before that, nothing looks restricted.
+// knowsRestrictions reports whether the host has read all that restricts the use of targets. Before that, nothing looks
+// restricted. It includes the record of the duty, which names what is withheld, unless no host has run before.
 func (c *Control) knowsRestrictions() bool {
-	return c.duty.Known() && !slices.ContainsFunc(c.unread(), func(kind string) bool { return slices.Contains(restrictingKinds, kind) })
+	if !c.duty.Known() && !c.Settings.FirstStart {
+		return false
+	}
+	return !slices.ContainsFunc(c.unread(), func(kind string) bool { return slices.Contains(restrictingKinds, kind) })
 }
 
 // unread returns the kinds of which this host has read no objects since its start.
--- a/hibiscusfront/internal/control/duty.go
+++ b/hibiscusfront/internal/control/duty.go
@@ -45,12 +45,15 @@
 func (c *Control) readDuty(ctx context.Context, now fleet.Instant) {
 	known, interval := c.duty.Known(), dutyReadInterval
 	if !known {
-		interval = minRetryPause
+		interval = minRetryPause // it may not serve without the record
 	}
-	if c.dutyReading || c.leaving || c.planning || c.storeOutage && known || now.Sub(c.lastDutyRead) < interval {
+	if c.dutyReading || c.leaving || c.planning || now.Sub(c.lastDutyRead) < interval {
 		return
 	}
-	if c.lastDutyRead == 0 && now.Sub(c.lastPlannerReply) < firstDutyRead(c.Self.Cores, c.Settings.FirstStart) || c.lastDutyRead > 0 && known && !c.silent(now, c.lastPlannerReply) {
+	if c.lastDutyRead == 0 && now.Sub(c.lastPlannerReply) < firstDutyRead(c.Self.Cores, c.Settings.FirstStart) {
+		return
+	}
+	if known && (c.storeOutage || c.lastDutyRead > 0 && !c.silent(now, c.lastPlannerReply)) {
 		return
 	}
 	c.dutyReading, c.lastDutyRead = true, now
@@ -393,5 +396,6 @@
 		return false
 	}
 	c.duty.ObserveAbsent(now, missing.Era)
+	c.updateTenure(now)
 	return true
 }
