replica: a list without a revision is none

A host that fetches a list from another one which was restarted since its heartbeat got an empty list without a revision, and took it for the first one. If the object store then had no announcements either, that changed nothing, and the host did not note that it had read them: weights that were announced later counted as replaced long ago, and engines with older ones got no more work until they had loaded. Found by reading.

TestListOfAHostThatHasReadNothingIsIgnored failed before (an unknown time instead of 1 s).

--- a/hibiscusfront/internal/control/weights_test.go
+++ b/hibiscusfront/internal/control/weights_test.go
@@ -13,6 +13,7 @@
 	"hibiscuslb/fleet/storeclock"
 	"hibiscuslb/fleet/weightupdate"
 	"hibiscuslb/hibiscusfront/internal/replica"
+	"hibiscuslb/hibiscusfront/internal/wire"
 	"hibiscuslb/platform"
 )
 
@@ -118,3 +119,24 @@
 		})
 	}
 }
+
+// TestListOfAHostThatHasReadNothingIsIgnored guards against a host that takes the empty list of another one for a list of the
+// object store: weights that were announced later then counted as replaced long ago, and engines with older ones got no more work.
+//
+// Load pattern: two hosts start, and one asks the other for objects that it had read before it was restarted.
+func TestListOfAHostThatHasReadNothingIsIgnored(t *testing.T) {
+	c := newObserver(at(0), 1, election.Record{})
+	c.announcements = make(map[fleet.ModelID]weightupdate.Announcements)
+	c.replicas[platform.KindWeights] = new(replica.Replica)
+	unread, err := packChanges(new(replica.Replica), fleet.Revision{})
+	require.NoError(t, err)
+	c.applyChangesReply(at(0), wire.ChangesRequest{Kind: platform.KindWeights}, wire.ChangesReply{All: unread.all, Content: unread.content})
+	c.storeClock.Observe(storeclock.Sighting{At: at(time.Second), Revision: revision(10)})
+	c.applyListing(at(time.Second), platform.KindWeights, platform.Listing{Revision: revision(10)}, 0)
+	c.applyListing(at(1500*time.Millisecond), platform.KindWeights, platform.Listing{Revision: revision(11), Objects: []platform.Object{
+		{Kind: platform.KindWeights, Name: "m", Revision: revision(11), Spec: []byte(`{"model":"m","version":2}`)},
+	}}, 0)
+	replacedAt, replaced := c.announcements["m"].SupersededAt(1)
+	require.True(t, replaced)
+	require.Equal(t, at(time.Second), replacedAt)
+}
--- a/hibiscusfront/internal/replica/replica.go
+++ b/hibiscusfront/internal/replica/replica.go
@@ -61,8 +61,11 @@
 
 // ApplyListing replaces the content by all objects of the kind at a revision. It
 // reports whether an object has changed; the first listing always counts as a
-// change.
+// change. A listing without a revision is that of a host that has read nothing.
 func (r *Replica) ApplyListing(listing platform.Listing) bool {
+	if listing.Revision.IsZero() {
+		return false
+	}
 	if order := listing.Revision.Compare(r.revision); order < 0 || order == 0 && r.objects != nil {
 		return false
 	}
