plan: a planner that has just taken over allows few repeats beyond its requests

A service could get more repeats in a window than the retry budget allows (BUDGET): a planner that takes over knows of none, and granted the whole reserve again that its predecessor had just granted. What was not known counted as nothing.

Until the window of its predecessor is over it uses the share of the reserve that a deputy does; that of the requests that it has seen itself is as before. The first planner of a fleet has the whole reserve at once.

--- a/fleet/plan/admission.go
+++ b/fleet/plan/admission.go
@@ -133,6 +133,8 @@
 // deputyReserveShare multiplies RetryReserve for a deputy, before margin is applied.
 // The reserve does not depend on the traffic that a deputy sees. A deputy may use
 // 0.7*0.15 of it, so that two at a time stay within the 0.3 that the planner leaves.
+// The same holds for a planner until RetryWindow after it took over, since it does not know
+// what its predecessor has granted.
 const deputyReserveShare = 0.15
 
 // repeatAllowed reports whether the retry budget of a service allows one more
@@ -140,7 +142,7 @@
 func (f *Fleet) repeatAllowed(now fleet.Instant, s *service) bool {
 	const margin = 0.7 // the rest is for deputies, and for hosts that reach neither planner nor deputy
 	reserve := f.RetryReserve
-	if f.Deputy {
+	if f.Deputy || now < f.reserveFrom {
 		reserve *= deputyReserveShare
 	}
 	allowed := margin * (f.RetryRatio*float64(s.firstAttempts.count(now, f.RetryWindow)) + reserve)
--- a/fleet/plan/deputy_test.go
+++ b/fleet/plan/deputy_test.go
@@ -116,3 +116,49 @@
 	require.Equal(t, count(0), count(again))
 	require.Positive(t, count(0))
 }
+
+// TestSuccessorsStayWithinRetryBudget guards against a planner that takes over, knows of no repeats, and allows as many
+// again as its predecessor has just granted.
+//
+// Load pattern: a target of a service with few requests fails all of them, each is repeated twice, and planners are lost.
+func TestSuccessorsStayWithinRetryBudget(t *testing.T) {
+	const (
+		requests = 80
+		interval = 100 * time.Millisecond // so that all are sent within the window
+	)
+	entries := []roster.Target{{ID: "d", Service: plainService, Address: "10.0.0.1:1", Slots: 1000}}
+	repeats := 0
+	submit := func(f *plan.Fleet, now fleet.Instant) (granted int) {
+		for _, repeat := range []bool{false, true, true} {
+			decision, ok := f.Submit(now, &plan.Request{Service: plainService, Objective: second, Repeat: repeat})
+			require.True(t, ok)
+			if decision.Grant == nil {
+				continue
+			}
+			if repeat {
+				granted++
+			}
+			reportDone(f, now, decision.Grant)
+		}
+		return granted
+	}
+	var f *plan.Fleet
+	for i := range requests {
+		now := at(time.Duration(i) * interval)
+		if i%(requests/2) == 0 {
+			f = newFleet(t, entries)
+			f.BeginTenure(now, plan.GrantNumber(1000*i))
+			if i == 0 {
+				f.BeginFirstTenure(now)
+			}
+		}
+		repeats += submit(f, now)
+	}
+	require.Positive(t, repeats)
+	require.LessOrEqual(t, repeats, requests/5+50)
+	later := 0
+	for i := range requests {
+		later += submit(f, at(30*second+time.Duration(i)*interval))
+	}
+	require.Greater(t, later, 50/2, "the successor has the whole reserve once it knows the window")
+}
--- a/fleet/plan/origin.go
+++ b/fleet/plan/origin.go
@@ -88,8 +88,11 @@
 }
 
 // BeginFirstTenure records that this planner is the first of the fleet, so that no stream was
-// begun before.
-func (f *Fleet) BeginFirstTenure(now fleet.Instant) { f.origins.BeginFirst(now) }
+// begun before, and none repeated.
+func (f *Fleet) BeginFirstTenure(now fleet.Instant) {
+	f.origins.BeginFirst(now)
+	f.reserveFrom = now
+}
 
 // InheritVersions records the versions that another planner has passed on.
 func (f *Fleet) InheritVersions(now fleet.Instant, versions origin.Versions) {
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -101,6 +101,7 @@
 	lastNumber    GrantNumber
 	queue         []*queuedRequest
 	tenureStart   fleet.Instant
+	reserveFrom   fleet.Instant // when repeats that an earlier planner has granted don't count any more
 	quarantine    quarantine.Ledger
 	origins       origin.Ledger
 	table         *route.Table                    // the newest configuration; nil if none was set
@@ -132,6 +133,7 @@
 // not known.
 func (f *Fleet) BeginTenure(now fleet.Instant, base GrantNumber) {
 	f.tenureStart, f.lastNumber = now, base
+	f.reserveFrom = now.Add(f.RetryWindow)
 	f.stats = Stats{}
 	f.queue, f.crashes, f.waiting = nil, nil, nil
 	f.observers, f.trials, f.cutOffChanges = nil, nil, nil
