service: an answer with a 4xx status is whole or unknown

Callers of hibiscusd got a part of a service's answer as all of it. An answer with a 4xx status came through the error text of a call: its first 512 bytes, without white space at the ends, and what had come if the service stopped in it. Now such an answer is read like one with a success status; one that broke off leaves the outcome unknown.

--- a/fleet/internal/call/call.go
+++ b/fleet/internal/call/call.go
@@ -79,7 +79,25 @@
 	return open(ctx, onceClient, method, address, path, header, body)
 }
 
+// AnswerOnce is like OpenOnce, but also returns a response with a 4xx status that does
+// not prove that the call did not run.
+func AnswerOnce(ctx context.Context, method string, address fleet.Address, path string, header http.Header, body []byte) (*http.Response, error) {
+	response, err := do(ctx, onceClient, method, address, path, header, body)
+	if err != nil || response.StatusCode/100 == 4 && response.Header.Get(OutcomeHeader) != NotRunValue {
+		return response, err
+	}
+	return checkStatus(response)
+}
+
 func open(ctx context.Context, client *http.Client, method string, address fleet.Address, path string, header http.Header, body []byte) (*http.Response, error) {
+	response, err := do(ctx, client, method, address, path, header, body)
+	if err != nil {
+		return nil, err
+	}
+	return checkStatus(response)
+}
+
+func do(ctx context.Context, client *http.Client, method string, address fleet.Address, path string, header http.Header, body []byte) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+string(address)+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, &StatusError{NotRun: true, Detail: err.Error()}
@@ -87,10 +105,12 @@
 	for name, values := range header {
 		request.Header[name] = values
 	}
-	response, err := client.Do(request)
-	if err != nil {
-		return nil, err
-	}
+	return client.Do(request)
+}
+
+// checkStatus returns a response with a 2xx status, and turns any other into a
+// *StatusError.
+func checkStatus(response *http.Response) (*http.Response, error) {
 	if response.StatusCode/100 == 2 {
 		return response, nil
 	}
--- a/fleet/service/service.go
+++ b/fleet/service/service.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -70,15 +69,11 @@
 	if request.Key != "" {
 		header.Set("Idempotency-Key", request.Key)
 	}
-	response, err := call.OpenOnce(ctx, http.MethodPost, c.Address, "/call/"+request.Operation, header, request.Body)
-	var status *call.StatusError
+	response, err := call.AnswerOnce(ctx, http.MethodPost, c.Address, "/call/"+request.Operation, header, request.Body)
 	switch {
 	case err == nil:
 	case call.NotRun(err):
 		return Answer{}, &NotRunError{Address: c.Address, Cause: err}
-	case errors.As(err, &status) && status.Status >= 400 && status.Status < 500:
-		// The status was set by the service itself and is its answer.
-		return Answer{Status: status.Status, Body: []byte(status.Detail)}, nil
 	default:
 		return Answer{}, &UnknownOutcomeError{Address: c.Address, Cause: err}
 	}
--- a/fleet/service/service_test.go
+++ b/fleet/service/service_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -101,3 +104,30 @@
 		})
 	}
 }
+
+// TestFailureThatBrokeOffIsUnknown guards against a service that stops in the body of an answer with a 4xx status, and
+// checks that a long one arrives whole: a part passed for all of it.
+func TestFailureThatBrokeOffIsUnknown(t *testing.T) {
+	whole := strings.Repeat(" reason\n", 1000)
+	for _, status := range []int{http.StatusOK, http.StatusConflict} {
+		for _, sent := range []int{0, 5, 600, len(whole)} {
+			t.Run(fmt.Sprint(status, sent), func(t *testing.T) {
+				server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					w.Header().Set("Content-Length", strconv.Itoa(len(whole)))
+					w.WriteHeader(status)
+					_, _ = io.WriteString(w, whole[:sent])
+				}))
+				defer server.Close()
+				client := service.Client{Address: address(server)}
+				answer, err := client.Do(context.Background(), service.Call{Operation: "book"})
+				if sent < len(whole) {
+					var unknown *service.UnknownOutcomeError
+					require.ErrorAs(t, err, &unknown, "%d bytes came as an answer", len(answer.Body))
+					return
+				}
+				require.NoError(t, err)
+				require.Equal(t, service.Answer{Status: status, Body: []byte(whole)}, answer)
+			})
+		}
+	}
+}
