call: a connection that ends after a failed write may have cut the answer

The connections of calls to back ends now keep the error of a write, and return a *CutError at their end in place of io.EOF; the end waits up to 2 s for a write that is under way. The outcome of the call is then unknown. A service that has closed its connection in order (the write gets EPIPE) is believed as before, since the rule for successes of the front host needs the whole request.

A service that answers early and reads on is served.

--- a/fleet/internal/call/call.go
+++ b/fleet/internal/call/call.go
@@ -34,7 +34,7 @@
 
 // pooledClient is shared by all clients of back ends, so that idle connections are reused.
 var pooledClient = &http.Client{Transport: &http.Transport{
-	DialContext:         Traffic.Dial(dialTimeout),
+	DialContext:         dialWhole(Traffic.Dial(dialTimeout)),
 	MaxIdleConnsPerHost: 64,
 	IdleConnTimeout:     30 * time.Second,
 }}
@@ -43,7 +43,7 @@
 // again when a reused connection fails, even a POST if it has an Idempotency-Key
 // header; on a new connection it never does.
 var onceClient = &http.Client{Transport: &http.Transport{
-	DialContext:       Traffic.Dial(dialTimeout),
+	DialContext:       dialWhole(Traffic.Dial(dialTimeout)),
 	DisableKeepAlives: true,
 }}
 
