plan: write a roll-out's record again that the store lost after its acknowledgement

A successor would have exposed the bad version again.

Cause: the planner may learn that the store was restored before it handles the acknowledgement of a write that the store has lost since. The new era made nothing due, because the verdict was still to be written; the acknowledgement then counted for the restored store, and the record was never written again.

Change: after an answer from an earlier era the record is written again, as it is when the answer comes first. The same holds for a conflict that shows a record of an earlier era. The duty and the hosts' entries compare eras already.

Measured: TestVerdictAcknowledgedBeforeRestoreIsWrittenAgain has the two in that order; before, the store kept Canary, "expected: 0x3, actual: 0x0". After, the tests of fleet/plan pass, and 300 of 300 runs of TestRestoredStoreGetsTheVerdictAgain at a load of 30 to 90.

--- a/fleet/plan/rollouts.go
+++ b/fleet/plan/rollouts.go
@@ -343,9 +343,12 @@
 	if succeeded {
 		s.known.Record = &write.Record
 		s.machine.Written(now, write.Record)
-		return
+	} else {
+		s.machine.WriteFailed(now, found)
+	}
+	if !revision.IsZero() && revision.Era < s.known.Revision.Era {
+		s.machine.Rewrite() // the store was restored since, and may have lost what it has acknowledged
 	}
-	s.machine.WriteFailed(now, found)
 }
 
 // A RolloutSummary describes a roll-out for logs and metrics.
--- a/fleet/plan/rollouts_test.go
+++ b/fleet/plan/rollouts_test.go
@@ -390,6 +390,40 @@
 	}
 }
 
+// TestVerdictAcknowledgedBeforeRestoreIsWrittenAgain guards against a verdict that the store has lost and nobody writes
+// again: the planner learned that the store was restored before it handled the acknowledgement of its write.
+func TestVerdictAcknowledgedBeforeRestoreIsWrittenAgain(t *testing.T) {
+	s := newSite(t, plainService, plainTargets(6, 6), 1)
+	s.play(0, 300*time.Millisecond, 100, func(*plan.Grant) bool { return false })
+	copied, copiedAt := s.record, s.revision
+	require.NotNil(t, copied)
+	var verdict plan.RolloutWrite
+	for now := 300 * time.Millisecond; verdict.Record.Stage != rollout.RolledBack; now += 5 * time.Millisecond {
+		require.Less(t, now, 10*second)
+		if g := s.request(now, "desk", 0); g != nil {
+			delete(s.running, g.Number)
+			progress := plan.Done
+			if g.Software == s.order.To {
+				progress = plan.ServerError
+			}
+			s.f.Report(at(now), plan.Report{Number: g.Number, Progress: progress})
+		}
+		for _, verdict = range s.f.DueRollouts(at(now)) {
+			s.revision.Number++
+			if verdict.Record.Stage == rollout.Canary {
+				s.f.RecordRollout(at(now), verdict, true, nil, s.revision)
+			}
+		}
+	}
+	lost := s.revision
+	s.record, s.revision = copied, fleet.Revision{Era: 2, Number: copiedAt.Number}
+	s.publish(10*second, true)
+	s.f.RecordRollout(at(10*second), verdict, true, nil, lost)
+	s.tick(10 * second)
+	require.Equal(t, rollout.RolledBack, s.record.Stage)
+	require.Empty(t, s.f.DueRollouts(at(11*second)))
+}
+
 // TestSuccessorContinues guards against a planner that uses the new version before it has written
 // its own record, or that promotes on the evidence of nobody.
 func TestSuccessorContinues(t *testing.T) {
