quarantine: requests that were charged together soon get trials

A request that all callers send was withheld for 30 s.

Cause: requests get early trials if one crash makes all of them withheld. Here a host took the duty over while copies of the bad request, sent by the planner before and by a deputy, had ended both targets. Its first connections to them were closed only after more than 50 ms, so that it took them for back and charged the crash to the sound request that it sent there; the deputy's copy of the bad one it did not know. The sound one reached the limit first, alone, and the bad one a second later, alone, too.

Change: each account keeps the numbers of its newest crashes. When a request reaches the limit, those that were withheld before, had no trial since, and were charged with one of the same crashes count as withheld for the same crash: each soon gets one trial, one after the other. What a successor has found in a list counts as charged together, unless it was withheld already. A bad request gets one early trial at most, as before.

Measured: TestRequestsChargedTogetherSoonGetTrials, in both orders and with a successor in between, failed in 4 of 4 cases before ("6s" is not less than "6s": no trial within 6 s) and passes now, with at most one arrival of the bad request in 28 s. The tests of fleet/quarantine and those of crashes and withheld requests of fleet/plan pass.

--- a/fleet/quarantine/quarantine.go
+++ b/fleet/quarantine/quarantine.go
@@ -108,6 +108,7 @@
 	parts     map[prompt.PartID]*account
 	requests  map[Fingerprint]*requestAccount
 	successes uint64 // number of recorded complete answers to prompts
+	crashes   uint64 // number of recorded crashes, and of lists taken over
 }
 
 // account is what is known of a part.
@@ -308,6 +309,7 @@
 	if a, ok := l.requests[request]; ok {
 		switch {
 		case a.Withheld():
+			a.tried = true
 			if a.Tied > 0 {
 				l.postponeTied(now)
 			}
--- a/fleet/quarantine/requests.go
+++ b/fleet/quarantine/requests.go
@@ -31,6 +31,9 @@
 //     one after the other, which clears the sound one. Crashes under copies that were sent
 //     before say nothing of either, and a trial without a result is soon repeated. Once the bad
 //     one is withheld, a crash under its trial is charged to it alone.
+//   - One of the crashes under the bad request is not known to be one, since another host had sent it. The sound one
+//     beside it reaches the limit first. Requests that were charged together count as withheld for the same crash
+//     when the last of them is withheld.
 //   - A caller makes up requests that crash targets. A ledger and a list are shared fairly
 //     among workspaces, so that it can't push the requests of others out.
 const (
@@ -55,6 +58,18 @@
 	lastCrash  fleet.Instant
 	withheldAt fleet.Instant
 	trialAt    fleet.Instant // when the request may be let through again
+	charges    []uint64      // the newest crashes that it was charged with, by number
+	tried      bool          // it may have had a trial since it was withheld
+}
+
+// noteCharge notes the number of a crash that the request was charged with.
+func (a *requestAccount) noteCharge(crash uint64) {
+	a.charges = append(a.charges[max(0, len(a.charges)-2*crashLimit):], crash)
+}
+
+// sharesCharge reports whether the request was charged with a crash together with the other one.
+func (a *requestAccount) sharesCharge(other *requestAccount) bool {
+	return slices.ContainsFunc(a.charges, func(crash uint64) bool { return slices.Contains(other.charges, crash) })
 }
 
 // trialInterval returns the time to the request's next trial, from its last crash or trial.
@@ -78,6 +93,7 @@
 // chargeRequests charges the requests of the suspects with a crash, each once. If a withheld
 // part or request explains the crash, only withheld requests are charged.
 func (l *Ledger) chargeRequests(now fleet.Instant, suspects []Suspect, explained bool) {
+	l.crashes++
 	charged := make(map[Fingerprint]bool)
 	var newlyWithheld []*requestAccount
 	for _, s := range suspects {
@@ -89,6 +105,7 @@
 			if !a.Withheld() {
 				charged[s.Request] = true
 				a.Joint++
+				a.noteCharge(l.crashes)
 			}
 			continue
 		}
@@ -105,6 +122,7 @@
 		charged[s.Request] = true
 		before := a.Withheld()
 		a.Crashes++
+		a.noteCharge(l.crashes)
 		if !before && s.Sent.Sub(a.lastCrash) > jointFailure {
 			a.Crashes, a.Joint = min(a.Crashes+a.Joint, crashLimit), 0
 		}
@@ -119,12 +137,36 @@
 			newlyWithheld = append(newlyWithheld, a)
 		}
 	}
-	if len(newlyWithheld) > 1 {
-		for i, a := range newlyWithheld {
-			a.Tied = i + 1
-			a.trialAt = a.lastCrash.Add(a.trialInterval())
+	earlier := l.withheldEarlier(newlyWithheld)
+	if len(newlyWithheld)+len(earlier) < 2 {
+		return
+	}
+	for i, a := range newlyWithheld {
+		a.Tied = i + 1
+		a.trialAt = a.lastCrash.Add(a.trialInterval())
+	}
+	for i, a := range earlier {
+		a.Tied = len(newlyWithheld) + i + 1
+		a.trialAt = now.Add(a.trialInterval())
+	}
+}
+
+// withheldEarlier returns the requests that were withheld before the given ones, have had no trial, and were charged
+// together with one of them.
+func (l *Ledger) withheldEarlier(newly []*requestAccount) []*requestAccount {
+	var list []*requestAccount
+	if len(newly) == 0 {
+		return nil
+	}
+	for _, a := range l.requests {
+		if a.Withheld() && !a.tried && a.Tied == 0 && !slices.Contains(newly, a) && slices.ContainsFunc(newly, a.sharesCharge) {
+			list = append(list, a)
 		}
 	}
+	slices.SortFunc(list, func(a, b *requestAccount) int {
+		return cmp.Or(cmp.Compare(b.withheldAt, a.withheldAt), cmp.Compare(a.Request, b.Request))
+	})
+	return list
 }
 
 // postponeTied keeps the trials of tied requests apart. They may be due together, after a time in
@@ -200,6 +242,7 @@
 func (l *Ledger) restoreRequests(now fleet.Instant, list List) {
 	old := l.requests
 	l.requests = make(map[Fingerprint]*requestAccount)
+	l.crashes++
 	for _, entry := range list {
 		if entry.Request == "" {
 			continue
@@ -208,8 +251,9 @@
 		if !ok || a.Entry != entry {
 			a = &requestAccount{Entry: entry, lastCrash: now}
 			if a.Withheld() {
-				a.withheldAt, a.trialAt = now, now.Add(a.trialInterval())
+				a.withheldAt, a.trialAt, a.tried = now, now.Add(a.trialInterval()), true
 			}
+			a.noteCharge(l.crashes) // suspects may have been charged together
 		}
 		l.requests[entry.Request] = a
 	}
--- a/fleet/quarantine/requests_test.go
+++ b/fleet/quarantine/requests_test.go
@@ -184,6 +184,54 @@
 	}
 }
 
+// TestRequestsChargedTogetherSoonGetTrials guards against a sound request of all callers that is withheld for
+// FirstTrial beside a bad one.
+//
+// Load pattern: both are on targets that crash. The bad one is sent by hosts that choose for a planner which can't be
+// reached, so that some crashes are charged to one of the two alone.
+func TestRequestsChargedTogetherSoonGetTrials(t *testing.T) {
+	for _, restored := range []bool{false, true} {
+		for _, order := range [][]quarantine.Fingerprint{{"often", "bad"}, {"bad", "often"}} {
+			t.Run(fmt.Sprintf("%s first/restored %t", order[0], restored), func(t *testing.T) {
+				l := new(quarantine.Ledger)
+				crash := func(now time.Duration, requests ...quarantine.Fingerprint) {
+					var suspects []quarantine.Suspect
+					for _, request := range requests {
+						suspects = append(suspects, suspect(request, now-10*ms, now))
+					}
+					l.RecordCrash(at(now), suspects)
+				}
+				crash(0, "bad", "often")
+				crash(300*ms, "bad", "often")
+				if restored {
+					successor := new(quarantine.Ledger)
+					successor.Restore(at(400*ms), l.List())
+					l = successor
+				}
+				crash(time.Second, order[0])
+				requireRequestVerdict(t, l, 1500*ms, quarantine.Refused, order[0])
+				requireRequestVerdict(t, l, 1500*ms, quarantine.Allowed, order[1])
+				crash(2*time.Second, order[1])
+				arrivals := 0
+				for now := 2 * time.Second; now < 30*time.Second; now += 100 * ms {
+					if v, _ := l.Check(at(now), "bad", nil); v != quarantine.Refused {
+						arrivals++
+						l.RecordSent(at(now), "bad", nil)
+						crash(now+20*ms, "bad")
+					}
+					if v, _ := l.Check(at(now), "often", nil); v != quarantine.Refused {
+						l.RecordSent(at(now), "often", nil)
+						l.RecordSuccess("often", nil)
+					} else {
+						require.Less(t, now, 6*time.Second)
+					}
+				}
+				require.LessOrEqual(t, arrivals, 1)
+			})
+		}
+	}
+}
+
 // Load pattern: a workspace makes up thousands of requests, each of which crashes targets.
 func TestWorkspaceDoesNotPushOutRequestsOfOthers(t *testing.T) {
 	var l quarantine.Ledger
