planner: the silent engine of a test stays silent until it has been tried

Cause: the test. An engine is probed if a poll of it fails within a second of an answer that ended early. The test has it fall silent for 1.2 s and reports the early end 0.2 s after that; a process that does not run meanwhile lets the poll be answered, or reports too late.

Change: the engine stays silent until the end of the test. The engine that crashes has one early end, as before.

--- a/hibiscusfront/internal/planner/silent_test.go
+++ b/hibiscusfront/internal/planner/silent_test.go
@@ -38,7 +38,7 @@
 		case left <= 0:
 			return
 		}
-		time.Sleep(left)
+		time.Sleep(min(left, 20*time.Millisecond))
 	}
 }
 
@@ -94,7 +94,8 @@
 	require.Empty(t, p.Quarantine())
 }
 
-// TestSilentEngineHasNotCrashed has an answer of an engine end early just before the engine falls silent, or crashes.
+// TestSilentEngineHasNotCrashed has an answer of an engine end early just as the engine falls silent, or crashes. Another
+// one ends early once the planner gets no answer from the silent engine, which stays silent until it has been tried.
 func TestSilentEngineHasNotCrashed(t *testing.T) {
 	for name, crashed := range map[string]bool{"silent": false, "crashed": true} {
 		t.Run(name, func(t *testing.T) {
@@ -119,12 +120,16 @@
 			ctx, p, lines := startPlanner(t, d)
 			p.SetPlanning(ctx, 7, true)
 			p.SetView(ctx, engineView(target))
-			decision, err := p.Plan(ctx, &plan.Request{
-				ID: "1", Host: "other", Service: "lm", Objective: time.Second, Deadline: 5 * time.Second,
-				Prompt: &prompt.Prompt{Model: "m", Parts: []prompt.Part{{ID: "own", Tokens: 10}}, Input: 10, Output: 1},
-			}, false)
-			require.NoError(t, err)
-			require.NotNil(t, decision.Grant, "%v", decision.Refusal)
+			var failed [2]plan.Report
+			for i := range failed {
+				decision, err := p.Plan(ctx, &plan.Request{
+					ID: fleet.RequestID(fmt.Sprint(i)), Host: "other", Service: "lm", Objective: time.Second, Deadline: 5 * time.Minute,
+					Prompt: &prompt.Prompt{Model: "m", Parts: []prompt.Part{{ID: "own", Tokens: 10}}, Input: 10, Output: 1},
+				}, false)
+				require.NoError(t, err)
+				require.NotNil(t, decision.Grant, "%v", decision.Refusal)
+				failed[i] = plan.Report{Number: decision.Grant.Number, Progress: plan.Failed}
+			}
 			if crashed {
 				engine.mu.Lock()
 				engine.crashed = true
@@ -133,11 +138,20 @@
 				server.CloseClientConnections()
 			} else {
 				engine.mu.Lock()
-				engine.silentUntil = time.Now().Add(1200 * time.Millisecond)
+				engine.silentUntil = time.Now().Add(time.Hour)
 				engine.mu.Unlock()
+				t.Cleanup(func() { // before the server is closed
+					engine.mu.Lock()
+					engine.silentUntil = time.Time{}
+					engine.mu.Unlock()
+				})
 				time.Sleep(200 * time.Millisecond)
 			}
-			p.Report(ctx, []plan.Report{{Number: decision.Grant.Number, Progress: plan.Failed}})
+			p.Report(ctx, failed[:1])
+			if !crashed {
+				lines.Require(t, "engine does not answer; it gets no new work", testlog.Line{"Target": "e"})
+				p.Report(ctx, failed[1:])
+			}
 			lines.Require(t, "tried a connection to a target, since an answer ended early", testlog.Line{"Target": "e", "Accepted": !crashed})
 			time.Sleep(500 * time.Millisecond)
 			want := 0
