election: a holder keeps the fields of the record that it does not know

The record of the planner's duty is written whole by each holder.

A record keeps unknown fields of the store's JSON, and holders write them again. TestRecordKeepsFieldsOfLaterBuilds failed before, for records that were read and heard.

--- a/fleet/election/election.go
+++ b/fleet/election/election.go
@@ -38,12 +38,9 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 
 	"hibiscuslb/fleet"
-	"hibiscuslb/fleet/origin"
-	"hibiscuslb/fleet/quarantine"
 )
 
 const (
@@ -72,32 +69,6 @@
 // IsFirst reports whether the epoch is that of the first holder that the duty has had.
 func IsFirst(epoch fleet.Epoch) bool { return epoch == 1 || epoch == firstEra*epochsPerEra+1 }
 
-// A Record is the content of the duty's object.
-type Record struct {
-	Holder   fleet.HostID // empty if the last holder resigned
-	Address  fleet.Address
-	Epoch    fleet.Epoch
-	Renewal  uint64 // grows with each attempted write, so that no two records are equal
-	Ordering bool   // the holder may have given orders to targets
-	Era      uint64 // of the object store for which the record was written
-	// Quarantine is what the holder passes on to all hosts and to its successor. A
-	// holder that has nothing of its own to pass on keeps what it found.
-	Quarantine quarantine.List `json:",omitempty"`
-	// Versions is passed on in the same way.
-	Versions origin.Versions `json:",omitempty"`
-	// Successor is the host to which the last holder wants to hand the duty over, if it resigned for that.
-	Successor fleet.HostID `json:",omitempty"`
-	// Passes counts the times in a row that the duty was handed over to a host of which it was not known
-	// whether it can do better.
-	Passes int `json:",omitempty"`
-}
-
-// Equal reports whether two records are equal.
-func (r Record) Equal(other Record) bool {
-	return r.Holder == other.Holder && r.Address == other.Address && r.Epoch == other.Epoch && r.Renewal == other.Renewal &&
-		r.Ordering == other.Ordering && r.Era == other.Era && r.Successor == other.Successor && r.Passes == other.Passes && slices.Equal(r.Quarantine, other.Quarantine) && slices.Equal(r.Versions, other.Versions)
-}
-
 // newer reports whether the record is of a later tenure or renewal than other.
 func (r Record) newer(other Record) bool {
 	return cmp.Or(cmp.Compare(r.Epoch, other.Epoch), cmp.Compare(r.Renewal, other.Renewal)) > 0
@@ -198,7 +169,7 @@
 	record := Record{
 		Holder: d.Self, Address: d.Address, Epoch: d.record.Epoch, Ordering: ordering,
 		Renewal: max(d.record.Renewal, d.lastRenewal) + 1, Era: d.revision.Era, Quarantine: d.record.Quarantine, Versions: d.record.Versions,
-		Passes: d.record.Passes,
+		Passes: d.record.Passes, Unknown: d.record.Unknown,
 	}
 	w := Write{Expected: d.revision, Sent: now, orders: ordering}
 	waited := now.Sub(d.observedAt) >= LeaseDuration+ClockMargin
@@ -259,7 +230,7 @@
 		return Write{}, false
 	}
 	return Write{
-		Record:   Record{Epoch: d.record.Epoch, Renewal: d.record.Renewal + 1, Ordering: d.record.Ordering, Era: d.revision.Era, Quarantine: d.record.Quarantine, Versions: d.record.Versions},
+		Record:   Record{Epoch: d.record.Epoch, Renewal: d.record.Renewal + 1, Ordering: d.record.Ordering, Era: d.revision.Era, Quarantine: d.record.Quarantine, Versions: d.record.Versions, Unknown: d.record.Unknown},
 		Expected: d.revision, Sent: now,
 	}, true
 }
