plan: a host that does not know brittle targets says nothing of them

TestHostThatDoesNotKnowBrittleTargetsSaysNothingOfThem: three of six cases failed before, five requests granted where four have room.

--- a/fleet/intake/intake.go
+++ b/fleet/intake/intake.go
@@ -46,6 +46,9 @@
 	Leaving bool          // the target takes no new work and will end
 	Pause   time.Duration // for which the host must send the target nothing; zero for none
 	Brittle Brittle       `cbor:",omitzero"`
+	// Sound is set in what a host reports if the answer names no brittleness. Hosts of earlier builds, which may
+	// not know brittle targets, say neither.
+	Sound bool `cbor:",omitempty"`
 }
 
 // Known is what a host has read from an answer and what concerns all hosts.
--- a/fleet/plan/brittle.go
+++ b/fleet/plan/brittle.go
@@ -78,6 +78,18 @@
 	distrusted bool          // an engine turned a request away that should have had room
 }
 
+// knowsBrittle reports whether a host knows brittle targets, so that it would have said if a target were: it does
+// so now, or has done so before. Hosts of earlier builds say of brittle targets what they say of sound ones.
+func (f *Fleet) knowsBrittle(host fleet.HostID, said intake.Brittle) bool {
+	if said.Named {
+		if f.namedBrittle == nil {
+			f.namedBrittle = make(map[fleet.HostID]bool)
+		}
+		f.namedBrittle[host] = true
+	}
+	return f.namedBrittle[host]
+}
+
 // learnBrittle records what an answer of a target said that came at an instant. Answers that
 // came before the newest one say nothing new.
 func (f *Fleet) learnBrittle(heard fleet.Instant, t *target, brittle intake.Brittle) {
--- a/fleet/plan/limit.go
+++ b/fleet/plan/limit.go
@@ -68,7 +68,9 @@
 	for _, known := range req.Known {
 		if t, ok := f.targets[known.Target]; ok {
 			t.learn(now.Add(-known.Age), known.Limit, known.Leaving)
-			f.learnBrittle(now.Add(-known.Age), t, known.Brittle)
+			if f.knowsBrittle(req.Host, known.Brittle) {
+				f.learnBrittle(now.Add(-known.Age), t, known.Brittle)
+			}
 		}
 	}
 }
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -113,6 +113,7 @@
 	gone          []*target                       // of plain services, that have crashed or are not known to be up
 	rollouts      map[route.ServiceID]*serviceRollout
 	waiting       map[fleet.HostID][]waitingShare // as each host has reported in this tenure
+	namedBrittle  map[fleet.HostID]bool           // hosts that have said that a target is brittle
 	planning      bool                            // a tenure has begun and not ended
 }
 
@@ -294,7 +295,9 @@
 	case Answered:
 		ag.answered = true
 		ag.target.learn(now, report.Notice.Limit, report.Notice.Leaving)
-		f.learnBrittle(now, ag.target, report.Notice.Brittle)
+		if f.knowsBrittle(ag.req.Host, report.Notice.Brittle) || report.Notice.Sound {
+			f.learnBrittle(now, ag.target, report.Notice.Brittle)
+		}
 		return
 	}
 	delete(f.active, report.Number)
@@ -326,6 +329,7 @@
 func (f *Fleet) ReleaseHost(now fleet.Instant, host fleet.HostID) {
 	f.learnWaiting(host, nil)
 	delete(f.waiting, host)
+	delete(f.namedBrittle, host)
 	for number, ag := range f.active {
 		if ag.req.Host == host {
 			delete(f.active, number)
--- a/hibiscusfront/internal/chooser/notices.go
+++ b/hibiscusfront/internal/chooser/notices.go
@@ -28,6 +28,7 @@
 			Msg("target changed what it says of the work that it takes")
 	}
 	if notice.Limit.Named || before.Limit.Named || notice.Brittle.Named || before.Brittle.Named || g.Limited || notice.Leaving && !before.Leaving {
+		notice.Sound = !notice.Brittle.Named
 		c.enqueue(report{to: g.By, Report: plan.Report{Number: g.Number, Progress: plan.Answered, Notice: notice, Via: g.Via}})
 	}
 }
