soak: limits and leaving targets are judged by what a host has been told

The check of TestRollingUpgrade counted all requests to an engine that names a limit. The rule counts machines that had passed on such an answer half a second before, and excuses restarts; so does the check now, as the one on targets that leave does already.

--- a/hibiscusfront/internal/soak/upgrade_test.go
+++ b/hibiscusfront/internal/soak/upgrade_test.go
@@ -93,9 +93,10 @@
 	retrySlack     = 54
 	retryShare     = 0.2
 	retryWindow    = 10 * time.Second
-	upgradeLimit   = 2.5             // requests a second that an engine names
-	limitSpan      = 4 * time.Second // over which they are counted
-	lateOrders     = 9 * time.Second // by which engines carry orders out late
+	upgradeLimit   = 2.5                    // requests a second that an engine names
+	limitSpan      = 4 * time.Second        // over which they are counted
+	toldTime       = 500 * time.Millisecond // until an answer must have an effect
+	lateOrders     = 9 * time.Second        // by which engines carry orders out late
 	betweenActions = 900 * time.Millisecond
 	eventTime      = 30 * time.Millisecond // of streams
 	streamCallers  = 8                     // that ask for streams only
