--- a/hibiscusfront/internal/soak/site_test.go
+++ b/hibiscusfront/internal/soak/site_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -132,34 +131,6 @@
 
 func address(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
 
-// Ports lie below the kernel's ephemeral range, so that no outgoing connection
-// takes one between the check and its use. Each process starts its search at
-// another port.
-const firstPort, portCount = 20_000, 12_000
-
-var nextPort = os.Getpid() * 1009 % portCount
-
-// freePorts returns the first of n consecutive free ports.
-func freePorts(t *testing.T, n int) int {
-	t.Helper()
-	for range portCount {
-		port := firstPort + nextPort
-		nextPort = (nextPort + n) % (portCount - n)
-		free := true
-		for i := 0; i < n && free; i++ {
-			l, err := net.Listen("tcp", address(port+i))
-			if free = err == nil; free {
-				free = l.Close() == nil
-			}
-		}
-		if free {
-			return port
-		}
-	}
-	t.Fatalf("no %d consecutive free ports between %d and %d", n, firstPort, firstPort+portCount)
-	return 0
-}
-
 // serve starts an HTTP server for the handler and returns its host and port.
 func serve(t *testing.T, handler http.Handler) string {
 	t.Helper()
