election: a write that an earlier build made for this host is known again

A host writes the record of the duty through others if the store does not answer it in time. One of an earlier build drops the fields that it does not know, and a conflict that shows such a record was taken for the write of another host: all fields had to be equal. The lease then ran out or was taken a second time. Found by reading, not seen.

Only what identifies an attempt counts now: holder, address, epoch, renewal and era. TestWriteByEarlierBuildIsKnownAgain has a record without the fields of a later build, which Record.Equal told apart; Equal is gone, its two uses in tests compare the whole record.

--- a/fleet/election/election.go
+++ b/fleet/election/election.go
@@ -102,6 +102,14 @@
 	observed fleet.Instant // when its last write was observed
 }
 
+// Wrote reports whether a record in the object store is that of the write. Only the fields that
+// identify an attempt count: a host of an earlier build that writes the record for this one drops those that
+// it does not know.
+func (w *Write) Wrote(found Record) bool {
+	r := &w.Record
+	return found.Holder == r.Holder && found.Address == r.Address && found.Epoch == r.Epoch && found.Renewal == r.Renewal && found.Era == r.Era
+}
+
 // Observe records the object as read from the object store. Revisions that are not
 // newer than the last observed one are ignored. A record from a copy does not replace a
 // newer one that this host knows.
--- a/fleet/election/record.go
+++ b/fleet/election/record.go
@@ -1,10 +1,8 @@
 package election
 
 import (
-	"bytes"
 	"encoding/json"
 	"maps"
-	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -41,14 +39,6 @@
 	Unknown map[string]json.RawMessage `json:"-"`
 }
 
-// Equal reports whether two records are equal.
-func (r Record) Equal(other Record) bool {
-	return r.Holder == other.Holder && r.Address == other.Address && r.Epoch == other.Epoch && r.Renewal == other.Renewal &&
-		r.Ordering == other.Ordering && r.Era == other.Era && r.Successor == other.Successor && r.Passes == other.Passes &&
-		slices.Equal(r.Quarantine, other.Quarantine) && slices.Equal(r.Versions, other.Versions) &&
-		maps.EqualFunc(r.Unknown, other.Unknown, func(a, b json.RawMessage) bool { return bytes.Equal(a, b) })
-}
-
 // knownRecord is Record without its methods.
 type knownRecord Record
 
@@ -80,6 +70,9 @@
 	for _, name := range knownFields {
 		delete(known.Unknown, name)
 	}
+	if len(known.Unknown) == 0 {
+		known.Unknown = nil
+	}
 	*r = Record(known)
 	return nil
 }
--- a/fleet/election/record_test.go
+++ b/fleet/election/record_test.go
@@ -33,7 +33,7 @@
 	message, err := cbor.Marshal(read)
 	require.NoError(t, err)
 	require.NoError(t, cbor.Unmarshal(message, &heard))
-	require.True(t, heard.Equal(read))
+	require.Equal(t, read, heard)
 
 	for name, record := range map[string]election.Record{"read from the store": read, "heard from a host": heard} {
 		t.Run(name, func(t *testing.T) {
@@ -82,7 +82,7 @@
 			require.Equal(t, earlierRecord{"a", 7, true}, earlier)
 			var again election.Record
 			require.NoError(t, codec.decode(data, &again))
-			require.True(t, again.Equal(record))
+			require.Equal(t, record, again)
 		})
 	}
 }
@@ -102,3 +102,26 @@
 	require.NoError(t, cbor.Unmarshal(message, &heard))
 	require.Equal(t, record, heard)
 }
+
+// A takeover that a host of an earlier build had written for this one, and whose answer was lost, was taken for that of
+// another host: the earlier build drops fields that it does not know.
+func TestWriteByEarlierBuildIsKnownAgain(t *testing.T) {
+	duty := election.Duty{Self: "b", Address: "10.0.0.1:1"}
+	duty.Observe(0, revision(5), election.Record{Holder: "a", Epoch: 7, Renewal: 3, Passes: 2, Quarantine: quarantine.List{{Part: "p", Crashes: 5}}})
+	takeover, due := duty.NextWrite(at(election.LeaseDuration+election.ClockMargin), false)
+	require.True(t, due)
+	found := takeover.Record
+	found.Passes, found.Quarantine = 0, nil
+	require.True(t, takeover.Wrote(found))
+	for name, change := range map[string]func(*election.Record){
+		"another host":       func(r *election.Record) { r.Holder = "c" },
+		"an earlier process": func(r *election.Record) { r.Address = "10.0.0.2:1" },
+		"another tenure":     func(r *election.Record) { r.Epoch++ },
+		"another attempt":    func(r *election.Record) { r.Renewal++ },
+		"another era":        func(r *election.Record) { r.Era++ },
+	} {
+		other := found
+		change(&other)
+		require.False(t, takeover.Wrote(other), name)
+	}
+}
--- a/hibiscusfront/internal/control/duty.go
+++ b/hibiscusfront/internal/control/duty.go
@@ -267,7 +267,7 @@
 		c.duty.WriteSucceeded(now, w, o.Revision, c.bounds.Lease)
 	case errors.As(err, &conflict):
 		var record election.Record
-		if platform.DecodeSpec(conflict.Current, &record) == nil && record.Equal(w.Record) && conflict.Current.Revision.Era == w.Expected.Era {
+		if platform.DecodeSpec(conflict.Current, &record) == nil && w.Wrote(record) && conflict.Current.Revision.Era == w.Expected.Era {
 			// The conflicting object is the result of this write: it took
 			// effect, but its answer was lost.
 			c.duty.WriteSucceeded(now, w, conflict.Current.Revision, c.bounds.Lease)
