gateway: an answer that comes as its request is withdrawn is not passed on in part

Cause, as far as the log tells: the time limit ended between the arrival of the answer's header and the moment at which the host notes it. The host closes the connection, takes the header for the beginning of a sound answer, and passes on what it had read until then. The target was then reported as failed, which may count as a crash.

Such an answer now counts as that of a withdrawn request: it is sent once more where it may be, and the target is not blamed.

--- a/hibiscusfront/internal/gateway/attempt.go
+++ b/hibiscusfront/internal/gateway/attempt.go
@@ -29,7 +29,12 @@
 	defer limit.end()
 	request.Check = func() error { return c.checkGrant(g, limit) }
 	exchange, err := c.send(limit.ctx, request)
-	limit.begun()
+	c.withdrawn = !limit.begun()
+	if c.withdrawn && err == nil && !exchange.Answer.NotRun && c.mayRepeat() {
+		// Its connection has been closed since the header arrived, so that the rest of the answer may be missing.
+		exchange.Close()
+		err = &backend.NoResponseError{Target: g.Target, Cause: context.Cause(limit.ctx)}
+	}
 	g.Via = sentBy(exchange, err)
 	var notSent *backend.NotSentError
 	unsent := errors.As(err, &notSent)
@@ -98,7 +103,11 @@
 		c.report(plan.Abandoned)
 		return false, refusal
 	}
-	c.report(c.unlessDoubtful(g.Target, err, plan.Failed, plan.Abandoned))
+	progress := c.unlessDoubtful(g.Target, err, plan.Failed, plan.Abandoned)
+	if c.withdrawn {
+		progress = plan.Abandoned // this host closed the connection
+	}
+	c.report(progress)
 	message := "no complete response from the target"
 	var unsigned *backend.UnsignedError
 	if errors.As(err, &unsigned) {
--- a/hibiscusfront/internal/gateway/gateway.go
+++ b/hibiscusfront/internal/gateway/gateway.go
@@ -120,12 +120,13 @@
 	start       time.Time
 	expiresAt   time.Time // the earlier of the ends of the caller's Deadline and the route's Timeout
 
-	tried   []fleet.TargetID
-	got     bool          // a target has got the request, whether or not it ran it
-	chosen  bool          // a target was chosen, and none has got the request since
-	sentAt  time.Time     // when the current attempt began, its connection included
-	sends   int           // number of targets that may have run the request
-	outcome fleet.Outcome // Unknown once a target may have run the request
+	tried     []fleet.TargetID
+	got       bool          // a target has got the request, whether or not it ran it
+	chosen    bool          // a target was chosen, and none has got the request since
+	sentAt    time.Time     // when the current attempt began, its connection included
+	withdrawn bool          // the connection of the last attempt was closed since the request could begin too late
+	sends     int           // number of targets that may have run the request
+	outcome   fleet.Outcome // Unknown once a target may have run the request
 	// firstByte is, for streams, the time until the first event or bytes arrived,
 	// and for other responses the time until the body, or its first
 	// maxBufferedBody bytes, was read. It is zero before that.
--- a/hibiscusfront/internal/gateway/withdraw.go
+++ b/hibiscusfront/internal/gateway/withdraw.go
@@ -102,14 +102,17 @@
 	}
 }
 
-// begun records that the answer has begun, or that there is none.
-func (l *startLimit) begun() {
+// begun records that the answer has begun, or that there is none. It reports whether the request was not withdrawn
+// before.
+func (l *startLimit) begun() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	withdrawn := l.done
 	l.done = true
 	if l.timer != nil {
 		l.timer.Stop()
 	}
+	return !withdrawn
 }
 
 // end releases the context.
--- a/hibiscusfront/internal/gateway/withdraw_test.go
+++ b/hibiscusfront/internal/gateway/withdraw_test.go
@@ -249,3 +249,89 @@
 		})
 	}
 }
+
+// heldSender returns from the first Send only once its context has ended, as on a machine that is short of processors.
+type heldSender struct {
+	pool backend.Pool
+	held atomic.Bool
+}
+
+func (s *heldSender) Send(ctx context.Context, r *backend.Request) (*backend.Exchange, error) {
+	exchange, err := s.pool.Send(ctx, r)
+	if !s.held.Swap(true) {
+		<-ctx.Done()
+		time.Sleep(100 * time.Millisecond) // the connection is closed
+	}
+	return exchange, err
+}
+
+func (s *heldSender) Blames(fleet.TargetID, error) bool { return true }
+
+// TestAnswerOfWithdrawnRequestIsNotPassedOn guards against answers that break off, and targets that are blamed for that: a
+// request was withdrawn after the header of its answer had arrived, but before the host had noted that.
+func TestAnswerOfWithdrawnRequestIsNotPassedOn(t *testing.T) {
+	t.Run("idempotent", func(t *testing.T) { testAnswerOfWithdrawnRequest(t, route.Idempotent) })
+	t.Run("non-idempotent", func(t *testing.T) { testAnswerOfWithdrawnRequest(t, route.NonIdempotent) })
+}
+
+func testAnswerOfWithdrawnRequest(t *testing.T, kind route.Kind) {
+	const bound = 1800 * time.Millisecond // LatestStart leaves 1.2 s of it
+	answer := func(w http.ResponseWriter, r *http.Request, text string) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("X-Hibiscuslb-Request-Id", r.Header.Get("X-Hibiscuslb-Request-Id"))
+		w.Header().Set(signatureHeader, "p")
+		w.Header().Set("Content-Length", "5")
+		_, _ = io.WriteString(w, text)
+		_ = http.NewResponseController(w).Flush()
+	}
+	first := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		answer(w, r, "wh")
+		<-r.Context().Done()
+	}))
+	t.Cleanup(first.Close)
+	second := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { answer(w, r, "whole") }))
+	t.Cleanup(second.Close)
+	chooser := &scriptedChooser{
+		grants: []plan.Grant{
+			{Number: 1, Target: "old", Version: 1, Address: fleet.Address(strings.TrimPrefix(first.URL, "http://"))},
+			{Number: 2, Target: "new", Version: 2, Address: fleet.Address(strings.TrimPrefix(second.URL, "http://"))},
+		},
+		refusal: fleet.Refuse(fleet.ReasonOverloaded, ""),
+	}
+	table := route.NewTable(route.Config{
+		Number: 1, Limits: route.Limits{Body: 1000}, Workspaces: []route.Workspace{{ID: "w", Keys: []route.Key{"k"}}},
+		Routes: []route.Route{{Host: "127.0.0.1", Prefix: "/", Kind: kind, Attempts: 2, Splits: []route.Split{{Service: "s", Weight: 1}}}},
+	})
+	begin := time.Now()
+	announced := weightupdate.Announcements(nil).Add(1, 0).Add(2, fleet.Instant(time.Hour))
+	var log testlog.Lines
+	sender := new(heldSender)
+	front := httptest.NewServer(&gateway.Gateway{
+		View: func() *view.View {
+			return &view.View{Table: table, Weights: map[fleet.ModelID]weightupdate.Announcements{"m": announced}}
+		},
+		Chooser: chooser, Sender: sender, Pool: &sender.pool, Meter: discardMeter{}, Log: log.Logger(), Departure: new(departure.Departure),
+		Clock: func() fleet.Instant { return fleet.Instant(time.Hour + time.Since(begin)) }, WeightsBound: bound,
+	})
+	t.Cleanup(front.Close)
+	request, err := http.NewRequest(http.MethodPost, front.URL+"/x", strings.NewReader("body"))
+	require.NoError(t, err)
+	for name, value := range map[string]string{
+		"X-Hibiscuslb-Request-Id": "1", "Authorization": "Token k", "X-Hibiscuslb-Model": "m", "X-Hibiscuslb-Token-Usage": "30,10",
+		"X-Hibiscuslb-Prefix-Hash": "aa:10,bb:20",
+	} {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	if kind == route.NonIdempotent {
+		require.Equal(t, plan.Abandoned, chooser.lastReport(1))
+		return
+	}
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Equal(t, "whole", string(body))
+	require.Equal(t, plan.Abandoned, chooser.lastReport(1))
+	require.Equal(t, plan.Done, chooser.lastReport(2))
+}
