--- a/hibiscusfront/internal/control/control.go
+++ b/hibiscusfront/internal/control/control.go
@@ -16,7 +16,6 @@
 import (
 	"context"
 	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -69,26 +68,6 @@
 	inboxSize = 256
 )
 
-// replicatedKinds lists the kinds of objects that every host replicates.
-var replicatedKinds = []string{
-	platform.KindConfiguration, platform.KindTargets, platform.KindEvacuations, platform.KindWeights,
-	platform.KindHosts,
-}
-
-// rolloutKinds lists those that hosts replicate in addition if their settings allow roll-outs.
-var rolloutKinds = []string{platform.KindRollouts, platform.KindRolloutStates}
-
-// restrictingKinds lists the kinds that restrict the use of targets: replaced weights, evacuations and versions on trial.
-var restrictingKinds = append([]string{platform.KindEvacuations, platform.KindWeights}, rolloutKinds...)
-
-// kinds returns the kinds of objects that this host replicates.
-func (c *Control) kinds() []string {
-	if c.Settings.Bounds.ExposeShare <= 0 {
-		return replicatedKinds
-	}
-	return append(slices.Clone(replicatedKinds), rolloutKinds...)
-}
-
 // A Control owns the control state of a host. Set the exported fields before calling
 // Run; OnPlanningChange, OnPublish, OnHostLost, CutOff, InTouch, WantsOrders, Quarantine and Versions may be nil.
 type Control struct {
@@ -347,26 +326,6 @@
 	c.enqueue(ctx, func(fleet.Instant) { c.bounds = bounds })
 }
 
-// knowsRestrictions reports whether the host has read all that restricts the use of targets. Before that, nothing looks
-// restricted. It includes the record of the duty, which names what is withheld, unless no host has run before.
-func (c *Control) knowsRestrictions() bool {
-	if !c.duty.Known() && !c.Settings.FirstStart {
-		return false
-	}
-	return !slices.ContainsFunc(c.unread(), func(kind string) bool { return slices.Contains(restrictingKinds, kind) })
-}
-
-// unread returns the kinds of which this host has read no objects since its start.
-func (c *Control) unread() []string {
-	var kinds []string
-	for _, kind := range c.kinds() {
-		if c.replicas[kind].Revision().IsZero() {
-			kinds = append(kinds, kind)
-		}
-	}
-	return kinds
-}
-
 // publish builds and publishes a new view. Before the host knows what restricts the use of targets, the view has no
 // configuration, so that the host neither serves nor plans yet.
 func (c *Control) publish() {
--- a/hibiscusfront/internal/control/duty.go
+++ b/hibiscusfront/internal/control/duty.go
@@ -360,34 +360,6 @@
 	c.planWithoutLeaseUntil.Store(int64(now.Add(planWithoutLeaseStep)))
 }
 
-// resignTimeout bounds the write by which a host resigns the duty.
-const resignTimeout = 500 * time.Millisecond
-
-// resign ends the tenure at once and writes to the store that the duty is vacant. If successor is set,
-// that host is to take the duty over, and is told. Passes is what the record counts.
-func (c *Control) resign(ctx context.Context, now fleet.Instant, successor wire.Host, passes int) {
-	w, ok := c.duty.ResignWrite(now)
-	c.duty.Release()
-	c.updateTenure(now)
-	if !ok {
-		return
-	}
-	w.Record.Successor, w.Record.Passes = successor.ID, passes
-	c.tasks.Go(ctx, func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, resignTimeout)
-		defer cancel()
-		o, err := c.Store.Replace(ctx, platform.KindDuties, DutyName, w.Expected, w.Record)
-		if err != nil {
-			c.Log.Warn().Err(err).Msg("resigned the planner's duty, but could not record that in the object store; a successor waits for the end of the lease")
-			return
-		}
-		c.Log.Info().Msg("resigned the planner's duty")
-		if successor.ID != "" {
-			c.tellSuccessor(o.Revision, w.Record, successor)
-		}
-	})
-}
-
 // recordAbsent records that the store has no record of the duty, if that is what the error
 // of a call says, and reports whether it is.
 func (c *Control) recordAbsent(now fleet.Instant, err error) bool {
--- a/hibiscusfront/internal/control/handover.go
+++ b/hibiscusfront/internal/control/handover.go
@@ -89,6 +89,34 @@
 // HandOvers returns how often this host has handed the duty over since it was cut off.
 func (c *Control) HandOvers() int64 { return c.handOvers.Load() }
 
+// resignTimeout bounds the write by which a host resigns the duty.
+const resignTimeout = 500 * time.Millisecond
+
+// resign ends the tenure at once and writes to the store that the duty is vacant. If successor is set,
+// that host is to take the duty over, and is told. Passes is what the record counts.
+func (c *Control) resign(ctx context.Context, now fleet.Instant, successor wire.Host, passes int) {
+	w, ok := c.duty.ResignWrite(now)
+	c.duty.Release()
+	c.updateTenure(now)
+	if !ok {
+		return
+	}
+	w.Record.Successor, w.Record.Passes = successor.ID, passes
+	c.tasks.Go(ctx, func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, resignTimeout)
+		defer cancel()
+		o, err := c.Store.Replace(ctx, platform.KindDuties, DutyName, w.Expected, w.Record)
+		if err != nil {
+			c.Log.Warn().Err(err).Msg("resigned the planner's duty, but could not record that in the object store; a successor waits for the end of the lease")
+			return
+		}
+		c.Log.Info().Msg("resigned the planner's duty")
+		if successor.ID != "" {
+			c.tellSuccessor(o.Revision, w.Record, successor)
+		}
+	})
+}
+
 // tellSuccessor sends the vacant record to the host that is to take the duty over.
 func (c *Control) tellSuccessor(revision fleet.Revision, record election.Record, successor wire.Host) {
 	c.enqueue(c.runCtx, func(now fleet.Instant) {
