--- a/hibiscusfront/internal/control/duty.go
+++ b/hibiscusfront/internal/control/duty.go
@@ -45,7 +45,7 @@
 func (c *Control) readDuty(ctx context.Context, now fleet.Instant) {
 	known, interval := c.duty.Known(), dutyReadInterval
 	if !known {
-		interval = minRetryPause // it may not serve without the record
+		interval = minRetryPause
 	}
 	if c.dutyReading || c.leaving || c.planning || now.Sub(c.lastDutyRead) < interval {
 		return
@@ -290,7 +290,8 @@
 // passes on.
 func (c *Control) updateTenure(now fleet.Instant) {
 	record, published := c.duty.Record(), c.View().Duty
-	if c.table != nil && !c.serving && c.knowsRestrictions() || record.Epoch != published.Epoch || record.Holder != published.Holder || !slices.Equal(record.Quarantine, published.Quarantine) ||
+	mayServe := c.table != nil && !c.serving && c.knowsRestrictions()
+	if mayServe || record.Epoch != published.Epoch || record.Holder != published.Holder || !slices.Equal(record.Quarantine, published.Quarantine) ||
 		!slices.Equal(record.Versions, published.Versions) {
 		c.publish()
 	}
--- a/hibiscusfront/internal/control/handover.go
+++ b/hibiscusfront/internal/control/handover.go
@@ -172,9 +172,6 @@
 	m.heartbeats[id] = status
 }
 
-// planningKinds lists the kinds of objects that a host has to have read to plan.
-var planningKinds = []string{platform.KindConfiguration, platform.KindTargets, platform.KindEvacuations, platform.KindWeights}
-
 // heir returns the host to which a planner that is stopped hands its duty: of those that are ready and do not have to
 // hand it over in turn, the one whose process started last. Its ID is empty if there is none.
 //
--- a/hibiscusfront/internal/control/kinds.go
+++ b/hibiscusfront/internal/control/kinds.go
@@ -18,6 +18,9 @@
 // restrictingKinds lists the kinds that restrict the use of targets: replaced weights, evacuations and versions on trial.
 var restrictingKinds = append([]string{platform.KindEvacuations, platform.KindWeights}, rolloutKinds...)
 
+// planningKinds lists the kinds of objects that a host has to have read to plan.
+var planningKinds = []string{platform.KindConfiguration, platform.KindTargets, platform.KindEvacuations, platform.KindWeights}
+
 // kinds returns the kinds of objects that this host replicates.
 func (c *Control) kinds() []string {
 	if c.Settings.Bounds.ExposeShare <= 0 {
--- a/hibiscusfront/internal/control/objects.go
+++ b/hibiscusfront/internal/control/objects.go
@@ -54,8 +54,7 @@
 		// A host that starts reads the store at once: it can serve no request
 		// before it has a configuration.
 		unread := from.IsZero()
-		detects := kind == platform.KindConfiguration || unread
-		if !unread && !c.watching.Load() || c.storeOutageShared.Load() && !detects {
+		if !unread && (!c.watching.Load() || c.storeOutageShared.Load() && kind != platform.KindConfiguration) {
 			// Other hosts send the changes; or calls to the store fail, and
 			// watching one kind is enough to detect when it answers again. Kinds that
 			// were never read are read on: the host may not serve without them.
