--- a/review/cases-2/caller.go
+++ b/review/cases-2/caller.go
@@ -75,6 +75,10 @@
 	defer func() { r.ended = time.Now() }()
 	ctx, cancel := context.WithTimeout(context.Background(), o.deadline+500*time.Millisecond)
 	defer cancel()
+	if o.stream {
+		// The text of the prompt, which differs like the chain of its parts.
+		o.body = []byte(strings.Repeat(o.headers["X-Hibiscuslb-Prefix-Hash"]+" ", 20))
+	}
 	request, err := http.NewRequestWithContext(ctx, o.method, "http://"+h.front()+o.path, bytes.NewReader(o.body))
 	if err != nil {
 		r.err = err
@@ -248,8 +252,21 @@
 	wait sync.WaitGroup
 }
 
-// every starts f at a rate a second, each in a goroutine of its own.
+// every starts f at a rate a second, at random times, each in a goroutine of its own.
 func (c *crowd) every(perSecond float64, f func()) {
+	c.spaced(func() time.Duration { return time.Duration(rand.ExpFloat64() / perSecond * float64(time.Second)) }, f)
+}
+
+// steadily is like every, at equal intervals.
+func (c *crowd) steadily(perSecond float64, f func()) {
+	next := time.Now()
+	c.spaced(func() time.Duration {
+		next = next.Add(time.Duration(float64(time.Second) / perSecond))
+		return time.Until(next)
+	}, f)
+}
+
+func (c *crowd) spaced(wait func() time.Duration, f func()) {
 	c.wait.Add(1)
 	go func() {
 		defer c.wait.Done()
@@ -257,7 +274,7 @@
 			select {
 			case <-c.stop:
 				return
-			case <-time.After(time.Duration(rand.ExpFloat64() / perSecond * float64(time.Second))):
+			case <-time.After(wait()):
 			}
 			c.wait.Add(1)
 			go func() {
--- a/review/cases-2/main.go
+++ b/review/cases-2/main.go
@@ -14,8 +14,9 @@
 
 // cases are the cases by name.
 var cases = map[string]func(r *record, binary string, trouble bool) (broken bool, err error){
-	"takeup":  takeUp,
-	"upgrade": upgrade,
+	"crashpart": crashPart,
+	"takeup":    takeUp,
+	"upgrade":   upgrade,
 }
 
 func main() { os.Exit(run()) }
--- a/review/cases-2/takeup.go
+++ b/review/cases-2/takeup.go
@@ -33,7 +33,7 @@
 	var talks []*talk
 	c := newCrowd()
 	c.every(200, func() {
-		t := s.talk(order{method: "POST", path: "/digest/2f", deadline: 12 * time.Second, body: []byte("prompt"), headers: prompt()}, 4)
+		t := s.talk(order{method: "POST", path: "/digest/2f", deadline: 12 * time.Second, headers: prompt()}, 4)
 		mu.Lock()
 		defer mu.Unlock()
 		talks = append(talks, t)
--- a/review/cases-2/upgrade.go
+++ b/review/cases-2/upgrade.go
@@ -23,8 +23,8 @@
 	var mu sync.Mutex
 	var talks []*talk
 	c := newCrowd()
-	c.every(30, func() {
-		t := s.talk(order{method: "POST", path: "/digest/2f", deadline: 12 * time.Second, body: []byte("prompt"), headers: longPrompt(3500)}, 4)
+	c.steadily(42, func() {
+		t := s.talk(order{method: "POST", path: "/digest/2f", deadline: 12 * time.Second, headers: longPrompt(2500)}, 4)
 		mu.Lock()
 		defer mu.Unlock()
 		talks = append(talks, t)
