--- a/review/cases-2/caller.go
+++ b/review/cases-2/caller.go
@@ -210,18 +210,7 @@
 }
 
 // pick returns a host that consumers are sent to.
-func (s *site) pick() *host {
-	for range 20 {
-		h := s.hosts[rand.IntN(len(s.hosts))]
-		h.mu.Lock()
-		away := h.paused
-		h.mu.Unlock()
-		if !away {
-			return h
-		}
-	}
-	return s.hosts[0]
-}
+func (s *site) pick() *host { return s.hosts[rand.IntN(len(s.hosts))] }
 
 // prompt returns the headers of a generation request. Parts are shared by some requests, the last by none.
 func prompt(parts ...string) map[string]string {
--- a/review/cases-2/engine.go
+++ b/review/cases-2/engine.go
@@ -28,10 +28,6 @@
 
 	// crashes, if set, is asked before a request runs, or before the first event; true ends the engine.
 	crashes func(r *http.Request) bool
-	// answer, if set, may answer a request in place of the engine and returns true then.
-	answer func(e *engine, w http.ResponseWriter, r *http.Request) bool
-	// headers, if set, adds headers to an answer.
-	headers func(h http.Header)
 
 	mu       sync.Mutex
 	up       bool
@@ -43,19 +39,6 @@
 	busy     bool
 	server   *http.Server
 	life     int
-	arrivals []arrival
-	seq      int
-}
-
-// An arrival is a request that reached an engine.
-type arrival struct {
-	at       time.Time
-	id       string
-	path     string
-	engine   string
-	software string
-	from     string // Last-Event-Id
-	ran      bool
 }
 
 // start begins a life with a version of the software.
@@ -105,7 +88,6 @@
 func (e *engine) entry() map[string]any {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.seq++
 	entry := map[string]any{
 		"service": e.service, "address": e.address, "zone": e.zone, "version": e.software, "slots": e.slots, "state": e.state,
 		"coldRemainingMs": 0, "born": e.born,
@@ -204,16 +186,6 @@
 	}
 }
 
-// arrive notes a request and returns its index.
-func (e *engine) arrive(r *http.Request) int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.arrivals = append(e.arrivals, arrival{
-		at: time.Now(), id: r.Header.Get("X-Hibiscuslb-Request-Id"), path: r.URL.Path, engine: e.id, software: e.software, from: r.Header.Get("Last-Event-Id"),
-	})
-	return len(e.arrivals) - 1
-}
-
 // run runs a request of a consumer. A stream goes on behind Last-Event-Id. Each event names the software that wrote it.
 func (e *engine) run(w http.ResponseWriter, r *http.Request, life int) {
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
@@ -221,13 +193,6 @@
 	}
 	id := r.Header.Get("X-Hibiscuslb-Request-Id")
 	w.Header().Set("X-Hibiscuslb-Request-Id", id)
-	if e.headers != nil {
-		e.headers(w.Header())
-	}
-	index := e.arrive(r)
-	if e.answer != nil && e.answer(e, w, r) {
-		return
-	}
 	e.mu.Lock()
 	software, version, busy := e.software, e.version, e.busy
 	e.mu.Unlock()
@@ -240,9 +205,6 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	e.mu.Lock()
-	e.arrivals[index].ran = true
-	e.mu.Unlock()
 	e.site.record.add("run %s at %s software %s %s from %q", id, e.id, software, r.URL.Path, r.Header.Get("Last-Event-Id"))
 	if e.crashes != nil && e.crashes(r) {
 		e.crash()
@@ -279,10 +241,3 @@
 		}
 	}
 }
-
-// took returns a copy of what reached the engine.
-func (e *engine) took() []arrival {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return append([]arrival(nil), e.arrivals...)
-}
--- a/review/cases-2/host.go
+++ b/review/cases-2/host.go
@@ -54,7 +54,6 @@
 
 	mu      sync.Mutex
 	command *exec.Cmd
-	paused  bool
 	stopped bool
 	starts  []time.Time
 	done    chan struct{}
@@ -88,11 +87,6 @@
 			_ = h.writeSettings(false)
 		}
 		h.mu.Lock()
-		for h.paused && !h.stopped {
-			h.mu.Unlock()
-			time.Sleep(20 * time.Millisecond)
-			h.mu.Lock()
-		}
 		command := exec.Command(h.binary, "--metrics", "9464")
 		command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "HIBISCUSLB_SETTINGS=" + h.settings}
 		command.Stdout, command.Stderr = h.log, h.log
@@ -117,21 +111,6 @@
 	}
 }
 
-func (h *host) pid() int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.command == nil {
-		return 0
-	}
-	return h.command.Process.Pid
-}
-
-func (h *host) setPaused(paused bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.paused = paused
-}
-
 // end ends the process for good.
 func (h *host) end() {
 	h.mu.Lock()
